--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,184 @@
+"""Starts, stops, kills and freezes the processes of a small fleet."""
+
+import contextlib
+import pathlib
+import shutil
+import signal
+import subprocess  # noqa: S404
+import sys
+import time
+from collections.abc import Callable, Sequence
+from types import TracebackType
+from typing import Self, final
+
+from bench.layout import FleetShape, ProcessPlan, free_addresses, plan_fleet
+from bench.pages import fetch_json, status_of
+
+STOP_TIMEOUT = 40.0
+START_TIMEOUT = 30.0
+PAUSE = 0.05
+
+
+@final
+class Fleet:
+    """Owns the processes it started; a context manager that stops them."""
+
+    def __init__(self, shape: FleetShape, folder: pathlib.Path) -> None:
+        """Plan a fleet whose files live in ``folder``."""
+        self.folder = folder
+        self.shape = shape
+        self.plans = plan_fleet(shape, folder)
+        self.plan_by_name = {plan.name: plan for plan in self.plans}
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.address_by_target: dict[str, str] = {}
+
+    def __enter__(self) -> Self:
+        """Start the control groups, the ledgers, then the entries."""
+        for program in ('control', 'ledger', 'entry'):
+            for plan in self.plans:
+                if plan.program == program:
+                    self.start(plan.name)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop what still runs, entries first."""
+        for name in reversed(tuple(self.process_by_name)):
+            self._signal(name, signal.SIGCONT)
+        for name in reversed(tuple(self.process_by_name)):
+            self.kill(name)
+
+    def start(self, name: str) -> None:
+        """Start a process of the system."""
+        plan = self.plan_by_name[name]
+        self._spawn(
+            name,
+            [
+                sys.executable,
+                '-c',
+                f'from turmericmast.programs.{plan.program} import main; main()',
+                f'--settings={plan.settings}',
+            ],
+        )
+
+    def start_target(self, name: str, arguments: Sequence[str]) -> None:
+        """Start a stand-in target at an address of its own."""
+        address = self.address_by_target.get(name) or free_addresses(1)[0]
+        self.address_by_target[name] = address
+        entries = ','.join(
+            plan.http for plan in self.plans if plan.program == 'entry'
+        )
+        root = pathlib.Path(__file__).parent
+        self._spawn(
+            name,
+            [
+                sys.executable,
+                str(root / 'standin.py'),
+                f'--name={name}',
+                f'--port={address.rpartition(":")[2]}',
+                f'--entries={entries}',
+                f'--log={self.folder / "runs" / name}.jsonl',
+                *arguments,
+            ],
+        )
+
+    def stop(self, name: str) -> int:
+        """Ask a process to stop, and return its exit status."""
+        self._signal(name, signal.SIGTERM)
+        process = self.process_by_name.pop(name)
+        return process.wait(STOP_TIMEOUT)
+
+    def kill(self, name: str) -> None:
+        """Kill a process."""
+        self._signal(name, signal.SIGKILL)
+        self.process_by_name.pop(name).wait(STOP_TIMEOUT)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process in its tracks."""
+        self._signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self._signal(name, signal.SIGCONT)
+
+    def lose_disk(self, name: str) -> None:
+        """Remove the data folder of a process that does not run."""
+        data = self.plan_by_name[name].data
+        if data:
+            shutil.rmtree(data, ignore_errors=True)
+
+    def names(self, program: str, region: str = '') -> list[str]:
+        """Return the names of the processes of a program."""
+        return [
+            plan.name
+            for plan in self.plans
+            if plan.program == program and region in {'', plan.region}
+        ]
+
+    def entries(self, region: str = '') -> list[ProcessPlan]:
+        """Return the plans of the entries."""
+        return [
+            plan
+            for plan in self.plans
+            if plan.program == 'entry' and region in {'', plan.region}
+        ]
+
+    def await_ready(self, targets: int) -> None:
+        """Wait until every entry has a lease and owns all targets together."""
+        self.wait_for(
+            lambda: self.owned() >= targets,
+            f'{targets} targets to be owned',
+        )
+
+    def owned(self) -> int:
+        """Return how many targets are owned; -1 while a lease is missing."""
+        pages = [
+            fetch_json(f'http://{plan.http}/-/health')
+            for plan in self.entries()
+            if plan.name in self.process_by_name
+        ]
+        if not all(page.get('lease') for page in pages):
+            return -1
+        return sum(page['targets'] for page in pages)
+
+    def leader(self, program: str, region: str) -> str:
+        """Return the member that leads a control group."""
+        return next(
+            (
+                plan.name
+                for plan in self.plans
+                if plan.name.startswith(f'{program}-{region}-')
+                and plan.name in self.process_by_name
+                and status_of(f'http://{plan.http}/v1/status') == 200
+            ),
+            '',
+        )
+
+    @staticmethod
+    def wait_for(check: Callable[[], bool], what: str) -> None:
+        """Wait until a check holds."""
+        deadline = time.monotonic() + START_TIMEOUT
+        while not check():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f'waited in vain for {what}')
+            time.sleep(PAUSE)
+
+    def _spawn(self, name: str, command: Sequence[str]) -> None:
+        logs = self.folder / 'logs'
+        logs.mkdir(parents=True, exist_ok=True)
+        (self.folder / 'runs').mkdir(exist_ok=True)
+        with (logs / f'{name}.log').open('ab') as stream:
+            self.process_by_name[name] = subprocess.Popen(  # noqa: S603
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=stream,
+                stderr=stream,
+            )
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            self.process_by_name[name].send_signal(number)
--- /dev/null
+++ b/bench/layout.py
@@ -0,0 +1,173 @@
+"""The shape of a small fleet on one machine, and its settings files."""
+
+import dataclasses
+import itertools
+import json
+import pathlib
+import socket
+from collections.abc import Iterator
+from typing import Any, final
+
+HOST = '127.0.0.1'
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class RegionShape:
+    """A region and what runs in it."""
+
+    region: str
+    domains: tuple[str, ...]
+    entries_per_domain: int = 2
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class FleetShape:
+    """All regions; the first one orders changes of the fleet document."""
+
+    regions: tuple[RegionShape, ...]
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class ProcessPlan:
+    """One process of the system."""
+
+    name: str
+    program: str
+    region: str
+    domain: str
+    http: str
+    peer: str
+    settings: pathlib.Path
+    data: pathlib.Path | None
+    events: pathlib.Path
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses on loopback that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((HOST, 0))
+        return [f'{HOST}:{one.getsockname()[1]}' for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def plan_fleet(shape: FleetShape, folder: pathlib.Path) -> list[ProcessPlan]:
+    """Write settings for every process and return the plans."""
+    seats = list(_seats(shape))
+    entries = list(_entries(shape))
+    count = len(seats) + len(entries)
+    addresses = iter(free_addresses(2 * count))
+    plans = [
+        _plan(name, program, region, domain, folder, addresses)
+        for program, name, region, domain, _, _ in seats
+    ] + [
+        _plan(name, 'entry', region, domain, folder, addresses)
+        for name, region, domain in entries
+    ]
+    plan_by_name = {plan.name: plan for plan in plans}
+    regions = {
+        one.region: {
+            'domains': list(one.domains),
+            'control': _group('control', one.region, seats, plan_by_name),
+            'ledger': _group('ledger', one.region, seats, plan_by_name),
+        }
+        for one in shape.regions
+    }
+    for plan in plans:
+        _write(plan, shape.regions[0].region, regions)
+    return plans
+
+
+def _seats(
+    shape: FleetShape,
+) -> Iterator[tuple[str, str, str, str, str, bool]]:
+    """Yield program, name, place, and the group's region, witness or not.
+
+    A region with two failure domains gets a witness in the next region; a
+    fleet of one region has it in its first failure domain.
+    """
+    for position, region in enumerate(shape.regions):
+        following = shape.regions[(position + 1) % len(shape.regions)]
+        domains = [(region.region, domain) for domain in region.domains[:3]]
+        places = [(*place, False) for place in domains]
+        if len(places) == 2:
+            places.append((following.region, following.domains[0], True))
+        for program in ('control', 'ledger'):
+            for number, (where, domain, witness) in enumerate(places):
+                name = f'{program}-{region.region}-{number}'
+                yield program, name, where, domain, region.region, witness
+
+
+def _entries(shape: FleetShape) -> Iterator[tuple[str, str, str]]:
+    for region in shape.regions:
+        numbers = itertools.count()
+        for domain, _ in itertools.product(
+            region.domains,
+            range(region.entries_per_domain),
+        ):
+            yield (
+                f'entry-{region.region}-{next(numbers)}',
+                region.region,
+                domain,
+            )
+
+
+def _plan(
+    name: str,
+    program: str,
+    region: str,
+    domain: str,
+    folder: pathlib.Path,
+    addresses: Iterator[str],
+) -> ProcessPlan:
+    return ProcessPlan(
+        name=name,
+        program=program,
+        region=region,
+        domain=domain,
+        http=next(addresses),
+        peer=next(addresses),
+        settings=folder / f'{name}.json',
+        data=None if program == 'entry' else folder / 'data' / name,
+        events=folder / 'events' / f'{name}.jsonl',
+    )
+
+
+def _group(
+    program: str,
+    region: str,
+    seats: list[tuple[str, str, str, str, str, bool]],
+    plan_by_name: dict[str, ProcessPlan],
+) -> list[dict[str, Any]]:
+    return [
+        {
+            'member': name,
+            'peer': plan_by_name[name].peer,
+            'http': plan_by_name[name].http,
+            'witness': witness,
+        }
+        for kind, name, _, _, group, witness in seats
+        if kind == program and group == region
+    ]
+
+
+def _write(plan: ProcessPlan, ordering: str, regions: dict[str, Any]) -> None:
+    document = {
+        'name': plan.name,
+        'region': plan.region,
+        'domain': plan.domain,
+        'http': plan.http,
+        'events': str(plan.events),
+        'ordering_region': ordering,
+        'regions': regions,
+    }
+    if plan.data:
+        document |= {'peer': plan.peer, 'data': str(plan.data)}
+    plan.settings.parent.mkdir(parents=True, exist_ok=True)
+    plan.settings.write_text(json.dumps(document, indent=1), encoding='utf-8')
--- /dev/null
+++ b/src/turmericmast/__init__.py
@@ -0,0 +1,1 @@
+"""turmericmast."""
--- /dev/null
+++ b/src/turmericmast/disk/__init__.py
@@ -0,0 +1,1 @@
+"""The disk package."""
--- /dev/null
+++ b/src/turmericmast/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry aggregate: what one entry instance decides."""
--- /dev/null
+++ b/src/turmericmast/entry/ownership.py
@@ -0,0 +1,138 @@
+"""The targets an entry owns, kept in step with what the region says."""
+
+from collections.abc import Iterator
+from typing import final
+
+from turmericmast.fleet.document import FleetDocument
+from turmericmast.ids import CallId, InstanceId, Seconds, ServiceId, TargetId
+from turmericmast.region.records import Placement
+from turmericmast.region.view import RegionView
+from turmericmast.service.policy import LeastAgePolicy
+from turmericmast.service.service import Service
+from turmericmast.target.announcement import Announcement
+from turmericmast.target.target import Target
+
+
+@final
+class Ownership:
+    """Services and their owned targets."""
+
+    def __init__(self, instance: InstanceId) -> None:
+        """Own nothing."""
+        self.instance = instance
+        self.service_by_id: dict[ServiceId, Service] = {}
+        self.incoming: frozenset[ServiceId] = frozenset()
+        """Services with targets that another owner is about to release."""
+        self._placement_by_target: dict[TargetId, Placement] = {}
+
+    def service(self, name: ServiceId, document: FleetDocument) -> Service:
+        """Return a service, made when it is new."""
+        known = self.service_by_id.get(name)
+        if known is None:
+            values = document.values_for({'service': name})
+            known = Service(
+                name,
+                LeastAgePolicy(),
+                values.queue_limit,
+                values.retry_ratio,
+            )
+            self.service_by_id[name] = known
+        return known
+
+    def target(self, name: TargetId) -> Target | None:
+        """Return an owned target."""
+        placement = self._placement_by_target.get(name)
+        if placement is None:
+            return None
+        service = self.service_by_id[placement.spec.service]
+        return service.target_by_id.get(name)
+
+    def targets(self) -> Iterator[Target]:
+        """Yield every owned target."""
+        for service in self.service_by_id.values():
+            yield from service.target_by_id.values()
+
+    def follow(
+        self,
+        view: RegionView,
+        document: FleetDocument,
+        now: Seconds,
+    ) -> None:
+        """Take over what was granted, drop what was taken away."""
+        granted = {
+            placement.spec.target: placement
+            for placement in view.owned_by(self.instance)
+        }
+        for name in self._placement_by_target.keys() - granted.keys():
+            self._drop(name)
+        for name, placement in granted.items():
+            self._take(name, placement, document, now)
+        self.incoming = frozenset(
+            placement.spec.service
+            for placement in view.placement_by_target.values()
+            if placement.successor == self.instance
+        )
+        for target in self.targets():
+            spec = target.spec
+            target.is_excluded = view.is_target_out(spec.target, spec.domain)
+            target.is_moving = bool(granted[spec.target].successor)
+
+    def hear(self, announcement: Announcement, now: Seconds) -> bool:
+        """Give an announcement to its target; tell whether it is owned."""
+        target = self.target(announcement.spec.target)
+        if target is None:
+            return False
+        if target.spec.service != announcement.spec.service:
+            return False
+        target.hear(announcement, now)
+        return True
+
+    def releasable(self) -> list[Target]:
+        """Return the targets that may go to their new owner now."""
+        return [
+            target
+            for service in self.service_by_id.values()
+            for target in service.target_by_id.values()
+            if target.is_moving and not target.in_flight
+            if not len(service.backlog) or service.takes_calls(Seconds(0))
+        ]
+
+    def stranded(self, now: Seconds) -> list[CallId]:
+        """Return queued calls that no owned target will take."""
+        return [
+            call
+            for service in self.service_by_id.values()
+            if service.service not in self.incoming
+            if not service.takes_calls(now) and not service.has_moving
+            for call in service.backlog.calls()
+        ]
+
+    def clear(self) -> None:
+        """Own nothing any more."""
+        for name in tuple(self._placement_by_target):
+            self._drop(name)
+
+    def _take(
+        self,
+        name: TargetId,
+        placement: Placement,
+        document: FleetDocument,
+        now: Seconds,
+    ) -> None:
+        known = self._placement_by_target.get(name)
+        is_same = known is not None and (
+            known.granted == placement.granted
+            and known.spec.service == placement.spec.service
+        )
+        if not is_same:
+            self._drop(name)
+            service = self.service(placement.spec.service, document)
+            target = Target(placement.spec, now, wary=placement.wary)
+            service.target_by_id[name] = target
+        self._placement_by_target[name] = placement
+
+    def _drop(self, name: TargetId) -> None:
+        placement = self._placement_by_target.pop(name, None)
+        if placement:
+            service = self.service_by_id[placement.spec.service]
+            service.target_by_id.pop(name, None)
--- /dev/null
+++ b/src/turmericmast/events.py
@@ -0,0 +1,71 @@
+"""Events of one process as JSON lines, stamped by the hybrid clock."""
+
+import json
+import pathlib
+from types import TracebackType
+from typing import Self, TextIO, final
+
+from absl import logging
+
+from turmericmast.clock import HybridClock
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
+"""Size at which an event file is put aside as ``.1``."""
+
+
+@final
+class EventLog:
+    """Writes changes of state; never bodies, keys or paths of requests."""
+
+    def __init__(
+        self,
+        process: str,
+        path: pathlib.Path | None,
+        clock: HybridClock,
+    ) -> None:
+        """Write to ``path``, or nowhere."""
+        self.process = process
+        self.clock = clock
+        self._path = path
+        self._stream: TextIO | None = None
+
+    def __enter__(self) -> Self:
+        """Open the file."""
+        if self._path:
+            self._path.parent.mkdir(parents=True, exist_ok=True)
+            self._stream = self._path.open('a', encoding='utf-8', buffering=1)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the file."""
+        if self._stream:
+            self._stream.close()
+            self._stream = None
+
+    def write(self, kind: str, **fields: str | int | float | bool) -> None:
+        """Write an event, and a log line, for a change of state."""
+        stamp = self.clock.tick()
+        parts = ' '.join(f'{name}={text}' for name, text in fields.items())
+        logging.info('%s %s', kind, parts)
+        if self._stream is None:
+            return
+        line = {
+            'clock': [stamp.wall, stamp.count],
+            'process': self.process,
+            'event': kind,
+            **fields,
+        }
+        self._stream.write(f'{json.dumps(line)}\n')
+        if self._stream.tell() > MAX_FILE_BYTES:
+            self._turn_over()
+
+    def _turn_over(self) -> None:
+        if self._path and self._stream:
+            self._stream.close()
+            self._path.replace(self._path.with_suffix('.1'))
+            self._stream = self._path.open('a', encoding='utf-8', buffering=1)
--- /dev/null
+++ b/src/turmericmast/fleet/document.py
@@ -0,0 +1,192 @@
+"""The fleet document: defaults and exceptions, checked as a whole."""
+
+import dataclasses
+import hashlib
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, TypeAlias, final
+
+from returns.result import Failure, Result, Success
+
+from turmericmast.exceptions import SettingsError
+from turmericmast.fleet.values import FIELD_BY_NAME, RANGE_BY_NAME, Values
+from turmericmast.ids import Digest
+
+SELECTORS = ('service', 'tenant', 'route')
+MAX_EXCEPTIONS = 500
+
+Fault: TypeAlias = tuple[str, str, str]
+"""Path in the document, what was found, what to write."""
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class FleetException:
+    """Values for the calls that a selector matches, with a reason."""
+
+    selector: Mapping[str, str]
+    changes: Mapping[str, Any]
+    reason: str
+
+    def matches(self, subject: Mapping[str, str]) -> bool:
+        """Tell whether the selector fits a call."""
+        return all(
+            subject.get(name, '').startswith(wanted)
+            if name == 'route'
+            else subject.get(name) == wanted
+            for name, wanted in self.selector.items()
+        )
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class FleetDocument:
+    """A checked document."""
+
+    defaults: Values = Values()
+    exceptions: tuple[FleetException, ...] = ()
+
+    def matching(self, subject: Mapping[str, str]) -> list[FleetException]:
+        """Return the exceptions that apply, the most specific one last."""
+        return sorted(
+            (one for one in self.exceptions if one.matches(subject)),
+            key=lambda one: len(one.selector),
+        )
+
+    def values_for(self, subject: Mapping[str, str]) -> Values:
+        """Return the values that apply to a call."""
+        values = self.defaults
+        for exception in self.matching(subject):
+            values = values.with_changes(exception.changes)
+        return values
+
+
+def digest_of(text: str) -> Digest:
+    """Return the digest by which a document is known."""
+    return Digest(hashlib.sha256(text.encode()).hexdigest()[:16])
+
+
+def parse_document(text: str) -> Result[FleetDocument, SettingsError]:
+    """Return the document in a JSON text, or its first fault."""
+    try:
+        tree = json.loads(text)
+    except ValueError as error:
+        return Failure(_error(('', f'no JSON: {error}', 'mend the JSON')))
+    fault = next(_faults(tree), None)
+    return Failure(_error(fault)) if fault else Success(_build(tree))
+
+
+def _error(fault: Fault) -> SettingsError:
+    path, found, wanted = fault
+    return SettingsError(
+        f'{path or "document"}: {found}',
+        step='check fleet document',
+        hint=wanted,
+    )
+
+
+def _faults(tree: object) -> Iterator[Fault]:
+    if not isinstance(tree, Mapping):
+        yield ('', 'not an object', 'write {"defaults": {}, "exceptions": []}')
+        return
+    yield from (
+        (name, 'unknown key', 'keep only defaults and exceptions')
+        for name in tree
+        if name not in {'defaults', 'exceptions'}
+    )
+    yield from _value_faults('defaults', tree.get('defaults', {}))
+    exceptions = tree.get('exceptions', [])
+    if not isinstance(exceptions, list) or len(exceptions) > MAX_EXCEPTIONS:
+        yield (
+            'exceptions',
+            'not a list of reasonable length',
+            f'write a list of at most {MAX_EXCEPTIONS} exceptions',
+        )
+        return
+    for position, exception in enumerate(exceptions):
+        yield from _exception_faults(f'exceptions[{position}]', exception)
+
+
+def _exception_faults(path: str, exception: object) -> Iterator[Fault]:
+    if not isinstance(exception, Mapping):
+        yield (path, 'not an object', 'write selector keys, reason and values')
+        return
+    yield from (
+        (f'{path}.{name}', 'unknown key', f'use {", ".join(SELECTORS)}')
+        for name in exception
+        if name not in {*SELECTORS, 'reason', 'values'}
+    )
+    reason = exception.get('reason')
+    if not isinstance(reason, str) or not reason.strip():
+        yield (
+            f'{path}.reason',
+            'no written reason',
+            'write why this exception is needed',
+        )
+    chosen = [name for name in SELECTORS if name in exception]
+    if not chosen:
+        yield (path, 'selects nothing', f'add one of {", ".join(SELECTORS)}')
+    yield from (
+        (f'{path}.{name}', 'not a name', 'write a non-empty string')
+        for name in chosen
+        if not isinstance(exception[name], str) or not exception[name]
+    )
+    if not exception.get('values'):
+        yield (f'{path}.values', 'changes nothing', 'set at least one value')
+    yield from _value_faults(f'{path}.values', exception.get('values', {}))
+
+
+def _value_faults(path: str, tree: object) -> Iterator[Fault]:
+    if not isinstance(tree, Mapping):
+        yield (path, 'not an object', 'write {"name": value}')
+        return
+    for name, given in tree.items():
+        if name not in FIELD_BY_NAME:
+            known = ', '.join(FIELD_BY_NAME)
+            yield (f'{path}.{name}', 'unknown value', f'use one of {known}')
+        else:
+            yield from _type_faults(f'{path}.{name}', name, given)
+
+
+def _type_faults(path: str, name: str, given: Any) -> Iterator[Fault]:
+    if name == 'home_regions':
+        is_names = isinstance(given, list) and all(
+            isinstance(region, str) and region for region in given
+        )
+        if not is_names:
+            yield (path, f'found {given!r}', 'write a list of region names')
+    elif name == 'ledger_region':
+        if not isinstance(given, str) or not given:
+            yield (path, f'found {given!r}', 'write the name of a region')
+    else:
+        low, high = RANGE_BY_NAME[name]
+        kinds = (int, float) if name == 'retry_ratio' else (int,)
+        is_number = isinstance(given, kinds) and not isinstance(given, bool)
+        if not is_number or not low <= given <= high:
+            wanted = f'write a number from {low} to {high}'
+            yield (path, f'found {given!r}', wanted)
+
+
+def _build(tree: Mapping[str, Any]) -> FleetDocument:
+    return FleetDocument(
+        defaults=Values().with_changes(_frozen(tree.get('defaults', {}))),
+        exceptions=tuple(
+            FleetException(
+                selector={
+                    name: exception[name]
+                    for name in SELECTORS
+                    if name in exception
+                },
+                changes=_frozen(exception['values']),
+                reason=exception['reason'].strip(),
+            )
+            for exception in tree.get('exceptions', [])
+        ),
+    )
+
+
+def _frozen(changes: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        name: tuple(given) if isinstance(given, list) else given
+        for name, given in changes.items()
+    }
--- /dev/null
+++ b/src/turmericmast/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs package."""
--- /dev/null
+++ b/src/turmericmast/programs/entry.py
@@ -0,0 +1,284 @@
+"""``turmericmast-entry``: an entry instance between callers and targets."""
+
+import asyncio
+import contextlib
+import random
+import secrets
+from typing import final
+
+from returns.result import Success
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import PeriodicCallback
+
+from turmericmast.entry.entry import Entry
+from turmericmast.ids import Incarnation, Seconds
+from turmericmast.programs.runner import Process, run_program
+from turmericmast.region.commands import (
+    CloseSession,
+    LeaveSession,
+    ReleaseTarget,
+)
+from turmericmast.session.roll import RENEW_INTERVAL
+from turmericmast.target.target import Target
+from turmericmast.web.announcing import Announcing
+from turmericmast.web.curl import Curl
+from turmericmast.web.desk import Clients, Desk
+from turmericmast.web.front import Front
+from turmericmast.wire.client import GroupClient
+from turmericmast.wire.requests import Granted, Renew, Watch
+
+RENEW_TIMEOUT = 1.0
+WATCH_TIMEOUT = 25.0
+PUMP_MS = 20
+"""Time between two looks at queues that no event will serve."""
+SWEEP_MS = 1000
+CHANGE_TIMEOUT = 2.0
+STOP_PAUSE = 0.05
+RELEASE_TIMEOUT = 20.0
+"""Seconds in which targets should be free to go to other owners."""
+DRAIN_TIMEOUT = 600.0
+"""Seconds in which calls in flight end by their own deadlines."""
+MAX_HEADER_BYTES = 64 * 1024
+IDLE_TIMEOUT = 75.0
+BODY_TIMEOUT = 60.0
+"""Seconds in which a request body must have arrived."""
+MAX_BODY_BYTES = 64 * 1024**3
+"""Above every limit of the fleet document, which decides."""
+MILLIS_PER_SECOND = 1000
+
+
+@final
+class Keepalive:
+    """Keeps the session of an entry, and its view of the region."""
+
+    def __init__(self, process: Process, desk: Desk) -> None:
+        """Start without a session."""
+        self._process = process
+        self._desk = desk
+        self._incarnation = Incarnation(secrets.token_hex(6))
+        self._releasing: set[str] = set()
+        self._had_lease = False
+
+    async def run(self) -> None:
+        """Renew until cancelled; at once when there was news."""
+        while True:
+            has_news = await self.renew()
+            if not has_news:
+                await asyncio.sleep(RENEW_INTERVAL)
+
+    async def watch(self) -> None:
+        """Renew whenever the control group has something new."""
+        while True:
+            entry = self._desk.entry
+            answer = await self._desk.clients.control.ask_once(
+                Watch(entry.instance, entry.view.index),
+                WATCH_TIMEOUT,
+            )
+            if isinstance(answer, Success):
+                while await self.renew():
+                    """Tell the group that the news has arrived."""
+            else:
+                await asyncio.sleep(RENEW_INTERVAL)
+
+    async def renew(self) -> bool:
+        """Renew once; tell whether anything was new."""
+        settings = self._process.settings
+        entry = self._desk.entry
+        clock = self._process.clock
+        sent_at = clock.now()
+        answer = await self._desk.clients.control.ask_once(
+            Renew(
+                entry.instance,
+                self._incarnation,
+                entry.lease.epoch,
+                settings.domain,
+                settings.http,
+                entry.view.index,
+                entry.version,
+            ),
+            RENEW_TIMEOUT,
+        )
+        has_news = isinstance(answer, Success) and self._take(
+            answer.unwrap(),
+            sent_at,
+        )
+        self._show_lease()
+        return has_news
+
+    def release(self) -> None:
+        """Give targets to their new owners once nothing is in flight."""
+        for target in self._desk.entry.ownership.releasable():
+            name = target.spec.target
+            if name not in self._releasing:
+                self._releasing.add(name)
+                asyncio.ensure_future(self._release(target))
+
+    async def leave(self) -> None:
+        """Give up everything in order: addresses, targets, session."""
+        entry = self._desk.entry
+        entry.is_leaving = True
+        await self._desk.change_region(
+            LeaveSession(entry.instance, entry.lease.epoch),
+            CHANGE_TIMEOUT,
+        )
+        ttl = entry.document.defaults.address_ttl_ms / MILLIS_PER_SECOND
+        clock = self._process.clock
+        keeps_until = clock.now() + ttl + RENEW_INTERVAL
+        gives_up_at = clock.now() + RELEASE_TIMEOUT
+        while clock.now() < gives_up_at:
+            has_targets = any(entry.ownership.targets())
+            if not has_targets and clock.now() > keeps_until:
+                break
+            await asyncio.sleep(STOP_PAUSE)
+
+    async def close(self) -> None:
+        """End the session."""
+        entry = self._desk.entry
+        await self._desk.change_region(
+            CloseSession(
+                entry.instance,
+                entry.lease.epoch,
+                clean=not any(entry.ownership.targets()),
+            ),
+            CHANGE_TIMEOUT,
+        )
+        entry.lease.drop()
+
+    def _take(self, granted: object, sent_at: Seconds) -> bool:
+        if not isinstance(granted, Granted):
+            return False
+        entry = self._desk.entry
+        before = entry.view.index
+        entry.renew(
+            granted.epoch,
+            granted.feed,
+            sent_at,
+            granted.length_ms / MILLIS_PER_SECOND,
+            self._process.clock.now(),
+        )
+        self._desk.pump_all()
+        self.release()
+        return entry.view.index != before
+
+    async def _release(self, target: Target) -> None:
+        entry = self._desk.entry
+        # The answer may be lost; the view tells whether it was done.
+        await self._desk.change_region(
+            ReleaseTarget(target.spec.target, entry.instance),
+            CHANGE_TIMEOUT,
+        )
+        self._releasing.discard(target.spec.target)
+
+    def _show_lease(self) -> None:
+        has_lease = self._desk.entry.lease.is_valid(self._process.clock.now())
+        if has_lease != self._had_lease:
+            self._had_lease = has_lease
+            kind = 'lease_granted' if has_lease else 'lease_lost'
+            self._process.events.write(kind, epoch=self._desk.entry.lease.epoch)
+
+
+def _open_clients(
+    process: Process,
+    stack: contextlib.ExitStack,
+) -> Clients:
+    settings = process.settings
+    control = GroupClient(
+        process.node,
+        process.clock,
+        {
+            one.member: one.peer
+            for one in settings.own.control
+            if not one.witness
+        },
+    )
+    ledger_by_region = {
+        region: GroupClient(
+            process.node,
+            process.clock,
+            {one.member: one.peer for one in known.ledger if not one.witness},
+        )
+        for region, known in settings.region_by_id.items()
+    }
+    stack.enter_context(control)
+    for client in ledger_by_region.values():
+        stack.enter_context(client)
+    return Clients(control, ledger_by_region)
+
+
+def _make_desk(process: Process, stack: contextlib.ExitStack) -> Desk:
+    settings = process.settings
+    entry = Entry(
+        settings.region,
+        settings.domain,
+        settings.instance,
+        random.Random(),  # noqa: S311
+    )
+    desk = Desk(
+        entry,
+        stack.enter_context(Curl()),
+        _open_clients(process, stack),
+        process.clock,
+        process.metrics,
+        process.events,
+    )
+    process.metrics.gauge('calls_running', lambda: desk.running)
+    process.metrics.gauge(
+        'calls_waiting',
+        lambda: sum(
+            len(service.backlog)
+            for service in entry.ownership.service_by_id.values()
+        ),
+    )
+    return desk
+
+
+def _listen(process: Process, desk: Desk, announcing: Announcing) -> HTTPServer:
+    server = HTTPServer(
+        Front(desk, announcing),
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_BODY_BYTES,
+        body_timeout=BODY_TIMEOUT,
+        idle_connection_timeout=IDLE_TIMEOUT,
+    )
+    host, _, port = process.settings.http.rpartition(':')
+    server.listen(int(port), host.strip('[]'), backlog=1024)
+    return server
+
+
+async def _main(process: Process, stack: contextlib.ExitStack) -> None:
+    desk = _make_desk(process, stack)
+    announcing = Announcing(desk)
+    keepalive = Keepalive(process, desk)
+    server = _listen(process, desk, announcing)
+    loops = [
+        asyncio.ensure_future(keepalive.run()),
+        asyncio.ensure_future(keepalive.watch()),
+    ]
+    tickers = [
+        PeriodicCallback(desk.pump_all, PUMP_MS),
+        PeriodicCallback(keepalive.release, PUMP_MS),
+        PeriodicCallback(announcing.withdraw_silent, SWEEP_MS),
+    ]
+    for ticker in tickers:
+        ticker.start()
+        stack.callback(ticker.stop)
+    await process.stop.wait()
+    process.events.write('leaving')
+    await keepalive.leave()
+    server.stop()
+    await _drain(process, desk)
+    await keepalive.close()
+    await server.close_all_connections()
+    for loop in loops:
+        loop.cancel()
+
+
+async def _drain(process: Process, desk: Desk) -> None:
+    until = process.clock.now() + DRAIN_TIMEOUT
+    while desk.running and process.clock.now() < until:
+        await asyncio.sleep(STOP_PAUSE)
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(_main)
--- /dev/null
+++ b/src/turmericmast/programs/ledger.py
@@ -0,0 +1,105 @@
+"""``turmericmast-ledger``: a replica of a region's ledger group."""
+
+import asyncio
+import contextlib
+from typing import Any, final
+
+from returns.result import Success
+from tornado.ioloop import PeriodicCallback
+from tornado.web import Application
+
+from turmericmast.ids import Index
+from turmericmast.ledger.commands import Purge
+from turmericmast.ledger.ledger import Ledger
+from turmericmast.programs.group import GroupNode, StateMachine
+from turmericmast.programs.member import (
+    find_group,
+    open_group,
+    refusal_of,
+    serve,
+)
+from turmericmast.programs.operators import MetricsPage
+from turmericmast.programs.runner import Process, run_program
+from turmericmast.replica import messages
+from turmericmast.settings import GroupKind
+from turmericmast.wire import requests
+from turmericmast.wire.server import Handler
+
+COMMIT_TIMEOUT = 1.0
+PURGE_INTERVAL_MS = 60_000
+
+
+@final
+class LedgerMachine(StateMachine):
+    """The ledger aggregate behind the replicated log."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.ledger = Ledger()
+
+    def apply(self, index: Index, command: Any) -> Any:
+        """Apply one command."""
+        return self.ledger.apply(command)
+
+    def snapshot(self) -> Any:
+        """Return all records."""
+        return self.ledger.snapshot()
+
+    def restore(self, state: Any) -> None:
+        """Replace all records."""
+        self.ledger.restore(state)
+
+
+@final
+class LedgerHandler(Handler):
+    """Answers entries and the other replicas."""
+
+    def __init__(self, process: Process, group: GroupNode) -> None:
+        """Serve one member of the group."""
+        self._process = process
+        self._group = group
+
+    async def handle(self, sender: str, body: Any) -> Any:
+        """Answer one message."""
+        if isinstance(body, messages.Message):
+            self._group.receive(body)
+            return None
+        if not self._group.leads:
+            return refusal_of(self._group.not_leader())
+        if not isinstance(body, requests.ChangeLedger):
+            return requests.Refusal('handle', f'unexpected {type(body)}', '')
+        answer = await self._group.propose(body.command, COMMIT_TIMEOUT)
+        if isinstance(answer, Success):
+            self._process.metrics.count('ledger_changes')
+            return answer.unwrap()
+        return refusal_of(answer.failure())
+
+    def purge(self) -> None:
+        """Drop records that are past their time."""
+        if self._group.leads:
+            before = self._process.clock.wall()
+            asyncio.ensure_future(
+                self._group.propose(Purge(before), COMMIT_TIMEOUT),
+            )
+
+
+async def _main(process: Process, stack: contextlib.ExitStack) -> None:
+    found = find_group(process, GroupKind.ledger)
+    machine = LedgerMachine()
+    group = open_group(process, stack, found, machine)
+    process.metrics.gauge('records', lambda: len(machine.ledger.record_by_key))
+    handler = LedgerHandler(process, group)
+    pages = Application(
+        [('/-/metrics', MetricsPage, {'metrics': process.metrics})],
+    )
+    serve(process, stack, handler, pages)
+    group.start({one.member: one.peer for one in found[1]})
+    ticker = PeriodicCallback(handler.purge, PURGE_INTERVAL_MS)
+    ticker.start()
+    stack.callback(ticker.stop)
+    await process.stop.wait()
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(_main)
--- /dev/null
+++ b/src/turmericmast/programs/operators.py
@@ -0,0 +1,390 @@
+"""The HTTP pages for operators."""
+
+import json
+from typing import TYPE_CHECKING, Any, final
+
+from returns.result import Failure, Result, Success
+from tornado.web import Application, RequestHandler
+
+from turmericmast.exceptions import RefusedError, TurmericmastError, WireError
+from turmericmast.fleet.explanation import explain
+from turmericmast.fleet.fleet import ChangeState, FleetVersion
+from turmericmast.ids import ChangeId, Digest, Fingerprint, TargetId, Version
+from turmericmast.region.commands import (
+    LiftQuarantine,
+    ProposeFleet,
+    RegionCommand,
+    SetOutage,
+)
+from turmericmast.region.records import OutageKind
+
+if TYPE_CHECKING:
+    from turmericmast.programs.control import Control
+
+MAX_CHANGE_LENGTH = 128
+
+
+class _Page(RequestHandler):
+    """A page that only the leader answers."""
+
+    def initialize(self, control: 'Control') -> None:
+        """Serve what ``control`` holds."""
+        self.control = control
+
+    def prepare(self) -> None:
+        """Send operators on to the leader."""
+        if self.control.group.leads:
+            return
+        leader = self.control.group.replica.leader
+        found = self.control.process.settings.group_of_control(leader)
+        self.set_status(503)
+        self.finish(
+            {
+                'error': 'this replica does not lead its group',
+                'leader': found.http if found else '',
+                'hint': 'ask the leader, or any replica again in a second',
+            },
+        )
+
+    def reply(self, answer: Result[Any, TurmericmastError]) -> None:
+        """Send a document, or the error that stands in its place."""
+        if isinstance(answer, Success):
+            self.finish(answer.unwrap())
+            return
+        error = answer.failure()
+        is_open = isinstance(error, WireError)
+        self.set_status(503 if is_open else 409)
+        self.finish(
+            {
+                'error': error.message,
+                'step': error.step,
+                'peer': error.peer,
+                'hint': error.hint,
+            },
+        )
+
+    def document(self) -> Result[dict[str, Any], TurmericmastError]:
+        """Return the JSON object in the request."""
+        try:
+            parsed = json.loads(self.request.body)
+        except ValueError as error:
+            return Failure(_bad('body', f'mend the JSON: {error}'))
+        if not isinstance(parsed, dict):
+            return Failure(_bad('body', 'write a JSON object'))
+        return Success(parsed)
+
+
+@final
+class _FleetPage(_Page):
+    """The fleet document: ``GET`` reads it, ``POST`` proposes a change."""
+
+    def get(self) -> None:
+        """Return the current version."""
+        region = self.control.region
+        version = self.get_query_argument('version', '')
+        wanted = int(version) if version.isdecimal() else 0
+        self.finish(
+            _version_document(self.control, wanted or None)
+            | {'document': json.loads(region.fleet.current.document)},
+        )
+
+    async def post(self) -> None:
+        """Propose a change against a version."""
+        settings = self.control.process.settings
+        if settings.ordering_region != settings.region:
+            self.reply(
+                Failure(
+                    RefusedError(
+                        'this region does not order changes of the fleet',
+                        step='propose',
+                        hint=f'ask region {settings.ordering_region}',
+                    ),
+                ),
+            )
+            return
+        command = self.document().bind(_read_proposal)
+        if isinstance(command, Success):
+            answer = await self.control.change(command.unwrap())
+            self.reply(answer.map(self._describe))
+        else:
+            self.reply(command)
+
+    def _describe(self, made: FleetVersion) -> dict[str, Any]:
+        return _version_document(self.control, made.version)
+
+
+@final
+class _ChangePage(_Page):
+    """Changes that a region decides by itself."""
+
+    async def post(self, what: str) -> None:
+        """Take out, return, or lift a quarantine."""
+        read = _read_lift if what == 'lift' else _read_outage
+        command = self.document().bind(read).bind(self._check_known)
+        if not isinstance(command, Success):
+            self.reply(command)
+            return
+        answer = await self.control.change(command.unwrap())
+        if isinstance(answer, Success):
+            index = self.control.region.view.index
+            in_force = await self.control.wait_in_force(index)
+            self.reply(Success({'done': True, 'in_force': in_force}))
+        else:
+            self.reply(answer)
+
+    def _check_known(
+        self,
+        command: RegionCommand,
+    ) -> Result[RegionCommand, TurmericmastError]:
+        settings = self.control.process.settings
+        if not isinstance(command, SetOutage):
+            return Success(command)
+        known = (
+            settings.own.domains
+            if command.kind is OutageKind.domain
+            else tuple(self.control.region.view.placement_by_target)
+        )
+        if command.name in known or not command.out:
+            return Success(command)
+        shown = ', '.join(sorted(map(str, known))[:20])
+        return Failure(
+            _bad(
+                'name', f'{command.name} is not known here; use one of {shown}'
+            ),
+        )
+
+
+@final
+class _ExplainPage(_Page):
+    """What decides each value for a service or a target."""
+
+    def get(self) -> None:
+        """Return each value with its origin and reason."""
+        region = self.control.region
+        name = self.get_query_argument('name')
+        placement = region.view.placement_by_target.get(TargetId(name))
+        service = placement.spec.service if placement else name
+        subject = {
+            'service': service,
+            'tenant': self.get_query_argument('tenant', ''),
+            'route': self.get_query_argument('route', ''),
+        }
+        reasons = explain(region.fleet.parsed, subject)
+        self.finish(
+            {
+                'service': service,
+                'target': _placement_document(placement) if placement else None,
+                'values': [
+                    {
+                        'name': one.name,
+                        'value': one.decided,
+                        'origin': one.origin,
+                        'reason': one.reason,
+                    }
+                    for one in reasons
+                ],
+            },
+        )
+
+
+@final
+class _StatusPage(_Page):
+    """The state of the region."""
+
+    def get(self) -> None:
+        """Return entries, targets, outages and quarantined requests."""
+        control = self.control
+        view = control.region.view
+        self.finish(
+            {
+                'region': control.region.region,
+                'leader': control.group.seating.me,
+                'members': _members_document(control),
+                'fleet': _version_document(control, None),
+                'entries': [
+                    {
+                        'instance': session.instance,
+                        'domain': session.domain,
+                        'http': session.http,
+                        'phase': session.phase.name,
+                        'targets': len(view.owned_by(session.instance)),
+                    }
+                    for session in view.session_by_instance.values()
+                ],
+                'targets': [
+                    _placement_document(placement)
+                    | {
+                        'out': view.is_target_out(
+                            placement.spec.target,
+                            placement.spec.domain,
+                        ),
+                    }
+                    for placement in view.placement_by_target.values()
+                ],
+                'outages': [
+                    {
+                        'kind': one.kind.name,
+                        'name': one.name,
+                        'reason': one.reason,
+                    }
+                    for one in view.outage_by_name.values()
+                ],
+                'quarantined': [
+                    {
+                        'fingerprint': one.fingerprint,
+                        'crashes': one.crashes,
+                        'until_ms': one.until_ms,
+                    }
+                    for one in view.suspicion_by_fingerprint.values()
+                    if one.is_quarantined
+                ],
+            },
+        )
+
+
+@final
+class MetricsPage(RequestHandler):
+    """The metrics of the process, on every replica."""
+
+    def initialize(self, metrics: Any) -> None:
+        """Show ``metrics``."""
+        self.metrics = metrics
+
+    def get(self) -> None:
+        """Return the Prometheus text form."""
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self.metrics.render())
+
+
+def make_application(control: 'Control') -> Application:
+    """Return the pages of a control replica."""
+    given = {'control': control}
+    return Application(
+        [
+            ('/v1/fleet', _FleetPage, given),
+            ('/v1/status', _StatusPage, given),
+            ('/v1/explain', _ExplainPage, given),
+            ('/v1/(outage|lift)', _ChangePage, given),
+            ('/-/metrics', MetricsPage, {'metrics': control.process.metrics}),
+        ],
+        log_function=_no_log,
+    )
+
+
+def _no_log(handler: RequestHandler) -> None:
+    """Count nothing here: lines are for changes of state only."""
+
+
+def _bad(field: str, wanted: str) -> RefusedError:
+    return RefusedError(f'{field}: {wanted}', step='read request')
+
+
+def _read_text(
+    document: dict[str, Any],
+    field: str,
+) -> Result[str, TurmericmastError]:
+    text = document.get(field)
+    if isinstance(text, str) and 0 < len(text):
+        return Success(text)
+    return Failure(_bad(field, 'write a non-empty string'))
+
+
+def _read_proposal(
+    document: dict[str, Any],
+) -> Result[RegionCommand, TurmericmastError]:
+    version = document.get('base_version')
+    if not isinstance(version, int):
+        return Failure(_bad('base_version', 'write the version it is made for'))
+    return _read_text(document, 'change').bind(
+        lambda change: _read_text(document, 'base_digest').bind(
+            lambda digest: _read_text(document, 'document').map(
+                lambda text: ProposeFleet(
+                    ChangeId(change[:MAX_CHANGE_LENGTH]),
+                    Version(version),
+                    Digest(digest),
+                    text,
+                ),
+            ),
+        ),
+    )
+
+
+def _read_outage(
+    document: dict[str, Any],
+) -> Result[RegionCommand, TurmericmastError]:
+    kind = document.get('kind')
+    if kind not in OutageKind.__members__:
+        return Failure(_bad('kind', 'write domain or target'))
+    if not isinstance(document.get('out'), bool):
+        return Failure(_bad('out', 'write true to take out, false to return'))
+    return _read_text(document, 'change').bind(
+        lambda change: _read_text(document, 'name').map(
+            lambda name: SetOutage(
+                ChangeId(change[:MAX_CHANGE_LENGTH]),
+                OutageKind[str(kind)],
+                name,
+                bool(document['out']),
+                str(document.get('reason', '')),
+            ),
+        ),
+    )
+
+
+def _read_lift(
+    document: dict[str, Any],
+) -> Result[RegionCommand, TurmericmastError]:
+    return _read_text(document, 'change').bind(
+        lambda change: _read_text(document, 'fingerprint').map(
+            lambda fingerprint: LiftQuarantine(
+                ChangeId(change[:MAX_CHANGE_LENGTH]),
+                Fingerprint(fingerprint),
+            ),
+        ),
+    )
+
+
+def _version_document(
+    control: 'Control',
+    version: Version | int | None,
+) -> dict[str, Any]:
+    region = control.region
+    fleet = region.fleet
+    shown = Version(version) if version else fleet.current.version
+    state = fleet.state_of(shown)
+    waiting = (
+        fleet.waiting_for(shown, region.regions)
+        if state is ChangeState.pending
+        else ()
+    )
+    return {
+        'version': shown,
+        'digest': fleet.current.digest,
+        'current': fleet.current.version,
+        'accepted': fleet.accepted,
+        'state': state.value,
+        'waiting_for': list(waiting),
+    }
+
+
+def _placement_document(placement: Any) -> dict[str, Any]:
+    spec = placement.spec
+    return {
+        'target': spec.target,
+        'service': spec.service,
+        'address': spec.address,
+        'domain': spec.domain,
+        'slots': spec.slots,
+        'owner': placement.owner,
+    }
+
+
+def _members_document(control: 'Control') -> list[dict[str, Any]]:
+    core = control.group.replica.core
+    return [
+        {
+            'member': seat.member,
+            'witness': seat.witness,
+            'incarnation': seat.incarnation,
+        }
+        for seat in core.membership.seats
+    ]
--- /dev/null
+++ b/src/turmericmast/programs/runner.py
@@ -0,0 +1,98 @@
+"""What every program does: flags, settings, events, signals."""
+
+import asyncio
+import contextlib
+import gc
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeAlias
+
+from absl import app, flags, logging
+from returns.result import Success
+
+from turmericmast.clock import Clock, HybridClock, SystemClock
+from turmericmast.events import EventLog
+from turmericmast.exceptions import SettingsError, TurmericmastError
+from turmericmast.metrics import Metrics
+from turmericmast.settings import Settings, load_settings
+from turmericmast.version import VERSION
+from turmericmast.wire.link import Node
+
+GC_THRESHOLD = 50_000
+"""Allocations between two collections of the youngest generation."""
+
+SETTINGS = flags.DEFINE_string('settings', '', 'Settings file, in JSON.')
+CHECK = flags.DEFINE_bool('check', False, 'Check the settings and exit.')
+VERSION_FLAG = flags.DEFINE_bool('version', False, 'Show the version and exit.')
+
+
+class Process:
+    """The parts that belong to the process as a whole."""
+
+    def __init__(self, settings: Settings, events: EventLog) -> None:
+        """Join settings, clock, metrics and events."""
+        self.settings = settings
+        self.events = events
+        self.clock: Clock = SystemClock()
+        self.metrics = Metrics()
+        self.stop = asyncio.Event()
+        self.node = Node(settings.name, events.clock, self.metrics)
+
+
+Main: TypeAlias = Callable[[Process, contextlib.ExitStack], Awaitable[None]]
+
+
+def run_program(main: Main) -> None:
+    """Run a program until it is told to stop."""
+    app.run(lambda arguments: _start(main, arguments))
+
+
+def _start(main: Main, arguments: Sequence[str]) -> int:
+    if VERSION_FLAG.value:
+        sys.stdout.write(f'turmericmast {VERSION}\n')
+        return 0
+    loaded = load_settings(pathlib.Path(SETTINGS.value))
+    if not isinstance(loaded, Success):
+        return _complain(loaded.failure())
+    if CHECK.value:
+        sys.stdout.write(f'{SETTINGS.value}: good\n')
+        return 0
+    logging.set_verbosity(logging.INFO)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    try:
+        asyncio.run(_run(main, loaded.unwrap()))
+    except TurmericmastError as error:
+        return _complain(error)
+    except OSError as error:
+        return _complain(
+            SettingsError(
+                str(error),
+                step='start',
+                hint='check the addresses and paths in the settings',
+            ),
+        )
+    return 0
+
+
+async def _run(main: Main, settings: Settings) -> None:
+    clock = HybridClock(SystemClock())
+    with contextlib.ExitStack() as stack:
+        events = stack.enter_context(
+            EventLog(settings.name, settings.events, clock),
+        )
+        process = Process(settings, events)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, process.stop.set)
+        events.write('started', version=VERSION)
+        await main(process, stack)
+        events.write('stopped')
+
+
+def _complain(error: TurmericmastError) -> int:
+    sys.stderr.write(f'{error.show()}\n')
+    return error.exit_status
--- /dev/null
+++ b/src/turmericmast/programs/timeline.py
@@ -0,0 +1,126 @@
+"""``turmericmast-timeline``: one order of events over all processes."""
+
+import html
+import json
+import pathlib
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any, TypeAlias
+
+from absl import app, flags
+
+from turmericmast.version import VERSION
+
+HTML = flags.DEFINE_string('html', '', 'Write one HTML page to this file.')
+SINCE = flags.DEFINE_integer('since', 0, 'Leave out events before this time.')
+VERSION_FLAG = flags.DEFINE_bool('version', False, 'Show the version and exit.')
+
+MILLIS_PER_SECOND = 1000
+
+Event: TypeAlias = dict[str, Any]
+
+
+def read_events(paths: Iterable[pathlib.Path]) -> tuple[list[Event], int]:
+    """Return the events of all files in one order, and the lines left out.
+
+    The order is that of the hybrid clock: an event that another one led to,
+    by a message between the processes, always stands behind it.
+    """
+    lines = [
+        line
+        for path in paths
+        for line in path.read_text(encoding='utf-8').splitlines()
+    ]
+    parsed = [event for line in lines if (event := _parse(line))]
+    parsed.sort(key=lambda event: (event['clock'], event['process']))
+    return parsed, len(lines) - len(parsed)
+
+
+def render_text(events: Sequence[Event]) -> str:
+    """Return one line for each event, with seconds from the first one."""
+    start = events[0]['clock'][0] if events else 0
+    return ''.join(
+        f'{(event["clock"][0] - start) / MILLIS_PER_SECOND:9.3f}  '
+        f'{event["process"]:<14} {event["event"]:<16} {_fields(event)}\n'
+        for event in events
+    )
+
+
+def render_html(events: Sequence[Event]) -> str:
+    """Return a page with a lane for each process."""
+    lanes = sorted({event['process'] for event in events})
+    start = events[0]['clock'][0] if events else 0
+    head = ''.join(f'<th>{html.escape(lane)}</th>' for lane in lanes)
+    rows = ''.join(_row(event, lanes, start) for event in events)
+    return (
+        '<!doctype html><meta charset="utf-8"><title>Time line</title>'
+        '<style>body{font:13px sans-serif}table{border-collapse:collapse}'
+        'th{position:sticky;top:0;background:#fff}td,th{padding:2px 8px;'
+        'border-left:1px solid #ccc;text-align:left;vertical-align:top}'
+        'b{color:#753}small{color:#666}</style>'
+        f'<table><thead><tr><th>s</th>{head}</tr></thead>'
+        f'<tbody>{rows}</tbody></table>\n'
+    )
+
+
+def _row(event: Event, lanes: Sequence[str], start: int) -> str:
+    seconds = (event['clock'][0] - start) / MILLIS_PER_SECOND
+    cells = ''.join(
+        f'<td><b>{html.escape(event["event"])}</b> '
+        f'<small>{html.escape(_fields(event))}</small></td>'
+        if lane == event['process']
+        else '<td></td>'
+        for lane in lanes
+    )
+    return f'<tr><td>{seconds:.3f}</td>{cells}</tr>'
+
+
+def _parse(line: str) -> Event | None:
+    try:
+        event = json.loads(line)
+    except ValueError:
+        # A process that was killed leaves half a line behind.
+        return None
+    is_event = isinstance(event, dict) and {
+        'clock',
+        'process',
+        'event',
+    } <= set(event)
+    return event if is_event else None
+
+
+def _fields(event: Event) -> str:
+    return ' '.join(
+        f'{name}={text}'
+        for name, text in event.items()
+        if name not in {'clock', 'process', 'event'}
+    )
+
+
+def _run(arguments: Sequence[str]) -> int:
+    if VERSION_FLAG.value:
+        sys.stdout.write(f'turmericmast {VERSION}\n')
+        return 0
+    paths = [pathlib.Path(argument) for argument in arguments[1:]]
+    missing = [path.name for path in paths if not path.is_file()]
+    if missing or not paths:
+        found = ', '.join(missing) or 'none given'
+        sys.stderr.write(
+            f'read events: no such event files: {found}; '
+            'name the files that "events" points to in the settings\n',
+        )
+        return 2
+    events, left_out = read_events(paths)
+    events = [event for event in events if event['clock'][0] >= SINCE.value]
+    if HTML.value:
+        pathlib.Path(HTML.value).write_text(render_html(events), 'utf-8')
+    else:
+        sys.stdout.write(render_text(events))
+    if left_out:
+        sys.stderr.write(f'{left_out} lines that are no events left out\n')
+    return 0
+
+
+def main() -> None:
+    """Run the program."""
+    app.run(_run)
--- /dev/null
+++ b/src/turmericmast/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica aggregate: one member of a replicated group."""
--- /dev/null
+++ b/src/turmericmast/replica/core.py
@@ -0,0 +1,169 @@
+"""State that the parts of a replica share."""
+
+import dataclasses
+import enum
+import random
+from typing import final
+
+from turmericmast.ids import Incarnation, Index, MemberId, Term
+from turmericmast.replica.log import Log
+from turmericmast.replica.membership import Membership
+from turmericmast.replica.messages import Entry, Message, Snapshot
+from turmericmast.replica.store import Store, Vote
+
+
+@final
+class Role(enum.Enum):
+    """What a replica does at the moment."""
+
+    learner = 'learner'
+    follower = 'follower'
+    trial = 'trial'
+    candidate = 'candidate'
+    leader = 'leader'
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Times of the protocol in seconds."""
+
+    heartbeat: float = 0.2
+    election_min: float = 1.0
+    election_max: float = 2.0
+    drift: float = 0.1
+    """Share of a timeout set aside for clocks that run apart."""
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Seating:
+    """Who a replica is and which members its group has by the settings."""
+
+    me: MemberId
+    members: tuple[MemberId, ...]
+    witnesses: frozenset[MemberId] = frozenset()
+
+    @property
+    def is_witness(self) -> bool:
+        """Tell whether this replica keeps positions only."""
+        return self.me in self.witnesses
+
+    @property
+    def others(self) -> tuple[MemberId, ...]:
+        """Return the members besides this one."""
+        return tuple(one for one in self.members if one != self.me)
+
+
+@final
+@dataclasses.dataclass
+class Effects:
+    """What the process has to do; messages go out only after a sync."""
+
+    messages: list[tuple[MemberId, Message]] = dataclasses.field(
+        default_factory=list,
+    )
+    committed: list[Entry] = dataclasses.field(default_factory=list)
+    restored: Snapshot | None = None
+
+
+@final
+class Core:
+    """Term, vote, log and membership of one replica."""
+
+    def __init__(
+        self,
+        seating: Seating,
+        store: Store,
+        incarnation: Incarnation,
+        timing: Timing,
+    ) -> None:
+        """Load the store; ``incarnation`` is used when it is empty."""
+        recovered = store.load()
+        self.seating = seating
+        self.timing = timing
+        self.store = store
+        self.log = Log(recovered.snapshot, recovered.entries)
+        self.role = Role.follower
+        self.leader = MemberId('')
+        self.commit = self.log.base
+        self.effects = Effects(restored=recovered.snapshot)
+        self.heard_at = 0.0
+        self.random = random.Random(incarnation)  # noqa: S311
+        self.vote = recovered.vote
+        if self.log.is_empty or not self.vote.incarnation:
+            # Whoever kept nothing must not be taken for its former self.
+            self.vote = Vote(incarnation=incarnation)
+        self.membership = Membership(self.log.seats(self.log.last_index))
+        self.role = self.resting_role()
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether the group counts the votes of this incarnation."""
+        return self.membership.lists(self.seating.me, self.vote.incarnation)
+
+    def send(self, member: MemberId, message: Message) -> None:
+        """Queue a message until the next sync."""
+        self.effects.messages.append((member, message))
+
+    def observe(self, term: Term) -> None:
+        """Step down when a later term exists."""
+        if term > self.vote.term:
+            self.save_vote(term, MemberId(''))
+            self.leader = MemberId('')
+            self.role = self.resting_role()
+
+    def resting_role(self) -> Role:
+        """Return the role of a replica that does not campaign."""
+        return Role.follower if self.is_voter else Role.learner
+
+    def save_vote(self, term: Term, voted_for: MemberId) -> None:
+        """Change term and vote."""
+        self.vote = dataclasses.replace(
+            self.vote,
+            term=term,
+            voted_for=voted_for,
+        )
+        self.store.save_vote(self.vote)
+
+    def append(self, entries: list[Entry]) -> None:
+        """Add entries to log and store and adopt a new membership."""
+        kept = (
+            [entry.without_payload() for entry in entries]
+            if self.seating.is_witness
+            else entries
+        )
+        if self.log.is_empty:
+            self.store.save_vote(self.vote)
+        self.log.append(kept)
+        self.store.append(kept)
+        self.refresh_membership()
+
+    def truncate(self, index: Index) -> None:
+        """Drop a conflicting suffix."""
+        self.log.truncate(index)
+        self.store.truncate(index)
+        self.refresh_membership()
+
+    def refresh_membership(self) -> None:
+        """Follow the newest membership of the log."""
+        self.membership = Membership(self.log.seats(self.log.last_index))
+        if self.role in {Role.learner, Role.follower}:
+            self.role = self.resting_role()
+
+    def commit_to(self, index: Index) -> None:
+        """Hand out entries that became committed."""
+        if index > self.commit:
+            self.effects.committed.extend(
+                self.log.between(self.commit + 1, index),
+            )
+            self.commit = index
+
+    def compact(self, index: Index, state: bytes) -> None:
+        """Replace the log up to ``index`` by the state there."""
+        term = self.log.term_at(index)
+        if term is None or index <= self.log.base:
+            return
+        snapshot = Snapshot(index, term, self.log.seats(index), state)
+        tail = self.log.compact(snapshot)
+        self.store.save_snapshot(snapshot, tail)
--- /dev/null
+++ b/src/turmericmast/replica/replication.py
@@ -0,0 +1,295 @@
+"""Replication: what a leader sends and what a follower accepts."""
+
+import dataclasses
+import itertools
+import math
+from typing import final
+
+from turmericmast.ids import Incarnation, Index, MemberId, Seconds, Term
+from turmericmast.replica.core import Core, Role
+from turmericmast.replica.messages import (
+    Append,
+    AppendReply,
+    Entry,
+    EntryKind,
+    Install,
+)
+
+MAX_ENTRIES = 128
+"""Entries in one message."""
+MAX_BATCH_BYTES = 256 * 1024
+"""Payload in one message, unless a single entry is larger."""
+WITNESS_PATIENCE = 1.0
+"""Seconds of silence after which a full member no longer holds back."""
+
+
+@final
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of one other member."""
+
+    next_index: int
+    match: int = 0
+    confirmed_at: float = -math.inf
+    """The leader's clock at the sending of the newest message answered."""
+    waiting_since: float = -math.inf
+    """When entries were sent that are not answered yet."""
+    incarnation: Incarnation = Incarnation('')
+
+
+@final
+class Leading:
+    """The leader's part: spread entries, commit them, repair members."""
+
+    def __init__(self, core: Core, now: Seconds) -> None:
+        """Take office: an entry of the own term settles earlier ones."""
+        self._core = core
+        self._since = now
+        self._next_beat = 0.0
+        self.synced_index = 0
+        self.progress_by_member = {
+            member: Progress(next_index=core.log.last_index + 1)
+            for member in core.seating.others
+        }
+        core.role = Role.leader
+        core.leader = core.seating.me
+        self.first_index = self.append(EntryKind.noop)
+
+    @property
+    def has_settled(self) -> bool:
+        """Tell whether every entry of earlier terms is applied."""
+        return self._core.commit >= self.first_index
+
+    def append(self, kind: EntryKind, payload: bytes = b'') -> Index:
+        """Add one entry to the own log."""
+        core = self._core
+        index = Index(core.log.last_index + 1)
+        core.append([Entry(index, core.vote.term, kind, payload)])
+        return index
+
+    def confirmed_until(self) -> float:
+        """Return the own clock at which a quorum last knew this leader."""
+        core = self._core
+        confirmed = {
+            member: progress.confirmed_at
+            for member, progress in self.progress_by_member.items()
+            if self._counts(member, progress)
+        }
+        confirmed[core.seating.me] = math.inf
+        seats = core.membership.seats
+        known = {seat.member: -math.inf for seat in seats} | confirmed
+        return core.membership.quorum_value(known)
+
+    def tick(self, now: Seconds) -> None:
+        """Send heartbeats, and step down without a quorum."""
+        core = self._core
+        silent_since = max(self.confirmed_until(), self._since)
+        if now - silent_since > core.timing.election_max:
+            core.role = core.resting_role()
+            core.leader = MemberId('')
+            return
+        if now >= self._next_beat:
+            self._next_beat = now + core.timing.heartbeat
+            for member in core.seating.others:
+                self._send(member, now)
+
+    def spread(self, now: Seconds) -> None:
+        """Send new entries to members that wait for nothing else."""
+        stale = now - self._core.timing.heartbeat
+        for member, progress in self.progress_by_member.items():
+            is_behind = progress.next_index <= self._limit(member, now)
+            if is_behind and progress.waiting_since < stale:
+                self._send(member, now)
+
+    def on_reply(self, reply: AppendReply, now: Seconds) -> None:
+        """Learn how far a member is."""
+        core = self._core
+        progress = self.progress_by_member.get(reply.member)
+        if progress is None:
+            return
+        if reply.incarnation != progress.incarnation:
+            progress.incarnation = reply.incarnation
+            progress.match = 0
+        progress.waiting_since = -math.inf
+        progress.confirmed_at = max(progress.confirmed_at, reply.sent_at)
+        if reply.matched:
+            progress.match = max(progress.match, reply.index)
+            progress.next_index = progress.match + 1
+            self.commit()
+            self._reseat(reply.member, progress)
+        else:
+            progress.next_index = min(reply.index, core.log.last_index) + 1
+            self._send(reply.member, now)
+
+    def commit(self) -> None:
+        """Commit what a quorum has synced, counting the own term only."""
+        core = self._core
+        match_by_member: dict[MemberId, float] = {
+            member: progress.match
+            for member, progress in self.progress_by_member.items()
+            if self._counts(member, progress)
+        }
+        match_by_member[core.seating.me] = self.synced_index
+        index = Index(int(core.membership.quorum_value(match_by_member)))
+        if core.log.term_at(index) == core.vote.term:
+            core.commit_to(index)
+
+    def _counts(self, member: MemberId, progress: Progress) -> bool:
+        return self._core.membership.lists(member, progress.incarnation)
+
+    def _reseat(self, member: MemberId, progress: Progress) -> None:
+        core = self._core
+        is_strange = not self._counts(member, progress)
+        is_quiet = core.log.seats(core.commit) == core.membership.seats
+        if not (is_strange and is_quiet and self.has_settled):
+            return
+        if progress.match >= core.commit:
+            membership = core.membership.replace(member, progress.incarnation)
+            index = Index(core.log.last_index + 1)
+            entry = Entry(
+                index,
+                core.vote.term,
+                EntryKind.membership,
+                seats=membership.seats,
+            )
+            core.append([entry])
+
+    def _limit(self, member: MemberId, now: Seconds) -> int:
+        """Return the last index that may be sent to the member.
+
+        A witness never gets ahead of a full member that is in touch, so the
+        witness always helps the survivor of two full members to an election.
+        """
+        core = self._core
+        if not core.membership.is_witness(member):
+            return core.log.last_index
+        oldest = now - WITNESS_PATIENCE
+        matches = [
+            self.progress_by_member[full].match
+            for full in core.membership.full_members()
+            if full != core.seating.me
+            and max(
+                self.progress_by_member[full].confirmed_at,
+                self._since,
+            )
+            >= oldest
+        ]
+        return min(matches, default=core.log.last_index)
+
+    def _send(self, member: MemberId, now: Seconds) -> None:
+        core = self._core
+        progress = self.progress_by_member[member]
+        previous = progress.next_index - 1
+        term = core.log.term_at(previous)
+        snapshot = core.log.snapshot
+        if term is None and snapshot is not None:
+            if core.membership.is_witness(member):
+                snapshot = dataclasses.replace(snapshot, state=b'')
+            core.send(
+                member,
+                Install(core.vote.term, core.seating.me, now, snapshot),
+            )
+            progress.waiting_since = now
+            return
+        last = min(self._limit(member, now), previous + MAX_ENTRIES)
+        entries = core.log.between(progress.next_index, last)
+        if core.membership.is_witness(member):
+            entries = [entry.without_payload() for entry in entries]
+        entries = _fitting(entries)
+        if entries:
+            progress.waiting_since = now
+        core.send(
+            member,
+            Append(
+                term=core.vote.term,
+                leader=core.seating.me,
+                prev_index=Index(previous),
+                prev_term=term if term is not None else Term(0),
+                commit=core.commit,
+                sent_at=now,
+                entries=tuple(entries),
+            ),
+        )
+
+
+def _fitting(entries: list[Entry]) -> list[Entry]:
+    """Return the leading entries that fit into one message."""
+    sizes = itertools.accumulate(len(entry.payload) for entry in entries)
+    fitting = itertools.takewhile(
+        lambda pair: pair[1] <= MAX_BATCH_BYTES,
+        zip(entries, sizes, strict=True),
+    )
+    return [entry for entry, _ in fitting] or entries[:1]
+
+
+@final
+class Following:
+    """The follower's part: make the own log agree with the leader's."""
+
+    def __init__(self, core: Core) -> None:
+        """Work on the shared state."""
+        self._core = core
+
+    def on_append(self, message: Append) -> None:
+        """Take entries when the one before them agrees."""
+        core = self._core
+        if core.log.base > message.prev_index:
+            self._reply(message, matched=False, index=core.log.base)
+            return
+        if core.log.term_at(message.prev_index) != message.prev_term:
+            hint = min(message.prev_index - 1, core.log.last_index)
+            self._reply(message, matched=False, index=max(hint, core.log.base))
+            return
+        self._take(message.entries)
+        last = Index(message.prev_index + len(message.entries))
+        core.commit_to(Index(min(message.commit, last)))
+        self._reply(message, matched=True, index=last)
+
+    def on_install(self, message: Install) -> None:
+        """Take a snapshot unless the own log already covers it."""
+        core = self._core
+        snapshot = message.snapshot
+        if snapshot.index > core.commit:
+            if core.log.is_empty:
+                core.store.save_vote(core.vote)
+            tail = core.log.compact(snapshot)
+            core.store.save_snapshot(snapshot, tail)
+            core.commit = snapshot.index
+            core.effects.committed.clear()
+            core.effects.restored = snapshot
+            core.refresh_membership()
+        self._reply(message, matched=True, index=snapshot.index)
+
+    def _take(self, entries: tuple[Entry, ...]) -> None:
+        core = self._core
+        fresh = [
+            entry
+            for entry in entries
+            if core.log.term_at(entry.index) != entry.term
+        ]
+        if not fresh:
+            return
+        first = fresh[0].index
+        if first <= core.log.last_index:
+            core.truncate(first)
+        core.append([entry for entry in entries if entry.index >= first])
+
+    def _reply(
+        self,
+        message: Append | Install,
+        *,
+        matched: bool,
+        index: int,
+    ) -> None:
+        core = self._core
+        core.send(
+            message.leader,
+            AppendReply(
+                term=core.vote.term,
+                member=core.seating.me,
+                incarnation=core.vote.incarnation,
+                matched=matched,
+                index=Index(index),
+                sent_at=message.sent_at,
+            ),
+        )
--- /dev/null
+++ b/src/turmericmast/service/policy.py
@@ -0,0 +1,77 @@
+"""Policies that choose a target among those that may take a call."""
+
+import abc
+import itertools
+import random
+from collections.abc import Sequence
+from typing import final
+
+from turmericmast.ids import Seconds
+from turmericmast.target.target import Target
+
+
+class Policy(abc.ABC):
+    """Chooses one of several targets; the sequence is never empty."""
+
+    @abc.abstractmethod
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return the target that the next call goes to."""
+
+
+@final
+class RandomPolicy(Policy):
+    """Any target, with equal chance."""
+
+    def __init__(self, source: random.Random) -> None:
+        """Draw from ``source``."""
+        self._source = source
+
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return any target."""
+        return self._source.choice(targets)
+
+
+@final
+class RoundRobinPolicy(Policy):
+    """One target after the other."""
+
+    def __init__(self) -> None:
+        """Start with the first target."""
+        self._turn = itertools.count()
+
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return the next target."""
+        return targets[next(self._turn) % len(targets)]
+
+
+@final
+class TwoChoicesPolicy(Policy):
+    """The less loaded of two targets drawn at random."""
+
+    def __init__(self, source: random.Random) -> None:
+        """Draw from ``source``."""
+        self._source = source
+
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return the one with fewer requests in flight."""
+        pair = [self._source.choice(targets) for _ in range(2)]
+        return min(pair, key=lambda target: len(target.in_flight))
+
+
+@final
+class LeastAgePolicy(Policy):
+    """The target whose present requests promise the soonest answer.
+
+    The owner knows each request in flight, so the age of the oldest one
+    shows a slow target at once, long before a mean of past answers does.
+    """
+
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return the target with the lowest expected time to answer."""
+        return min(targets, key=lambda target: _pressure(target, now))
+
+
+def _pressure(target: Target, now: Seconds) -> tuple[float, float]:
+    share = len(target.in_flight) / max(target.limit, 1)
+    expected = max(target.mean_time, target.oldest_age(now))
+    return (expected * (1 + share), share)
--- /dev/null
+++ b/src/turmericmast/session/roll.py
@@ -0,0 +1,81 @@
+"""The renewals a leader has seen; kept in memory only."""
+
+from collections.abc import Iterable
+from typing import final
+
+from turmericmast.ids import Index, InstanceId, Seconds, Version
+
+LEASE_LENGTH = 3.0
+"""Seconds that an entry may work after it sent a renewal."""
+EXPIRY = 3.4
+"""Seconds after the receipt of a renewal at which a session is over."""
+RENEW_INTERVAL = 0.5
+"""Seconds between two renewals."""
+
+
+@final
+class Roll:
+    """Who renewed when, and what each entry has in force."""
+
+    def __init__(self) -> None:
+        """Start without any renewal."""
+        self._renewed_by_instance: dict[InstanceId, Seconds] = {}
+        self._index_by_instance: dict[InstanceId, Index] = {}
+        self._version_by_instance: dict[InstanceId, Version] = {}
+
+    def take_office(
+        self,
+        instances: Iterable[InstanceId],
+        now: Seconds,
+    ) -> None:
+        """Treat each known session as fresh: its renewals are not known."""
+        self._renewed_by_instance = dict.fromkeys(instances, now)
+        self._index_by_instance.clear()
+        self._version_by_instance.clear()
+
+    def renew(
+        self,
+        instance: InstanceId,
+        index: Index,
+        version: Version,
+        now: Seconds,
+    ) -> None:
+        """Note a renewal, and what the entry has in force."""
+        self._renewed_by_instance[instance] = now
+        self._index_by_instance[instance] = index
+        self._version_by_instance[instance] = version
+
+    def forget(self, instance: InstanceId) -> None:
+        """Forget a closed session."""
+        self._renewed_by_instance.pop(instance, None)
+        self._index_by_instance.pop(instance, None)
+        self._version_by_instance.pop(instance, None)
+
+    def expired(
+        self,
+        instances: Iterable[InstanceId],
+        now: Seconds,
+    ) -> list[InstanceId]:
+        """Return the sessions whose entry cannot hold a lease any more."""
+        return [
+            instance
+            for instance in instances
+            if now - self._renewed_by_instance.setdefault(instance, now)
+            > EXPIRY
+        ]
+
+    def index_in_force(self, instances: Iterable[InstanceId]) -> int:
+        """Return the index that every session has seen."""
+        return min(
+            (self._index_by_instance.get(one, 0) for one in instances),
+            default=2**62,
+        )
+
+    def version_in_force(
+        self,
+        instances: Iterable[InstanceId],
+        newest: Version,
+    ) -> Version:
+        """Return the fleet version that every session has in force."""
+        seen = (self._version_by_instance.get(one, 0) for one in instances)
+        return Version(min(seen, default=newest))
--- /dev/null
+++ b/src/turmericmast/target/announcement.py
@@ -0,0 +1,152 @@
+"""What a target says about itself."""
+
+import dataclasses
+import enum
+import ipaddress
+from collections.abc import Mapping
+from typing import Any, final
+
+from returns.result import Failure, Result, Success
+
+from turmericmast.exceptions import RefusedError
+from turmericmast.ids import (
+    DomainId,
+    Incarnation,
+    RegionId,
+    ServiceId,
+    TargetId,
+)
+
+MAX_SLOTS = 10_000
+MAX_NAME_LENGTH = 128
+
+
+@final
+class TargetState(enum.Enum):
+    """The state a target announces."""
+
+    cold = 'cold'
+    ready = 'ready'
+    leaving = 'leaving'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSpec:
+    """The part of an announcement that seldom changes."""
+
+    target: TargetId
+    service: ServiceId
+    address: str
+    region: RegionId
+    domain: DomainId
+    slots: int
+    """Requests that the target runs at a time."""
+    cold_slots: int
+    """Requests that the target bears while it is cold."""
+    incarnation: Incarnation
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """One announcement: the spec, and what may change from one to the next."""
+
+    spec: TargetSpec
+    state: TargetState
+    in_flight: int = 0
+    """Requests that the target was running when it announced."""
+
+
+def parse_announcement(
+    document: object,
+) -> Result[Announcement, RefusedError]:
+    """Return the announcement in a JSON document, or the first fault."""
+    if not isinstance(document, Mapping):
+        return Failure(_refuse('', 'a JSON object is needed'))
+    faults = (
+        _refuse(field, fault)
+        for field, check in _CHECK_BY_FIELD.items()
+        if (fault := check(document.get(field)))
+    )
+    unknown = (
+        _refuse(field, 'unknown field; remove it')
+        for field in document
+        if field not in _CHECK_BY_FIELD
+    )
+    fault = next((*faults, *unknown).__iter__(), None)
+    return Failure(fault) if fault else _build(document)
+
+
+def _build(
+    document: Mapping[str, Any],
+) -> Result[Announcement, RefusedError]:
+    spec = TargetSpec(
+        **{
+            field.name: document[field.name]
+            for field in dataclasses.fields(TargetSpec)
+        },
+    )
+    if spec.cold_slots > spec.slots:
+        return Failure(_refuse('cold_slots', 'must not be more than slots'))
+    return Success(
+        Announcement(
+            spec,
+            TargetState(document['state']),
+            document.get('in_flight', 0),
+        ),
+    )
+
+
+def _refuse(field: str, fault: str) -> RefusedError:
+    message = f'{field}: {fault}' if field else fault
+    return RefusedError(message, step='announce', hint='nothing was changed')
+
+
+def _name_fault(given: object) -> str:
+    if isinstance(given, str) and 0 < len(given) <= MAX_NAME_LENGTH:
+        if given.isascii() and given.isprintable() and '/' not in given:
+            return ''
+    return f'write 1 to {MAX_NAME_LENGTH} printable characters without /'
+
+
+def _address_fault(given: object) -> str:
+    host, _, port = str(given).rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return 'write an IP number and a port, such as 127.0.0.1:8080'
+    is_port = port.isdecimal() and 0 < int(port) < 2**16
+    return '' if is_port else 'write a port between 1 and 65535'
+
+
+def _slots_fault(given: object) -> str:
+    is_number = isinstance(given, int) and not isinstance(given, bool)
+    if is_number and 0 < int(str(given)) <= MAX_SLOTS:
+        return ''
+    return f'write a whole number from 1 to {MAX_SLOTS}'
+
+
+def _load_fault(given: object) -> str:
+    if given is None or (type(given) is int and given >= 0):
+        return ''
+    return 'write a whole number of requests, 0 or more'
+
+
+def _state_fault(given: object) -> str:
+    names = [state.value for state in TargetState]
+    return '' if given in names else f'write one of {", ".join(names)}'
+
+
+_CHECK_BY_FIELD = {
+    'target': _name_fault,
+    'service': _name_fault,
+    'address': _address_fault,
+    'region': _name_fault,
+    'domain': _name_fault,
+    'slots': _slots_fault,
+    'cold_slots': _slots_fault,
+    'incarnation': _name_fault,
+    'state': _state_fault,
+    'in_flight': _load_fault,
+}
--- /dev/null
+++ b/src/turmericmast/version.py
@@ -0,0 +1,3 @@
+"""The version of the package."""
+
+VERSION = '0.1.0'
--- /dev/null
+++ b/src/turmericmast/web/__init__.py
@@ -0,0 +1,1 @@
+"""The web package."""
--- /dev/null
+++ b/src/turmericmast/web/parse.py
@@ -0,0 +1,187 @@
+"""From an HTTP request to a call, and from a call to an HTTP request."""
+
+import dataclasses
+import secrets
+import urllib.parse
+from collections.abc import Iterable
+from typing import final
+
+from returns.result import Failure, Result, Success
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from turmericmast.call.call import MAX_DEPTH, CallRequest, Ran
+from turmericmast.fleet.values import Values
+from turmericmast.ids import (
+    CallId,
+    RequestKey,
+    Seconds,
+    ServiceId,
+    TenantId,
+)
+from turmericmast.web.problem import RAN_HEADER, Problem
+
+TENANT = 'Turmericmast-Tenant'
+TIMEOUT = 'Turmericmast-Timeout-Ms'
+HOPS = 'Turmericmast-Hops'
+RETRIED = 'Turmericmast-Retried'
+DEPTH = 'Turmericmast-Depth'
+CLOCK = 'Turmericmast-Clock'
+KEY = 'Idempotency-Key'
+
+METHODS = frozenset(
+    ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'),
+)
+MAX_KEY_LENGTH = 255
+
+_NOT_PASSED = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        TIMEOUT.lower(),
+        HOPS.lower(),
+        RETRIED.lower(),
+        DEPTH.lower(),
+        CLOCK.lower(),
+    ),
+)
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """The parts of a call's path: ``/SERVICE/route``."""
+
+    service: ServiceId
+    route: str
+
+
+def parse_address(path: str) -> Result[Address, Problem]:
+    """Return the service and the route that a path names."""
+    if not path.startswith('/') or not path.isascii() or '#' in path:
+        return Failure(bad_request('path', 'write /SERVICE/PATH in ASCII'))
+    service, slash, route = path[1:].partition('/')
+    name = urllib.parse.unquote(service.partition('?')[0])
+    if not name:
+        return Failure(bad_request('path', 'write /SERVICE/PATH'))
+    if not slash:
+        _, mark, query = service.partition('?')
+        return Success(Address(ServiceId(name), f'/{mark}{query}'))
+    return Success(Address(ServiceId(name), f'/{route}'))
+
+
+def parse_call(
+    start: RequestStartLine,
+    headers: HTTPHeaders,
+    address: Address,
+    values: Values,
+    now: Seconds,
+) -> Result[CallRequest, Problem]:
+    """Return the call, with its deadline and limits."""
+    fault = next(_header_faults(start, headers), None)
+    if fault:
+        return Failure(bad_request(*fault))
+    wanted_ms = int(headers.get(TIMEOUT, values.timeout_ms))
+    timeout_ms = min(wanted_ms, values.timeout_ms)
+    return Success(
+        CallRequest(
+            call=CallId(secrets.token_hex(8)),
+            service=address.service,
+            method=start.method,
+            path=address.route,
+            tenant=TenantId(headers.get(TENANT, '')),
+            key=RequestKey(headers.get(KEY, '')),
+            deadline=Seconds(now + timeout_ms / 1000),
+            hops=int(headers.get(HOPS, '0')),
+            retried=RETRIED in headers,
+            depth=int(headers.get(DEPTH, '0')),
+            home_regions=values.home_regions,
+        ),
+    )
+
+
+def onward_headers(
+    headers: HTTPHeaders,
+    request: CallRequest,
+    now: Seconds,
+    extra: Iterable[tuple[str, str]],
+) -> tuple[bytes, ...]:
+    """Return the headers for a target or another entry, as curl wants them."""
+    left_ms = max(int((request.deadline - now) * 1000), 1)
+    own = (
+        (TIMEOUT, str(left_ms)),
+        (DEPTH, str(request.depth + 1)),
+        # curl would add these by itself otherwise.
+        ('Expect', ''),
+    )
+    passed = (
+        (name, text)
+        for name, text in headers.get_all()
+        if name.lower() not in _NOT_PASSED
+    )
+    has_type = 'Content-Type' in headers
+    return (
+        *(_curl_header(name, text) for name, text in (*passed, *extra)),
+        *(f'{name}: {text}'.encode('latin-1') for name, text in own),
+        *(() if has_type else (b'Content-Type:',)),
+        *(() if 'Accept' in headers else (b'Accept:',)),
+    )
+
+
+def answer_headers(headers: HTTPHeaders) -> HTTPHeaders:
+    """Return the headers of a target's answer that its caller gets."""
+    passed = HTTPHeaders()
+    for name, text in headers.get_all():
+        if name.lower() not in _NOT_PASSED:
+            passed.add(name, text)
+    if RAN_HEADER not in passed:
+        passed[RAN_HEADER] = Ran.yes.value
+    return passed
+
+
+def bad_request(field: str, wanted: str) -> Problem:
+    """Return the problem of a request that cannot be understood."""
+    return Problem(
+        400,
+        'Bad request',
+        f'{field}: {wanted}',
+        'read request',
+        Ran.no,
+    )
+
+
+def _curl_header(name: str, text: str) -> bytes:
+    # For curl, a name with a semicolon is a header without content.
+    line = f'{name}: {text}' if text else f'{name};'
+    return line.encode('latin-1')
+
+
+def _header_faults(
+    start: RequestStartLine,
+    headers: HTTPHeaders,
+) -> Iterable[tuple[str, str]]:
+    if start.method not in METHODS:
+        yield ('method', f'use one of {", ".join(sorted(METHODS))}')
+    for name, low, high in (
+        (TIMEOUT, 1, 86_400_000),
+        (HOPS, 0, 8),
+        (DEPTH, 0, MAX_DEPTH),
+    ):
+        text = headers.get(name, str(low))
+        if not text.isdecimal() or not low <= int(text[:12]) <= high:
+            yield (name, f'write a whole number from {low} to {high}')
+    key = headers.get(KEY)
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        yield (KEY, f'write 1 to {MAX_KEY_LENGTH} characters')
+    length = headers.get('Content-Length', '0')
+    if not length.isdecimal():
+        yield ('Content-Length', 'write a whole number')
--- /dev/null
+++ b/src/turmericmast/web/relay.py
@@ -0,0 +1,184 @@
+"""An answer on its way to the caller: held while small, else streamed."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import Any, final
+
+from tornado.httputil import HTTPConnection, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from turmericmast.web.body import HELD_BYTES
+from turmericmast.web.parse import answer_headers
+from turmericmast.web.transfer import Head, Sink
+
+NO_BODY_STATUSES = frozenset((204, 304))
+
+
+@final
+class RelayState(enum.Enum):
+    """What became of an answer."""
+
+    empty = 'empty'
+    held = 'held'
+    streaming = 'streaming'
+    broken = 'broken'
+
+
+@final
+class Relay(Sink):
+    """Gives a caller one whole answer, or a connection that breaks."""
+
+    def __init__(self, connection: HTTPConnection, method: str) -> None:
+        """Answer on ``connection``."""
+        self.head: Head | None = None
+        self.state = RelayState.empty
+        self.sent = 0
+        """Octets of the body that went to the caller."""
+        self.resume: Callable[[], None] = _do_nothing
+        self._connection = connection
+        self._method = method
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._is_blocked = False
+        self._is_resuming = False
+
+    def on_head(self, head: Head) -> None:
+        """Take status and headers of an attempt."""
+        if self._is_resuming:
+            if not self._continues(head):
+                self.state = RelayState.broken
+            return
+        self.head = head
+        self.state = RelayState.held
+
+    def on_chunk(self, chunk: bytes) -> bool:
+        """Take octets of the body, when the caller keeps up."""
+        if self.state is RelayState.broken:
+            return True
+        if self._is_blocked:
+            return False
+        if self.state is RelayState.streaming:
+            self._write(chunk)
+            return True
+        self._held.append(chunk)
+        self._held_bytes += len(chunk)
+        if self._held_bytes > HELD_BYTES:
+            self._start_streaming()
+        return True
+
+    def body(self) -> bytes:
+        """Return the octets held."""
+        return b''.join(self._held)
+
+    def forget(self) -> None:
+        """Drop the answer of a failed attempt that nobody saw."""
+        if self.state is not RelayState.streaming:
+            self.head = None
+            self.state = RelayState.empty
+            self._held = []
+            self._held_bytes = 0
+
+    @property
+    def is_delimited(self) -> bool:
+        """Tell whether the end of the body could be seen."""
+        if self.head is None:
+            return False
+        headers = self.head.headers
+        return (
+            self._method == 'HEAD'
+            or self.head.status in NO_BODY_STATUSES
+            or 'Content-Length' in headers
+            or 'chunked' in headers.get('Transfer-Encoding', '').lower()
+        )
+
+    def range_headers(self) -> tuple[tuple[str, str], ...] | None:
+        """Return headers that ask for the rest, if that can be asked for."""
+        head = self.head
+        if head is None or self._method != 'GET' or head.status != 200:
+            return None
+        tag = head.headers.get('ETag', '')
+        if not tag.startswith('"') or 'Content-Length' not in head.headers:
+            return None
+        self._is_resuming = True
+        return (('Range', f'bytes={self.sent}-'), ('If-Range', tag))
+
+    def finish(self) -> None:
+        """Send what is held, or end the stream."""
+        if self.state is RelayState.streaming:
+            self._connection.finish()
+            return
+        if self.head is None:
+            return
+        headers = answer_headers(self.head.headers)
+        body = self.body()
+        if self._method == 'HEAD':
+            length = self.head.headers.get('Content-Length')
+            if length is not None:
+                headers['Content-Length'] = length
+        elif self.head.status not in NO_BODY_STATUSES:
+            headers['Content-Length'] = str(len(body))
+        self._send_head(headers, body)
+        self._connection.finish()
+
+    def _continues(self, head: Head) -> bool:
+        first = self.head
+        if first is None or head.status != 206:
+            return False
+        whole = first.headers['Content-Length']
+        wanted = f'bytes {self.sent}-{int(whole) - 1}/{whole}'
+        return (
+            head.headers.get('ETag') == first.headers.get('ETag')
+            and head.headers.get('Content-Range') == wanted
+        )
+
+    def _start_streaming(self) -> None:
+        if self.head is None:
+            return
+        self.state = RelayState.streaming
+        headers = answer_headers(self.head.headers)
+        length = self.head.headers.get('Content-Length')
+        if length is not None:
+            headers['Content-Length'] = length
+        body = self.body()
+        self._held = []
+        self._send_head(headers, b'')
+        self._write(body)
+
+    def _send_head(self, headers: Any, body: bytes) -> None:
+        if self.head is None:
+            return
+        start = ResponseStartLine(
+            'HTTP/1.1', self.head.status, self.head.reason
+        )
+        self._watch(self._connection.write_headers(start, headers, body))
+
+    def _write(self, chunk: bytes) -> None:
+        self.sent += len(chunk)
+        written = self._connection.write(chunk)
+        if not written.done():
+            self._is_blocked = True
+            written.add_done_callback(self._on_written)
+        else:
+            self._watch(written)
+
+    def _on_written(self, written: 'asyncio.Future[None]') -> None:
+        self._is_blocked = False
+        self._watch(written)
+        self.resume()
+
+    def _watch(self, written: 'asyncio.Future[None]') -> None:
+        # A caller that went away is noticed by the connection itself.
+        if written.done() and not written.cancelled():
+            _ = isinstance(written.exception(), StreamClosedError)
+        else:
+            written.add_done_callback(_forget_error)
+
+
+def _forget_error(written: 'asyncio.Future[None]') -> None:
+    if not written.cancelled():
+        written.exception()
+
+
+def _do_nothing() -> None:
+    """Stand in until there is a transfer to resume."""
--- /dev/null
+++ b/src/turmericmast/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The wire package."""
--- /dev/null
+++ b/src/turmericmast/wire/catalogue.py
@@ -0,0 +1,32 @@
+"""Every message and record that has a place in a ``Body``."""
+
+import typing
+
+from turmericmast.ledger import commands as ledger_commands
+from turmericmast.ledger import ledger
+from turmericmast.region import commands as region_commands
+from turmericmast.region import snapshot as region_snapshot
+from turmericmast.replica import messages, store
+from turmericmast.wire import requests
+
+MESSAGES: tuple[type, ...] = (
+    *typing.get_args(messages.Message),
+    *typing.get_args(region_commands.RegionCommand),
+    *typing.get_args(ledger_commands.LedgerCommand),
+    requests.Renew,
+    requests.Granted,
+    requests.Watch,
+    requests.ChangeRegion,
+    requests.Changed,
+    requests.ChangeLedger,
+    requests.Follow,
+    requests.Followed,
+    requests.Refusal,
+    requests.NotNow,
+    ledger.Standing,
+    messages.Entry,
+    messages.Snapshot,
+    store.Vote,
+    region_snapshot.RegionSnapshot,
+    ledger.LedgerSnapshot,
+)
--- /dev/null
+++ b/src/turmericmast/wire/frame.py
@@ -0,0 +1,75 @@
+"""Frames on a stream: a length, then that many octets."""
+
+import asyncio
+import datetime
+import socket
+import struct
+
+from returns.result import Failure, Result
+from tornado.gen import with_timeout
+from tornado.iostream import IOStream
+from tornado.util import TimeoutError as TornadoTimeoutError
+
+from turmericmast.exceptions import WireError
+from turmericmast.wire.codec import Envelope, decode_envelope, encode_envelope
+
+LENGTH = struct.Struct('>I')
+MAX_FRAME_BYTES = 256 * 1024 * 1024
+"""Room for a snapshot; other messages are far smaller."""
+MAX_UNPROVED_BYTES = 4 * 1024 * 1024
+"""Limit for a frame of a peer that has not sent a good one yet."""
+FRAME_TIMEOUT = 10.0
+"""Seconds in which a frame that has begun must be complete."""
+USER_TIMEOUT_MS = 3000
+"""Time without an acknowledgement of the peer's host that ends a connection."""
+
+
+def pack_frame(envelope: Envelope) -> bytes:
+    """Return an envelope as a frame."""
+    octets = encode_envelope(envelope)
+    return LENGTH.pack(len(octets)) + octets
+
+
+async def read_frame(
+    stream: IOStream,
+    peer: str,
+    limit: int,
+) -> Result[Envelope, WireError]:
+    """Read one frame; raises ``StreamClosedError`` when the peer is gone."""
+    (length,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
+    if length > limit:
+        return Failure(
+            WireError(
+                f'a frame of {length} octets, more than {limit}',
+                step='read frame',
+                peer=peer,
+                hint='check that the peer is a process of this system',
+            ),
+        )
+    rest = asyncio.ensure_future(stream.read_bytes(length))
+    try:
+        octets = await with_timeout(
+            datetime.timedelta(seconds=FRAME_TIMEOUT),
+            rest,
+        )
+    except TornadoTimeoutError:
+        return Failure(
+            WireError(
+                f'a frame was not complete after {FRAME_TIMEOUT:g} s',
+                step='read frame',
+                peer=peer,
+                hint='look at the link to the peer',
+            ),
+        )
+    return decode_envelope(octets)
+
+
+def tune(stream: IOStream) -> None:
+    """Send at once, and notice a link that is cut silently."""
+    stream.set_nodelay(True)
+    stream.socket.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        USER_TIMEOUT_MS,
+    )
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- /dev/null
+++ b/src/turmericmast/wire/link.py
@@ -0,0 +1,190 @@
+"""Outgoing links to peers: messages, and questions with answers."""
+
+import asyncio
+import collections
+import dataclasses
+from types import TracebackType
+from typing import Any, Self, final
+
+from returns.result import Failure, Result, Success
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from turmericmast.clock import HybridClock
+from turmericmast.exceptions import WireError
+from turmericmast.metrics import Metrics
+from turmericmast.wire.codec import Envelope
+from turmericmast.wire.frame import (
+    MAX_FRAME_BYTES,
+    pack_frame,
+    read_frame,
+    tune,
+)
+
+MAX_QUEUE_BYTES = 8 * 1024 * 1024
+MAX_QUEUE_FRAMES = 512
+CONNECT_TIMEOUT = 1.0
+RETRY_PAUSE = 0.2
+"""Seconds between two attempts to connect."""
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Node:
+    """What every link and server of a process shares."""
+
+    name: str
+    clock: HybridClock
+    metrics: Metrics
+
+
+@final
+class Link:
+    """One connection to one peer, made anew whenever it is lost.
+
+    Frames wait in a bounded queue while there is no connection; the oldest
+    are dropped first, since every protocol here sends again.
+    """
+
+    def __init__(self, node: Node, address: str) -> None:
+        """Connect to ``address`` as soon as something is to be sent."""
+        self.address = address
+        self._node = node
+        self._queue: collections.deque[bytes] = collections.deque()
+        self._queued_bytes = 0
+        self._future_by_id: dict[
+            int, asyncio.Future[Result[Any, WireError]]
+        ] = {}
+        self._last_id = 0
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._is_closed = False
+
+    def __enter__(self) -> Self:
+        """Return the link."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Drop the connection and fail what waits."""
+        self._is_closed = True
+        if self._task:
+            self._task.cancel()
+        self._fail_all('the link was closed')
+
+    def send(self, body: object) -> None:
+        """Send a message that needs no answer."""
+        self._push(body, 0)
+
+    async def ask(self, body: object, timeout: float) -> Result[Any, WireError]:
+        """Send a request and return its answer, or why there is none."""
+        self._last_id += 1
+        asked = self._last_id
+        future: asyncio.Future[Result[Any, WireError]] = asyncio.Future()
+        self._future_by_id[asked] = future
+        self._push(body, asked)
+        try:
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError:
+            return Failure(self._error(f'no answer in {timeout:g} s'))
+        finally:
+            self._future_by_id.pop(asked, None)
+
+    def _push(self, body: object, asked: int) -> None:
+        stamp = self._node.clock.tick().pack()
+        frame = pack_frame(Envelope(asked, 0, stamp, self._node.name, body))
+        self._queue.append(frame)
+        self._queued_bytes += len(frame)
+        while self._is_overfull():
+            self._queued_bytes -= len(self._queue.popleft())
+            self._node.metrics.count('frames_dropped', peer=self.address)
+        self._wake.set()
+        if self._task is None and not self._is_closed:
+            self._task = asyncio.ensure_future(self._run())
+
+    def _is_overfull(self) -> bool:
+        too_many = len(self._queue) > MAX_QUEUE_FRAMES
+        return len(self._queue) > 1 and (
+            too_many or self._queued_bytes > MAX_QUEUE_BYTES
+        )
+
+    async def _run(self) -> None:
+        host, _, port = self.address.rpartition(':')
+        while not self._is_closed:
+            try:
+                await self._connect(host.strip('[]'), int(port))
+            except (OSError, StreamClosedError, TimeoutError):
+                self._node.metrics.count('links_lost', peer=self.address)
+            self._fail_all('the connection was lost')
+            await asyncio.sleep(RETRY_PAUSE)
+
+    async def _connect(self, host: str, port: int) -> None:
+        stream = await asyncio.wait_for(
+            TCPClient().connect(host, port),
+            CONNECT_TIMEOUT,
+        )
+        tune(stream)
+        reader = asyncio.ensure_future(self._read(stream))
+        try:
+            await self._write(stream)
+        finally:
+            stream.close()
+            reader.cancel()
+
+    async def _write(self, stream: IOStream) -> None:
+        # A reader that ends closes the stream, which ends this loop.
+        stream.set_close_callback(self._wake.set)
+        while not stream.closed():
+            frames = b''.join(self._queue)
+            self._queue.clear()
+            self._queued_bytes = 0
+            self._wake.clear()
+            if frames:
+                self._node.metrics.count('bytes_sent', len(frames))
+                await stream.write(frames)
+            else:
+                await self._wake.wait()
+
+    async def _read(self, stream: IOStream) -> None:
+        try:
+            await self._take_answers(stream)
+        except StreamClosedError:
+            stream.close()
+
+    async def _take_answers(self, stream: IOStream) -> None:
+        while True:
+            frame = await read_frame(stream, self.address, MAX_FRAME_BYTES)
+            if not isinstance(frame, Success):
+                self._node.metrics.count('frames_bad', peer=self.address)
+                stream.close()
+                return
+            envelope = frame.unwrap()
+            self._node.clock.witness(envelope.clock)
+            future = self._future_by_id.get(envelope.answers)
+            if future and not future.done():
+                future.set_result(Success(envelope.body))
+            else:
+                self._node.metrics.count('answers_late', peer=self.address)
+
+    def _fail_all(self, found: str) -> None:
+        for future in self._future_by_id.values():
+            if not future.done():
+                future.set_result(Failure(self._error(found)))
+
+    def _error(self, found: str) -> WireError:
+        return WireError(
+            found,
+            step='ask peer',
+            peer=self.address,
+            hint='look whether the process there runs',
+        )
+
+
+def spawn(coroutine: Any) -> None:
+    """Run a coroutine on the loop; its errors are logged by the loop."""
+    IOLoop.current().spawn_callback(lambda: coroutine)
