--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 from types import TracebackType
 from typing import Self, final
 
@@ -153,7 +154,7 @@
                 for plan in self.plans
                 if plan.name.startswith(f'{program}-{region}-')
                 and plan.name in self.process_by_name
-                and status_of(f'http://{plan.http}/v1/status') == 200
+                and status_of(f'http://{plan.http}/v1/status') == HTTPStatus.OK
             ),
             '',
         )
--- a/examples/target.py
+++ b/examples/target.py
@@ -13,6 +13,7 @@
 import sys
 import urllib.parse
 from collections.abc import Sequence
+from http import HTTPStatus
 
 from absl import app, flags
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
@@ -104,7 +105,7 @@
         """Run whatever was asked for."""
         target = self.target
         if target.in_flight >= SLOTS.value:
-            self.set_status(503)
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             self.set_header('Turmericmast-Ran', 'no')
             self.finish('busy\n')
             return
--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -22,6 +22,7 @@
 """Attempts of an idempotent call at the level next to the failure."""
 MAX_PLACEMENTS = 4
 """Targets tried for a call that provably has not run yet."""
+FINGERPRINT_LENGTH = 32
 MAX_DEPTH = 64
 """Nested calls; more than this is taken for a loop."""
 
@@ -91,7 +92,7 @@
         parts = (self.service, self.method, self.path, self.tenant, self.key)
         digest = hashlib.sha256('\0'.join(parts).encode())
         digest.update(body)
-        return Fingerprint(digest.hexdigest()[:32])
+        return Fingerprint(digest.hexdigest()[:FINGERPRINT_LENGTH])
 
 
 @final
--- a/src/turmericmast/clock.py
+++ b/src/turmericmast/clock.py
@@ -6,8 +6,10 @@
 from typing import final
 
 from turmericmast.ids import Millis, Seconds
+from turmericmast.units import NANOS_PER_MILLI
 
-MILLIS_PER_SECOND = 1000
+COUNT_BITS = 16
+"""Bits of a packed stamp that count events within a millisecond."""
 
 
 class Clock(abc.ABC):
@@ -36,7 +38,7 @@
 
     def wall(self) -> Millis:
         """Return milliseconds since the epoch."""
-        return Millis(time.time_ns() // 1_000_000)
+        return Millis(time.time_ns() // NANOS_PER_MILLI)
 
 
 @final
@@ -51,12 +53,12 @@
 
     def pack(self) -> int:
         """Return the stamp as one 64-bit integer."""
-        return (self.wall << 16) | self.count
+        return (self.wall << COUNT_BITS) | self.count
 
     @classmethod
     def unpack(cls, packed: int) -> 'Stamp':
         """Return the stamp that ``pack`` made."""
-        return cls(packed >> 16, packed & 0xFFFF)
+        return cls(packed >> COUNT_BITS, packed % (1 << COUNT_BITS))
 
 
 @final
--- a/src/turmericmast/disk/records.py
+++ b/src/turmericmast/disk/records.py
@@ -1,14 +1,16 @@
 """Checksummed records in files."""
 
+import contextlib
 import os
 import pathlib
 import struct
 import zlib
 from collections.abc import Iterator
+from typing import final
 
 HEADER = struct.Struct('>II')
 """Length and CRC-32 of the octets that follow."""
-MAX_RECORD_BYTES = 1024 * 1024 * 1024
+MAX_RECORD_BYTES = 1_073_741_824
 
 
 def frame_record(octets: bytes) -> bytes:
@@ -56,8 +58,17 @@
 
 def sync_folder(folder: pathlib.Path) -> None:
     """Make the names in a folder survive a crash."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+    with contextlib.closing(_Folder(folder)) as opened:
+        os.fsync(opened.descriptor)
+
+
+@final
+class _Folder:
+    """A folder opened so that it can be synced."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.descriptor = os.open(folder, os.O_RDONLY)
+
+    def close(self) -> None:
+        """Close it."""
+        os.close(self.descriptor)
--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -95,19 +95,11 @@
             return Route(Way.local)
         return self.router.onward(request)
 
-    def _serves(self, name: ServiceId, now: Seconds) -> bool:
-        is_open = not self.is_leaving and self.lease.is_valid(now)
-        if not is_open or self.view.is_domain_out(self.domain):
-            return False
-        service = self.ownership.service_by_id.get(name)
-        has_targets = service is not None and service.takes_calls(now)
-        return has_targets or name in self.ownership.incoming
-
     def admit(
         self,
         request: CallRequest,
         now: Seconds,
-        avoid: TargetId = TargetId(''),
+        avoid: TargetId,
     ) -> bool:
         """Queue a call for an owned target; false when it has no chance."""
         service = self.ownership.service(request.service, self.document)
@@ -162,3 +154,11 @@
         for service in self.ownership.service_by_id.values():
             values = self.values_for(service.service)
             service.backlog.limit = values.queue_limit
+
+    def _serves(self, name: ServiceId, now: Seconds) -> bool:
+        is_open = not self.is_leaving and self.lease.is_valid(now)
+        if not is_open or self.view.is_domain_out(self.domain):
+            return False
+        service = self.ownership.service_by_id.get(name)
+        has_targets = service is not None and service.takes_calls(now)
+        return has_targets or name in self.ownership.incoming
--- a/src/turmericmast/entry/ownership.py
+++ b/src/turmericmast/entry/ownership.py
@@ -65,8 +65,8 @@
         }
         for name in self._placement_by_target.keys() - granted.keys():
             self._drop(name)
-        for name, placement in granted.items():
-            self._take(name, placement, document, now)
+        for name in granted:
+            self._take(granted[name], document, now)
         self.incoming = frozenset(
             placement.spec.service
             for placement in view.placement_by_target.values()
@@ -114,11 +114,11 @@
 
     def _take(
         self,
-        name: TargetId,
         placement: Placement,
         document: FleetDocument,
         now: Seconds,
     ) -> None:
+        name = placement.spec.target
         known = self._placement_by_target.get(name)
         is_same = known is not None and (
             known.granted == placement.granted
--- a/src/turmericmast/events.py
+++ b/src/turmericmast/events.py
@@ -9,7 +9,7 @@
 
 from turmericmast.clock import HybridClock
 
-MAX_FILE_BYTES = 64 * 1024 * 1024
+MAX_FILE_BYTES = 67_108_864
 """Size at which an event file is put aside as ``.1``."""
 
 
--- a/src/turmericmast/fleet/document.py
+++ b/src/turmericmast/fleet/document.py
@@ -14,6 +14,7 @@
 
 SELECTORS = ('service', 'tenant', 'route')
 MAX_EXCEPTIONS = 500
+DIGEST_LENGTH = 16
 
 Fault: TypeAlias = tuple[str, str, str]
 """Path in the document, what was found, what to write."""
@@ -63,7 +64,7 @@
 
 def digest_of(text: str) -> Digest:
     """Return the digest by which a document is known."""
-    return Digest(hashlib.sha256(text.encode()).hexdigest()[:16])
+    return Digest(hashlib.sha256(text.encode()).hexdigest()[:DIGEST_LENGTH])
 
 
 def parse_document(text: str) -> Result[FleetDocument, SettingsError]:
@@ -123,48 +124,60 @@
             'no written reason',
             'write why this exception is needed',
         )
+    yield from _selector_faults(path, exception)
+    if not exception.get('values'):
+        yield (f'{path}.values', 'changes nothing', 'set at least one value')
+    yield from _value_faults(f'{path}.values', exception.get('values', {}))
+
+
+def _selector_faults(
+    path: str,
+    exception: Mapping[str, Any],
+) -> Iterator[Fault]:
     chosen = [name for name in SELECTORS if name in exception]
     if not chosen:
         yield (path, 'selects nothing', f'add one of {", ".join(SELECTORS)}')
     yield from (
         (f'{path}.{name}', 'not a name', 'write a non-empty string')
         for name in chosen
-        if not isinstance(exception[name], str) or not exception[name]
+        if not _is_name(exception[name])
     )
-    if not exception.get('values'):
-        yield (f'{path}.values', 'changes nothing', 'set at least one value')
-    yield from _value_faults(f'{path}.values', exception.get('values', {}))
 
 
 def _value_faults(path: str, tree: object) -> Iterator[Fault]:
     if not isinstance(tree, Mapping):
         yield (path, 'not an object', 'write {"name": value}')
         return
+    known = ', '.join(FIELD_BY_NAME)
     for name, given in tree.items():
-        if name not in FIELD_BY_NAME:
-            known = ', '.join(FIELD_BY_NAME)
-            yield (f'{path}.{name}', 'unknown value', f'use one of {known}')
-        else:
+        if name in FIELD_BY_NAME:
             yield from _type_faults(f'{path}.{name}', name, given)
+        else:
+            yield (f'{path}.{name}', 'unknown value', f'use one of {known}')
 
 
 def _type_faults(path: str, name: str, given: Any) -> Iterator[Fault]:
+    found = f'found {given!r}'
     if name == 'home_regions':
-        is_names = isinstance(given, list) and all(
-            isinstance(region, str) and region for region in given
-        )
-        if not is_names:
-            yield (path, f'found {given!r}', 'write a list of region names')
+        if not isinstance(given, list) or not all(map(_is_name, given)):
+            yield (path, found, 'write a list of region names')
     elif name == 'ledger_region':
-        if not isinstance(given, str) or not given:
-            yield (path, f'found {given!r}', 'write the name of a region')
-    else:
+        if not _is_name(given):
+            yield (path, found, 'write the name of a region')
+    elif not _is_in_range(name, given):
         low, high = RANGE_BY_NAME[name]
-        kinds = (int, float) if name == 'retry_ratio' else (int,)
-        is_number = isinstance(given, kinds) and not isinstance(given, bool)
-        if not is_number or not low <= given <= high:
-            wanted = f'write a number from {low} to {high}'
-            yield (path, f'found {given!r}', wanted)
+        yield (path, found, f'write a number from {low} to {high}')
+
+
+def _is_name(given: object) -> bool:
+    return isinstance(given, str) and bool(given)
+
+
+def _is_in_range(name: str, given: Any) -> bool:
+    low, high = RANGE_BY_NAME[name]
+    kinds = (int, float) if name == 'retry_ratio' else (int,)
+    is_number = isinstance(given, kinds) and not isinstance(given, bool)
+    return is_number and low <= given <= high
 
 
 def _build(tree: Mapping[str, Any]) -> FleetDocument:
--- a/src/turmericmast/fleet/fleet.py
+++ b/src/turmericmast/fleet/fleet.py
@@ -72,7 +72,9 @@
         if base != (self.current.version, self.current.digest):
             return Failure(self._conflict(proposal))
         parsed = parse_document(proposal.document)
-        return parsed.bind(self._check_move).map(
+        if not isinstance(parsed, Success):
+            return Failure(parsed.failure())
+        return self._check_move(parsed.unwrap()).map(
             lambda document: self._install(proposal, document),
         )
 
--- a/src/turmericmast/fleet/values.py
+++ b/src/turmericmast/fleet/values.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, final
 
 from turmericmast.ids import RegionId
@@ -18,7 +19,7 @@
     """Region that keeps the records of keyed requests."""
     timeout_ms: int = 10_000
     """Longest time for a call, whatever its caller asks for."""
-    max_body_bytes: int = 64 * 1024 * 1024
+    max_body_bytes: int = 67_108_864
     """Largest request body."""
     queue_limit: int = 200
     """Calls that may wait at one entry for one service."""
@@ -40,15 +41,19 @@
         return self.home_regions[0] if self.home_regions else self.ledger_region
 
 
-FIELD_BY_NAME = {field.name: field for field in dataclasses.fields(Values)}
-
-RANGE_BY_NAME: Mapping[str, tuple[float, float]] = {
-    'timeout_ms': (10, 600_000),
-    'max_body_bytes': (0, 16 * 1024**3),
-    'queue_limit': (0, 100_000),
-    'retry_ratio': (0, 1),
-    'address_ttl_ms': (100, 3000),
-    'measure_bytes_per_second': (256, 10_000_000),
-    'key_retention_s': (60, 2_592_000),
-}
+FIELD_BY_NAME = MappingProxyType(
+    {field.name: field for field in dataclasses.fields(Values)},
+)
+
+RANGE_BY_NAME: Mapping[str, tuple[float, float]] = MappingProxyType(
+    {
+        'timeout_ms': (10, 600_000),
+        'max_body_bytes': (0, 17_179_869_184),
+        'queue_limit': (0, 100_000),
+        'retry_ratio': (0, 1),
+        'address_ttl_ms': (100, 3000),
+        'measure_bytes_per_second': (256, 10_000_000),
+        'key_retention_s': (60, 2_592_000),
+    }
+)
 """Smallest and largest value of each number."""
--- a/src/turmericmast/metrics.py
+++ b/src/turmericmast/metrics.py
@@ -1,15 +1,16 @@
 """Counters and latency histograms, shown in the Prometheus text form."""
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import TypeAlias, final
 
 from hdrh.histogram import HdrHistogram
 
+from turmericmast.units import MICROS
+
 HIGHEST_MICROS = 600_000_000
 PRECISION = 2
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
-MICROS_PER_SECOND = 1_000_000
 
 Labels: TypeAlias = tuple[tuple[str, str], ...]
 
@@ -37,7 +38,7 @@
         if histogram is None:
             histogram = HdrHistogram(1, HIGHEST_MICROS, PRECISION)
             self._histogram_by_name[where] = histogram
-        micros = max(int(seconds * MICROS_PER_SECOND), 1)
+        micros = max(int(seconds * MICROS), 1)
         histogram.record_value(min(micros, HIGHEST_MICROS))
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -49,20 +50,37 @@
         return '\n'.join((*self._lines(), ''))
 
     def _lines(self) -> Iterator[str]:
+        yield from self._counter_lines()
+        for (name, labels), histogram in self._histograms():
+            full = f'turmericmast_{name}_seconds'
+            yield from (
+                _quantile_line(full, labels, histogram, quantile)
+                for quantile in QUANTILES
+            )
+            yield f'{full}_count{_braces(labels)} {histogram.total_count}'
+
+    def _histograms(self) -> Iterable[tuple[tuple[str, Labels], HdrHistogram]]:
+        return sorted(
+            self._histogram_by_name.items(),
+            key=lambda pair: pair[0],
+        )
+
+    def _counter_lines(self) -> Iterator[str]:
         for (name, labels), number in sorted(self.count_by_name.items()):
             yield f'turmericmast_{name}_total{_braces(labels)} {number}'
         for name, read in sorted(self._gauge_by_name.items()):
             yield f'turmericmast_{name} {read():g}'
-        for (name, labels), histogram in sorted(
-            self._histogram_by_name.items(),
-            key=lambda pair: pair[0],
-        ):
-            full = f'turmericmast_{name}_seconds'
-            for quantile in QUANTILES:
-                micros = histogram.get_value_at_percentile(100 * quantile)
-                where = (*labels, ('quantile', str(quantile)))
-                yield f'{full}{_braces(where)} {micros / MICROS_PER_SECOND:g}'
-            yield f'{full}_count{_braces(labels)} {histogram.total_count}'
+
+
+def _quantile_line(
+    name: str,
+    labels: Labels,
+    histogram: HdrHistogram,
+    quantile: float,
+) -> str:
+    micros = histogram.get_value_at_percentile(100 * quantile)
+    where = (*labels, ('quantile', str(quantile)))
+    return f'{name}{_braces(where)} {micros / MICROS:g}'
 
 
 def _braces(labels: Labels) -> str:
--- a/src/turmericmast/programs/admin.py
+++ b/src/turmericmast/programs/admin.py
@@ -8,7 +8,9 @@
 import time
 import urllib.parse
 from collections.abc import Callable, Mapping, Sequence
+from http import HTTPStatus
 from io import BytesIO
+from types import MappingProxyType
 from typing import Any, TypeAlias, final
 
 import pycurl
@@ -26,6 +28,8 @@
 from turmericmast.settings import Settings, load_settings
 from turmericmast.version import VERSION
 
+WAIT_SECONDS = 10.0
+
 SETTINGS = flags.DEFINE_string('settings', '', 'Settings of any process.')
 REGION = flags.DEFINE_string('region', '', 'Region to ask; else your own.')
 AS_JSON = flags.DEFINE_bool('json', False, 'Write JSON for a script.')
@@ -33,7 +37,9 @@
 CHANGE = flags.DEFINE_string('change', '', 'Id of a change, to send it again.')
 TENANT = flags.DEFINE_string('tenant', '', 'Tenant to explain values for.')
 ROUTE = flags.DEFINE_string('route', '', 'Path to explain values for.')
-WAIT = flags.DEFINE_float('wait', 10.0, 'Seconds to wait for an answer.')
+WAIT = flags.DEFINE_float(
+    'wait', WAIT_SECONDS, 'Seconds to wait for an answer.'
+)
 VERSION_FLAG = flags.DEFINE_bool('version', False, 'Show the version and exit.')
 
 USAGE = """usage: turmericmast-admin --settings FILE COMMAND
@@ -125,9 +131,13 @@
         document = json.loads(octets)
     except ValueError:
         document = {'error': f'status {status} without a document'}
-    if status == 200:
+    if status == HTTPStatus.OK:
         return Success(document)
-    kind = WireError if status >= 500 else RefusedError
+    kind = (
+        WireError
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        else RefusedError
+    )
     return Failure(
         kind(
             document.get('error', f'status {status}'),
@@ -260,15 +270,17 @@
     show: Callable[[dict[str, Any]], str]
 
 
-_COMMAND_BY_NAME = {
-    'get': _Command(_get, 0, tables.show_fleet),
-    'propose': _Command(_propose, 1, tables.show_version),
-    'explain': _Command(_explain, 1, tables.show_reasons),
-    'take-out': _Command(_take_out, 2, tables.show_done),
-    'return': _Command(_return, 2, tables.show_done),
-    'lift': _Command(_lift, 1, tables.show_done),
-    'status': _Command(_status, 0, tables.show_status),
-}
+_COMMAND_BY_NAME = MappingProxyType(
+    {
+        'get': _Command(_get, 0, tables.show_fleet),
+        'propose': _Command(_propose, 1, tables.show_version),
+        'explain': _Command(_explain, 1, tables.show_reasons),
+        'take-out': _Command(_take_out, 2, tables.show_done),
+        'return': _Command(_return, 2, tables.show_done),
+        'lift': _Command(_lift, 1, tables.show_done),
+        'status': _Command(_status, 0, tables.show_status),
+    }
+)
 
 
 def _run(arguments: Sequence[str]) -> int:
@@ -280,11 +292,7 @@
     if command is None or len(rest) != command.arguments:
         sys.stderr.write(USAGE)
         return 2
-    answer = load_settings(pathlib.Path(SETTINGS.value)).bind(
-        lambda settings: _operator(settings).bind(
-            lambda operator: command.run(operator, rest),
-        ),
-    )
+    answer = _carry_out(command, rest)
     if not isinstance(answer, Success):
         error = answer.failure()
         sys.stderr.write(f'{error.show()}\n')
@@ -295,6 +303,14 @@
     return 0
 
 
+def _carry_out(command: _Command, arguments: Sequence[str]) -> Answer:
+    loaded = load_settings(pathlib.Path(SETTINGS.value))
+    operator = loaded.bind(_operator)
+    if isinstance(operator, Success):
+        return command.run(operator.unwrap(), arguments)
+    return Failure(operator.failure())
+
+
 def _operator(settings: Settings) -> Result[Operator, SettingsError]:
     region = RegionId(REGION.value or settings.region)
     if region in settings.region_by_id:
--- a/src/turmericmast/programs/control.py
+++ b/src/turmericmast/programs/control.py
@@ -27,6 +27,7 @@
 from turmericmast.replica import messages
 from turmericmast.session.roll import LEASE_LENGTH, Roll
 from turmericmast.settings import GroupKind
+from turmericmast.units import MILLIS
 from turmericmast.wire import requests
 from turmericmast.wire.server import Handler
 
@@ -40,7 +41,6 @@
 TICK_MS = 250
 STALL = 1.5
 """Seconds between two ticks from which on renewals may have been missed."""
-MILLIS_PER_SECOND = 1000
 
 
 @final
@@ -184,7 +184,7 @@
         known = renew.known if renew.epoch == session.epoch else Index(0)
         return requests.Granted(
             session.epoch,
-            int(LEASE_LENGTH * MILLIS_PER_SECOND),
+            int(LEASE_LENGTH * MILLIS),
             self.region.feed(known),
         )
 
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -20,6 +20,7 @@
 )
 from turmericmast.session.roll import RENEW_INTERVAL
 from turmericmast.target.target import Target
+from turmericmast.units import MILLIS
 from turmericmast.web.announcing import Announcing
 from turmericmast.web.curl import Curl
 from turmericmast.web.desk import Clients, Desk
@@ -38,13 +39,12 @@
 """Seconds in which targets should be free to go to other owners."""
 DRAIN_TIMEOUT = 600.0
 """Seconds in which calls in flight end by their own deadlines."""
-MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 65_536
 IDLE_TIMEOUT = 75.0
 BODY_TIMEOUT = 60.0
 """Seconds in which a request body must have arrived."""
-MAX_BODY_BYTES = 64 * 1024**3
+MAX_BODY_BYTES = 68_719_476_736
 """Above every limit of the fleet document, which decides."""
-MILLIS_PER_SECOND = 1000
 
 
 @final
@@ -117,11 +117,12 @@
         """Give up everything in order: addresses, targets, session."""
         entry = self._desk.entry
         entry.is_leaving = True
+        self._process.events.write('leaving', epoch=entry.lease.epoch)
         await self._desk.change_region(
             LeaveSession(entry.instance, entry.lease.epoch),
             CHANGE_TIMEOUT,
         )
-        ttl = entry.document.defaults.address_ttl_ms / MILLIS_PER_SECOND
+        ttl = entry.document.defaults.address_ttl_ms / MILLIS
         clock = self._process.clock
         keeps_until = clock.now() + ttl + RENEW_INTERVAL
         gives_up_at = clock.now() + RELEASE_TIMEOUT
@@ -153,7 +154,7 @@
             granted.epoch,
             granted.feed,
             sent_at,
-            granted.length_ms / MILLIS_PER_SECOND,
+            granted.length_ms / MILLIS,
             self._process.clock.now(),
         )
         self._desk.pump_all()
@@ -254,16 +255,15 @@
         asyncio.ensure_future(keepalive.run()),
         asyncio.ensure_future(keepalive.watch()),
     ]
-    tickers = [
-        PeriodicCallback(desk.pump_all, PUMP_MS),
-        PeriodicCallback(keepalive.release, PUMP_MS),
-        PeriodicCallback(announcing.withdraw_silent, SWEEP_MS),
-    ]
-    for ticker in tickers:
+    for callback, pause_ms in (
+        (desk.pump_all, PUMP_MS),
+        (keepalive.release, PUMP_MS),
+        (announcing.withdraw_silent, SWEEP_MS),
+    ):
+        ticker = PeriodicCallback(callback, pause_ms)
         ticker.start()
         stack.callback(ticker.stop)
     await process.stop.wait()
-    process.events.write('leaving')
     await keepalive.leave()
     server.stop()
     await _drain(process, desk)
--- a/src/turmericmast/programs/following.py
+++ b/src/turmericmast/programs/following.py
@@ -81,10 +81,9 @@
             await control.change(ReportRegion(region.region, version))
 
     async def _ask(self, name: RegionId) -> None:
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._busy.discard, name)
             await self._exchange(name)
-        finally:
-            self._busy.discard(name)
 
     async def _exchange(self, name: RegionId) -> None:
         control = self._control
--- a/src/turmericmast/programs/group.py
+++ b/src/turmericmast/programs/group.py
@@ -18,7 +18,7 @@
     TurmericmastError,
     WireError,
 )
-from turmericmast.ids import Incarnation, Index, MemberId, Seconds, Term
+from turmericmast.ids import Incarnation, Index, MemberId, Term
 from turmericmast.replica.core import Role, Seating
 from turmericmast.replica.messages import Entry, EntryKind, Snapshot
 from turmericmast.replica.replica import Replica
@@ -30,7 +30,7 @@
 COMPACT_ENTRIES = 512
 """Fewest applied entries between two snapshots."""
 COMPACT_FACTOR = 2
-"""Log bytes, in multiples of the last snapshot, that make a new one worth it."""
+"""Log bytes, in multiples of the last snapshot, that make a new one due."""
 
 
 class StateMachine(abc.ABC):
--- a/src/turmericmast/programs/member.py
+++ b/src/turmericmast/programs/member.py
@@ -22,6 +22,9 @@
 from turmericmast.wire.requests import NotNow, Refusal
 from turmericmast.wire.server import Handler, PeerServer
 
+MAX_PAGE_BODY = 4_194_304
+"""Octets of the largest request of operators."""
+
 Group: TypeAlias = tuple[RegionId, tuple[MemberSettings, ...]]
 
 
@@ -81,7 +84,7 @@
     host, _, port = settings.peer.rpartition(':')
     peers.listen(int(port), host.strip('[]'))
     stack.callback(peers.close_all)
-    pages = HTTPServer(application, max_body_size=4 * 1024 * 1024)
+    pages = HTTPServer(application, max_body_size=MAX_PAGE_BODY)
     host, _, port = settings.http.rpartition(':')
     pages.listen(int(port), host.strip('[]'))
     stack.callback(pages.stop)
--- a/src/turmericmast/programs/operators.py
+++ b/src/turmericmast/programs/operators.py
@@ -1,6 +1,7 @@
 """The HTTP pages for operators."""
 
 import json
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, final
 
 from returns.result import Failure, Result, Success
@@ -22,6 +23,7 @@
     from turmericmast.programs.control import Control
 
 MAX_CHANGE_LENGTH = 128
+MAX_NAMES_SHOWN = 20
 
 
 class _Page(RequestHandler):
@@ -37,7 +39,7 @@
             return
         leader = self.control.group.replica.leader
         found = self.control.process.settings.group_of_control(leader)
-        self.set_status(503)
+        self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
         self.finish(
             {
                 'error': 'this replica does not lead its group',
@@ -53,7 +55,9 @@
             return
         error = answer.failure()
         is_open = isinstance(error, WireError)
-        self.set_status(503 if is_open else 409)
+        self.set_status(
+            HTTPStatus.SERVICE_UNAVAILABLE if is_open else HTTPStatus.CONFLICT
+        )
         self.finish(
             {
                 'error': error.message,
@@ -146,7 +150,7 @@
         )
         if command.name in known or not command.out:
             return Success(command)
-        shown = ', '.join(sorted(map(str, known))[:20])
+        shown = ', '.join(sorted(map(str, known))[:MAX_NAMES_SHOWN])
         return Failure(
             _bad(
                 'name', f'{command.name} is not known here; use one of {shown}'
--- a/src/turmericmast/programs/tables.py
+++ b/src/turmericmast/programs/tables.py
@@ -88,7 +88,7 @@
 
 
 def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
-    lines = [head, *sorted(rows)]
+    lines = [tuple(head), *sorted(map(tuple, rows))]
     widths = [
         max(len(line[column]) for line in lines) for column in range(len(head))
     ]
--- a/src/turmericmast/region/records.py
+++ b/src/turmericmast/region/records.py
@@ -150,6 +150,14 @@
     summaries: tuple[RegionSummary, ...] = ()
     fleet: FleetRecord | None = None
 
+    def extended(
+        self,
+        removals: tuple[Removal, ...],
+        fleet: FleetRecord | None,
+    ) -> 'Feed':
+        """Return the feed with removals and the fleet document."""
+        return dataclasses.replace(self, removals=removals, fleet=fleet)
+
 
 MAX_CRASHES = 2
 """Targets that one request may cost before it is refused."""
--- a/src/turmericmast/region/snapshot.py
+++ b/src/turmericmast/region/snapshot.py
@@ -57,10 +57,10 @@
     fleet = region.fleet
     return RegionSnapshot(
         feed=region.feed(Index(0)),
-        removals=tuple(region.removals),
-        forgotten=region.forgotten,
-        tables_changed=region.tables_changed,
-        fleet_changed=region.fleet_changed,
+        removals=tuple(region.owners.removals),
+        forgotten=region.owners.forgotten,
+        tables_changed=region.tables.changed,
+        fleet_changed=region.book.changed,
         answers=tuple(
             ChangeAnswer(
                 change,
@@ -71,7 +71,7 @@
         ),
         seen=tuple(
             SeenChange(change, text)
-            for change, text in region.seen_changes.items()
+            for change, text in region.tables.seen.text_by_change.items()
         ),
         in_force=tuple(
             RegionInForce(name, version)
@@ -89,11 +89,13 @@
     """Return the region that the snapshot was taken of."""
     restored = Region(region, regions)
     restored.view.absorb(snapshot.feed)
-    restored.removals = list(snapshot.removals)
-    restored.forgotten = snapshot.forgotten
-    restored.tables_changed = snapshot.tables_changed
-    restored.fleet_changed = snapshot.fleet_changed
-    restored.seen_changes = {one.change: one.text for one in snapshot.seen}
+    restored.owners.removals = list(snapshot.removals)
+    restored.owners.forgotten = snapshot.forgotten
+    restored.tables.changed = snapshot.tables_changed
+    restored.book.changed = snapshot.fleet_changed
+    restored.tables.seen.text_by_change.update(
+        (one.change, one.text) for one in snapshot.seen
+    )
     record = snapshot.feed.fleet
     if record:
         restored.fleet.restore(
--- a/src/turmericmast/region/view.py
+++ b/src/turmericmast/region/view.py
@@ -60,6 +60,27 @@
             self.set_tables(feed.outages, feed.suspicions, feed.summaries)
         self.index = max(self.index, feed.index)
 
+    def changes(self, floor: int, *, complete: bool, tables: bool) -> Feed:
+        """Return the records that changed after ``floor``."""
+        return Feed(
+            index=self.index,
+            complete=complete,
+            sessions=tuple(
+                one
+                for one in self.session_by_instance.values()
+                if one.changed > floor
+            ),
+            placements=tuple(
+                one
+                for one in self.placement_by_target.values()
+                if one.changed > floor
+            ),
+            has_tables=tables,
+            outages=tuple(self.outage_by_name.values()) * tables,
+            suspicions=tuple(self.suspicion_by_fingerprint.values()) * tables,
+            summaries=tuple(self.summary_by_region.values()) * tables,
+        )
+
     def set_tables(
         self,
         outages: Iterable[Outage],
--- a/src/turmericmast/replica/core.py
+++ b/src/turmericmast/replica/core.py
@@ -88,7 +88,7 @@
         self.leader = MemberId('')
         self.commit = self.log.base
         self.effects = Effects(restored=recovered.snapshot)
-        self.heard_at = 0.0
+        self.heard_at = float(0)
         self.random = random.Random(incarnation)  # noqa: S311
         self.vote = recovered.vote
         if self.log.is_empty or not self.vote.incarnation:
--- a/src/turmericmast/replica/election.py
+++ b/src/turmericmast/replica/election.py
@@ -15,7 +15,7 @@
         """Wait a whole timeout first: a vote before the start is unknown."""
         self._core = core
         self._granted: set[MemberId] = set()
-        self._deadline = 0.0
+        self._deadline = float(0)
         core.heard_at = now
         self.postpone(now)
 
--- a/src/turmericmast/replica/founding.py
+++ b/src/turmericmast/replica/founding.py
@@ -25,7 +25,7 @@
         """Start without any answers."""
         self._core = core
         self._virgin_by_member: dict[MemberId, tuple[Incarnation, float]] = {}
-        self._next_probe = 0.0
+        self._next_probe = float(0)
 
     def tick(self, now: Seconds) -> None:
         """Ask again from time to time while this member has no state."""
--- a/src/turmericmast/replica/replica.py
+++ b/src/turmericmast/replica/replica.py
@@ -116,8 +116,6 @@
             case AppendReply():
                 self._on_append_reply(message, now)
             case VoteRequest():
-                if self._is_foreign(message):
-                    return
                 self._on_vote_request(message, now)
             case VoteReply():
                 self._take_office(now, won=self._election.on_reply(message))
@@ -147,11 +145,10 @@
             self._leading = None
         return self._leading
 
-    def _is_foreign(self, message: VoteRequest) -> bool:
-        return message.candidate not in self._core.seating.others
-
     def _on_vote_request(self, request: VoteRequest, now: Seconds) -> None:
-        if self._current() and now < self.lease_end():
+        is_known = request.candidate in self._core.seating.others
+        has_lease = self._current() and now < self.lease_end()
+        if has_lease or not is_known:
             return
         self._election.on_request(request, now)
 
--- a/src/turmericmast/replica/replication.py
+++ b/src/turmericmast/replica/replication.py
@@ -17,7 +17,7 @@
 
 MAX_ENTRIES = 128
 """Entries in one message."""
-MAX_BATCH_BYTES = 256 * 1024
+MAX_BATCH_BYTES = 262_144
 """Payload in one message, unless a single entry is larger."""
 WITNESS_PATIENCE = 1.0
 """Seconds of silence after which a full member no longer holds back."""
@@ -45,7 +45,7 @@
         """Take office: an entry of the own term settles earlier ones."""
         self._core = core
         self._since = now
-        self._next_beat = 0.0
+        self._next_beat = float(0)
         self.synced_index = 0
         self.progress_by_member = {
             member: Progress(next_index=core.log.last_index + 1)
@@ -204,7 +204,7 @@
                 term=core.vote.term,
                 leader=core.seating.me,
                 prev_index=Index(previous),
-                prev_term=term if term is not None else Term(0),
+                prev_term=Term(0) if term is None else term,
                 commit=core.commit,
                 sent_at=now,
                 entries=tuple(entries),
--- a/src/turmericmast/service/backlog.py
+++ b/src/turmericmast/service/backlog.py
@@ -44,10 +44,10 @@
         """
         if len(self) >= self.limit:
             return False
-        line = self._line_by_tenant.get(tenant, {})
+        line = self._line_by_tenant.get(tenant)
         tenants = len({*self._line_by_tenant, tenant})
         share = max(self.limit // (tenants + 1), 1)
-        return 2 * len(self) < self.limit or len(line) < share
+        return 2 * len(self) < self.limit or len(line or ()) < share
 
     def push(self, waiting: Waiting) -> None:
         """Queue a call behind the others of its tenant."""
--- a/src/turmericmast/session/roll.py
+++ b/src/turmericmast/session/roll.py
@@ -1,5 +1,6 @@
 """The renewals a leader has seen; kept in memory only."""
 
+import sys
 from collections.abc import Iterable
 from typing import final
 
@@ -9,6 +10,8 @@
 """Seconds that an entry may work after it sent a renewal."""
 EXPIRY = 3.4
 """Seconds after the receipt of a renewal at which a session is over."""
+EVERYTHING = sys.maxsize
+"""What is in force where there is nobody to tell."""
 RENEW_INTERVAL = 0.5
 """Seconds between two renewals."""
 
@@ -68,7 +71,7 @@
         """Return the index that every session has seen."""
         return min(
             (self._index_by_instance.get(one, 0) for one in instances),
-            default=2**62,
+            default=EVERYTHING,
         )
 
     def version_in_force(
--- a/src/turmericmast/target/announcement.py
+++ b/src/turmericmast/target/announcement.py
@@ -4,6 +4,7 @@
 import enum
 import ipaddress
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, final
 
 from returns.result import Failure, Result, Success
@@ -19,6 +20,7 @@
 
 MAX_SLOTS = 10_000
 MAX_NAME_LENGTH = 128
+MAX_PORT = 65_535
 
 
 @final
@@ -64,18 +66,18 @@
     """Return the announcement in a JSON document, or the first fault."""
     if not isinstance(document, Mapping):
         return Failure(_refuse('', 'a JSON object is needed'))
-    faults = (
-        _refuse(field, fault)
+    checked = (
+        (field, check(document.get(field)))
         for field, check in _CHECK_BY_FIELD.items()
-        if (fault := check(document.get(field)))
     )
     unknown = (
-        _refuse(field, 'unknown field; remove it')
+        (field, 'unknown field; remove it')
         for field in document
         if field not in _CHECK_BY_FIELD
     )
-    fault = next((*faults, *unknown).__iter__(), None)
-    return Failure(fault) if fault else _build(document)
+    faults = (pair for pair in (*checked, *unknown) if pair[1])
+    fault = next(faults, None)
+    return Failure(_refuse(*fault)) if fault else _build(document)
 
 
 def _build(
@@ -116,7 +118,7 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return 'write an IP number and a port, such as 127.0.0.1:8080'
-    is_port = port.isdecimal() and 0 < int(port) < 2**16
+    is_port = port.isdecimal() and 0 < int(port) <= MAX_PORT
     return '' if is_port else 'write a port between 1 and 65535'
 
 
@@ -128,7 +130,8 @@
 
 
 def _load_fault(given: object) -> str:
-    if given is None or (type(given) is int and given >= 0):
+    is_number = isinstance(given, int) and not isinstance(given, bool)
+    if given is None or (is_number and int(str(given)) >= 0):
         return ''
     return 'write a whole number of requests, 0 or more'
 
@@ -138,15 +141,17 @@
     return '' if given in names else f'write one of {", ".join(names)}'
 
 
-_CHECK_BY_FIELD = {
-    'target': _name_fault,
-    'service': _name_fault,
-    'address': _address_fault,
-    'region': _name_fault,
-    'domain': _name_fault,
-    'slots': _slots_fault,
-    'cold_slots': _slots_fault,
-    'incarnation': _name_fault,
-    'state': _state_fault,
-    'in_flight': _load_fault,
-}
+_CHECK_BY_FIELD = MappingProxyType(
+    {
+        'target': _name_fault,
+        'service': _name_fault,
+        'address': _address_fault,
+        'region': _name_fault,
+        'domain': _name_fault,
+        'slots': _slots_fault,
+        'cold_slots': _slots_fault,
+        'incarnation': _name_fault,
+        'state': _state_fault,
+        'in_flight': _load_fault,
+    }
+)
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -1,8 +1,10 @@
 """The target aggregate: everything the owner of a target knows about it."""
 
 import enum
+from types import MappingProxyType
 from typing import final
 
+from turmericmast.call.call import Loss
 from turmericmast.ids import CallId, Seconds, TargetId
 from turmericmast.target.announcement import (
     Announcement,
@@ -46,6 +48,22 @@
     lost = 'lost'
     cancelled = 'cancelled'
 
+    @classmethod
+    def of_loss(cls, loss: Loss) -> 'Ending':
+        """Return what the loss of a call means for its target."""
+        return _ENDING_BY_LOSS[loss]
+
+
+_ENDING_BY_LOSS = MappingProxyType(
+    {
+        Loss.never_sent: Ending.refused,
+        Loss.shed: Ending.shed,
+        Loss.connection_lost: Ending.lost,
+        Loss.timed_out: Ending.error,
+        Loss.cut_short: Ending.lost,
+    },
+)
+
 
 @final
 class Target:
@@ -69,7 +87,7 @@
         """Whether it is to be released to another owner."""
         self.announce_interval = 1.0
         self.in_flight: dict[CallId, Seconds] = {}
-        self.mean_time = 0.0
+        self.mean_time = float(0)
         self._ramp = Ramp(spec.cold_slots, spec.slots)
         self._state = TargetState.ready
         self._heard_at = now
@@ -117,7 +135,7 @@
                 announcement.spec.slots,
             )
             self._foreign = 0
-            self.mean_time = 0.0
+            self.mean_time = float(0)
         self.spec = announcement.spec
         if announcement.state is TargetState.cold:
             self._ramp.chill()
--- a/src/turmericmast/web/announcing.py
+++ b/src/turmericmast/web/announcing.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, TypeAlias, final
 
 from returns.result import Success
@@ -46,7 +47,7 @@
         parsed = parse_announcement(_parse_json(octets))
         if not isinstance(parsed, Success):
             metrics.count('announcements_bad')
-            answer(400, {'error': parsed.failure().show()})
+            answer(HTTPStatus.BAD_REQUEST, {'error': parsed.failure().show()})
             return
         announcement = parsed.unwrap()
         now = self._desk.clock.now()
@@ -89,7 +90,10 @@
         self._desk.pump(announcement.spec.service)
         if placement and placement.spec != announcement.spec:
             self._start(self._place(announcement, None))
-        answer(200, self._document(self._entry.instance, interval, owned=True))
+        answer(
+            HTTPStatus.OK,
+            self._document(self._entry.instance, interval, owned=True),
+        )
 
     def _place_soon(self, announcement: Announcement, answer: Answer) -> None:
         placement = self._entry.view.placement_by_target.get(
@@ -98,9 +102,12 @@
         interval = FIRST_INTERVAL_MS / 1000
         is_known = placement is not None and placement.spec == announcement.spec
         if placement and is_known:
-            answer(200, self._document(placement.owner, interval, owned=False))
+            answer(
+                HTTPStatus.OK,
+                self._document(placement.owner, interval, owned=False),
+            )
         elif announcement.state is TargetState.leaving:
-            answer(200, self._document('', interval, owned=False))
+            answer(HTTPStatus.OK, self._document('', interval, owned=False))
         else:
             self._start(self._place(announcement, answer))
 
@@ -116,11 +123,17 @@
         if answer is None:
             return
         if not isinstance(placed, Success):
-            answer(503, {'error': placed.failure().show()})
+            answer(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                {'error': placed.failure().show()},
+            )
             return
         placement: Placement = placed.unwrap().placement
         interval = FIRST_INTERVAL_MS / 1000
-        answer(200, self._document(placement.owner, interval, owned=False))
+        answer(
+            HTTPStatus.OK,
+            self._document(placement.owner, interval, owned=False),
+        )
 
     async def _withdraw(self, command: WithdrawTarget) -> None:
         await self._desk.change_region(command, PLACE_TIMEOUT)
--- a/src/turmericmast/web/body.py
+++ b/src/turmericmast/web/body.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import final
 
-HELD_BYTES = 64 * 1024
+HELD_BYTES = 65_536
 """A body up to this size is held whole, so that it can be sent again."""
-HIGH_WATER_BYTES = 256 * 1024
+HIGH_WATER_BYTES = 262_144
 """Octets waiting for the target at which reading from the caller pauses."""
 
 
@@ -33,6 +33,11 @@
         """Tell whether the whole body is here and can be sent again."""
         return self.is_complete and self.size <= HELD_BYTES
 
+    @property
+    def can_replay(self) -> bool:
+        """Tell whether every octet so far can be sent again."""
+        return self.is_held or not self.size
+
     def held(self) -> bytes:
         """Return the octets held: all of them, or the start."""
         return b''.join(self._held)
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -7,13 +7,15 @@
 import pycurl
 from tornado.ioloop import IOLoop
 
+from turmericmast.units import MILLIS
+
 if TYPE_CHECKING:
     from turmericmast.web.transfer import Transfer
 
+CONNECT_TIMEOUT_MS = 1000
 MAX_IDLE_HANDLES = 512
 MAX_CONNECTIONS = 4096
 """Connections kept open between transfers, over all targets."""
-MILLIS_PER_SECOND = 1000
 
 
 @final
@@ -63,6 +65,7 @@
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         handle.setopt(pycurl.PROXY, '')
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         handle.setopt(pycurl.PATH_AS_IS, 1)
         handle.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         return handle
@@ -126,7 +129,7 @@
             self._timer = None
         if delay_ms >= 0 and not self._is_closed:
             self._timer = self._loop.call_later(
-                delay_ms / MILLIS_PER_SECOND,
+                delay_ms / MILLIS,
                 self._on_timeout,
             )
 
--- a/src/turmericmast/web/desk.py
+++ b/src/turmericmast/web/desk.py
@@ -1,8 +1,9 @@
 """What all calls of an entry process share: slots, clients, counters."""
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import final
 
 from returns.result import Result, Success
@@ -30,7 +31,7 @@
 from turmericmast.target.target import Ending
 from turmericmast.web.curl import Curl
 from turmericmast.wire.client import GroupClient
-from turmericmast.wire.requests import ChangeLedger, Changed, ChangeRegion
+from turmericmast.wire.requests import Changed, ChangeLedger, ChangeRegion
 
 SUSPECT_TIMEOUT = 2.0
 """Seconds to wait until a suspect request is known everywhere."""
@@ -89,10 +90,10 @@
             request.service,
             request.call,
         )
-        try:
-            return await grant
-        finally:
-            IOLoop.current().remove_timeout(timer)
+        grant.add_done_callback(
+            lambda _: IOLoop.current().remove_timeout(timer),
+        )
+        return await grant
 
     def leave_queue(self, service: ServiceId, call: CallId) -> None:
         """Take a call out of the queue; its wait ends without a slot."""
@@ -140,14 +141,19 @@
         for name in ownership.service_by_id:
             self._move_stranded(name)
 
-    def _move_stranded(self, name: ServiceId) -> None:
-        ownership = self.entry.ownership
-        service = ownership.service_by_id[name]
-        is_served = service.takes_calls(self.clock.now()) or service.has_moving
-        if len(service.backlog) and not is_served:
-            if name not in ownership.incoming:
-                for call in service.backlog.calls():
-                    self.leave_queue(name, call)
+    def spend_retry(self, name: ServiceId) -> bool:
+        """Take a token of the retry budget of a service."""
+        service = self.entry.ownership.service_by_id.get(name)
+        return service is not None and service.budget.spend()
+
+    @contextlib.contextmanager
+    def running_call(self) -> Iterator[None]:
+        """Count a call and its time."""
+        started = self.clock.now()
+        self.running += 1
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._end_call, started)
+            yield
 
     async def change_ledger(
         self,
@@ -194,3 +200,16 @@
     async def acquit(self, fingerprint: Fingerprint) -> None:
         """Report that a suspect request was answered after all."""
         await self.change_region(Acquit(fingerprint), SUSPECT_TIMEOUT)
+
+    def _end_call(self, started: Seconds) -> None:
+        self.running -= 1
+        self.metrics.record('call', self.clock.now() - started)
+
+    def _move_stranded(self, name: ServiceId) -> None:
+        ownership = self.entry.ownership
+        service = ownership.service_by_id[name]
+        is_served = service.takes_calls(self.clock.now()) or service.has_moving
+        if len(service.backlog) and not is_served:
+            if name not in ownership.incoming:
+                for call in service.backlog.calls():
+                    self.leave_queue(name, call)
--- a/src/turmericmast/web/front.py
+++ b/src/turmericmast/web/front.py
@@ -2,6 +2,7 @@
 
 import json
 import urllib.parse
+from http import HTTPStatus
 from typing import Any, final
 
 from returns.result import Success
@@ -11,14 +12,13 @@
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
     RequestStartLine,
-    ResponseStartLine,
 )
 
 from turmericmast.entry.routing import Way
 from turmericmast.ids import DomainId, ServiceId
 from turmericmast.web.announcing import Announcing
 from turmericmast.web.desk import Desk
-from turmericmast.web.exchange import Exchange, Incoming, misdirected
+from turmericmast.web.exchange import Exchange
 from turmericmast.web.parse import (
     CLOCK,
     TENANT,
@@ -27,10 +27,13 @@
     parse_address,
     parse_call,
 )
-from turmericmast.web.problem import Problem
+from turmericmast.web.problem import Problem, respond
+from turmericmast.web.refusals import misdirected, too_large
+from turmericmast.web.sending import Incoming
 
 SYSTEM_PREFIX = '/-/'
-MAX_PAGE_BODY = 16 * 1024
+MAX_CLOCK_DIGITS = 18
+MAX_PAGE_BODY = 16_384
 """Largest body of a request to the system itself."""
 
 
@@ -75,7 +78,7 @@
         """Decide who serves the request, before its body arrives."""
         clock = headers.get(CLOCK, '')
         if clock.isdecimal():
-            self._desk.events.clock.witness(int(clock[:18]))
+            self._desk.events.clock.witness(int(clock[:MAX_CLOCK_DIGITS]))
         if start_line.path.startswith(SYSTEM_PREFIX):
             self._delegate = _Page(
                 self._desk,
@@ -140,7 +143,7 @@
             return parsed.failure()
         request = parsed.unwrap()
         if int(headers.get('Content-Length', '0')) > values.max_body_bytes:
-            return Exchange.too_large(values)
+            return too_large(values)
         if not request.may_be_in(entry.region):
             route = entry.route(request, now)
             if route.way is Way.misdirected:
@@ -206,7 +209,7 @@
         )
         self._desk.metrics.count('address_answers')
         self._json(
-            200,
+            HTTPStatus.OK,
             {
                 'service': service,
                 'addresses': list(addresses),
@@ -217,7 +220,7 @@
     def _metrics(self, query: dict[str, str]) -> None:
         respond(
             self._connection,
-            200,
+            HTTPStatus.OK,
             'OK',
             HTTPHeaders({'Content-Type': 'text/plain; version=0.0.4'}),
             self._desk.metrics.render().encode(),
@@ -228,7 +231,7 @@
         has_lease = entry.lease.is_valid(self._desk.clock.now())
         is_serving = has_lease and not entry.is_leaving
         self._json(
-            200 if is_serving else 503,
+            HTTPStatus.OK if is_serving else HTTPStatus.SERVICE_UNAVAILABLE,
             {
                 'instance': entry.instance,
                 'lease': has_lease,
@@ -248,7 +251,7 @@
 
     def _unknown(self, query: dict[str, str]) -> None:
         self._json(
-            404,
+            HTTPStatus.NOT_FOUND,
             {
                 'title': 'No such page',
                 'detail': 'use GET /-/addresses?service=NAME, '
@@ -272,21 +275,7 @@
         respond(
             self._connection,
             status,
-            'OK' if status < 400 else 'Refused',
+            'OK' if status < HTTPStatus.BAD_REQUEST else 'Refused',
             HTTPHeaders({'Content-Type': 'application/json'}),
             f'{json.dumps(document)}\n'.encode(),
         )
-
-
-def respond(
-    connection: HTTPConnection,
-    status: int,
-    reason: str,
-    headers: HTTPHeaders,
-    body: bytes,
-) -> None:
-    """Send a whole answer."""
-    headers['Content-Length'] = str(len(body))
-    start = ResponseStartLine('HTTP/1.1', status, reason)
-    connection.write_headers(start, headers, body)
-    connection.finish()
--- a/src/turmericmast/web/keeping.py
+++ b/src/turmericmast/web/keeping.py
@@ -1,6 +1,7 @@
 """How a keyed request is kept in the ledger, from start to answer."""
 
 import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING, final
 
 from returns.result import Success
@@ -10,6 +11,7 @@
 from turmericmast.ids import RegionId, RequestKey, Seconds
 from turmericmast.ledger.commands import Begin, GiveUp, Settle
 from turmericmast.ledger.record import Header, KeptAnswer, Verdict
+from turmericmast.units import MILLIS
 from turmericmast.web.body import Body
 from turmericmast.web.parse import answer_headers
 from turmericmast.web.problem import Problem
@@ -30,7 +32,6 @@
 """Seconds in which the ledger is told of a request that never ran."""
 GIVE_UP_WAIT = 0.5
 """Seconds that a caller waits for this, so that a resend finds it done."""
-MILLIS_PER_SECOND = 1000
 
 
 @final
@@ -47,7 +48,7 @@
         self._desk = desk
         self._request = request
         self._region = values.keeps_in() or RegionId(desk.entry.region)
-        self._retention_ms = values.key_retention_s * MILLIS_PER_SECOND
+        self._retention_ms = values.key_retention_s * MILLIS
         self.kept: KeptAnswer | None = None
         self.is_open = False
         """Whether a record of this attempt waits for its end."""
@@ -58,7 +59,7 @@
             return None
         if not body.is_held:
             return self._problem(
-                413,
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 Ran.no,
                 'a keyed request must fit into 64 KiB; send less',
             )
@@ -71,26 +72,26 @@
                 return None
             case Verdict.replay:
                 return self._problem(
-                    409,
+                    HTTPStatus.CONFLICT,
                     Ran.yes,
                     'it ran; its answer was too large to be kept',
                 )
             case Verdict.mismatch:
                 return self._problem(
-                    422,
+                    HTTPStatus.UNPROCESSABLE_ENTITY,
                     Ran.no,
                     'the key belongs to another request; use a new key',
                 )
             case Verdict.unknown | Verdict.wait:
                 return self._problem(
-                    409,
+                    HTTPStatus.CONFLICT,
                     Ran.unknown,
                     'an attempt ended without a trace, it may have run; '
                     'ask the service before sending it under a new key',
                 )
         await self._give_up(body)
         return self._problem(
-            503,
+            HTTPStatus.SERVICE_UNAVAILABLE,
             Ran.no,
             f'the ledger of {self._region} cannot be reached; send it again',
         )
@@ -145,7 +146,7 @@
     async def _ask(self, body: Body) -> Verdict | None:
         request = self._request
         clock = self._desk.clock
-        left_ms = int((request.deadline - clock.now()) * MILLIS_PER_SECOND)
+        left_ms = int((request.deadline - clock.now()) * MILLIS)
         at_ms = clock.wall()
         answer = await self._desk.change_ledger(
             self._region,
@@ -157,7 +158,7 @@
                 expires_ms=at_ms + max(left_ms, 0) + RECORD_MARGIN_MS,
                 retention_ms=self._retention_ms,
             ),
-            Seconds(clock.now() + BEGIN_SHARE * left_ms / MILLIS_PER_SECOND),
+            Seconds(clock.now() + BEGIN_SHARE * left_ms / MILLIS),
         )
         if not isinstance(answer, Success):
             return None
@@ -197,5 +198,7 @@
             'begin record',
             ran,
             peer=self._region,
-            retry_after_ms=1000 if status == 503 else 0,
+            retry_after_ms=1000
+            if status == HTTPStatus.SERVICE_UNAVAILABLE
+            else 0,
         )
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -3,7 +3,8 @@
 import dataclasses
 import secrets
 import urllib.parse
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from http import HTTPStatus
 from typing import final
 
 from returns.result import Failure, Result, Success
@@ -32,6 +33,7 @@
     ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'),
 )
 MAX_KEY_LENGTH = 255
+MAX_DIGITS = 12
 
 _NOT_PASSED = frozenset(
     (
@@ -151,7 +153,7 @@
 def bad_request(field: str, wanted: str) -> Problem:
     """Return the problem of a request that cannot be understood."""
     return Problem(
-        400,
+        HTTPStatus.BAD_REQUEST,
         'Bad request',
         f'{field}: {wanted}',
         'read request',
@@ -168,7 +170,7 @@
 def _header_faults(
     start: RequestStartLine,
     headers: HTTPHeaders,
-) -> Iterable[tuple[str, str]]:
+) -> Iterator[tuple[str, str]]:
     if start.method not in METHODS:
         yield ('method', f'use one of {", ".join(sorted(METHODS))}')
     for name, low, high in (
@@ -177,7 +179,7 @@
         (DEPTH, 0, MAX_DEPTH),
     ):
         text = headers.get(name, str(low))
-        if not text.isdecimal() or not low <= int(text[:12]) <= high:
+        if not text.isdecimal() or not low <= int(text[:MAX_DIGITS]) <= high:
             yield (name, f'write a whole number from {low} to {high}')
     key = headers.get(KEY)
     if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -5,7 +5,7 @@
 import json
 from typing import final
 
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
 
 from turmericmast.call.call import Ran
 
@@ -59,3 +59,19 @@
     def reason(self) -> str:
         """Return the reason phrase."""
         return http.HTTPStatus(self.status).phrase
+
+
+def respond(
+    connection: HTTPConnection,
+    status: int,
+    reason: str,
+    headers: HTTPHeaders,
+    body: bytes,
+    *,
+    is_head: bool = False,
+) -> None:
+    """Send a whole answer; only its headers when ``is_head``."""
+    headers['Content-Length'] = str(len(body))
+    start = ResponseStartLine('HTTP/1.1', status, reason)
+    connection.write_headers(start, headers, b'' if is_head else body)
+    connection.finish()
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -3,13 +3,18 @@
 import asyncio
 import enum
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, final
 
-from tornado.httputil import HTTPConnection, ResponseStartLine
-from tornado.iostream import StreamClosedError
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
 
+from turmericmast.call.call import Loss, Ran
+from turmericmast.ledger.record import KeptAnswer
+from turmericmast.target.target import Ending
 from turmericmast.web.body import HELD_BYTES
 from turmericmast.web.parse import answer_headers
+from turmericmast.web.problem import RAN_HEADER, Problem, respond
 from turmericmast.web.transfer import Head, Sink
 
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -79,6 +84,27 @@
             self._held = []
             self._held_bytes = 0
 
+    @property
+    def loss(self) -> Loss | None:
+        """Return what is wrong with an answer that arrived to its end."""
+        head = self.head
+        if head is None or self.state is RelayState.broken:
+            return Loss.cut_short
+        if not self.is_delimited:
+            return Loss.cut_short
+        ran = head.headers.get(RAN_HEADER, '')
+        is_busy = head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        return Loss.shed if is_busy and ran == Ran.no.value else None
+
+    @property
+    def ending(self) -> Ending:
+        """Return what a whole answer says about its target."""
+        head = self.head
+        is_error = (
+            head is not None and head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        )
+        return Ending.error if is_error else Ending.success
+
     @property
     def is_delimited(self) -> bool:
         """Tell whether the end of the body could be seen."""
@@ -95,7 +121,11 @@
     def range_headers(self) -> tuple[tuple[str, str], ...] | None:
         """Return headers that ask for the rest, if that can be asked for."""
         head = self.head
-        if head is None or self._method != 'GET' or head.status != 200:
+        if (
+            head is None
+            or self._method != 'GET'
+            or head.status != HTTPStatus.OK
+        ):
             return None
         tag = head.headers.get('ETag', '')
         if not tag.startswith('"') or 'Content-Length' not in head.headers:
@@ -121,9 +151,39 @@
         self._send_head(headers, body)
         self._connection.finish()
 
+    def refuse(self, problem: Problem) -> None:
+        """Send a problem in place of an answer."""
+        respond(
+            self._connection,
+            problem.status,
+            problem.reason,
+            problem.headers(),
+            problem.body(),
+            is_head=self._method == 'HEAD',
+        )
+
+    def replay(self, kept: KeptAnswer) -> None:
+        """Send an answer that the ledger kept."""
+        headers = HTTPHeaders()
+        for header in kept.headers:
+            headers.add(header.name, header.content)
+        headers['Turmericmast-Replayed'] = '1'
+        respond(
+            self._connection,
+            kept.status,
+            kept.reason,
+            headers,
+            kept.body,
+        )
+
+    def break_off(self) -> None:
+        """Close the connection in the middle of an answer."""
+        if isinstance(self._connection, HTTP1Connection):
+            self._connection.close()
+
     def _continues(self, head: Head) -> bool:
         first = self.head
-        if first is None or head.status != 206:
+        if first is None or head.status != HTTPStatus.PARTIAL_CONTENT:
             return False
         whole = first.headers['Content-Length']
         wanted = f'bytes {self.sent}-{int(whole) - 1}/{whole}'
@@ -151,31 +211,24 @@
         start = ResponseStartLine(
             'HTTP/1.1', self.head.status, self.head.reason
         )
-        self._watch(self._connection.write_headers(start, headers, body))
+        written = self._connection.write_headers(start, headers, body)
+        written.add_done_callback(_forget_error)
 
     def _write(self, chunk: bytes) -> None:
         self.sent += len(chunk)
         written = self._connection.write(chunk)
-        if not written.done():
-            self._is_blocked = True
-            written.add_done_callback(self._on_written)
-        else:
-            self._watch(written)
+        self._is_blocked = not written.done()
+        written.add_done_callback(self._on_written)
 
     def _on_written(self, written: 'asyncio.Future[None]') -> None:
-        self._is_blocked = False
-        self._watch(written)
-        self.resume()
-
-    def _watch(self, written: 'asyncio.Future[None]') -> None:
-        # A caller that went away is noticed by the connection itself.
-        if written.done() and not written.cancelled():
-            _ = isinstance(written.exception(), StreamClosedError)
-        else:
-            written.add_done_callback(_forget_error)
+        _forget_error(written)
+        if self._is_blocked:
+            self._is_blocked = False
+            self.resume()
 
 
 def _forget_error(written: 'asyncio.Future[None]') -> None:
+    # A caller that went away is noticed by the connection itself.
     if not written.cancelled():
         written.exception()
 
--- /dev/null
+++ b/src/turmericmast/web/sending.py
@@ -0,0 +1,113 @@
+"""How one call is sent on: to a target, or to another entry."""
+
+import dataclasses
+from typing import final
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from turmericmast.call.call import CallRequest, Loss
+from turmericmast.fleet.values import Values
+from turmericmast.ids import TargetId
+from turmericmast.web.body import Body
+from turmericmast.web.desk import Desk
+from turmericmast.web.parse import onward_headers
+from turmericmast.web.relay import Relay
+from turmericmast.web.transfer import Transfer, TransferRequest
+
+METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Incoming:
+    """A request as it arrived."""
+
+    start: RequestStartLine
+    headers: HTTPHeaders
+    request: CallRequest
+    values: Values
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class Destination:
+    """Where a call goes; ``target`` is ``None`` for another entry."""
+
+    address: str
+    path: str
+    target: TargetId | None
+    extra: tuple[tuple[str, str], ...] = ()
+
+
+@final
+class Sender:
+    """Sends one call, one attempt after the other."""
+
+    def __init__(
+        self,
+        desk: Desk,
+        incoming: Incoming,
+        body: Body,
+        relay: Relay,
+    ) -> None:
+        """Send ``incoming`` with its body; its answer goes to ``relay``."""
+        self._desk = desk
+        self._incoming = incoming
+        self._body = body
+        self._relay = relay
+        self._transfer: Transfer | None = None
+        self._is_cancelled = False
+
+    async def send(self, destination: Destination) -> Loss | None:
+        """Make one attempt and return how it failed, if it did."""
+        transfer = Transfer(
+            self._desk.curl,
+            self._transfer_request(destination),
+            self._relay,
+            lambda: self._may_send(destination.target),
+        )
+        self._transfer = transfer
+        self._relay.resume = transfer.resume
+        return await transfer.run()
+
+    def cancel(self) -> None:
+        """End the attempt under way, and allow no other one."""
+        self._is_cancelled = True
+        if self._transfer:
+            self._transfer.cancel()
+
+    def _transfer_request(self, destination: Destination) -> TransferRequest:
+        request = self._incoming.request
+        now = self._desk.clock.now()
+        has_body = self._body.size or request.method in METHODS_WITH_BODY
+        return TransferRequest(
+            url=f'http://{destination.address}{destination.path}',
+            method=request.method,
+            headers=onward_headers(
+                self._incoming.headers,
+                request,
+                now,
+                destination.extra,
+            ),
+            timeout=request.deadline - now,
+            body=self._body.reader(self._resume) if has_body else None,
+            body_size=self._body_size(),
+        )
+
+    def _body_size(self) -> int:
+        length = self._incoming.headers.get('Content-Length')
+        if length:
+            return int(length)
+        return self._body.size if self._body.is_complete else -1
+
+    def _resume(self) -> None:
+        if self._transfer:
+            self._transfer.resume()
+
+    def _may_send(self, target: TargetId | None) -> bool:
+        if self._is_cancelled:
+            return False
+        return target is None or self._desk.entry.may_send(
+            target,
+            self._desk.clock.now(),
+        )
--- /dev/null
+++ b/src/turmericmast/web/suspecting.py
@@ -0,0 +1,46 @@
+"""Requests that lost their targets: reported, refused, acquitted."""
+
+from typing import final
+
+from turmericmast.call.call import CallRequest
+from turmericmast.ids import Fingerprint
+from turmericmast.web.body import Body
+from turmericmast.web.desk import Desk
+
+
+@final
+class Suspecting:
+    """Follows the suspicion against one request."""
+
+    def __init__(self, desk: Desk, request: CallRequest, body: Body) -> None:
+        """Know a request by its fingerprint."""
+        self._desk = desk
+        self._request = request
+        self._body = body
+        self._was_reported = False
+
+    def refused(self) -> Fingerprint | None:
+        """Return the fingerprint if the request is quarantined."""
+        view = self._desk.entry.view
+        if not view.suspicion_by_fingerprint:
+            return None
+        fingerprint = self._fingerprint()
+        is_refused = view.is_quarantined(fingerprint, self._desk.clock.wall())
+        return fingerprint if is_refused else None
+
+    async def report(self, started_ms: int) -> bool:
+        """Report the loss of a target; tell if the request is refused now."""
+        self._was_reported = True
+        is_refused = await self._desk.suspect(self._fingerprint(), started_ms)
+        if is_refused:
+            self._desk.metrics.count('quarantines')
+        return is_refused
+
+    async def acquit(self) -> None:
+        """Report an answer, if the request is suspect."""
+        table = self._desk.entry.view.suspicion_by_fingerprint
+        if self._was_reported or (table and self._fingerprint() in table):
+            await self._desk.acquit(self._fingerprint())
+
+    def _fingerprint(self) -> Fingerprint:
+        return self._request.fingerprint(self._body.held())
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -5,18 +5,17 @@
 import dataclasses
 import enum
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, final
 
 import pycurl
 from tornado.httputil import HTTPHeaders, parse_response_start_line
 
 from turmericmast.call.call import Loss
+from turmericmast.units import MILLIS
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import Curl
 
-CONNECT_TIMEOUT_MS = 1000
-REFUSED = 0
-
 
 @final
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +34,7 @@
 
     url: str
     method: str
-    headers: tuple[str, ...]
+    headers: tuple[bytes, ...]
     timeout: float
     """Seconds for the whole transfer."""
     body: BodyReader | None
@@ -145,8 +144,12 @@
             handle.setopt(pycurl.READFUNCTION, self._on_read)
         handle.setopt(pycurl.CUSTOMREQUEST, request.method)
         handle.setopt(pycurl.HTTPHEADER, request.headers)
-        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        handle.setopt(pycurl.TIMEOUT_MS, max(int(request.timeout * 1000), 1))
+        timeout_ms = max(int(request.timeout * MILLIS), 1)
+        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        self._set_callbacks()
+
+    def _set_callbacks(self) -> None:
+        handle = self.handle
         handle.setopt(pycurl.PREREQFUNCTION, self._on_send)
         handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
         handle.setopt(pycurl.WRITEFUNCTION, self._on_write)
@@ -181,7 +184,7 @@
             # Trailers come after the body; they are not passed on.
             return
         start = parse_response_start_line(self._head_lines[0])
-        if 100 <= start.code < 200:
+        if start.code < HTTPStatus.OK:
             self._head_lines = []
             return
         headers = HTTPHeaders()
--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -14,9 +14,9 @@
 from turmericmast.wire.codec import Envelope, decode_envelope, encode_envelope
 
 LENGTH = struct.Struct('>I')
-MAX_FRAME_BYTES = 256 * 1024 * 1024
+MAX_FRAME_BYTES = 268_435_456
 """Room for a snapshot; other messages are far smaller."""
-MAX_UNPROVED_BYTES = 4 * 1024 * 1024
+MAX_UNPROVED_BYTES = 4_194_304
 """Limit for a frame of a peer that has not sent a good one yet."""
 FRAME_TIMEOUT = 10.0
 """Seconds in which a frame that has begun must be complete."""
@@ -36,7 +36,7 @@
     limit: int,
 ) -> Result[Envelope, WireError]:
     """Read one frame; raises ``StreamClosedError`` when the peer is gone."""
-    (length,) = LENGTH.unpack(await stream.read_bytes(LENGTH.size))
+    length = LENGTH.unpack(await stream.read_bytes(LENGTH.size))[0]
     if length > limit:
         return Failure(
             WireError(
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 from types import TracebackType
 from typing import Any, Self, final
 
 from returns.result import Failure, Result, Success
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
@@ -22,7 +22,7 @@
     tune,
 )
 
-MAX_QUEUE_BYTES = 8 * 1024 * 1024
+MAX_QUEUE_BYTES = 8_388_608
 MAX_QUEUE_FRAMES = 512
 CONNECT_TIMEOUT = 1.0
 RETRY_PAUSE = 0.2
@@ -88,12 +88,13 @@
         future: asyncio.Future[Result[Any, WireError]] = asyncio.Future()
         self._future_by_id[asked] = future
         self._push(body, asked)
+        future.add_done_callback(
+            lambda _: self._future_by_id.pop(asked, None),
+        )
         try:
             return await asyncio.wait_for(future, timeout)
         except TimeoutError:
             return Failure(self._error(f'no answer in {timeout:g} s'))
-        finally:
-            self._future_by_id.pop(asked, None)
 
     def _push(self, body: object, asked: int) -> None:
         stamp = self._node.clock.tick().pack()
@@ -130,11 +131,10 @@
         )
         tune(stream)
         reader = asyncio.ensure_future(self._read(stream))
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(reader.cancel)
+            stack.callback(stream.close)
             await self._write(stream)
-        finally:
-            stream.close()
-            reader.cancel()
 
     async def _write(self, stream: IOStream) -> None:
         # A reader that ends closes the stream, which ends this loop.
@@ -172,7 +172,7 @@
                 self._node.metrics.count('answers_late', peer=self.address)
 
     def _fail_all(self, found: str) -> None:
-        for future in self._future_by_id.values():
+        for future in tuple(self._future_by_id.values()):
             if not future.done():
                 future.set_result(Failure(self._error(found)))
 
@@ -183,8 +183,3 @@
             peer=self.address,
             hint='look whether the process there runs',
         )
-
-
-def spawn(coroutine: Any) -> None:
-    """Run a coroutine on the loop; its errors are logged by the loop."""
-    IOLoop.current().spawn_callback(lambda: coroutine)
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 from typing import Any, final
 
 from returns.result import Success
@@ -73,10 +74,21 @@
                 return
             limit = MAX_FRAME_BYTES
             await running.acquire()
-            task = asyncio.ensure_future(self._answer(stream, frame.unwrap()))
-            task.add_done_callback(lambda _: running.release())
+            asyncio.ensure_future(
+                self._answer(stream, frame.unwrap(), running),
+            )
 
-    async def _answer(self, stream: IOStream, envelope: Envelope) -> None:
+    async def _answer(
+        self,
+        stream: IOStream,
+        envelope: Envelope,
+        running: asyncio.Semaphore,
+    ) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(running.release)
+            await self._answer_one(stream, envelope)
+
+    async def _answer_one(self, stream: IOStream, envelope: Envelope) -> None:
         self._node.clock.witness(envelope.clock)
         answer = await self._handler.handle(envelope.sender, envelope.body)
         if answer is None or not envelope.id or stream.closed():
