Kill the mutants that the replica tests let live

Eleven mutations of the replica's rules were run against its tests: four lived (stickiness to a leader, commit by count of an earlier term, a late vote, a vote of another incarnation).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,7 @@
 """Starts, stops, kills and freezes the processes of a small fleet."""
 
 import contextlib
+import itertools
 import pathlib
 import shutil
 import signal
@@ -90,13 +91,27 @@
     def stop(self, name: str) -> int:
         """Ask a process to stop, and return its exit status."""
         self._signal(name, signal.SIGTERM)
-        process = self.process_by_name.pop(name)
-        return process.wait(STOP_TIMEOUT)
+        return self._join(name)
+
+    def stop_all(self, names: Sequence[str]) -> dict[str, int]:
+        """Stop processes by kind: targets, entries, ledgers, control.
+
+        Those of one kind are told together; a kind is told when the one
+        before it has stopped.
+        """
+        kinds = itertools.groupby(names, key=self._program)
+        statuses: dict[str, int] = {}
+        for _, group in kinds:
+            told = list(group)
+            for name in told:
+                self._signal(name, signal.SIGTERM)
+            statuses |= {name: self._join(name) for name in told}
+        return statuses
 
     def kill(self, name: str) -> None:
         """Kill a process."""
         self._signal(name, signal.SIGKILL)
-        self.process_by_name.pop(name).wait(STOP_TIMEOUT)
+        self._join(name)
 
     def freeze(self, name: str) -> None:
         """Stop a process in its tracks."""
@@ -168,6 +183,10 @@
                 raise TimeoutError(f'waited in vain for {what}')
             time.sleep(PAUSE)
 
+    def _program(self, name: str) -> str:
+        plan = self.plan_by_name.get(name)
+        return plan.program if plan else 'target'
+
     def _spawn(self, name: str, command: Sequence[str]) -> None:
         logs = self.folder / 'logs'
         logs.mkdir(parents=True, exist_ok=True)
@@ -180,6 +199,9 @@
                 stderr=stream,
             )
 
+    def _join(self, name: str) -> int:
+        return self.process_by_name.pop(name).wait(STOP_TIMEOUT)
+
     def _signal(self, name: str, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
             self.process_by_name[name].send_signal(number)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,15 +1,49 @@
 """The replica aggregate in sequences that its rules are made for."""
 
+import dataclasses
 import unittest
+from typing import Any
 
 from parameterized import parameterized
 
 from tests.replica_world import World
+from turmericmast.ids import Incarnation, MemberId, Term
 from turmericmast.replica.core import Role
+from turmericmast.replica.messages import (
+    Append,
+    Install,
+    Message,
+    VoteReply,
+    VoteRequest,
+)
+from turmericmast.replica.replication import MAX_ENTRIES
 
 GROUPS = [('three_full', 3, 0), ('two_full_and_witness', 2, 1)]
 
 
+def _elect(world: World, name: MemberId, lost: type[Message]) -> None:
+    """Let time pass until a member leads, losing one kind of message.
+
+    No other member gets to ask for votes.
+    """
+    member = world.member_by_name[name]
+    for _ in range(400):
+        world.tick()
+        world.in_flight = [
+            one
+            for one in world.in_flight
+            if not isinstance(one[2], lost)
+            and (one[0] == name or not isinstance(one[2], VoteRequest))
+        ]
+        for _message in range(len(world.in_flight)):
+            world.deliver(0)
+        if member.replica and member.replica.role is Role.leader:
+            world.flush(member)
+            return
+        world.flush_all()
+    raise AssertionError(f'{name} was not elected')
+
+
 def _settled(full: int, witnesses: int) -> World:
     world = World(full, witnesses)
     world.run(6)
@@ -161,6 +195,86 @@
         assert survivor is not None
         self.assertEqual(other, survivor.seating.me)
 
+    def test_member_that_misses_the_leader_does_not_depose_it(self) -> None:
+        world = _settled(3, 0)
+        leader = world.leader()
+        assert leader is not None
+        name = leader.seating.me
+        other = next(one for one in world.names if one != name)
+        world.cuts = {(name, other), (other, name)}
+        for _ in range(200):
+            world.tick()
+            world.deliver_all()
+            self.assertIs(leader, world.leader())
+
+    def test_entries_of_earlier_terms_are_not_committed_by_count(self) -> None:
+        world = _settled(3, 0)
+        first = world.leader()
+        assert first is not None
+        name = first.seating.me
+        others = [one for one in world.names if one != name]
+        third = others[1]
+        world.cuts = {(name, one) for one in others}
+        for number in range(2 * MAX_ENTRIES):
+            world.propose(b'old %d' % number)
+        world.crash(name)
+        world.cuts.clear()
+        # The third member is elected, but its entry reaches nobody.
+        _elect(world, third, Append)
+        world.in_flight.clear()
+        world.crash(third)
+        world.restart(name)
+        _elect(world, name, Install)
+        # One batch of old entries arrives and is answered, no more.
+        for _ in range(2):
+            for _message in range(len(world.in_flight)):
+                world.deliver(0)
+            world.flush_all()
+        world.in_flight.clear()
+        world.crash(name)
+        world.restart(third)
+        world.run(6)
+        self.assertEqual(third, world.leader_by_term[max(world.leader_by_term)])
+
+    @parameterized.expand(
+        [
+            ('earlier_term', {'term': Term(1)}, Role.candidate),
+            ('other_incarnation', {'incarnation': 'm1.9'}, Role.candidate),
+            ('refused', {'granted': False}, Role.candidate),
+            ('good', {}, Role.leader),
+        ],
+    )
+    def test_vote_counts_once_its_term_and_voter_fit(
+        self,
+        _name: str,
+        changes: dict[str, Any],
+        expected: Role,
+    ) -> None:
+        world = _settled(3, 0)
+        name = MemberId('m0')
+        for other in world.names[1:]:
+            world.crash(other)
+        replica = world.member_by_name[name].replica
+        assert replica is not None
+        vote = VoteReply(
+            term=Term(0),
+            voter=MemberId('m1'),
+            incarnation=Incarnation('m1.1'),
+            granted=True,
+            trial=True,
+        )
+        while replica.role is not Role.candidate:
+            world.tick()
+            if replica.role is Role.trial:
+                replica.receive(vote, world.now)
+        real = dataclasses.replace(
+            vote,
+            trial=False,
+            term=replica.core.vote.term,
+        )
+        replica.receive(dataclasses.replace(real, **changes), world.now)
+        self.assertIs(expected, replica.role)
+
     def test_group_is_not_founded_while_a_member_is_missing(self) -> None:
         world = World(3, 0)
         world.crash(world.names[2])
