--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -225,8 +225,9 @@
         world.crash(third)
         world.restart(name)
         _elect(world, name, Install)
-        # One batch of old entries arrives and is answered, no more.
-        for _ in range(2):
+        # The leader finds where to start, then one batch of old entries
+        # arrives and is answered, no more.
+        for _ in range(4):
             for _message in range(len(world.in_flight)):
                 world.deliver(0)
             world.flush_all()
