--- a/src/turmericmast/disk/records.py
+++ b/src/turmericmast/disk/records.py
@@ -25,7 +25,8 @@
         length, checksum = HEADER.unpack_from(image, start)
         end = start + HEADER.size + length
         octets = image[start + HEADER.size : end]
-        is_whole = length <= MAX_RECORD_BYTES and end <= len(image)
+        # Zeros left behind by a crash would pass for empty records.
+        is_whole = 0 < length <= MAX_RECORD_BYTES and end <= len(image)
         if not is_whole or zlib.crc32(octets) != checksum:
             return
         yield end, octets
--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -48,6 +48,7 @@
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
+            self._lock.close()
             raise DiskError(
                 f'{self._folder} is in use by another process',
                 step='open data folder',
--- a/src/turmericmast/wire/codec.py
+++ b/src/turmericmast/wire/codec.py
@@ -21,6 +21,7 @@
     TypeError,
     LookupError,
     AttributeError,
+    OverflowError,
 )
 """What decoding raises on octets that were not encoded here."""
 
--- /dev/null
+++ b/tests/test_call.py
@@ -0,0 +1,113 @@
+"""Calls: what may be tried again, and what may be said."""
+
+import dataclasses
+import unittest
+
+from parameterized import parameterized
+
+from turmericmast.call import Call, CallRequest, Loss, Next, Ran
+from turmericmast.ids import (
+    CallId,
+    RequestKey,
+    Seconds,
+    ServiceId,
+    TenantId,
+)
+
+REQUEST = CallRequest(
+    call=CallId('c'),
+    service=ServiceId('stock'),
+    method='GET',
+    path='/x',
+    tenant=TenantId(''),
+    key=RequestKey(''),
+    deadline=Seconds(10),
+)
+
+STEPS = [
+    ('get_lost', 'GET', [Loss.connection_lost], True, Next.retry, Ran.unknown),
+    (
+        'get_lost_twice',
+        'GET',
+        [Loss.connection_lost] * 2,
+        True,
+        Next.fail,
+        None,
+    ),
+    ('get_timed_out', 'GET', [Loss.timed_out], True, Next.retry, Ran.unknown),
+    ('post_lost', 'POST', [Loss.connection_lost], True, Next.fail, Ran.unknown),
+    ('post_cut', 'POST', [Loss.cut_short], True, Next.fail, Ran.unknown),
+    ('post_unsent', 'POST', [Loss.never_sent], True, Next.retry, Ran.no),
+    ('post_shed', 'POST', [Loss.shed], True, Next.retry, Ran.no),
+    ('post_streamed', 'POST', [Loss.shed], False, Next.fail, Ran.no),
+    ('unsent_4_times', 'GET', [Loss.never_sent] * 4, True, Next.fail, Ran.no),
+    (
+        'shed_then_lost',
+        'POST',
+        [Loss.shed, Loss.connection_lost],
+        True,
+        Next.fail,
+        Ran.unknown,
+    ),
+]
+
+
+class CallTest(unittest.TestCase):
+    """Decisions after failed attempts."""
+
+    @parameterized.expand(STEPS)
+    def test_next_step(
+        self,
+        _name: str,
+        method: str,
+        losses: list[Loss],
+        can_replay: bool,
+        expected: Next,
+        ran: Ran | None,
+    ) -> None:
+        call = Call(dataclasses.replace(REQUEST, method=method))
+        for loss in losses:
+            call.begin()
+            call.fail(loss)
+        step = call.next_step(Seconds(1), can_replay=can_replay)
+        self.assertIs(expected, step)
+        if ran:
+            self.assertIs(ran, call.ran)
+
+    @parameterized.expand(
+        [
+            ('late', {}, 11, Next.fail),
+            ('nested', {'retried': True}, 1, Next.fail),
+        ],
+    )
+    def test_no_retry(
+        self,
+        _name: str,
+        changes: dict[str, bool],
+        now: float,
+        expected: Next,
+    ) -> None:
+        call = Call(dataclasses.replace(REQUEST, **changes))
+        call.begin()
+        call.fail(Loss.connection_lost)
+        step = call.next_step(Seconds(now), can_replay=True)
+        self.assertIs(expected, step)
+
+    @parameterized.expand(
+        [
+            ('same', {}, b'', True),
+            ('other_path', {'path': '/y'}, b'', False),
+            ('other_body', {}, b'z', False),
+            ('other_tenant', {'tenant': TenantId('t')}, b'', False),
+        ],
+    )
+    def test_fingerprint(
+        self,
+        _name: str,
+        changes: dict[str, str],
+        body: bytes,
+        same: bool,
+    ) -> None:
+        other = dataclasses.replace(REQUEST, **changes)
+        is_same = other.fingerprint(body) == REQUEST.fingerprint(b'')
+        self.assertIs(same, is_same)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,149 @@
+"""Services: who goes where, in which turn, and who is turned away."""
+
+import dataclasses
+import unittest
+
+from parameterized import parameterized
+
+from tests.test_target import SPEC
+from turmericmast.ids import CallId, Seconds, ServiceId, TargetId, TenantId
+from turmericmast.service import LeastAgePolicy, Service, Waiting
+from turmericmast.service.backlog import Backlog
+from turmericmast.service.budget import RetryBudget
+from turmericmast.target import Ending, Target
+
+NOW = Seconds(100)
+
+
+def _waiting(call: str, tenant: str = '', deadline: float = 110) -> Waiting:
+    return Waiting(CallId(call), TenantId(tenant), Seconds(deadline))
+
+
+def _service(targets: int, limit: int = 100) -> Service:
+    service = Service(ServiceId('stock'), LeastAgePolicy(), limit, 0.1)
+    for number in range(targets):
+        name = TargetId(f't{number}')
+        spec = dataclasses.replace(SPEC, target=name, cold_slots=1)
+        service.target_by_id[name] = Target(spec, NOW, wary=False)
+    return service
+
+
+class DispatchTest(unittest.TestCase):
+    """Waiting calls and free slots."""
+
+    def test_never_more_than_the_limits(self) -> None:
+        service = _service(3)
+        for number in range(10):
+            service.admit(_waiting(str(number)), NOW)
+        sent = list(service.dispatch(NOW))
+        self.assertEqual(3, len(sent))
+        self.assertEqual({'t0', 't1', 't2'}, {one.target for one in sent})
+        self.assertEqual(7, len(service.backlog))
+
+    def test_freed_slot_takes_the_next_call(self) -> None:
+        service = _service(1)
+        service.admit(_waiting('a'), NOW)
+        service.admit(_waiting('b'), NOW)
+        first = next(service.dispatch(NOW))
+        service.end(first.call, first.target, Ending.success, NOW)
+        self.assertEqual(
+            ['b'],
+            [one.call for one in service.dispatch(NOW)],
+        )
+
+    def test_slow_target_is_avoided_at_once(self) -> None:
+        service = _service(2)
+        slow, quick = service.target_by_id.values()
+        for target in (slow, quick):
+            for number in range(200):
+                target.start(CallId(f'w{number}'), NOW)
+                target.end(CallId(f'w{number}'), Ending.success, NOW)
+            target.mean_time = 0.01
+        slow.start(CallId('stuck'), NOW)
+        later = Seconds(NOW + 0.05)
+        for number in range(3):
+            service.admit(_waiting(str(number)), later)
+        sent = {one.target for one in service.dispatch(later)}
+        self.assertEqual({quick.target}, sent)
+
+    @parameterized.expand(
+        [
+            ('excluded', 'is_excluded', True),
+            ('moving', 'is_moving', True),
+        ],
+    )
+    def test_closed_target_gets_nothing(
+        self,
+        _name: str,
+        attribute: str,
+        flag: bool,
+    ) -> None:
+        service = _service(2)
+        closed = service.target_by_id[TargetId('t0')]
+        setattr(closed, attribute, flag)
+        for number in range(4):
+            service.admit(_waiting(str(number)), NOW)
+        sent = {one.target for one in service.dispatch(NOW)}
+        self.assertEqual({'t1'}, sent)
+
+    def test_call_that_cannot_be_in_time_is_turned_away(self) -> None:
+        service = _service(1)
+        for target in service.target_by_id.values():
+            target.mean_time = 1.0
+        admitted = [
+            service.admit(_waiting(str(number), deadline=105), NOW)
+            for number in range(10)
+        ]
+        self.assertEqual(5, sum(admitted))
+
+    def test_failed_target_is_not_tried_first_again(self) -> None:
+        service = _service(2)
+        waiting = dataclasses.replace(_waiting('a'), avoid=TargetId('t0'))
+        service.admit(waiting, NOW)
+        self.assertEqual('t1', next(service.dispatch(NOW)).target)
+
+
+class BacklogTest(unittest.TestCase):
+    """Fair turns between tenants."""
+
+    def test_tenants_take_turns(self) -> None:
+        backlog = Backlog(100)
+        for call, tenant in (
+            ('a1', 'a'),
+            ('a2', 'a'),
+            ('a3', 'a'),
+            ('b1', 'b'),
+        ):
+            backlog.push(_waiting(call, tenant))
+        turns = [backlog.pop() for _ in range(4)]
+        self.assertEqual(
+            ['a1', 'b1', 'a2', 'a3'],
+            [one.call for one in turns if one],
+        )
+
+    def test_greedy_tenant_leaves_room(self) -> None:
+        backlog = Backlog(12)
+        while backlog.has_room(TenantId('a')):
+            backlog.push(_waiting(f'a{len(backlog)}', 'a'))
+        self.assertLess(len(backlog), 12)
+        self.assertTrue(backlog.has_room(TenantId('b')))
+
+    def test_call_can_be_taken_out(self) -> None:
+        backlog = Backlog(3)
+        backlog.push(_waiting('a'))
+        self.assertIsNotNone(backlog.remove(CallId('a')))
+        self.assertIsNone(backlog.remove(CallId('a')))
+        self.assertIsNone(backlog.pop())
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries stay a share of the calls."""
+
+    @parameterized.expand([('tenth', 0.1, 105), ('none', 0.0, 5)])
+    def test_share(self, _name: str, ratio: float, expected: int) -> None:
+        budget = RetryBudget(ratio)
+        spent = 0
+        for _ in range(1000):
+            spent += budget.spend()
+            budget.earn()
+        self.assertAlmostEqual(expected, spent, delta=2)
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,85 @@
+"""The shape of the code base: what may import what."""
+
+import ast
+import pathlib
+import unittest
+from collections.abc import Iterator
+
+from parameterized import parameterized
+
+SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'turmericmast'
+DECISIONS = (
+    'call',
+    'entry',
+    'fleet',
+    'ledger',
+    'region',
+    'replica',
+    'service',
+    'session',
+    'target',
+)
+SOCKETS_AND_ENCODINGS = frozenset(
+    ('tornado', 'thrift', 'pycurl', 'asyncio', 'socket', 'threading'),
+)
+
+
+def _imports(path: pathlib.Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ''
+
+
+def _file_of(module: str) -> pathlib.Path | None:
+    parts = module.split('.')[1:]
+    package = SOURCE.joinpath(*parts)
+    if package.is_dir():
+        return package / '__init__.py'
+    plain = package.with_suffix('.py')
+    return plain if plain.is_file() else None
+
+
+def _reachable(path: pathlib.Path) -> set[str]:
+    """Return the top packages that a file imports, however indirectly."""
+    found: set[str] = set()
+    seen: set[pathlib.Path] = set()
+    waiting = [path]
+    while waiting:
+        current = waiting.pop()
+        if current in seen:
+            continue
+        seen.add(current)
+        for module in _imports(current):
+            found.add(module.partition('.')[0])
+            own = module.startswith('turmericmast')
+            reached = _file_of(module) if own else None
+            if reached:
+                waiting.append(reached)
+    return found
+
+
+class ImportGraphTest(unittest.TestCase):
+    """Decisions know neither sockets nor encodings nor threads."""
+
+    @parameterized.expand([(name,) for name in DECISIONS])
+    def test_decisions_stay_apart(self, package: str) -> None:
+        for path in (SOURCE / package).glob('*.py'):
+            with self.subTest(path.name):
+                self.assertFalse(_reachable(path) & SOCKETS_AND_ENCODINGS)
+
+    def test_one_loop_on_one_thread(self) -> None:
+        for path in SOURCE.rglob('*.py'):
+            if 'generated' in path.parts:
+                continue
+            with self.subTest(path.name):
+                heads = {name.partition('.')[0] for name in _imports(path)}
+                self.assertFalse(
+                    heads & {'threading', 'multiprocessing', 'concurrent'},
+                )
+
+    def test_check_sees_an_indirect_import(self) -> None:
+        found = _reachable(SOURCE / 'wire' / 'client.py')
+        self.assertIn('thrift', found)
+        self.assertIn('tornado', found)
--- /dev/null
+++ b/tests/test_target.py
@@ -0,0 +1,173 @@
+"""Targets: announcements, limits, cold starts, handovers."""
+
+import dataclasses
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from turmericmast.ids import (
+    CallId,
+    DomainId,
+    Incarnation,
+    RegionId,
+    Seconds,
+    ServiceId,
+    TargetId,
+)
+from turmericmast.target import (
+    Announcement,
+    Ending,
+    Target,
+    TargetSpec,
+    TargetState,
+    parse_announcement,
+)
+
+SPEC = TargetSpec(
+    target=TargetId('t1'),
+    service=ServiceId('stock'),
+    address='127.0.0.1:9000',
+    region=RegionId('tirol'),
+    domain=DomainId('tirol-a'),
+    slots=4,
+    cold_slots=1,
+    incarnation=Incarnation('i1'),
+)
+GOOD = {**dataclasses.asdict(SPEC), 'state': 'ready', 'in_flight': 2}
+
+BAD = [
+    ('list', [], 'a JSON object is needed'),
+    ('no_target', {'target': ''}, 'target: write 1 to 128'),
+    ('slash', {'service': 'a/b'}, 'service: write 1 to 128'),
+    ('line_break', {'target': 'a\nb'}, 'target: write 1 to 128'),
+    ('host_name', {'address': 'localhost:1'}, 'address: write an IP number'),
+    ('port', {'address': '127.0.0.1:0'}, 'address: write a port'),
+    ('no_slots', {'slots': 0}, 'slots: write a whole number'),
+    ('text_slots', {'slots': '4'}, 'slots: write a whole number'),
+    ('boolean_slots', {'slots': True}, 'slots: write a whole number'),
+    ('cold_above', {'cold_slots': 9}, 'cold_slots: must not be more'),
+    ('state', {'state': 'warm'}, 'state: write one of cold, ready, leaving'),
+    ('load', {'in_flight': -1}, 'in_flight: write a whole number'),
+    ('unknown', {'weight': 1}, 'weight: unknown field'),
+]
+
+
+def _at(seconds: float) -> Seconds:
+    return Seconds(seconds)
+
+
+def _announce(**changes: Any) -> Announcement:
+    spec = dataclasses.replace(
+        SPEC,
+        incarnation=changes.pop('incarnation', SPEC.incarnation),
+    )
+    return Announcement(
+        spec, changes.pop('state', TargetState.ready), **changes
+    )
+
+
+def _warm(target: Target, now: float = 0) -> None:
+    for number in range(200):
+        call = CallId(str(number))
+        target.start(call, _at(now))
+        target.end(call, Ending.success, _at(now + 0.01))
+
+
+class AnnouncementTest(unittest.TestCase):
+    """Each fault is named with its field."""
+
+    def test_good(self) -> None:
+        announcement = parse_announcement(GOOD).unwrap()
+        self.assertEqual(SPEC, announcement.spec)
+        self.assertEqual(2, announcement.in_flight)
+
+    @parameterized.expand(BAD)
+    def test_bad(self, _name: str, changes: Any, expected: str) -> None:
+        document = changes if isinstance(changes, list) else GOOD | changes
+        error = parse_announcement(document).failure()
+        self.assertIn(expected, error.show())
+        self.assertIn('nothing was changed', error.show())
+
+
+class TargetTest(unittest.TestCase):
+    """How many requests may start."""
+
+    def setUp(self) -> None:
+        self.target = Target(SPEC, _at(0), wary=False)
+
+    def test_starts_cold_and_warms_by_successes(self) -> None:
+        self.assertEqual(1, self.target.free(_at(0)))
+        _warm(self.target)
+        self.assertEqual(4, self.target.free(_at(0)))
+
+    def test_limit_counts_requests_in_flight(self) -> None:
+        _warm(self.target)
+        for number in range(4):
+            self.target.start(CallId(f'f{number}'), _at(0))
+        self.assertEqual(0, self.target.free(_at(0)))
+
+    @parameterized.expand(
+        [
+            ('restart', {'incarnation': Incarnation('i2')}, 1),
+            ('says_cold', {'state': TargetState.cold}, 1),
+            ('says_leaving', {'state': TargetState.leaving}, 0),
+            ('still_ready', {}, 4),
+        ],
+    )
+    def test_announcement_decides(
+        self,
+        _name: str,
+        changes: dict[str, Any],
+        free: int,
+    ) -> None:
+        _warm(self.target)
+        self.target.hear(_announce(**changes), _at(1))
+        self.assertEqual(free, self.target.free(_at(1)))
+
+    @parameterized.expand(
+        [
+            ('refused', Ending.refused, 0.01, 1),
+            ('lost', Ending.lost, 0.01, 1),
+            ('shed', Ending.shed, 0.01, 1),
+            ('jump_in_time', Ending.success, 0.9, 1),
+            ('usual_time', Ending.success, 0.012, 4),
+            ('caller_left', Ending.cancelled, 0.9, 4),
+        ],
+    )
+    def test_signs_of_a_cold_start(
+        self,
+        _name: str,
+        ending: Ending,
+        took: float,
+        limit: int,
+    ) -> None:
+        _warm(self.target)
+        self.target.start(CallId('x'), _at(1))
+        self.target.end(CallId('x'), ending, _at(1 + took))
+        self.assertEqual(limit, self.target.limit)
+
+    def test_silence_ends_new_work(self) -> None:
+        self.assertEqual(1, self.target.free(_at(4.9)))
+        self.assertEqual(0, self.target.free(_at(5.1)))
+
+    @parameterized.expand(
+        [('unknown', None, 0), ('one_left', 1, 0), ('none_left', 0, 1)],
+    )
+    def test_wary_owner_waits_for_work_of_the_last_one(
+        self,
+        _name: str,
+        reported: int | None,
+        free: int,
+    ) -> None:
+        target = Target(SPEC, _at(0), wary=True)
+        if reported is not None:
+            target.hear(_announce(in_flight=reported), _at(0.5))
+        self.assertEqual(free, target.free(_at(1)))
+
+    def test_failing_fast_sets_a_target_aside(self) -> None:
+        for number in range(3):
+            self.target.start(CallId(str(number)), _at(0))
+            self.target.end(CallId(str(number)), Ending.error, _at(0.001))
+        self.assertTrue(self.target.is_suspended(_at(0.1)))
+        self.assertFalse(self.target.is_suspended(_at(9)))
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,216 @@
+"""Messages between processes: round trips, and what does not decode."""
+
+import asyncio
+import contextlib
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from parameterized import parameterized
+from returns.result import Failure, Success
+from tornado.testing import AsyncTestCase, bind_unused_port, gen_test
+
+from tests.test_region import Driver
+from turmericmast.clock import HybridClock, SystemClock
+from turmericmast.ids import (
+    Epoch,
+    Fingerprint,
+    Incarnation,
+    Index,
+    InstanceId,
+    MemberId,
+    Term,
+)
+from turmericmast.ledger.commands import Purge
+from turmericmast.metrics import Metrics
+from turmericmast.region import commands
+from turmericmast.region.snapshot import take_snapshot
+from turmericmast.replica import messages
+from turmericmast.wire import codec, requests
+from turmericmast.wire.client import GroupClient
+from turmericmast.wire.frame import LENGTH, MAX_UNPROVED_BYTES
+from turmericmast.wire.link import Link, Node
+from turmericmast.wire.server import Handler, PeerServer
+
+
+def _region() -> Any:
+    driver = Driver()
+    driver.open('a', 'tirol-a')
+    driver.place('t1')
+    return driver.region
+
+
+ENTRY = messages.Entry(Index(3), Term(2), messages.EntryKind.command, b'\0x')
+MESSAGES = [
+    ('append', messages.Append(Term(1), MemberId('m'), Index(2), Term(1), Index(0), 0.5, (ENTRY,))),  # noqa: E501
+    ('probe', messages.Probe(MemberId('m'), Incarnation('i'), True, False)),
+    ('granted', requests.Granted(Epoch(1), 3000, _region().feed(Index(0)))),
+    ('nested', requests.ChangeRegion(commands.Suspect(Fingerprint('f'), 1, 2), True)),  # noqa: E501
+    ('ledger', requests.ChangeLedger(Purge(5))),
+    ('optional', requests.Changed()),
+    ('snapshot', take_snapshot(_region())),
+]  # fmt: skip
+
+
+class CodecTest(unittest.TestCase):
+    """What was encoded comes back; anything else is refused."""
+
+    @parameterized.expand(MESSAGES)
+    def test_round_trip(self, _name: str, message: Any) -> None:
+        octets = codec.encode(message)
+        self.assertEqual(message, codec.decode(octets).unwrap())
+        envelope = codec.Envelope(1, 2, 3, 'me', message)
+        octets = codec.encode_envelope(envelope)
+        self.assertEqual(envelope, codec.decode_envelope(octets).unwrap())
+
+    @settings(derandomize=True, max_examples=400)
+    @given(st.binary(max_size=200))
+    def test_noise_is_refused(self, octets: bytes) -> None:
+        self.assertIsInstance(codec.decode_envelope(octets), Failure)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.integers(0, 10_000), st.integers(0, 255))
+    def test_damaged_message_never_raises(self, where: int, what: int) -> None:
+        octets = bytearray(codec.encode(MESSAGES[2][1]))
+        octets[where % len(octets)] = what
+        self.assertIsInstance(codec.decode(bytes(octets)), (Success, Failure))
+
+
+class _Echo(Handler):
+    """Answers a watch, but not one for index 9."""
+
+    def __init__(self, answer: Any = None) -> None:
+        self.answer = answer
+
+    async def handle(self, sender: str, body: Any) -> Any:
+        """Return the answer, late for some."""
+        if isinstance(body, requests.Watch) and body.known == 9:
+            await asyncio.sleep(5)
+        return self.answer or requests.Changed()
+
+
+WATCH = requests.Watch(InstanceId('e'), Index(1))
+
+
+class PeerTest(AsyncTestCase):
+    """Links and servers, over loopback."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.stack = contextlib.ExitStack()
+        self.metrics = Metrics()
+        self.node = Node('me', HybridClock(SystemClock()), self.metrics)
+        self.address = self._serve(_Echo())
+
+    def tearDown(self) -> None:
+        self.stack.close()
+        super().tearDown()
+
+    def _serve(self, handler: Handler) -> str:
+        sock, port = bind_unused_port()
+        server = PeerServer(self.node, handler)
+        server.add_socket(sock)
+        self.stack.callback(server.close_all)
+        return f'127.0.0.1:{port}'
+
+    def _link(self, address: str) -> Link:
+        return self.stack.enter_context(Link(self.node, address))
+
+    @gen_test
+    async def test_question_gets_its_answer(self) -> None:
+        answer = await self._link(self.address).ask(WATCH, 2)
+        self.assertEqual(requests.Changed(), answer.unwrap())
+
+    @gen_test
+    async def test_late_answer_does_not_hold_up_others(self) -> None:
+        link = self._link(self.address)
+        late = link.ask(requests.Watch(InstanceId('e'), Index(9)), 0.3)
+        answers = await asyncio.gather(late, link.ask(WATCH, 2))
+        self.assertIn('no answer in 0.3 s', answers[0].failure().show())
+        self.assertIsInstance(answers[1], Success)
+
+    @gen_test
+    async def test_nobody_there(self) -> None:
+        sock, port = bind_unused_port()
+        sock.close()
+        answer = await self._link(f'127.0.0.1:{port}').ask(WATCH, 0.5)
+        self.assertIn(f'127.0.0.1:{port}', answer.failure().show())
+
+    @parameterized.expand(
+        [
+            ('noise', LENGTH.pack(4) + b'spam'),
+            ('huge', LENGTH.pack(MAX_UNPROVED_BYTES + 1)),
+            ('http', b'GET / HTTP/1.1\r\n\r\n'),
+        ],
+    )
+    def test_bad_frame_costs_its_connection_only(
+        self,
+        _name: str,
+        octets: bytes,
+    ) -> None:
+        self.io_loop.run_sync(lambda: self._send_bad(octets))
+
+    async def _send_bad(self, octets: bytes) -> None:
+        link = self._link(self.address)
+        await link.ask(WATCH, 2)
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(octets)
+        self.assertEqual(b'', await asyncio.wait_for(reader.read(), 3))
+        writer.close()
+        self.assertIsInstance(await link.ask(WATCH, 2), Success)
+        self.assertEqual(1, self.metrics.count_by_name['frames_bad', ()])
+
+    @gen_test
+    async def test_queue_is_bounded(self) -> None:
+        sock, port = bind_unused_port()
+        sock.close()
+        link = self._link(f'127.0.0.1:{port}')
+        for _ in range(2000):
+            link.send(WATCH)
+        dropped = sum(
+            count
+            for (name, _), count in self.metrics.count_by_name.items()
+            if name == 'frames_dropped'
+        )
+        self.assertGreater(dropped, 1000)
+
+    @parameterized.expand(
+        [
+            ('refused', requests.Refusal('step', 'no', 'hint'), 'no; hint'),
+            ('no_leader', requests.NotNow(MemberId(''), 'not now'), 'not now'),
+        ],
+    )
+    def test_group_client_tells_refusals_apart(
+        self,
+        _name: str,
+        given_answer: Any,
+        expected: str,
+    ) -> None:
+        self.io_loop.run_sync(lambda: self._ask_group(given_answer, expected))
+
+    async def _ask_group(self, given_answer: Any, expected: str) -> None:
+        address = self._serve(_Echo(given_answer))
+        clock = SystemClock()
+        client = GroupClient(self.node, clock, {MemberId('m'): address})
+        self.stack.enter_context(client)
+        answer = await client.ask_once(WATCH, 1)
+        self.assertIn(expected, answer.failure().show())
+
+    @gen_test
+    async def test_group_client_follows_to_the_leader(self) -> None:
+        away = self._serve(_Echo(requests.NotNow(MemberId('c'), 'ask c')))
+        clock = SystemClock()
+        client = GroupClient(
+            self.node,
+            clock,
+            {
+                MemberId('a'): away,
+                MemberId('b'): '127.0.0.1:1',
+                MemberId('c'): self.address,
+            },
+        )
+        self.stack.enter_context(client)
+        answer = await client.ask(WATCH, clock.now() + 2)  # type: ignore[arg-type]
+        self.assertEqual(requests.Changed(), answer.unwrap())
