--- a/src/turmericmast/fleet/fleet.py
+++ b/src/turmericmast/fleet/fleet.py
@@ -12,7 +12,13 @@
     digest_of,
     parse_document,
 )
-from turmericmast.ids import ChangeId, Digest, RegionId, Version
+from turmericmast.ids import (
+    ChangeId,
+    Digest,
+    RegionId,
+    ServiceId,
+    Version,
+)
 
 MAX_ANSWERS = 4096
 """Answers to changes that are kept for operators who send them again."""
@@ -67,8 +73,13 @@
     def propose(
         self,
         proposal: Proposal,
+        services: frozenset[ServiceId],
     ) -> Result[FleetVersion, TurmericmastError]:
-        """Make the next version, or say which change came first."""
+        """Make the next version, or say which change came first.
+
+        ``services`` are those with targets anywhere: their records must
+        stay in the region where they are.
+        """
         first = self.version_by_change.get(proposal.change)
         if first:
             return self._repeat(first, proposal)
@@ -78,7 +89,7 @@
         parsed = parse_document(proposal.document)
         if not isinstance(parsed, Success):
             return Failure(parsed.failure())
-        return self._check_move(parsed.unwrap()).map(
+        return self._check_move(parsed.unwrap(), services).map(
             lambda document: self._install(proposal, document),
         )
 
@@ -159,27 +170,31 @@
     def _check_move(
         self,
         document: FleetDocument,
+        services: frozenset[ServiceId],
     ) -> Result[FleetDocument, TurmericmastError]:
-        subjects = [
+        selectors = [
             dict(exception.selector)
             for exception in (*self.parsed.exceptions, *document.exceptions)
         ]
+        subjects = (
+            {'service': service, **selector}
+            for service in sorted(services)
+            for selector in ({}, *selectors)
+            if selector.get('service', service) == service
+        )
         moved = next(
-            (
-                subject
-                for subject in ({}, *subjects)
-                if self._moves(document, subject)
-            ),
+            (one for one in subjects if self._moves(document, one)),
             None,
         )
         if moved is None:
             return Success(document)
         return Failure(
             RefusedError(
-                f'keyed requests of {moved or "all services"} would be kept '
-                'in another region, and running ones could run twice',
+                f'keyed requests of {moved} would be kept in another region, '
+                'and running ones could run twice',
                 step='propose',
-                hint='leave ledger_region and the first home region as is',
+                hint='leave ledger_region and the first home region as they '
+                'are, or change them while the service has no targets',
             ),
         )
 
--- a/src/turmericmast/programs/control.py
+++ b/src/turmericmast/programs/control.py
@@ -236,16 +236,15 @@
 
 
 async def _main(process: Process, stack: contextlib.ExitStack) -> None:
-    found = find_group(process, GroupKind.control)
-    region, members = found
     settings = process.settings
+    found = find_group(process, GroupKind.control)
     machine = RegionMachine(
-        Region(region, settings.regions, settings.ordering_region),
+        Region(found[0], settings.regions, settings.ordering_region),
     )
     group = open_group(process, stack, found, machine)
     control = Control(process, group, machine)
     serve(process, stack, control, make_application(control))
-    group.start({one.member: one.peer for one in members})
+    group.start({one.member: one.peer for one in found[1]})
     ticker = PeriodicCallback(control.tick, TICK_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/region/fleetbook.py
+++ b/src/turmericmast/region/fleetbook.py
@@ -62,6 +62,7 @@
                 command.base_digest,
                 command.document,
             ),
+            self.view.services(),
         )
 
     @_apply.register
--- a/src/turmericmast/region/view.py
+++ b/src/turmericmast/region/view.py
@@ -143,6 +143,19 @@
             and self.is_serving(session)
         ]
 
+    def services(self) -> frozenset[ServiceId]:
+        """Return the services with targets here or, as told, elsewhere."""
+        own = (
+            placement.spec.service
+            for placement in self.placement_by_target.values()
+        )
+        others = (
+            addresses.service
+            for summary in self.summary_by_region.values()
+            for addresses in summary.services
+        )
+        return frozenset((*own, *others))
+
     def summary(self, region: RegionId) -> RegionSummary:
         """Return what other regions need to know."""
         from_services = sorted(
