--- /dev/null
+++ b/bench/checkers.py
@@ -0,0 +1,200 @@
+"""What must hold, as pure functions over the history of a run.
+
+A history is a list of events, which are dictionaries with ``event`` and
+``at`` (seconds). Targets write ``start``, ``end``, ``cancelled``, ``shed``,
+``leaving``; callers write ``answer`` with ``sent_at``, ``call``, ``key``,
+``status``, ``ran``; the operator writes ``taken_out`` and ``returned``.
+Each checker returns the violations it found, as text.
+"""
+
+import collections
+import itertools
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, TypeAlias
+
+Event: TypeAlias = Mapping[str, Any]
+History: TypeAlias = Sequence[Event]
+
+SILENT_WITHIN = 5.0
+"""Seconds after which something taken out gets no new work."""
+TIME_SLACK = 0.5
+"""Seconds for the way back, over the deadline that a caller named."""
+
+
+def at_most_once(history: History) -> list[str]:
+    """No key is started twice."""
+    runs = collections.Counter(
+        event['key'] for event in _of(history, 'start') if event['key']
+    )
+    return [
+        f'{key} ran {times} times' for key, times in runs.items() if times > 1
+    ]
+
+
+def not_run_is_true(history: History) -> list[str]:
+    """Whatever was answered as not run never ran, later included."""
+    started = {event['call'] for event in _of(history, 'start')}
+    return [
+        f'{answer["call"]} was answered as not run, but ran'
+        for answer in _of(history, 'answer')
+        if answer['ran'] == 'no' and answer['call'] in started
+    ]
+
+
+def same_answer(history: History) -> list[str]:
+    """Every answer for a key that ran is the same answer."""
+    answers = collections.defaultdict(set)
+    for answer in _of(history, 'answer'):
+        if answer['key'] and answer['status'] == 200:
+            answers[answer['key']].add(answer['body'])
+    return [
+        f'{key} got {len(bodies)} different answers'
+        for key, bodies in answers.items()
+        if len(bodies) > 1
+    ]
+
+
+def whole_answers(history: History) -> list[str]:
+    """No answer is short, mixed or another's."""
+    return [
+        f'{answer["call"]}: {fault}'
+        for answer in _of(history, 'answer')
+        if answer['status'] == 200
+        for fault in _answer_faults(answer)
+    ]
+
+
+def in_time(history: History) -> list[str]:
+    """Every caller hears within the time it gave.
+
+    Who is connected to an entry that is frozen hears nothing from anybody:
+    only such calls, which got no answer at all, are left out.
+    """
+    return [
+        f'{answer["call"]} took {answer["at"] - answer["sent_at"]:.2f} s '
+        f'of {answer["timeout"]} s'
+        for answer in _of(history, 'answer')
+        if answer['at'] - answer['sent_at'] > answer['timeout'] + TIME_SLACK
+        if not (answer['status'] == 0 and _was_frozen(history, answer))
+    ]
+
+
+def silent_domain(history: History) -> list[str]:
+    """A domain taken out gets no new work after a few seconds."""
+    returned = [event['at'] for event in _of(history, 'returned')]
+    return [
+        f'{start["target"]} started a call {start["at"] - out["at"]:.2f} s '
+        f'after {out["domain"]} was taken out'
+        for out in _of(history, 'taken_out')
+        for start in _of(history, 'start')
+        if start['domain'] == out['domain']
+        and out['at'] + SILENT_WITHIN < start['at']
+        and start['at']
+        < min((at for at in returned if at > out['at']), default=math.inf)
+    ]
+
+
+def silent_target(history: History) -> list[str]:
+    """A target that leaves gets no new work after a few seconds."""
+    return [
+        f'{start["target"]} started a call after it had left'
+        for left in _of(history, 'leaving')
+        for start in _of(history, 'start')
+        if start['incarnation'] == left['incarnation']
+        and start['at'] > left['at'] + SILENT_WITHIN
+    ]
+
+
+def cold_limits(history: History) -> list[str]:
+    """A cold target never holds more than it bears."""
+    return [
+        f'{start["target"]} held {start["in_flight"]} of {start["limit"]}'
+        for start in _of(history, 'start')
+        if start['in_flight'] > start['limit']
+    ]
+
+
+def no_caller_error(history: History) -> list[str]:
+    """Every call is answered by a target."""
+    return [
+        f'{answer["call"]} got {answer["status"]} ({answer["detail"]})'
+        for answer in _of(history, 'answer')
+        if answer['status'] != 200
+    ]
+
+
+def crashes_contained(history: History) -> list[str]:
+    """A request that crashes its target is run by two targets at the most."""
+    crashes = collections.Counter(
+        event['path']
+        for event in _of(history, 'start')
+        if event['path'].startswith('/poison')
+    )
+    return [
+        f'{path} was run by {times} targets'
+        for path, times in crashes.items()
+        if times > 2
+    ]
+
+
+def versions_never_revert(history: History) -> list[str]:
+    """No entry goes back, and one version is one document everywhere."""
+    digests = collections.defaultdict(set)
+    faults = []
+    by_process = itertools.groupby(
+        sorted(
+            _of(history, 'fleet_in_force'),
+            key=lambda event: (event['process'], event['at']),
+        ),
+        key=lambda event: event['process'],
+    )
+    for process, events in by_process:
+        seen = list(events)
+        for event in seen:
+            digests[event['version']].add(event['digest'])
+        pairs = itertools.pairwise(event['version'] for event in seen)
+        if any(later < earlier for earlier, later in pairs):
+            faults.append(f'{process} went back to an earlier version')
+    faults.extend(
+        f'version {version} is {len(found)} different documents'
+        for version, found in digests.items()
+        if len(found) > 1
+    )
+    return faults
+
+
+def accepted_in_time(history: History) -> list[str]:
+    """An accepted change is in force everywhere within seconds."""
+    return [
+        f'version {event["version"]} took {event["took"]:.2f} s'
+        for event in _of(history, 'accepted')
+        if event['took'] > SILENT_WITHIN
+    ]
+
+
+def _of(history: History, kind: str) -> Iterable[Event]:
+    return (event for event in history if event['event'] == kind)
+
+
+def _was_frozen(history: History, answer: Event) -> bool:
+    """Tell whether the entry of a call was frozen while it was under way."""
+    thawed = [
+        event['at']
+        for event in _of(history, 'thawed')
+        if event['address'] == answer['address']
+    ]
+    return any(
+        frozen['at'] < answer['at']
+        and answer['sent_at']
+        < min((at for at in thawed if at > frozen['at']), default=math.inf)
+        for frozen in _of(history, 'frozen')
+        if frozen['address'] == answer['address']
+    )
+
+
+def _answer_faults(answer: Event) -> Iterable[str]:
+    if answer['digest'] != answer['wanted_digest']:
+        yield 'the body is not what the target sent'
+    if not answer['key'] and answer['echo'] != answer['call']:
+        yield f'it is the answer to {answer["echo"]}'
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -75,12 +75,12 @@
         entries = ','.join(
             plan.http for plan in self.plans if plan.program == 'entry'
         )
-        root = pathlib.Path(__file__).parent
         self._spawn(
             name,
             [
                 sys.executable,
-                str(root / 'standin.py'),
+                '-m',
+                'bench.standin',
                 f'--name={name}',
                 f'--port={address.rpartition(":")[2]}',
                 f'--entries={entries}',
@@ -195,6 +195,7 @@
         with (logs / f'{name}.log').open('ab') as stream:
             self.process_by_name[name] = subprocess.Popen(  # noqa: S603
                 command,
+                cwd=pathlib.Path(__file__).parent.parent,
                 stdin=subprocess.DEVNULL,
                 stdout=stream,
                 stderr=stream,
--- a/bench/quickstart.py
+++ b/bench/quickstart.py
@@ -14,7 +14,7 @@
 from absl import app, flags
 from hdrh.histogram import HdrHistogram
 
-from bench.callers import Answered, Caller, open_loop
+from bench.callers import Answered, Caller, open_loop, plain
 from bench.fleet import Fleet
 from bench.layout import FleetShape, RegionShape
 from bench.pages import request
@@ -65,7 +65,7 @@
     started = time.monotonic()
     operating = asyncio.ensure_future(_operate(fleet, started))
     ordering = asyncio.ensure_future(_order_twice(callers))
-    answers = await open_loop(callers, RATE, SECONDS, '/run?ms=5')
+    answers = await open_loop(callers, RATE, SECONDS, plain('/run?ms=5'))
     taken_out, returned, steps = await operating
     orders = await ordering
     runs = _runs_of(fleet, 'order-1')
@@ -139,7 +139,10 @@
         path.read_text(encoding='utf-8').splitlines()
         for path in (fleet.folder / 'runs').glob('*.jsonl')
     )
-    return sum(json.loads(line)['key'] == key for line in lines)
+    events = map(json.loads, lines)
+    return sum(
+        event['event'] == 'start' and event['key'] == key for event in events
+    )
 
 
 def _silent_after(
--- /dev/null
+++ b/bench/scene.py
@@ -0,0 +1,288 @@
+"""What every proof needs: a fleet under load, a history, an operator."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import shutil
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from types import TracebackType
+from typing import Any, Self, final
+
+from bench.callers import Answered, Caller
+from bench.fleet import Fleet
+from bench.history import History
+from bench.layout import FleetShape, RegionShape
+from bench.pages import request
+
+TWO_DOMAINS = FleetShape((RegionShape('tirol', ('tirol-a', 'tirol-b')),))
+TWO_REGIONS = FleetShape(
+    (
+        RegionShape('tirol', ('tirol-a', 'tirol-b'), 1),
+        RegionShape('wien', ('wien-a', 'wien-b'), 1),
+    ),
+)
+CALL_PAUSE = 0.02
+RESEND_PAUSE = 0.3
+MAX_RESENDS = 30
+
+
+@final
+class Scene:
+    """A fleet, its targets, and callers that write what they saw."""
+
+    def __init__(self, name: str, shape: FleetShape, seed: int) -> None:
+        """Plan a run; its files go to a folder of its own."""
+        self.folder = pathlib.Path('run') / 'prove' / name
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.fleet = Fleet(shape, self.folder.absolute())
+        self.history = History(self.folder)
+        self.random = random.Random(seed)
+        self.targets: list[str] = []
+        self._stack = contextlib.ExitStack()
+        self._numbers = 0
+        self._answering: dict[str, str] = {}
+
+    def __enter__(self) -> Self:
+        """Start the system."""
+        self._stack.enter_context(self.fleet)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        self._stack.close()
+
+    def add_targets(self, service: str, count: int, *arguments: str) -> None:
+        """Start targets of a service, spread over all failure domains."""
+        places = [
+            (region.region, domain)
+            for region in self.fleet.shape.regions
+            for domain in region.domains
+        ]
+        for number in range(count):
+            region, domain = places[number % len(places)]
+            name = f'{service}-{number}'
+            self.targets.append(name)
+            self.fleet.start_target(
+                name,
+                [
+                    f'--service={service}',
+                    f'--region={region}',
+                    f'--domain={domain}',
+                    *arguments,
+                ],
+            )
+
+    def caller(
+        self, service: str, region: str = '', domain: str = ''
+    ) -> Caller:
+        """Return a caller that knows the entries of a region, or all."""
+        entries = [plan.http for plan in self.fleet.entries(region)]
+        return Caller(entries, service, domain, self.random.randrange(1 << 30))
+
+    def next_id(self, prefix: str) -> str:
+        """Return an id that is used once."""
+        self._numbers += 1
+        return f'{prefix}-{self._numbers}'
+
+    async def call(
+        self,
+        caller: Caller,
+        path: str,
+        *,
+        key: str = '',
+        timeout: float = 4,
+        method: str = 'GET',
+        headers: dict[str, str] | None = None,
+        body: bytes = b'',
+    ) -> Answered:
+        """Make one call and write down its answer."""
+        call = self.next_id('c')
+        given = {'X-Call': call, **(headers or {})}
+        if key:
+            given['Idempotency-Key'] = key
+        answered = await caller.call(
+            path,
+            method=method,
+            headers=given,
+            timeout=timeout,
+            body=body,
+        )
+        self.history.answer(answered, call, key, timeout)
+        return answered
+
+    async def order(self, callers: list[Caller], path: str) -> str:
+        """Send an order under a key until it is known to have run or not."""
+        key = self.next_id('k')
+        for _ in range(MAX_RESENDS):
+            caller = self.random.choice(callers)
+            answered = await self.call(
+                caller,
+                path,
+                key=key,
+                method='POST',
+                body=key.encode(),
+                timeout=2,
+            )
+            if answered.status in {200, 409, 422}:
+                return f'{answered.status}'
+            caller.forget()
+            await asyncio.sleep(RESEND_PAUSE * self.random.random())
+        return 'given up'
+
+    @contextlib.asynccontextmanager
+    async def load(
+        self,
+        work: Callable[[], Awaitable[Any]],
+        workers: int,
+        pause: float = CALL_PAUSE,
+    ) -> AsyncIterator[list[Any]]:
+        """Keep some workers busy while the body of the block runs."""
+        done: list[Any] = []
+        stop = asyncio.Event()
+
+        async def worker() -> None:
+            while not stop.is_set():
+                done.append(await work())
+                await asyncio.sleep(pause * 2 * self.random.random())
+
+        tasks = [asyncio.ensure_future(worker()) for _ in range(workers)]
+        await asyncio.sleep(0.3)
+        try:
+            yield done
+        finally:
+            stop.set()
+            await asyncio.gather(*tasks)
+
+    def freeze(self, name: str) -> None:
+        """Stop an entry in its tracks, and write down when."""
+        self.fleet.freeze(name)
+        address = self.fleet.plan_by_name[name].http
+        self.history.write('frozen', address=address)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen entry go on, and write down when."""
+        address = self.fleet.plan_by_name[name].http
+        self.history.write('thawed', address=address)
+        self.fleet.thaw(name)
+
+    async def run_blocking(self, work: Callable[..., Any], *given: Any) -> Any:
+        """Run something that blocks beside the load."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(None, lambda: work(*given))
+
+    async def operate(
+        self,
+        region: str,
+        path: str,
+        document: dict[str, Any],
+        timeout: float = 12,
+    ) -> tuple[int, dict[str, Any]]:
+        """Ask the control group of a region as an operator does."""
+        return await self.run_blocking(
+            self._operate,
+            region,
+            path,
+            document,
+            timeout,
+        )
+
+    def _operate(
+        self,
+        region: str,
+        path: str,
+        document: dict[str, Any],
+        timeout: float,
+    ) -> tuple[int, dict[str, Any]]:
+        deadline = time.monotonic() + timeout
+        body = json.dumps(document).encode()
+        while time.monotonic() < deadline:
+            names = [
+                name
+                for name in self.fleet.names('control')
+                if name.startswith(f'control-{region}-')
+                and name in self.fleet.process_by_name
+            ]
+            # Whoever answered last is asked first: another may be frozen.
+            last = self._answering.get(region)
+            for name in sorted(names, key=lambda name: name != last):
+                plan = self.fleet.plan_by_name[name]
+                method = 'POST' if document else 'GET'
+                status, _, octets = request(
+                    method,
+                    f'http://{plan.http}{path}',
+                    body if document else b'',
+                )
+                if status in {200, 409}:
+                    self._answering[region] = name
+                    return status, json.loads(octets)
+            time.sleep(0.1)
+        return 0, {}
+
+    async def set_out(
+        self,
+        region: str,
+        domain: str,
+        *,
+        out: bool,
+    ) -> dict[str, Any]:
+        """Take a failure domain out, or return it, and write down when."""
+        status, told = await self.operate(
+            region,
+            '/v1/outage',
+            {
+                'change': self.next_id('change'),
+                'kind': 'domain',
+                'name': domain,
+                'out': out,
+                'reason': 'a proof',
+            },
+        )
+        if status != 200:
+            raise RuntimeError(f'{domain} could not be changed: {told}')
+        kind = 'taken_out' if out else 'returned'
+        self.history.write(kind, domain=domain)
+        return told
+
+    async def propose(
+        self,
+        document: dict[str, Any],
+        change: str = '',
+    ) -> tuple[int, dict[str, Any]]:
+        """Propose a fleet document against the present version."""
+        region = self.fleet.shape.regions[0].region
+        _, current = await self.operate(region, '/v1/fleet', {})
+        return await self.operate(
+            region,
+            '/v1/fleet',
+            {
+                'change': change or self.next_id('change'),
+                'base_version': current['current'],
+                'base_digest': current['digest'],
+                'document': json.dumps(document),
+            },
+        )
+
+    async def await_accepted(self, version: int) -> float:
+        """Wait until a version is accepted; return the seconds it took."""
+        started = time.monotonic()
+        region = self.fleet.shape.regions[0].region
+        while time.monotonic() - started < 20:
+            _, told = await self.operate(
+                region,
+                f'/v1/fleet?version={version}',
+                {},
+            )
+            if told.get('accepted', 0) >= version:
+                break
+            await asyncio.sleep(0.05)
+        took = time.monotonic() - started
+        self.history.write('accepted', version=version, took=took)
+        return took
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -1,24 +1,25 @@
-"""A target for trying things out: it announces itself, and answers.
+"""A stand-in target: lean, controllable, and honest about what it ran.
 
-It counts what it runs, keeps to the contract of docs/targets.md, and can be
-told by the request how long to take and how much to send.
+It writes a line of JSON for each request that starts, ends or is cut off,
+and for each change of its own state. Requests say how long to take
+(``ms``), how much to send (``bytes``) and whether to crash (``crash``);
+requests below ``/-/`` change how it behaves.
 """
 
 import asyncio
 import hashlib
 import json
-import pathlib
+import os
 import secrets
 import signal
-import sys
+import time
 import urllib.parse
 from collections.abc import Sequence
-from http import HTTPStatus
+from typing import Any, final
 
 from absl import app, flags
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+
+from bench.announcer import Announcer
 
 NAME = flags.DEFINE_string('name', 't1', 'Id of the target.')
 SERVICE = flags.DEFINE_string('service', 'stock', 'Service it belongs to.')
@@ -29,24 +30,53 @@
 COLD_SLOTS = flags.DEFINE_integer('cold_slots', 1, 'The same while cold.')
 WARM_AFTER = flags.DEFINE_float('warm_after', 0.5, 'Seconds until it is warm.')
 ENTRIES = flags.DEFINE_list('entries', [], 'Entries to announce to.')
-LOG = flags.DEFINE_string('log', '', 'File for a line of JSON per run.')
+LOG = flags.DEFINE_string('log', '', 'File for the lines.')
+QUIET = flags.DEFINE_bool('quiet', False, 'Leave out lines for requests.')
 
-ANNOUNCE_TIMEOUT = 4.0
 DRAIN_TIMEOUT = 30.0
 STEP = 0.02
+COLD_FACTOR = 10
+"""How much longer a request takes while the target is cold."""
 
 
-class Target:
-    """What the target knows of itself."""
+@final
+class Standin:
+    """The state of the target."""
 
     def __init__(self) -> None:
         """Start cold."""
         self.incarnation = secrets.token_hex(4)
         self.state = 'cold'
+        self.is_cold = True
+        """What is true, whatever the target says."""
         self.in_flight = 0
-        self.most_in_flight = 0
-        self.again = 1.0
-        self.announce_to = list(ENTRIES.value)
+        self.paused_until = float(0)
+        self.factor = float(1)
+        self.is_failing = False
+        self._log = os.open(
+            LOG.value or os.devnull,
+            os.O_WRONLY | os.O_APPEND | os.O_CREAT,
+        )
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests it bears now."""
+        return COLD_SLOTS.value if self.is_cold else SLOTS.value
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write a line at once, so that a kill cannot lose it."""
+        line = {
+            'at': time.time(),
+            'event': event,
+            'target': NAME.value,
+            'domain': DOMAIN.value,
+            'region': REGION.value,
+            'incarnation': self.incarnation,
+            'in_flight': self.in_flight,
+            'limit': self.limit,
+            **fields,
+        }
+        os.write(self._log, f'{json.dumps(line)}\n'.encode())
 
     def document(self) -> dict[str, object]:
         """Return an announcement."""
@@ -63,108 +93,184 @@
             'in_flight': self.in_flight,
         }
 
-    async def announce(self) -> bool:
-        """Announce once; true when the owner has heard it."""
-        for entry in dict.fromkeys((*self.announce_to, *ENTRIES.value)):
-            try:
-                answer = await AsyncHTTPClient().fetch(
-                    f'http://{entry}/-/announce',
-                    method='POST',
-                    body=json.dumps(self.document()),
-                    request_timeout=ANNOUNCE_TIMEOUT,
-                )
-            except (HTTPClientError, OSError):
-                continue
-            told = json.loads(answer.body)
-            self.announce_to = told['announce_to']
-            self.again = told['again_ms'] / 1000
-            return bool(told['owned'])
-        return False
-
-    async def announce_soon(self) -> None:
-        """Announce until the owner has heard, a few times at the most."""
-        for _ in range(3):
-            if await self.announce():
-                return
-
-    async def keep_announcing(self) -> None:
-        """Announce for ever, as often as the owner asks."""
-        while True:
-            await self.announce_soon()
-            await asyncio.sleep(self.again)
-
-
-class Work(RequestHandler):
-    """Runs a request: ``/run?ms=20&bytes=1000``."""
-
-    def initialize(self, target: Target) -> None:
-        """Count in ``target``."""
-        self.target = target
-
-    async def prepare(self) -> None:
-        """Run whatever was asked for."""
-        target = self.target
-        if target.in_flight >= SLOTS.value:
-            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
-            self.set_header('Turmericmast-Ran', 'no')
-            self.finish('busy\n')
+    def warm_up(self) -> None:
+        """Become warm, and say so."""
+        self.is_cold = False
+        self.state = 'ready'
+        self.write('warm')
+
+    def change(self, path: str, query: dict[str, str]) -> None:
+        """Behave as a request to ``/-/`` says."""
+        seconds = float(query.get('ms', '0')) / 1000
+        loop = asyncio.get_running_loop()
+        if path == '/-/pause':
+            self.paused_until = time.monotonic() + seconds
+        elif path == '/-/slow':
+            self.factor = float(query['factor'])
+            loop.call_later(seconds, setattr, self, 'factor', float(1))
+        elif path == '/-/cold':
+            # Without warning: what it announces stays the same.
+            self.is_cold = True
+            loop.call_later(seconds, setattr, self, 'is_cold', False)
+        elif path == '/-/fail':
+            self.is_failing = True
+            loop.call_later(seconds, setattr, self, 'is_failing', False)
+        self.write('changed', to=path)
+
+    def seconds_for(self, wanted: float) -> float:
+        """Return how long a request takes that wants so many seconds."""
+        cold = COLD_FACTOR if self.is_cold else 1
+        pause = max(self.paused_until - time.monotonic(), 0)
+        return wanted * self.factor * cold + pause
+
+
+@final
+class Connection(asyncio.Protocol):
+    """One connection; requests come one after the other."""
+
+    def __init__(self, standin: Standin) -> None:
+        """Serve for ``standin``."""
+        self._standin = standin
+        self._buffer = b''
+        self._transport: asyncio.Transport | None = None
+        self._running: dict[str, Any] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Stop what runs: the call was cancelled."""
+        if self._timer and self._running:
+            self._timer.cancel()
+            self._end('cancelled')
+
+    def data_received(self, octets: bytes) -> None:
+        """Collect a request."""
+        self._buffer += octets
+        head, separator, rest = self._buffer.partition(b'\r\n\r\n')
+        if not separator or self._running:
+            return
+        lines = head.decode('latin-1').split('\r\n')
+        headers = {
+            name.lower(): text
+            for name, _, text in map(_split_header, lines[1:])
+        }
+        length = int(headers.get('content-length', '0'))
+        if len(rest) >= length:
+            self._buffer = rest[length:]
+            method, target, _ = lines[0].split(' ')
+            self._start(method, target, headers)
+
+    def _start(self, method: str, target: str, headers: dict[str, str]) -> None:
+        standin = self._standin
+        path, _, text = target.partition('?')
+        query = dict(urllib.parse.parse_qsl(text))
+        if path.startswith('/-/'):
+            standin.change(path, query)
+            self._send(200, '', b'')
+            return
+        if standin.is_failing:
+            self._send(500, '', b'failing')
+            return
+        if standin.in_flight >= SLOTS.value:
+            standin.write('shed', call=headers.get('x-call', ''))
+            self._send(503, 'Turmericmast-Ran: no\r\n', b'busy')
+            return
+        standin.in_flight += 1
+        self._running = {
+            'call': headers.get('x-call', ''),
+            'key': headers.get('idempotency-key', ''),
+            'path': path,
+        }
+        if not QUIET.value:
+            standin.write('start', **self._running)
+        if 'crash' in query:
+            os.kill(os.getpid(), signal.SIGKILL)
+        seconds = standin.seconds_for(float(query.get('ms', '5')) / 1000)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._finish, query, headers)
+
+    def _finish(self, query: dict[str, str], headers: dict[str, str]) -> None:
+        if self._running is None:
             return
-        target.in_flight += 1
-        target.most_in_flight = max(target.most_in_flight, target.in_flight)
-        try:
-            await self._run()
-        finally:
-            target.in_flight -= 1
-
-    async def _run(self) -> None:
-        _log(
-            {
-                'target': NAME.value,
-                'method': self.request.method,
-                'path': self.request.path,
-                'key': self.request.headers.get('Idempotency-Key', ''),
-                'in_flight': self.target.in_flight,
-            },
+        call = self._running['call']
+        key = self._running['key']
+        seed = f'{NAME.value}/{key}/{call}/'.encode()
+        size = int(query.get('bytes', '40'))
+        if 'same' in query:
+            seed = b'the same at every target/'
+        body = (seed * (size // len(seed) + 1))[:size]
+        tag = hashlib.sha256(body).hexdigest()
+        self._end('end')
+        extra = (
+            f'X-Target: {NAME.value}\r\nX-Call: {call}\r\n'
+            f'X-Digest: {tag}\r\nETag: "{tag}"\r\n'
         )
-        query = dict(urllib.parse.parse_qsl(self.request.query))
-        await asyncio.sleep(float(query.get('ms', '5')) / 1000)
-        body = b'.' * int(query.get('bytes', '40'))
-        self.set_header('Content-Type', 'text/plain')
-        self.set_header('X-Target', NAME.value)
-        self.set_header('X-Digest', hashlib.sha256(body).hexdigest())
-        self.finish(body)
+        start = _range_start(headers, tag)
+        if start is None:
+            self._send(200, extra, body)
+        else:
+            where = f'bytes {start}-{size - 1}/{size}'
+            extra = f'{extra}Content-Range: {where}\r\n'
+            self._send(206, extra, body[start:])
+
+    def _end(self, event: str) -> None:
+        self._standin.in_flight -= 1
+        if not QUIET.value and self._running:
+            self._standin.write(event, **self._running)
+        self._running = None
+
+    def _send(self, status: int, extra: str, body: bytes) -> None:
+        if self._transport:
+            head = (
+                f'HTTP/1.1 {status} X\r\n{extra}'
+                f'Content-Length: {len(body)}\r\n\r\n'
+            )
+            self._transport.write(head.encode() + body)
 
 
-def _log(line: dict[str, object]) -> None:
-    if LOG.value:
-        with pathlib.Path(LOG.value).open('a', encoding='utf-8') as stream:
-            stream.write(f'{json.dumps(line)}\n')
+def _split_header(line: str) -> tuple[str, str, str]:
+    return line.partition(': ')
+
+
+def _range_start(headers: dict[str, str], tag: str) -> int | None:
+    if headers.get('if-range') != f'"{tag}"' or 'range' not in headers:
+        return None
+    return int(headers['range'].removeprefix('bytes=').partition('-')[0])
 
 
 async def _main() -> None:
-    target = Target()
-    server = HTTPServer(Application([('.*', Work, {'target': target})]))
-    server.listen(PORT.value, '127.0.0.1')
-    stop = asyncio.Event()
+    standin = Standin()
     loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Connection(standin),
+        '127.0.0.1',
+        PORT.value,
+    )
+    announcer = Announcer(ENTRIES.value, standin.document)
+    stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    announcing = asyncio.ensure_future(target.keep_announcing())
-    loop.call_later(WARM_AFTER.value, setattr, target, 'state', 'ready')
+    standin.write('started')
+    announcing = asyncio.ensure_future(announcer.run())
+    loop.call_later(WARM_AFTER.value, standin.warm_up)
     await stop.wait()
-    target.state = 'leaving'
+    standin.state = 'leaving'
     announcing.cancel()
-    await target.announce_soon()
+    await announcer.tell_owner()
+    standin.write('leaving')
     for _ in range(int(DRAIN_TIMEOUT / STEP)):
-        if not target.in_flight:
+        if not standin.in_flight:
             break
         await asyncio.sleep(STEP)
-    await target.announce()
-    server.stop()
+    await announcer.tell_owner()
+    standin.write('stopped')
+    server.close()
 
 
 def _run(arguments: Sequence[str]) -> None:
     asyncio.run(_main())
-    sys.stdout.write(f'{NAME.value} stopped\n')
 
 
 if __name__ == '__main__':
--- a/src/turmericmast/entry/routing.py
+++ b/src/turmericmast/entry/routing.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import final
 
 from turmericmast.call.call import MAX_HOPS, CallRequest
@@ -57,24 +57,16 @@
         service: ServiceId,
         domain: DomainId,
         home_regions: tuple[RegionId, ...],
+        avoid: Collection[str] = (),
     ) -> tuple[str, ...]:
         """Return the entries that a caller should use, nearest first.
 
-        Owners of targets come first; where the region has none, another
-        region's owners follow, and any entry here that can hand on.
+        ``avoid`` are those that just refused the caller, perhaps before the
+        control group has noticed.
         """
-        if home_regions and self._region not in home_regions:
-            return self._abroad(service, home_regions)
-        owners = self._near(self._view.owners_of(service), domain)
-        if owners:
-            return owners[:MAX_ADDRESSES]
-        abroad = self._abroad(service, home_regions)
-        serving = (
-            session
-            for session in self._view.session_by_instance.values()
-            if self._view.is_serving(session)
-        )
-        return (*abroad, *self._near(serving, domain))[:MAX_ADDRESSES]
+        known = self._addresses(service, domain, home_regions)
+        kept = tuple(one for one in known if one not in avoid)
+        return (kept or known)[:MAX_ADDRESSES]
 
     def onward(self, request: CallRequest) -> Route:
         """Decide where to hand a call that cannot be served here."""
@@ -92,6 +84,30 @@
             return Route(Way.hand_on, abroad)
         return Route(Way.no_target)
 
+    def _addresses(
+        self,
+        service: ServiceId,
+        domain: DomainId,
+        home_regions: tuple[RegionId, ...],
+    ) -> tuple[str, ...]:
+        """Return addresses, best first.
+
+        Owners of targets come first; where the region has none, another
+        region's owners follow, and any entry here that can hand on.
+        """
+        if home_regions and self._region not in home_regions:
+            return self._abroad(service, home_regions)
+        owners = self._near(self._view.owners_of(service), domain)
+        if owners:
+            return owners
+        abroad = self._abroad(service, home_regions)
+        serving = (
+            session
+            for session in self._view.session_by_instance.values()
+            if self._view.is_serving(session)
+        )
+        return (*abroad, *self._near(serving, domain))
+
     def _near(
         self,
         sessions: Iterable[Session],
--- a/src/turmericmast/programs/control.py
+++ b/src/turmericmast/programs/control.py
@@ -12,6 +12,7 @@
 from turmericmast.programs.following import Followers
 from turmericmast.programs.group import GroupNode, StateMachine
 from turmericmast.programs.member import (
+    HAND_OVER_TIMEOUT,
     find_group,
     open_group,
     refusal_of,
@@ -251,6 +252,7 @@
     followers = stack.enter_context(Followers(control))
     followers.start()
     await process.stop.wait()
+    await group.hand_over(HAND_OVER_TIMEOUT)
 
 
 def main() -> None:
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -151,6 +151,7 @@
             return False
         entry = self._desk.entry
         before = entry.view.index
+        version = entry.version
         entry.renew(
             granted.epoch,
             granted.feed,
@@ -158,6 +159,12 @@
             granted.length_ms / MILLIS,
             self._process.clock.now(),
         )
+        if granted.feed.fleet and entry.version != version:
+            self._process.events.write(
+                'fleet_in_force',
+                version=entry.version,
+                digest=granted.feed.fleet.digest,
+            )
         self._desk.pump_all()
         self.release()
         return entry.view.index != before
--- a/src/turmericmast/programs/group.py
+++ b/src/turmericmast/programs/group.py
@@ -23,6 +23,7 @@
 from turmericmast.replica.messages import Entry, EntryKind, Snapshot
 from turmericmast.replica.replica import Replica
 from turmericmast.replica.store import Store
+from turmericmast.units import MILLIS
 from turmericmast.wire.codec import decode, encode
 from turmericmast.wire.link import Link, Node
 
@@ -120,6 +121,19 @@
             self._clock.now() < self.replica.lease_end()
         )
 
+    async def hand_over(self, timeout: float) -> None:
+        """Give up the lead before this process stops."""
+        deadline = self._clock.now() + timeout
+        while not self.replica.hand_over():
+            if self._clock.now() >= deadline:
+                return
+            await asyncio.sleep(TICK_MS / MILLIS)
+        self._flush()
+        # The message must leave before the links are closed, and those who
+        # ask meanwhile should learn who leads now.
+        while self._clock.now() < deadline and not self.replica.leader:
+            await asyncio.sleep(TICK_MS / MILLIS)
+
     def receive(self, message: Any) -> None:
         """Handle a message of another member."""
         self.replica.receive(message, self._clock.now())
--- a/src/turmericmast/programs/ledger.py
+++ b/src/turmericmast/programs/ledger.py
@@ -13,6 +13,7 @@
 from turmericmast.ledger.ledger import Ledger
 from turmericmast.programs.group import GroupNode, StateMachine
 from turmericmast.programs.member import (
+    HAND_OVER_TIMEOUT,
     find_group,
     open_group,
     refusal_of,
@@ -98,6 +99,7 @@
     ticker.start()
     stack.callback(ticker.stop)
     await process.stop.wait()
+    await group.hand_over(HAND_OVER_TIMEOUT)
 
 
 def main() -> None:
--- a/src/turmericmast/programs/member.py
+++ b/src/turmericmast/programs/member.py
@@ -22,6 +22,8 @@
 from turmericmast.wire.requests import NotNow, Refusal
 from turmericmast.wire.server import Handler, PeerServer
 
+HAND_OVER_TIMEOUT = 3.0
+"""Seconds in which a leader that stops should find a successor."""
 MAX_PAGE_BODY = 4_194_304
 """Octets of the largest request of operators."""
 
--- a/src/turmericmast/programs/operators.py
+++ b/src/turmericmast/programs/operators.py
@@ -389,6 +389,7 @@
             'member': seat.member,
             'witness': seat.witness,
             'incarnation': seat.incarnation,
+            'behind': control.group.replica.lag(seat.member),
         }
         for seat in core.membership.seats
     ]
--- a/src/turmericmast/programs/tables.py
+++ b/src/turmericmast/programs/tables.py
@@ -45,10 +45,7 @@
 
 def show_status(document: Mapping[str, Any]) -> str:
     """Return tables of a region."""
-    members = ', '.join(
-        f'{one["member"]}{" (witness)" if one["witness"] else ""}'
-        for one in document['members']
-    )
+    members = ', '.join(map(_show_member, document['members']))
     entries = (
         (one['instance'], one['domain'], one['http'], one['phase'])
         + (str(one['targets']),)
@@ -87,6 +84,22 @@
     )
 
 
+def _show_member(member: Mapping[str, Any]) -> str:
+    notes = [
+        note
+        for note, applies in (
+            ('witness', member['witness']),
+            (f'{member["behind"]} changes behind', member['behind']),
+        )
+        if applies
+    ]
+    return (
+        f'{member["member"]} ({", ".join(notes)})'
+        if notes
+        else member['member']
+    )
+
+
 def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     lines = [tuple(head), *sorted(map(tuple, rows))]
     widths = [
--- a/src/turmericmast/replica/election.py
+++ b/src/turmericmast/replica/election.py
@@ -39,6 +39,19 @@
             return self._campaign(Role.trial, Term(core.vote.term + 1))
         return False
 
+    def take_over(self, now: Seconds) -> bool:
+        """Campaign at once: the leader has given up its lead to this member.
+
+        Its lease is over by its own word, so nobody has to wait for its end.
+        """
+        core = self._core
+        if not core.is_voter or core.seating.is_witness:
+            return False
+        self.postpone(now)
+        core.role = Role.candidate
+        term = Term(core.vote.term + 1)
+        return self._campaign(Role.candidate, term, handed_over=True)
+
     def on_request(self, request: VoteRequest, now: Seconds) -> None:
         """Answer a candidate."""
         core = self._core
@@ -80,7 +93,13 @@
             return self._campaign(Role.candidate, Term(core.vote.term + 1))
         return True
 
-    def _campaign(self, role: Role, term: Term) -> bool:
+    def _campaign(
+        self,
+        role: Role,
+        term: Term,
+        *,
+        handed_over: bool = False,
+    ) -> bool:
         core = self._core
         core.role = role
         core.leader = MemberId('')
@@ -94,6 +113,7 @@
             last_index=core.log.last_index,
             last_term=core.log.last_term,
             trial=role is Role.trial,
+            handed_over=handed_over,
         )
         for member in core.seating.others:
             core.send(member, request)
@@ -104,6 +124,7 @@
         # A follower that hears its leader refuses: the leader's lease and
         # the sessions it grants rest on this.
         quiet = now - core.heard_at >= core.timing.election_min
+        quiet = quiet or request.handed_over
         theirs = (request.last_term, request.last_index)
         ours = (core.log.last_term, core.log.last_index)
         listed = core.membership.lists(request.candidate, request.incarnation)
--- a/src/turmericmast/replica/messages.py
+++ b/src/turmericmast/replica/messages.py
@@ -76,6 +76,17 @@
     last_index: Index
     last_term: Term
     trial: bool
+    handed_over: bool = False
+    """Whether the leader gave up its lead to this candidate."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver:
+    """A leader that is about to stop names its successor."""
+
+    term: Term
+    leader: MemberId
 
 
 @final
@@ -132,5 +143,5 @@
 
 
 Message: TypeAlias = (
-    Probe | VoteRequest | VoteReply | Append | Install | AppendReply
+    Probe | VoteRequest | HandOver | VoteReply | Append | Install | AppendReply
 )
--- a/src/turmericmast/replica/replica.py
+++ b/src/turmericmast/replica/replica.py
@@ -14,6 +14,7 @@
     Append,
     AppendReply,
     EntryKind,
+    HandOver,
     Install,
     Message,
     Probe,
@@ -119,6 +120,8 @@
                 self._on_vote_request(message, now)
             case VoteReply():
                 self._take_office(now, won=self._election.on_reply(message))
+            case HandOver(term=term) if term == self._core.vote.term:
+                self._take_office(now, won=self._election.take_over(now))
             case Probe():
                 self._founding.on_probe(message, now)
 
@@ -130,6 +133,28 @@
             leading.commit()
             leading.spread(now)
 
+    def lag(self, member: MemberId) -> int:
+        """Return how many entries a member lacks, as far as a leader knows."""
+        leading = self._current()
+        return leading.lag(member) if leading else 0
+
+    def hand_over(self) -> bool:
+        """Give up the lead to a member that has every entry.
+
+        Tells whether there is nothing left to give up. From here on this
+        replica grants nothing, so its lease ends with this call.
+        """
+        leading = self._current()
+        if leading is None:
+            return True
+        core = self._core
+        successor = leading.successor()
+        if successor:
+            core.role = core.resting_role()
+            core.leader = MemberId('')
+            core.send(successor, HandOver(core.vote.term, core.seating.me))
+        return successor is not None
+
     def take_effects(self) -> Effects:
         """Return what is to be done, and forget it."""
         effects = self._core.effects
--- a/src/turmericmast/replica/replication.py
+++ b/src/turmericmast/replica/replication.py
@@ -101,6 +101,28 @@
             if is_behind and progress.waiting_since < stale:
                 self._send(member, now)
 
+    def lag(self, member: MemberId) -> int:
+        """Return how many entries a member still lacks, as far as known."""
+        progress = self.progress_by_member.get(member)
+        if progress is None:
+            return 0
+        match = progress.match if self._counts(member, progress) else 0
+        return max(self._core.commit - match, 0)
+
+    def successor(self) -> MemberId | None:
+        """Return a full member that has every entry, if there is one."""
+        core = self._core
+        return next(
+            (
+                member
+                for member in core.membership.full_members()
+                if member != core.seating.me
+                and self.progress_by_member[member].match == core.log.last_index
+                and self._counts(member, self.progress_by_member[member])
+            ),
+            None,
+        )
+
     def on_reply(self, reply: AppendReply, now: Seconds) -> None:
         """Learn how far a member is."""
         core = self._core
--- a/src/turmericmast/web/front.py
+++ b/src/turmericmast/web/front.py
@@ -28,7 +28,7 @@
     parse_address,
     parse_call,
 )
-from turmericmast.web.problem import Problem, respond
+from turmericmast.web.problem import Problem, refuse_unread, respond
 from turmericmast.web.refusals import misdirected, too_large
 from turmericmast.web.sending import Incoming
 
@@ -94,13 +94,7 @@
                 'calls',
                 outcome=f'refused_{problem.status}',
             )
-            respond(
-                self._connection,
-                problem.status,
-                problem.reason,
-                problem.headers(),
-                problem.body(),
-            )
+            self._refuse(problem, headers)
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass on octets of the body."""
@@ -116,6 +110,21 @@
         if self._delegate:
             self._delegate.on_connection_close()
 
+    def _refuse(self, problem: Problem, headers: HTTPHeaders) -> None:
+        has_body = headers.get('Content-Length', '0') != '0' or (
+            'Transfer-Encoding' in headers
+        )
+        if has_body and isinstance(self._connection, HTTP1Connection):
+            refuse_unread(self._connection, problem)
+            return
+        respond(
+            self._connection,
+            problem.status,
+            problem.reason,
+            problem.headers(),
+            problem.body(),
+        )
+
     def _begin(
         self,
         start: RequestStartLine,
@@ -211,6 +220,7 @@
             service,
             DomainId(query.get('domain', entry.domain)),
             values.home_regions,
+            query.get('avoid', '').split(','),
         )
         self._desk.metrics.count('address_answers')
         self._json(
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -1,14 +1,27 @@
 """Errors to callers, as problem details in JSON."""
 
+import asyncio
+import contextlib
 import dataclasses
+import datetime
 import http
 import json
+import socket
 from typing import final
 
+from tornado.gen import with_timeout
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.util import TimeoutError as TornadoTimeoutError
 
 from turmericmast.call.call import Ran
 
+LINGER_SECONDS = 1
+"""Seconds to wait for the caller to close after an early refusal."""
+LINGER_BYTES = 65_536
+LINGER_READS = 64
+"""Pieces of an unread body that are dropped before the connection closes."""
 RAN_HEADER = 'Turmericmast-Ran'
 
 
@@ -61,6 +74,41 @@
         return http.HTTPStatus(self.status).phrase
 
 
+def refuse_unread(connection: HTTP1Connection, problem: Problem) -> None:
+    """Send a problem in place of reading the body of the request.
+
+    The connection is closed only after the caller had time to read: what
+    still arrives is dropped unseen, since closing on unread octets could
+    cost the caller its answer.
+    """
+    body = problem.body()
+    headers = problem.headers()
+    headers['Content-Length'] = str(len(body))
+    headers['Connection'] = 'close'
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.get_all())
+    head = f'HTTP/1.1 {problem.status:d} {problem.reason}\r\n{lines}\r\n'
+    stream = connection.detach()
+    asyncio.ensure_future(_linger(stream, head.encode() + body))
+
+
+async def _linger(stream: IOStream, octets: bytes) -> None:
+    with (
+        contextlib.closing(stream),
+        contextlib.suppress(
+            StreamClosedError,
+            TornadoTimeoutError,
+        ),
+    ):
+        await stream.write(octets)
+        stream.socket.shutdown(socket.SHUT_WR)
+        for _ in range(LINGER_READS):
+            await with_timeout(
+                datetime.timedelta(seconds=LINGER_SECONDS),
+                stream.read_bytes(LINGER_BYTES, partial=True),
+                quiet_exceptions=StreamClosedError,
+            )
+
+
 def respond(
     connection: HTTPConnection,
     status: int,
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -27,6 +27,13 @@
   4: i64 last_index
   5: i64 last_term
   6: bool trial
+  7: bool handed_over
+}
+
+/** A leader that is about to stop names its successor. */
+struct HandOver {
+  1: i64 term
+  2: string leader
 }
 
 /** The answer to a vote request. */
@@ -436,44 +443,45 @@
 struct Body {
   1: optional Probe probe
   2: optional VoteRequest vote_request
-  3: optional VoteReply vote_reply
-  4: optional Append append
-  5: optional Install install
-  6: optional AppendReply append_reply
-  7: optional OpenSession open_session
-  8: optional LeaveSession leave_session
-  9: optional CloseSession close_session
-  10: optional PlaceTarget place_target
-  11: optional ReleaseTarget release_target
-  12: optional WithdrawTarget withdraw_target
-  13: optional SetOutage set_outage
-  14: optional ProposeFleet propose_fleet
-  15: optional AdoptFleet adopt_fleet
-  16: optional ReportRegion report_region
-  17: optional Suspect suspect
-  18: optional Acquit acquit
-  19: optional LiftQuarantine lift_quarantine
-  20: optional NoteSummary note_summary
-  21: optional Begin begin
-  22: optional Settle settle
-  23: optional GiveUp give_up
-  24: optional Purge purge
-  25: optional Renew renew
-  26: optional Granted granted
-  27: optional Watch watch
-  28: optional ChangeRegion change_region
-  29: optional Changed changed
-  30: optional ChangeLedger change_ledger
-  31: optional Follow follow
-  32: optional Followed followed
-  33: optional Refusal refusal
-  34: optional NotNow not_now
-  35: optional Standing standing
-  36: optional Entry entry
-  37: optional Snapshot snapshot
-  38: optional Vote vote
-  39: optional RegionSnapshot region_snapshot
-  40: optional LedgerSnapshot ledger_snapshot
+  3: optional HandOver hand_over
+  4: optional VoteReply vote_reply
+  5: optional Append append
+  6: optional Install install
+  7: optional AppendReply append_reply
+  8: optional OpenSession open_session
+  9: optional LeaveSession leave_session
+  10: optional CloseSession close_session
+  11: optional PlaceTarget place_target
+  12: optional ReleaseTarget release_target
+  13: optional WithdrawTarget withdraw_target
+  14: optional SetOutage set_outage
+  15: optional ProposeFleet propose_fleet
+  16: optional AdoptFleet adopt_fleet
+  17: optional ReportRegion report_region
+  18: optional Suspect suspect
+  19: optional Acquit acquit
+  20: optional LiftQuarantine lift_quarantine
+  21: optional NoteSummary note_summary
+  22: optional Begin begin
+  23: optional Settle settle
+  24: optional GiveUp give_up
+  25: optional Purge purge
+  26: optional Renew renew
+  27: optional Granted granted
+  28: optional Watch watch
+  29: optional ChangeRegion change_region
+  30: optional Changed changed
+  31: optional ChangeLedger change_ledger
+  32: optional Follow follow
+  33: optional Followed followed
+  34: optional Refusal refusal
+  35: optional NotNow not_now
+  36: optional Standing standing
+  37: optional Entry entry
+  38: optional Snapshot snapshot
+  39: optional Vote vote
+  40: optional RegionSnapshot region_snapshot
+  41: optional LedgerSnapshot ledger_snapshot
 }
 
 /** A command for the control group. */
--- a/tests/replica_world.py
+++ b/tests/replica_world.py
@@ -223,6 +223,13 @@
             self.flush(member)
         return True
 
+    def hand_over(self) -> None:
+        """Let the present leader give up its lead."""
+        member = self.leader()
+        if member and member.replica:
+            member.replica.hand_over()
+            self.flush(member)
+
     def crash(self, name: MemberId, *, torn: int = 0) -> None:
         """Stop a process without warning."""
         member = self.member_by_name[name]
--- /dev/null
+++ b/tests/test_checkers.py
@@ -0,0 +1,224 @@
+"""The checkers accept good histories and reject violations."""
+
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from bench import checkers
+
+
+def _start(call: str, key: str = '', at: float = 1, **fields: Any) -> Any:
+    return {
+        'event': 'start',
+        'at': at,
+        'call': call,
+        'key': key,
+        'path': '/x',
+        'target': 't',
+        'domain': 'd',
+        'incarnation': 'i',
+        'in_flight': 1,
+        'limit': 1,
+        **fields,
+    }
+
+
+def _answer(call: str, **fields: Any) -> Any:
+    return {
+        'event': 'answer',
+        'at': 2,
+        'sent_at': 1,
+        'timeout': 4,
+        'call': call,
+        'key': '',
+        'status': 200,
+        'ran': 'yes',
+        'address': 'a',
+        'body': 'b',
+        'digest': 'd',
+        'wanted_digest': 'd',
+        'echo': call,
+        'detail': '',
+        **fields,
+    }
+
+
+def _at(event: str, at: float, **fields: Any) -> Any:
+    return {'event': event, 'at': at, **fields}
+
+
+def _version(version: int, digest: str, process: str = 'p', at: int = 1) -> Any:
+    return _at(
+        'fleet_in_force',
+        at,
+        version=version,
+        digest=digest,
+        process=process,
+    )
+
+
+TABLE = [
+    ('once', checkers.at_most_once, [_start('a', 'k'), _start('b', 'l')], 0),
+    ('twice', checkers.at_most_once, [_start('a', 'k'), _start('b', 'k')], 1),
+    ('unkeyed', checkers.at_most_once, [_start('a'), _start('b')], 0),
+    (
+        'truly_not_run',
+        checkers.not_run_is_true,
+        [_start('a'), _answer('b', ran='no')],
+        0,
+    ),
+    (
+        'ran_before',
+        checkers.not_run_is_true,
+        [_start('a'), _answer('a', ran='no')],
+        1,
+    ),
+    (
+        'ran_later',
+        checkers.not_run_is_true,
+        [_answer('a', ran='no'), _start('a', at=9)],
+        1,
+    ),
+    (
+        'unknown_says_nothing',
+        checkers.not_run_is_true,
+        [_start('a'), _answer('a', ran='unknown')],
+        0,
+    ),
+    (
+        'replayed',
+        checkers.same_answer,
+        [_answer('a', key='k'), _answer('b', key='k')],
+        0,
+    ),
+    (
+        'another_answer',
+        checkers.same_answer,
+        [_answer('a', key='k'), _answer('b', key='k', body='c')],
+        1,
+    ),
+    ('whole', checkers.whole_answers, [_answer('a')], 0),
+    ('short', checkers.whole_answers, [_answer('a', digest='e')], 1),
+    ('of_another', checkers.whole_answers, [_answer('a', echo='b')], 1),
+    ('broken', checkers.whole_answers, [_answer('a', status=0, digest='')], 0),
+    ('in_time', checkers.in_time, [_answer('a', at=5)], 0),
+    ('late', checkers.in_time, [_answer('a', at=6)], 1),
+    ('late_and_broken', checkers.in_time, [_answer('a', at=6, status=0)], 1),
+    (
+        'frozen',
+        checkers.in_time,
+        [_at('frozen', 2, address='a'), _answer('a', at=6, status=0)],
+        0,
+    ),
+    (
+        'another_frozen',
+        checkers.in_time,
+        [_at('frozen', 2, address='b'), _answer('a', at=6, status=0)],
+        1,
+    ),
+    (
+        'thawed_long_before',
+        checkers.in_time,
+        [
+            _at('frozen', 0, address='a'),
+            _at('thawed', 0.5, address='a'),
+            _answer('a', at=6, status=0),
+        ],
+        1,
+    ),
+    (
+        'silent',
+        checkers.silent_domain,
+        [_at('taken_out', 1, domain='d'), _start('a', at=5)],
+        0,
+    ),
+    (
+        'not_silent',
+        checkers.silent_domain,
+        [_at('taken_out', 1, domain='d'), _start('a', at=7)],
+        1,
+    ),
+    (
+        'returned',
+        checkers.silent_domain,
+        [
+            _at('taken_out', 1, domain='d'),
+            _at('returned', 6.5, domain='d'),
+            _start('a', at=7),
+        ],
+        0,
+    ),
+    (
+        'left',
+        checkers.silent_target,
+        [_at('leaving', 1, incarnation='i'), _start('a', at=7)],
+        1,
+    ),
+    (
+        'came_back',
+        checkers.silent_target,
+        [_at('leaving', 1, incarnation='h'), _start('a', at=7)],
+        0,
+    ),
+    ('cold', checkers.cold_limits, [_start('a')], 0),
+    ('too_much', checkers.cold_limits, [_start('a', in_flight=2)], 1),
+    ('served', checkers.no_caller_error, [_answer('a')], 0),
+    ('refused', checkers.no_caller_error, [_answer('a', status=503)], 1),
+    (
+        'contained',
+        checkers.crashes_contained,
+        [_start(one, path='/poison1') for one in 'ab'],
+        0,
+    ),
+    (
+        'spreading',
+        checkers.crashes_contained,
+        [_start(one, path='/poison1') for one in 'abc'],
+        1,
+    ),
+    (
+        'forward',
+        checkers.versions_never_revert,
+        [_version(1, 'a', at=1), _version(2, 'b', at=2)],
+        0,
+    ),
+    (
+        'back',
+        checkers.versions_never_revert,
+        [_version(2, 'b', at=1), _version(1, 'a', at=2)],
+        1,
+    ),
+    (
+        'two_documents',
+        checkers.versions_never_revert,
+        [_version(1, 'a'), _version(1, 'b', process='q')],
+        1,
+    ),
+    (
+        'accepted',
+        checkers.accepted_in_time,
+        [_at('accepted', 1, version=1, took=4.9)],
+        0,
+    ),
+    (
+        'accepted_late',
+        checkers.accepted_in_time,
+        [_at('accepted', 1, version=1, took=5.1)],
+        1,
+    ),
+]
+
+
+class CheckersTest(unittest.TestCase):
+    """Hand-written histories, good and violating."""
+
+    @parameterized.expand(TABLE)
+    def test_history(
+        self,
+        _name: str,
+        checker: Any,
+        history: list[Any],
+        expected: int,
+    ) -> None:
+        self.assertEqual(expected, len(checker(history)))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -84,6 +84,26 @@
         world.run(2.5)
         self.assertIn(b'after', world.acknowledged.values())
 
+    @parameterized.expand(GROUPS)
+    def test_lead_is_handed_over_without_a_timeout(
+        self,
+        _name: str,
+        full: int,
+        witnesses: int,
+    ) -> None:
+        world = _settled(full, witnesses)
+        first = world.leader()
+        assert first is not None
+        world.hand_over()
+        world.run(0.3)
+        second = world.leader()
+        assert second is not None
+        self.assertIsNot(first, second)
+        world.check_leases()
+        world.propose(b'after')
+        world.run(0.5)
+        self.assertIn(b'after', world.acknowledged.values())
+
     @parameterized.expand(GROUPS)
     def test_second_loss_right_after_a_repair_forgets_nothing(
         self,
--- a/tests/test_replica_stateful.py
+++ b/tests/test_replica_stateful.py
@@ -101,6 +101,10 @@
     def crash(self, one: int, torn: int) -> None:
         self.world.crash(self.world.names[one], torn=torn)
 
+    @rule()
+    def hand_over(self) -> None:
+        self.world.hand_over()
+
     @rule(one=MEMBERS)
     def restart(self, one: int) -> None:
         self.world.restart(self.world.names[one])
