--- /dev/null
+++ b/bench/bench.py
@@ -0,0 +1,541 @@
+"""Measurements on loopback, bounded in time: ``bin/bench NAME``.
+
+Arrivals are open-loop, and a call's time counts from when it should have
+been sent. Each bench prints a table and writes ``run/bench/NAME.json``;
+with matplotlib, a picture beside it.
+"""
+
+import asyncio
+import heapq
+import json
+import pathlib
+import random
+import shutil
+import sys
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from types import MappingProxyType
+from typing import Any, TypeAlias
+
+from absl import app, flags
+
+from bench.callers import Answered, Caller, open_loop, plain
+from bench.client import RawClient
+from bench.fleet import Fleet
+from bench.layout import FleetShape, RegionShape
+from bench.meter import (
+    percentiles,
+    read_counters,
+    read_process,
+    slope,
+    spent,
+)
+from bench.pages import request
+from bench.scene import TWO_DOMAINS, Scene
+from bench.weather import Climate, Weather
+from turmericmast.service.policy import POLICIES
+
+SEED = flags.DEFINE_integer('seed', 1, 'Seed of all random choices.')
+ROUNDS = flags.DEFINE_integer('rounds', 1, 'Times that each case is run.')
+SECONDS = flags.DEFINE_float('seconds', 12, 'Length of one case.')
+
+Row: TypeAlias = dict[str, Any]
+Bench: TypeAlias = Callable[[], Coroutine[Any, Any, list[Row]]]
+
+TARGETS = 20
+SLOTS = 4
+MEAN_WORK = 0.08
+LOAD = 0.7
+FOLDER = pathlib.Path('run/bench')
+
+
+async def shift() -> list[Row]:
+    """Policies while targets slow down 10 to 50 times for a moment."""
+    rows = []
+    for round_ in range(ROUNDS.value):
+        for policy in POLICIES:
+            row = await _shift_once(policy, SEED.value + round_)
+            rows.append(row)
+            _print_rows([row])
+    return rows
+
+
+async def _shift_once(policy: str, seed: int) -> Row:
+    fleet = _new_fleet('shift', TWO_DOMAINS)
+    fleet.entry_flags = [f'--policy={policy}']
+    with fleet:
+        epoch = time.time()
+        for number in range(TARGETS):
+            fleet.start_target(
+                f't{number}',
+                [
+                    f'--domain=tirol-{"ab"[number % 2]}',
+                    f'--epoch={epoch}',
+                    f'--weather={seed}-{number}',
+                    '--queues',
+                    '--quiet',
+                ],
+            )
+        fleet.await_ready(TARGETS)
+        callers = _callers(fleet, 'stock')
+        rate = LOAD * TARGETS * SLOTS / MEAN_WORK
+        source = random.Random(seed)
+        works: dict[float, float] = {}
+
+        def call(
+            caller: Caller,
+            due: float,
+        ) -> Coroutine[Any, Any, Answered]:
+            work = MEAN_WORK * source.uniform(0.5, 1.5)
+            works[due] = work
+            return caller.call(f'/x?ms={work * 1000:.3f}', due=due)
+
+        await open_loop(callers, rate / 4, 3, call, seed)
+        works.clear()
+        answers = await open_loop(callers, rate, SECONDS.value, call, seed)
+        to_wall = time.time() - time.monotonic() - epoch
+        bound = _bound(
+            [(due + to_wall, work) for due, work in works.items()],
+            seed,
+        )
+    times = [one.took for one in answers if one.status == 200]
+    return {
+        'policy': policy,
+        'calls': len(answers),
+        'failed': len(answers) - len(times),
+        **_named(percentiles(times)),
+        'bound p99': round(percentiles(bound)[2], 1),
+    }
+
+
+def _bound(calls: Sequence[tuple[float, float]], seed: int) -> list[float]:
+    """Return the times of a central queue that knows the weather.
+
+    Each call, in its order, goes to the slot that would finish it first.
+    """
+    weathers = [
+        Weather(f'{seed}-{number}', Climate()) for number in range(TARGETS)
+    ]
+    free_at = [[float(0)] * SLOTS for _ in range(TARGETS)]
+    for slots in free_at:
+        heapq.heapify(slots)
+    took = []
+    for arrival, work in calls:
+        best, end = min(
+            (
+                (
+                    number,
+                    weather.finish(max(free_at[number][0], arrival), work),
+                )
+                for number, weather in enumerate(weathers)
+            ),
+            key=lambda pair: pair[1],
+        )
+        heapq.heapreplace(free_at[best], end)
+        took.append(end - arrival)
+    return took
+
+
+async def added() -> list[Row]:
+    """Time that a hop adds: pairs of direct calls and calls by an entry."""
+    fleet = _new_fleet('added', TWO_DOMAINS)
+    with fleet:
+        for number in range(4):
+            domain = f'--domain=tirol-{"ab"[number % 2]}'
+            fleet.start_target(f't{number}', [domain, '--quiet'])
+        fleet.await_ready(4)
+        await asyncio.sleep(2)
+        target = fleet.address_by_target['t0']
+        owner = await _owner_of(fleet, 'stock')
+        client = RawClient()
+        direct, hop = [], []
+        for _ in range(3000):
+            direct.append(await _timed(client, target, '/x?ms=1'))
+            hop.append(await _timed(client, owner, '/stock/x?ms=1'))
+        differences = [two - one for one, two in zip(direct, hop, strict=True)]
+        differences.sort()
+        rate = await _rate(fleet, owner)
+    return [
+        {'calls': 'direct', **_named(percentiles(direct))},
+        {'calls': 'by an entry', **_named(percentiles(hop))},
+        {
+            'calls': 'added, by pairs',
+            'p50': round(differences[1500] * 1000, 3),
+            'p90': round(differences[2700] * 1000, 3),
+            'p99': round(differences[2970] * 1000, 3),
+        },
+        rate,
+    ]
+
+
+async def _timed(client: RawClient, address: str, path: str) -> float:
+    started = time.perf_counter()
+    answer = await client.fetch(address, path)
+    if answer.status != 200:
+        raise RuntimeError(f'{address}{path}: {answer}')
+    return time.perf_counter() - started
+
+
+async def _rate(fleet: Fleet, owner: str) -> Row:
+    """Drive one entry as hard as it goes, and read what a call costs."""
+    name = next(plan.name for plan in fleet.entries() if plan.http == owner)
+    client = RawClient()
+    done = 0
+    until = time.monotonic() + 6
+
+    async def work() -> None:
+        nonlocal done
+        while time.monotonic() < until:
+            answer = await client.fetch(owner, '/stock/x?ms=0')
+            done += answer.status == 200
+
+    before = read_process(fleet, name)
+    await asyncio.gather(*(work() for _ in range(8)))
+    used = spent(before, read_process(fleet, name))
+    return {
+        'calls': 'one entry, driven',
+        'calls/s': round(done / 6),
+        'core %': round(used.core),
+        'us a call': round(used.core / 100 * 6 / done * 1e6),
+        'rss MiB': round(used.rss),
+    }
+
+
+async def domain() -> list[Row]:
+    """A domain is taken out and returned, then killed, at 60% load."""
+    with Scene('bench-domain', TWO_DOMAINS, SEED.value) as scene:
+        scene.add_targets('stock', TARGETS, '--quiet')
+        await scene.run_blocking(scene.fleet.await_ready, TARGETS)
+        callers = _callers(scene.fleet, 'stock')
+        # 60% of what both domains bear would be 120% of one.
+        rate = 0.3 * TARGETS * SLOTS / MEAN_WORK
+        warm = plain('/x?ms=20')
+        await open_loop(callers, rate, 4, warm)
+        started = time.monotonic()
+        running = asyncio.ensure_future(
+            open_loop(callers, rate, 40, plain('/x?ms=80', timeout=5)),
+        )
+        marks = {'before': 0.0}
+        await asyncio.sleep(6)
+        marks['taken out'] = time.monotonic() - started
+        await scene.set_out('tirol', 'tirol-b', out=True)
+        await asyncio.sleep(8)
+        marks['returned'] = time.monotonic() - started
+        await scene.set_out('tirol', 'tirol-b', out=False)
+        await asyncio.sleep(8)
+        marks['killed'] = time.monotonic() - started
+        lost = [
+            plan.name for plan in scene.fleet.plans if plan.domain == 'tirol-b'
+        ]
+        for name in (*lost, *scene.targets[1::2]):
+            scene.fleet.kill(name)
+        answers = await running
+    edges = [*marks.values(), 1e9]
+    rows = []
+    for position, phase in enumerate(marks):
+        inside = [
+            one
+            for one in answers
+            if edges[position] <= one.sent_at - started < edges[position + 1]
+        ]
+        bad = [one for one in inside if one.status != 200]
+        rows.append(
+            {
+                'phase': phase,
+                'calls': len(inside),
+                'failed': len(bad),
+                'error seconds': len({int(one.sent_at) for one in bad}),
+                **_named(percentiles(one.took for one in inside)),
+            },
+        )
+    return rows
+
+
+async def overload() -> list[Row]:
+    """Twice what the targets bear: what is still answered, and what not."""
+    rows = []
+    for load in (0.7, 2.0):
+        fleet = _new_fleet('overload', TWO_DOMAINS)
+        with fleet:
+            for number in range(8):
+                site = f'--domain=tirol-{"ab"[number % 2]}'
+                fleet.start_target(f't{number}', [site, '--quiet'])
+            fleet.await_ready(8)
+            callers = _callers(fleet, 'stock')
+            capacity = 8 * SLOTS / MEAN_WORK
+            warm = plain('/x?ms=20')
+            await open_loop(callers, capacity, 5, warm)
+            work = plain(f'/x?ms={MEAN_WORK * 1000:.0f}', timeout=2)
+            rate = load * capacity
+            answers = await open_loop(callers, rate, SECONDS.value, work)
+        good = [one.took for one in answers if one.status == 200]
+        bad = [one for one in answers if one.status != 200]
+        rows.append(
+            {
+                'load': load,
+                'calls': len(answers),
+                'goodput %': round(
+                    100 * len(good) / (capacity * SECONDS.value),
+                    1,
+                ),
+                'not run': sum(one.ran == 'no' for one in bad),
+                'other errors': sum(one.ran != 'no' for one in bad),
+                'refusal p99': round(
+                    percentiles(one.took for one in bad)[2],
+                    1,
+                ),
+                **_named(percentiles(good)),
+            },
+        )
+    return rows
+
+
+async def pause() -> list[Row]:
+    """All targets stop for a second, with retries off, budgeted, unbounded."""
+    rows = []
+    for ratio in (0, 0.1, 1):
+        with Scene('bench-pause', TWO_DOMAINS, SEED.value) as scene:
+            await scene.propose({'defaults': {'retry_ratio': ratio}})
+            scene.add_targets('stock', 8)
+            await scene.run_blocking(scene.fleet.await_ready, 8)
+            callers = _callers(scene.fleet, 'stock')
+            work = plain('/x?ms=20', timeout=0.8)
+            await open_loop(callers, 300, 3, work)
+            answering = asyncio.ensure_future(
+                open_loop(callers, 600, 8, work),
+            )
+            started = time.monotonic()
+            await asyncio.sleep(2)
+            for address in scene.fleet.address_by_target.values():
+                request('GET', f'http://{address}/-/pause?ms=1000')
+            answers = await answering
+            history = scene.history.everything()
+        runs = sum(event['event'] == 'start' for event in history)
+        late = [
+            one.sent_at - started
+            for one in answers
+            if one.status != 200 or one.took > 0.2
+        ]
+        rows.append(
+            {
+                'retry ratio': ratio,
+                'calls': len(answers),
+                'failed': sum(one.status != 200 for one in answers),
+                'attempts a call': round(runs / (len(answers) + 900), 3),
+                'normal after s': round(max(late, default=0) - 3, 2),
+                **_named(percentiles(one.took for one in answers)),
+            },
+        )
+    return rows
+
+
+async def control() -> list[Row]:
+    """What control costs by entries, by targets and by changes."""
+    rows = []
+    for entries, targets in (
+        (2, 40),
+        (4, 40),
+        (8, 40),
+        (16, 40),
+        (4, 200),
+        (4, 600),
+        (4, 1300),
+    ):
+        row = await _control_once(entries, targets)
+        rows.append(row)
+        _print_rows([row])
+    return rows
+
+
+async def _control_once(entries: int, targets: int) -> Row:
+    shape = FleetShape(
+        (RegionShape('tirol', ('tirol-a', 'tirol-b'), entries // 2),),
+    )
+    with Scene('bench-control', shape, SEED.value) as scene:
+        fleet = scene.fleet
+        fleet.start_herd(targets, ('tirol-a', 'tirol-b'))
+        await scene.run_blocking(fleet.await_ready, targets)
+        await asyncio.sleep(3)
+        leader = fleet.leader('control', 'tirol')
+        names = [*fleet.names('control'), fleet.entries()[0].name]
+        before = {name: read_process(fleet, name) for name in names}
+        await asyncio.sleep(SECONDS.value)
+        idle = {
+            name: spent(before[name], read_process(fleet, name))
+            for name in names
+        }
+        took = []
+        for number in range(5):
+            _, told = await scene.propose(
+                {'defaults': {'queue_limit': 300 + number}},
+            )
+            took.append(await scene.await_accepted(told['version']))
+        burst = await _burst(scene)
+        counters = read_counters(fleet.entries()[0].http)
+        follower = next(name for name in names[:2] if name != leader)
+    entry = names[-1]
+    return {
+        'entries': entries,
+        'targets': targets,
+        **_cost('leader', idle[leader]),
+        **_cost('follower', idle[follower]),
+        **_cost('entry', idle[entry]),
+        'change s': round(max(took), 2),
+        'burst of 50 s': round(burst, 2),
+        'heard B/s': round(
+            counters.get('turmericmast_measure_bytes_total', 0)
+            / (time.monotonic() - before[entry].at + 6),
+        ),
+    }
+
+
+async def _burst(scene: Scene) -> float:
+    """Return the seconds until the last of 50 changes is accepted."""
+    started = time.monotonic()
+    version = 0
+    for number in range(50):
+        status, told = await scene.propose(
+            {'defaults': {'queue_limit': 500 + number}},
+        )
+        version = told['version'] if status == 200 else version
+    await scene.await_accepted(version)
+    return time.monotonic() - started
+
+
+async def keyed() -> list[Row]:
+    """What a keyed order costs the ledger, at three rates."""
+    rows = []
+    for rate in (100, 300, 600):
+        with Scene('bench-keyed', TWO_DOMAINS, SEED.value) as scene:
+            scene.add_targets('orders', 8, '--quiet')
+            await scene.run_blocking(scene.fleet.await_ready, 8)
+            callers = _callers(scene.fleet, 'orders')
+            await open_loop(callers, 200, 4, plain('/x?ms=5'))
+
+            def order(
+                caller: Caller,
+                due: float,
+            ) -> Coroutine[Any, Any, Answered]:
+                return caller.call(
+                    '/pay?ms=5',
+                    method='POST',
+                    body=b'{"order": 1}',
+                    headers={'Idempotency-Key': scene.next_id('k')},
+                    due=due,
+                )
+
+            names = [
+                name
+                for name in scene.fleet.names('ledger')
+                if not name.endswith('-2')
+            ]
+            before = {n: read_process(scene.fleet, n) for n in names}
+            answers = await open_loop(callers, rate, 10, order)
+            after = {n: read_process(scene.fleet, n) for n in names}
+        used = {name: spent(before[name], after[name]) for name in names}
+        costs = sorted(used.values(), key=lambda one: -one.sent)
+        rows.append(
+            {
+                'orders/s': rate,
+                'failed': sum(one.status != 200 for one in answers),
+                **_cost('leader', costs[0]),
+                **_cost('follower', costs[1]),
+                **_named(percentiles(one.took for one in answers)),
+            },
+        )
+    per_unit, at_zero = slope(
+        [(row['orders/s'], row['leader core %']) for row in rows],
+    )
+    rows.append(
+        {
+            'orders/s': 'fit',
+            'leader core %': f'{at_zero:.2f} + {per_unit:.4f} an order/s',
+        },
+    )
+    return rows
+
+
+def _cost(role: str, used: Any) -> Row:
+    return {
+        f'{role} core %': round(used.core, 2),
+        f'{role} MiB': round(used.rss, 1),
+        f'{role} B/s': round(used.sent),
+    }
+
+
+def _named(numbers: Sequence[float]) -> Row:
+    names = ('p50', 'p90', 'p99', 'p99.9')
+    return {
+        name: round(number, 2)
+        for name, number in zip(names, numbers, strict=True)
+    }
+
+
+async def _owner_of(fleet: Fleet, service: str) -> str:
+    """Return the entry that owns ``t0``, alone with the other of its domain."""
+    caller = Caller([plan.http for plan in fleet.entries()], service, 'tirol-a')
+    return await caller.address()
+
+
+def _callers(fleet: Fleet, service: str) -> list[Caller]:
+    entries = [plan.http for plan in fleet.entries()]
+    return [
+        Caller(entries, service, domain_name, seed)
+        for seed, domain_name in enumerate(
+            fleet.shape.regions[0].domains * 4,
+        )
+    ]
+
+
+def _new_fleet(name: str, shape: FleetShape) -> Fleet:
+    folder = FOLDER / name
+    shutil.rmtree(folder, ignore_errors=True)
+    return Fleet(shape, folder.absolute())
+
+
+def _print_rows(rows: Sequence[Row]) -> None:
+    for row in rows:
+        shown = '  '.join(f'{name}: {number}' for name, number in row.items())
+        sys.stdout.write(f'{shown}\n')
+    sys.stdout.flush()
+
+
+def _write(name: str, rows: Sequence[Row]) -> None:
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    path = FOLDER / f'{name}.json'
+    document = {'bench': name, 'seed': SEED.value, 'rows': list(rows)}
+    path.write_text(f'{json.dumps(document, indent=1)}\n', encoding='utf-8')
+    try:
+        from bench import picture
+    except ImportError:
+        sys.stdout.write('no picture: matplotlib is not installed\n')
+        return
+    picture.draw(name, rows, path.with_suffix('.png'))
+
+
+BENCH_BY_NAME: MappingProxyType[str, Bench] = MappingProxyType(
+    {
+        one.__name__: one
+        for one in (shift, added, domain, overload, pause, control, keyed)
+    },
+)
+
+
+def _run(arguments: Sequence[str]) -> int:
+    names = arguments[1:]
+    unknown = [name for name in names if name not in BENCH_BY_NAME]
+    if unknown or not names:
+        known = ', '.join(BENCH_BY_NAME)
+        sys.stderr.write(f'name some of: {known}\n')
+        return 2
+    for name in names:
+        sys.stdout.write(f'== {name}, seed {SEED.value}\n')
+        rows = asyncio.run(BENCH_BY_NAME[name]())
+        if name not in {'shift', 'control'}:
+            _print_rows(rows)
+        _write(name, rows)
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,6 +34,7 @@
         self.plan_by_name = {plan.name: plan for plan in self.plans}
         self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self.address_by_target: dict[str, str] = {}
+        self.entry_flags: list[str] = []
 
     def __enter__(self) -> Self:
         """Start the control groups, the ledgers, then the entries."""
@@ -58,15 +59,17 @@
     def start(self, name: str) -> None:
         """Start a process of the system."""
         plan = self.plan_by_name[name]
-        self._spawn(
-            name,
-            [
-                sys.executable,
-                '-c',
-                RUN_PROGRAM.format(plan.program),
-                f'--settings={plan.settings}',
-            ],
-        )
+        self._spawn(name, self._command(plan))
+
+    def _command(self, plan: ProcessPlan) -> list[str]:
+        flags = self.entry_flags if plan.program == 'entry' else []
+        return [
+            sys.executable,
+            '-c',
+            RUN_PROGRAM.format(plan.program),
+            f'--settings={plan.settings}',
+            *flags,
+        ]
 
     def start_target(self, name: str, arguments: Sequence[str]) -> None:
         """Start a stand-in target at an address of its own."""
@@ -89,6 +92,22 @@
             ],
         )
 
+    def start_herd(self, count: int, domains: Sequence[str]) -> None:
+        """Start a process that announces many targets."""
+        entries = ','.join(plan.http for plan in self.entries())
+        self._spawn(
+            'herd',
+            [
+                sys.executable,
+                '-m',
+                'bench.herd',
+                f'--count={count}',
+                f'--services={max(count // 7, 1)}',
+                f'--domains={",".join(domains)}',
+                f'--entries={entries}',
+            ],
+        )
+
     def stop(self, name: str) -> int:
         """Ask a process to stop, and return its exit status."""
         self._signal(name, signal.SIGTERM)
--- /dev/null
+++ b/bench/picture.py
@@ -0,0 +1,36 @@
+"""One picture of a bench; needs matplotlib."""
+
+import pathlib
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import matplotlib as mpl
+
+mpl.use('Agg')
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+QUANTILES = ('p50', 'p90', 'p99', 'p99.9')
+
+
+def draw(
+    name: str,
+    rows: Sequence[Mapping[str, Any]],
+    path: pathlib.Path,
+) -> None:
+    """Draw the percentiles of each row, or its numbers where it has none."""
+    figure, axes = plt.subplots(figsize=(8, 4))
+    for row in rows:
+        label = str(next(iter(row.values())))
+        drawn = [one for one in QUANTILES if one in row] or [
+            one
+            for one, number in row.items()
+            if isinstance(number, (int, float))
+        ]
+        axes.plot(drawn, [row[one] for one in drawn], marker='o', label=label)
+    axes.set_yscale('symlog')
+    axes.set_title(name)
+    axes.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import hashlib
 import json
 import os
@@ -14,12 +15,13 @@
 import signal
 import time
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, final
 
 from absl import app, flags
 
 from bench.announcer import Announcer
+from bench.weather import Climate, Weather
 
 NAME = flags.DEFINE_string('name', 't1', 'Id of the target.')
 SERVICE = flags.DEFINE_string('service', 'stock', 'Service it belongs to.')
@@ -31,6 +33,9 @@
 WARM_AFTER = flags.DEFINE_float('warm_after', 0.5, 'Seconds until it is warm.')
 ENTRIES = flags.DEFINE_list('entries', [], 'Entries to announce to.')
 LOG = flags.DEFINE_string('log', '', 'File for the lines.')
+EPOCH = flags.DEFINE_float('epoch', 0, 'Wall time at which weather begins.')
+WEATHER = flags.DEFINE_string('weather', '', 'Seed of slow spells.')
+QUEUES = flags.DEFINE_bool('queues', False, 'Queue what is over the slots.')
 QUIET = flags.DEFINE_bool('quiet', False, 'Leave out lines for requests.')
 
 DRAIN_TIMEOUT = 30.0
@@ -53,6 +58,12 @@
         self.paused_until = float(0)
         self.factor = float(1)
         self.is_failing = False
+        self.weather = (
+            Weather(WEATHER.value, Climate()) if WEATHER.value else None
+        )
+        self.waiting: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
         self._log = os.open(
             LOG.value or os.devnull,
             os.O_WRONLY | os.O_APPEND | os.O_CREAT,
@@ -119,6 +130,9 @@
 
     def seconds_for(self, wanted: float) -> float:
         """Return how long a request takes that wants so many seconds."""
+        if self.weather:
+            now = time.time() - EPOCH.value
+            return self.weather.finish(now, wanted) - now
         cold = COLD_FACTOR if self.is_cold else 1
         pause = max(self.paused_until - time.monotonic(), 0)
         return wanted * self.factor * cold + pause
@@ -174,6 +188,10 @@
         if standin.is_failing:
             self._send(500, '', b'failing')
             return
+        if standin.in_flight >= SLOTS.value and QUEUES.value:
+            # Nothing else comes on this connection before its answer.
+            standin.waiting.append(lambda: self._start(method, target, headers))
+            return
         if standin.in_flight >= SLOTS.value:
             standin.write('shed', call=headers.get('x-call', ''))
             self._send(503, 'Turmericmast-Ran: no\r\n', b'busy')
@@ -221,6 +239,8 @@
         if not QUIET.value and self._running:
             self._standin.write(event, **self._running)
         self._running = None
+        if self._standin.waiting:
+            self._standin.waiting.popleft()()
 
     def _send(self, status: int, extra: str, body: bytes) -> None:
         if self._transport:
--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -23,6 +23,7 @@
 from turmericmast.region.records import Feed, FleetRecord
 from turmericmast.region.view import RegionView
 from turmericmast.service.backlog import Waiting
+from turmericmast.service.policy import POLICIES, make_policy
 from turmericmast.service.service import Dispatch
 from turmericmast.session.lease import Lease
 from turmericmast.target.announcement import Announcement
@@ -39,6 +40,7 @@
         domain: DomainId,
         instance: InstanceId,
         source: random.Random,
+        policy: str = POLICIES[0],
     ) -> None:
         """Start without a lease and without targets."""
         self.region = region
@@ -49,7 +51,10 @@
         self.document = FleetDocument()
         self.version = Version(0)
         self.is_leaving = False
-        self.ownership = Ownership(instance)
+        self.ownership = Ownership(
+            instance,
+            lambda: make_policy(policy, source),
+        )
         self.router = Router(region, instance, self.view, source)
 
     def renew(
--- a/src/turmericmast/entry/ownership.py
+++ b/src/turmericmast/entry/ownership.py
@@ -1,13 +1,13 @@
 """The targets an entry owns, kept in step with what the region says."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import final
 
 from turmericmast.fleet.document import FleetDocument
 from turmericmast.ids import CallId, InstanceId, Seconds, ServiceId, TargetId
 from turmericmast.region.records import Placement
 from turmericmast.region.view import RegionView
-from turmericmast.service.policy import LeastAgePolicy
+from turmericmast.service.policy import Policy
 from turmericmast.service.service import Service
 from turmericmast.target.announcement import Announcement
 from turmericmast.target.target import Target
@@ -17,9 +17,14 @@
 class Ownership:
     """Services and their owned targets."""
 
-    def __init__(self, instance: InstanceId) -> None:
-        """Own nothing."""
+    def __init__(
+        self,
+        instance: InstanceId,
+        make_policy: Callable[[], Policy],
+    ) -> None:
+        """Own nothing; each service gets a policy of its own."""
         self.instance = instance
+        self._make_policy = make_policy
         self.service_by_id: dict[ServiceId, Service] = {}
         self.incoming: frozenset[ServiceId] = frozenset()
         """Services with targets that another owner is about to release."""
@@ -32,7 +37,7 @@
             values = document.values_for({'service': name})
             known = Service(
                 name,
-                LeastAgePolicy(),
+                self._make_policy(),
                 values.queue_limit,
                 values.retry_ratio,
             )
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import final
 
+from absl import flags
 from returns.result import Success
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
@@ -18,6 +19,7 @@
     LeaveSession,
     ReleaseTarget,
 )
+from turmericmast.service.policy import POLICIES
 from turmericmast.session.roll import RENEW_INTERVAL
 from turmericmast.target.target import Target
 from turmericmast.units import MILLIS
@@ -28,6 +30,13 @@
 from turmericmast.wire.client import GroupClient
 from turmericmast.wire.requests import Granted, Renew, Watch
 
+POLICY = flags.DEFINE_enum(
+    'policy',
+    POLICIES[0],
+    POLICIES,
+    'How to choose targets; all but the first are there to compare with.',
+)
+
 RENEW_TIMEOUT = 1.0
 WATCH_TIMEOUT = 25.0
 SWEEP_MS = 250
@@ -221,6 +230,7 @@
         settings.domain,
         settings.instance,
         random.Random(),  # noqa: S311
+        POLICY.value,
     )
     desk = Desk(
         entry,
--- a/src/turmericmast/service/policy.py
+++ b/src/turmericmast/service/policy.py
@@ -13,6 +13,9 @@
 class Policy(abc.ABC):
     """Chooses one of several targets; the sequence is never empty."""
 
+    is_blind = False
+    """Whether it sends at once, without regard to free slots."""
+
     @abc.abstractmethod
     def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
         """Return the target that the next call goes to."""
@@ -22,6 +25,8 @@
 class RandomPolicy(Policy):
     """Any target, with equal chance."""
 
+    is_blind = True
+
     def __init__(self, source: random.Random) -> None:
         """Draw from ``source``."""
         self._source = source
@@ -35,6 +40,8 @@
 class RoundRobinPolicy(Policy):
     """One target after the other."""
 
+    is_blind = True
+
     def __init__(self) -> None:
         """Start with the first target."""
         self._turn = itertools.count()
@@ -48,6 +55,8 @@
 class TwoChoicesPolicy(Policy):
     """The less loaded of two targets drawn at random."""
 
+    is_blind = True
+
     def __init__(self, source: random.Random) -> None:
         """Draw from ``source``."""
         self._source = source
@@ -58,6 +67,24 @@
         return min(pair, key=lambda target: len(target.in_flight))
 
 
+@final
+class LeastReportedPolicy(Policy):
+    """The target that reported the lowest load, however long ago."""
+
+    is_blind = True
+
+    def __init__(self, source: random.Random) -> None:
+        """Break ties by ``source``."""
+        self._source = source
+
+    def choose(self, targets: Sequence[Target], now: Seconds) -> Target:
+        """Return the one with the fewest requests by its own word."""
+        return min(
+            targets,
+            key=lambda target: (target.reported, self._source.random()),
+        )
+
+
 @final
 class LeastAgePolicy(Policy):
     """The target whose present requests promise the soonest answer.
@@ -75,3 +102,25 @@
     share = len(target.in_flight) / max(target.limit, 1)
     expected = max(target.mean_time, target.oldest_age(now))
     return (expected * (1 + share), share)
+
+
+def make_policy(name: str, source: random.Random) -> Policy:
+    """Return the policy of a name; the others are there to compare with."""
+    made: dict[str, Policy] = {
+        'least-age': LeastAgePolicy(),
+        'random': RandomPolicy(source),
+        'round-robin': RoundRobinPolicy(),
+        'two-choices': TwoChoicesPolicy(source),
+        'least-reported': LeastReportedPolicy(source),
+    }
+    return made[name]
+
+
+POLICIES = (
+    'least-age',
+    'random',
+    'round-robin',
+    'two-choices',
+    'least-reported',
+)
+"""Names that ``make_policy`` knows, the default first."""
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -86,10 +86,14 @@
         self.is_moving = False
         """Whether it is to be released to another owner."""
         self.announce_interval = 1.0
+        self.reported = 0
+        """Requests in flight by the target's own, stale word."""
         self.in_flight: dict[CallId, Seconds] = {}
         self.mean_time = float(0)
         self._ramp = Ramp(spec.cold_slots, spec.slots)
-        self._state = TargetState.ready
+        # Until the target itself says otherwise: the last owner may have
+        # known it cold, and successes alone do not make it warm.
+        self._state = TargetState.cold
         self._heard_at = now
         self._foreign = spec.slots if wary else 0
         self._foreign_until = now + FOREIGN_LIMIT if wary else now
@@ -114,15 +118,18 @@
             return self.spec.cold_slots
         return self._ramp.limit
 
-    def free(self, now: Seconds) -> int:
-        """Return how many requests may start now."""
-        closed = (
+    def is_open(self, now: Seconds) -> bool:
+        """Tell whether any new work may be sent at all."""
+        return not (
             self.is_excluded
             or self.is_leaving
             or now < self._paused_until
             or self.is_silent(now)
         )
-        if closed:
+
+    def free(self, now: Seconds) -> int:
+        """Return how many requests may start now."""
+        if not self.is_open(now):
             return 0
         foreign = self._foreign if now < self._foreign_until else 0
         return max(self.limit - len(self.in_flight) - foreign, 0)
@@ -144,6 +151,7 @@
         if announcement.state is TargetState.cold:
             self._ramp.chill()
         self._state = announcement.state
+        self.reported = announcement.in_flight
         self._heard_at = now
         self._foreign = min(
             self._foreign,
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -67,6 +67,7 @@
             document = {**GOOD, 'cold_slots': 1, 'in_flight': 0}
             await _announce(world, document)
             world.renew()
+            await _announce(world, document)
             target = world.entry.ownership.target(TargetId('t1'))
             assert target is not None
             for _ in range(100):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,7 +10,7 @@
 from turmericmast.service import LeastAgePolicy, Service, Waiting
 from turmericmast.service.backlog import Backlog
 from turmericmast.service.budget import RetryBudget
-from turmericmast.target import Ending, Target
+from turmericmast.target import Announcement, Ending, Target, TargetState
 
 NOW = Seconds(100)
 
@@ -24,7 +24,9 @@
     for number in range(targets):
         name = TargetId(f't{number}')
         spec = dataclasses.replace(SPEC, target=name, cold_slots=1)
-        service.target_by_id[name] = Target(spec, NOW, wary=False)
+        target = Target(spec, NOW, wary=False)
+        target.hear(Announcement(spec, TargetState.ready), NOW)
+        service.target_by_id[name] = target
     return service
 
 
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -95,6 +95,14 @@
 
     def setUp(self) -> None:
         self.target = Target(SPEC, _at(0), wary=False)
+        self.target.hear(_announce(), _at(0))
+
+    def test_target_that_was_not_heard_stays_cold(self) -> None:
+        target = Target(SPEC, _at(0), wary=False)
+        _warm(target)
+        self.assertEqual(1, target.free(_at(1)))
+        target.hear(_announce(), _at(1))
+        self.assertEqual(4, target.free(_at(1)))
 
     def test_starts_cold_and_warms_by_successes(self) -> None:
         self.assertEqual(1, self.target.free(_at(0)))
