--- a/bench/announcer.py
+++ b/bench/announcer.py
@@ -11,6 +11,8 @@
 
 TIMEOUT = 3.0
 RETRY_PAUSE = 0.2
+HEARD = frozenset((200, 429))
+"""Statuses that say who owns the target, and when to announce again."""
 
 
 @final
@@ -52,9 +54,12 @@
                     method='POST',
                     body=json.dumps(self._document()),
                     request_timeout=TIMEOUT,
+                    raise_error=False,
                 )
             except (HTTPClientError, OSError):
                 continue
+            if answer.code not in HEARD:
+                continue
             told = json.loads(answer.body)
             self._announce_to = told['announce_to']
             self._again = told['again_ms'] / 1000
--- a/bench/bench.py
+++ b/bench/bench.py
@@ -429,9 +429,9 @@
                 for name in scene.fleet.names('ledger')
                 if not name.endswith('-2')
             ]
-            before = {n: read_process(scene.fleet, n) for n in names}
+            before = {name: read_process(scene.fleet, name) for name in names}
             answers = await open_loop(callers, rate, 10, order)
-            after = {n: read_process(scene.fleet, n) for n in names}
+            after = {name: read_process(scene.fleet, name) for name in names}
         used = {name: spent(before[name], after[name]) for name in names}
         costs = sorted(used.values(), key=lambda one: -one.sent)
         rows.append(
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -92,12 +92,9 @@
 def slope(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
     """Return the line through points by least squares: per unit, at zero."""
     count = len(points)
-    mean_x = sum(x for x, _ in points) / count
-    mean_y = sum(y for _, y in points) / count
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    per_unit = (
-        sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-        if spread
-        else 0
-    )
-    return per_unit, mean_y - per_unit * mean_x
+    mean_size = sum(size for size, _ in points) / count
+    mean_cost = sum(cost for _, cost in points) / count
+    spread = sum((size - mean_size) ** 2 for size, _ in points)
+    rise = sum((size - mean_size) * (cost - mean_cost) for size, cost in points)
+    per_unit = rise / spread if spread else 0
+    return per_unit, mean_cost - per_unit * mean_size
--- a/examples/target.py
+++ b/examples/target.py
@@ -31,6 +31,7 @@
 ENTRIES = flags.DEFINE_list('entries', [], 'Entries to announce to.')
 LOG = flags.DEFINE_string('log', '', 'File for a line of JSON per run.')
 
+HEARD = frozenset((200, 429))
 ANNOUNCE_TIMEOUT = 4.0
 DRAIN_TIMEOUT = 30.0
 STEP = 0.02
@@ -72,9 +73,12 @@
                     method='POST',
                     body=json.dumps(self.document()),
                     request_timeout=ANNOUNCE_TIMEOUT,
+                    raise_error=False,
                 )
             except (HTTPClientError, OSError):
                 continue
+            if answer.code not in HEARD:
+                continue
             told = json.loads(answer.body)
             self.announce_to = told['announce_to']
             self.again = told['again_ms'] / 1000
--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -23,7 +23,7 @@
 from turmericmast.region.records import Feed, FleetRecord
 from turmericmast.region.view import RegionView
 from turmericmast.service.backlog import Waiting
-from turmericmast.service.policy import POLICIES, make_policy
+from turmericmast.service.policy import DEFAULT_POLICY, make_policy
 from turmericmast.service.service import Dispatch
 from turmericmast.session.lease import Lease
 from turmericmast.target.announcement import Announcement
@@ -40,7 +40,7 @@
         domain: DomainId,
         instance: InstanceId,
         source: random.Random,
-        policy: str = POLICIES[0],
+        policy: str = DEFAULT_POLICY,
     ) -> None:
         """Start without a lease and without targets."""
         self.region = region
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import secrets
+from collections.abc import Callable
 from typing import final
 
 from absl import flags
@@ -41,8 +42,6 @@
 WATCH_TIMEOUT = 25.0
 SWEEP_MS = 250
 """Time between two looks at what no event announces, such as silence."""
-RELEASE_MS = 20
-"""Time between two looks at targets that are to be released."""
 CHANGE_TIMEOUT = 2.0
 STOP_PAUSE = 0.05
 RELEASE_TIMEOUT = 20.0
@@ -50,7 +49,6 @@
 DRAIN_TIMEOUT = 600.0
 """Seconds in which calls in flight end by their own deadlines."""
 MAX_HEADER_BYTES = 65_536
-IDLE_TIMEOUT = 75.0
 BODY_TIMEOUT = 60.0
 """Seconds in which a request body must have arrived."""
 MAX_BODY_BYTES = 68_719_476_736
@@ -251,13 +249,12 @@
     return desk
 
 
-def _listen(process: Process, desk: Desk, announcing: Announcing) -> HTTPServer:
+def _listen(process: Process, front: Front) -> HTTPServer:
     server = HTTPServer(
-        Front(desk, announcing),
+        front,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
         body_timeout=BODY_TIMEOUT,
-        idle_connection_timeout=IDLE_TIMEOUT,
     )
     host, _, port = process.settings.http.rpartition(':')
     server.listen(int(port), host.strip('[]'), backlog=1024)
@@ -267,13 +264,21 @@
 async def _main(process: Process, stack: contextlib.ExitStack) -> None:
     desk = _make_desk(process, stack)
     announcing = Announcing(desk)
+    front = Front(desk, announcing)
+    server = _listen(process, front)
     keepalive = Keepalive(process, desk)
-    server = _listen(process, desk, announcing)
+    desk.on_idle_move = keepalive.release
     loops = [
         asyncio.ensure_future(keepalive.run()),
         asyncio.ensure_future(keepalive.watch()),
     ]
-    _tick(stack, desk, keepalive, announcing)
+    for callback in (
+        desk.pump_all,
+        keepalive.release,
+        announcing.withdraw_silent,
+        front.close_idle,
+    ):
+        _tick(stack, callback)
     await process.stop.wait()
     await keepalive.leave()
     server.stop()
@@ -284,20 +289,10 @@
         loop.cancel()
 
 
-def _tick(
-    stack: contextlib.ExitStack,
-    desk: Desk,
-    keepalive: Keepalive,
-    announcing: Announcing,
-) -> None:
-    for callback, pause_ms in (
-        (desk.pump_all, SWEEP_MS),
-        (keepalive.release, RELEASE_MS),
-        (announcing.withdraw_silent, SWEEP_MS),
-    ):
-        ticker = PeriodicCallback(callback, pause_ms)
-        ticker.start()
-        stack.callback(ticker.stop)
+def _tick(stack: contextlib.ExitStack, callback: Callable[[], None]) -> None:
+    ticker = PeriodicCallback(callback, SWEEP_MS)
+    ticker.start()
+    stack.callback(ticker.stop)
 
 
 async def _drain(process: Process, desk: Desk) -> None:
--- a/src/turmericmast/replica/founding.py
+++ b/src/turmericmast/replica/founding.py
@@ -34,6 +34,8 @@
         self._next_probe = now + PROBE_INTERVAL
         for member in self._core.seating.others:
             self._core.send(member, self._describe(question=True))
+        # A group of one has nobody to wait for.
+        self._found(now)
 
     def on_probe(self, probe: Probe, now: Seconds) -> None:
         """Answer a question, and learn from whatever was told."""
--- a/src/turmericmast/service/policy.py
+++ b/src/turmericmast/service/policy.py
@@ -116,8 +116,9 @@
     return made[name]
 
 
+DEFAULT_POLICY = 'least-age'
 POLICIES = (
-    'least-age',
+    DEFAULT_POLICY,
     'random',
     'round-robin',
     'two-choices',
--- a/src/turmericmast/web/announcing.py
+++ b/src/turmericmast/web/announcing.py
@@ -53,14 +53,20 @@
         now = self._desk.clock.now()
         limit = self._entry.document.defaults.measure_bytes_per_second
         size = len(octets) + OVERHEAD_BYTES
-        has_room = self._budget.admit(size, limit, now)
-        if not has_room and not self._entry.is_news(announcement):
+        is_news = self._entry.is_news(announcement)
+        is_owned = self._entry.hear(announcement, now)
+        if not self._budget.admit(size, limit, now) and not is_news:
+            # It was heard, since it has been paid for; the next one waits.
             metrics.count('announcements_over_budget')
             answer(
                 HTTPStatus.TOO_MANY_REQUESTS,
-                {'error': 'announced too often; wait as long as again_ms says'},
+                self._document(
+                    self._entry.instance,
+                    self._interval(),
+                    owned=True,
+                ),
             )
-        elif self._entry.hear(announcement, now):
+        elif is_owned:
             self._hear_own(announcement, answer)
         else:
             self._place_soon(announcement, answer)
@@ -83,13 +89,16 @@
                     ),
                 )
 
+    def _interval(self) -> float:
+        return self._budget.interval(
+            sum(1 for _ in self._entry.ownership.targets()),
+            self._entry.document.defaults.measure_bytes_per_second,
+        )
+
     def _hear_own(self, announcement: Announcement, answer: Answer) -> None:
         ownership = self._entry.ownership
         target = ownership.target(announcement.spec.target)
-        interval = self._budget.interval(
-            sum(1 for _ in ownership.targets()),
-            self._entry.document.defaults.measure_bytes_per_second,
-        )
+        interval = self._interval()
         if target:
             target.announce_interval = interval
         placement = self._entry.view.placement_by_target.get(
--- a/src/turmericmast/web/body.py
+++ b/src/turmericmast/web/body.py
@@ -19,8 +19,6 @@
         """Start empty."""
         self.size = 0
         self.is_complete = False
-        self.is_ready = asyncio.Event()
-        """Set once a call may start: all is here, or too much to hold."""
         self._held: list[bytes] = []
         self._stream: collections.deque[bytes] = collections.deque()
         self._stream_bytes = 0
@@ -38,6 +36,10 @@
         """Tell whether every octet so far can be sent again."""
         return self.is_held or not self.size
 
+    def is_passed_on(self, more: int) -> bool:
+        """Tell whether so many more octets are too much to hold."""
+        return self.size + more > HELD_BYTES
+
     def held(self) -> bytes:
         """Return the octets held: all of them, or the start."""
         return b''.join(self._held)
@@ -48,7 +50,6 @@
         if self.size <= HELD_BYTES:
             self._held.append(chunk)
             return
-        self.is_ready.set()
         self._stream.append(chunk)
         self._stream_bytes += len(chunk)
         self._tell()
@@ -59,13 +60,11 @@
     def end(self) -> None:
         """Note that the caller sent everything."""
         self.is_complete = True
-        self.is_ready.set()
         self._tell()
 
     def abandon(self) -> None:
         """Let a caller that waits for room go on, to no effect."""
         self._room.set()
-        self.is_ready.set()
 
     def reader(self, on_more: Callable[[], None]) -> 'BodyReader':
         """Return a reader for one attempt, told when more has come."""
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -1,6 +1,8 @@
 """The curl client on the loop: many transfers, no thread, no polling."""
 
+import asyncio
 import collections
+import math
 from types import TracebackType
 from typing import TYPE_CHECKING, Any, Self, final
 
@@ -25,12 +27,15 @@
     def __init__(self) -> None:
         """Attach to the current loop."""
         self._loop = IOLoop.current()
+        self._asyncio = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
         self._events_by_fd: dict[int, int] = {}
-        self._timer: object | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._wanted_at = math.inf
+        """When curl wants to be called, by the clock of the loop."""
         self._idle: collections.deque[Any] = collections.deque()
         self._transfer_by_handle: dict[Any, 'Transfer'] = {}
         self._is_closed = False
@@ -49,7 +54,8 @@
         for transfer in tuple(self._transfer_by_handle.values()):
             transfer.cancel()
         self._is_closed = True
-        self._on_timer(-1)
+        if self._timer:
+            self._timer.cancel()
         for fd in tuple(self._events_by_fd):
             self._loop.remove_handler(fd)
         self._events_by_fd.clear()
@@ -74,6 +80,8 @@
         """Begin a transfer now rather than at the next turn of the loop."""
         self._transfer_by_handle[transfer.handle] = transfer
         self._multi.add_handle(transfer.handle)
+        # This is what curl asked for just now, with a delay of 0.
+        self._wanted_at = math.inf
         self._act(pycurl.SOCKET_TIMEOUT, 0)
 
     def stop(self, transfer: 'Transfer') -> None:
@@ -124,18 +132,32 @@
         self._act(fd, action)
 
     def _on_timer(self, delay_ms: int) -> None:
-        if self._timer is not None:
-            self._loop.remove_timeout(self._timer)
-            self._timer = None
-        if delay_ms >= 0 and not self._is_closed:
-            self._timer = self._loop.call_later(
-                delay_ms / MILLIS,
+        """Take a time from curl, which sets several for each transfer.
+
+        A timer that fires early looks again, which costs less than to
+        cancel and make one each time.
+        """
+        if delay_ms < 0 or self._is_closed:
+            self._wanted_at = math.inf
+            return
+        self._wanted_at = self._asyncio.time() + delay_ms / MILLIS
+        timer = self._timer
+        if timer is None or timer.when() > self._wanted_at:
+            if timer:
+                timer.cancel()
+            self._timer = self._asyncio.call_at(
+                self._wanted_at,
                 self._on_timeout,
             )
 
     def _on_timeout(self) -> None:
         self._timer = None
-        self._act(pycurl.SOCKET_TIMEOUT, 0)
+        wanted = self._wanted_at
+        if wanted <= self._asyncio.time():
+            self._wanted_at = math.inf
+            self._act(pycurl.SOCKET_TIMEOUT, 0)
+        elif wanted < math.inf and not self._is_closed:
+            self._timer = self._asyncio.call_at(wanted, self._on_timeout)
 
     def _act(self, fd: int, action: int) -> None:
         if self._is_closed:
--- a/src/turmericmast/web/desk.py
+++ b/src/turmericmast/web/desk.py
@@ -1,9 +1,8 @@
 """What all calls of an entry process share: slots, clients, counters."""
 
 import asyncio
-import contextlib
 import dataclasses
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import final
 
 from returns.result import Result, Success
@@ -68,6 +67,8 @@
         self.clock = clock
         self.metrics = metrics
         self.events = events
+        self.on_idle_move: Callable[[], None] = _do_nothing
+        """Called when a target that is to move may have fallen idle."""
         self.running = 0
         """Calls that were accepted and have not ended."""
         self._timer_by_service: dict[ServiceId, object] = {}
@@ -115,6 +116,9 @@
         self.entry.end(dispatch, service, ending, self.clock.now())
         self.metrics.count('attempts', ending=ending.value)
         self.pump(service)
+        owned = self.entry.ownership.service_by_id.get(service)
+        if owned and owned.has_moving:
+            self.on_idle_move()
 
     def pump(self, service: ServiceId) -> None:
         """Match waiting calls and free slots of one service."""
@@ -150,14 +154,15 @@
         service = self.entry.ownership.service_by_id.get(name)
         return service is not None and service.budget.spend()
 
-    @contextlib.contextmanager
-    def running_call(self) -> Iterator[None]:
-        """Count a call and its time."""
-        started = self.clock.now()
+    def begin_call(self) -> Seconds:
+        """Count a call and return when it began."""
         self.running += 1
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._end_call, started)
-            yield
+        return self.clock.now()
+
+    def end_call(self, started: Seconds) -> None:
+        """Record a call that is over."""
+        self.running -= 1
+        self.metrics.record('call', self.clock.now() - started)
 
     async def change_ledger(
         self,
@@ -221,10 +226,6 @@
         self._timer_by_service.pop(name, None)
         self.pump(name)
 
-    def _end_call(self, started: Seconds) -> None:
-        self.running -= 1
-        self.metrics.record('call', self.clock.now() - started)
-
     def _move_stranded(self, name: ServiceId) -> None:
         ownership = self.entry.ownership
         service = ownership.service_by_id[name]
@@ -233,3 +234,7 @@
             if name not in ownership.incoming:
                 for call in service.backlog.calls():
                     self.leave_queue(name, call)
+
+
+def _do_nothing() -> None:
+    """Stand in until somebody wants to know."""
--- a/src/turmericmast/web/exchange.py
+++ b/src/turmericmast/web/exchange.py
@@ -1,7 +1,6 @@
 """One request of a caller, from its first byte to the end of its answer."""
 
 import asyncio
-import contextlib
 from typing import final
 
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
@@ -51,7 +50,7 @@
         )
         self._keeper = Keeper(desk, request, incoming.values)
         self._suspecting = Suspecting(desk, request, self._body)
-        self._task = asyncio.ensure_future(self._run())
+        self._task: asyncio.Task[None] | None = None
 
     async def data_received(self, chunk: bytes) -> None:
         """Take octets of the request body."""
@@ -59,11 +58,14 @@
             self._reply.fail(refusals.too_large(self._incoming.values))
             self._body.abandon()
             return
+        if self._body.is_passed_on(len(chunk)):
+            self._start()
         await self._body.push(chunk)
 
     def finish(self) -> None:
         """Note the end of the request body."""
         self._body.end()
+        self._start()
 
     def on_connection_close(self) -> None:
         """The caller went away: stop whatever is only for its sake."""
@@ -74,22 +76,26 @@
         if not self._keeper.is_open:
             self._sender.cancel()
 
+    def _start(self) -> None:
+        """Begin once all of the body is here, or too much of it to hold."""
+        if self._task is None and not self._reply.is_over:
+            self._task = asyncio.ensure_future(self._run())
+
     async def _run(self) -> None:
-        with self._desk.running_call(), contextlib.ExitStack() as stack:
-            stack.callback(self._body.abandon)
-            try:
-                await self._serve()
-            except Exception as error:
-                self._desk.metrics.count('calls_broken')
-                self._reply.fail(
-                    refusals.unexpected(self._desk.entry, self._call, error),
-                )
-                raise
+        started = self._desk.begin_call()
+        try:
+            await self._serve()
+        except Exception as error:
+            self._desk.metrics.count('calls_broken')
+            self._reply.fail(
+                refusals.unexpected(self._desk.entry, self._call, error),
+            )
+            raise
+        finally:
+            self._body.abandon()
+            self._desk.end_call(started)
 
     async def _serve(self) -> None:
-        await self._body.is_ready.wait()
-        if self._reply.is_over:
-            return
         refused = self._suspecting.refused()
         if refused:
             self._reply.fail(refusals.quarantined(self._desk.entry, refused))
--- a/src/turmericmast/web/front.py
+++ b/src/turmericmast/web/front.py
@@ -2,11 +2,12 @@
 
 import json
 import urllib.parse
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, final
 
 from returns.result import Success
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -16,7 +17,7 @@
 )
 
 from turmericmast.entry.routing import Way
-from turmericmast.ids import DomainId, ServiceId
+from turmericmast.ids import DomainId, Seconds, ServiceId
 from turmericmast.web.announcing import Announcing
 from turmericmast.web.desk import Desk
 from turmericmast.web.exchange import Exchange
@@ -33,6 +34,8 @@
 from turmericmast.web.sending import Incoming
 
 SYSTEM_PREFIX = '/-/'
+IDLE_TIMEOUT = 75.0
+"""Seconds without a request after which a connection is closed."""
 MAX_CLOCK_DIGITS = 18
 MAX_PAGE_BODY = 16_384
 """Largest body of a request to the system itself."""
@@ -46,6 +49,7 @@
         """Serve calls through ``desk``."""
         self._desk = desk
         self._announcing = announcing
+        self._waiting_since: dict[object, Seconds] = {}
 
     def start_request(
         self,
@@ -53,7 +57,29 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the reader of one request."""
-        return _Reader(self._desk, self._announcing, request_conn)
+        self._waiting_since[server_conn] = self._desk.clock.now()
+        return _Reader(
+            self._desk,
+            self._announcing,
+            request_conn,
+            lambda: self._waiting_since.pop(server_conn, None),
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self._waiting_since.pop(server_conn, None)
+
+    def close_idle(self) -> None:
+        """Close connections on which no request has come for long.
+
+        One look at all of them from time to time costs a call less than a
+        timer for each of its requests.
+        """
+        oldest = self._desk.clock.now() - IDLE_TIMEOUT
+        for connection, since in tuple(self._waiting_since.items()):
+            if since < oldest and isinstance(connection, HTTP1ServerConnection):
+                self._desk.metrics.count('connections_idle')
+                connection.stream.close()
 
 
 @final
@@ -65,10 +91,12 @@
         desk: Desk,
         announcing: Announcing,
         connection: HTTPConnection,
+        on_head: Callable[[], object],
     ) -> None:
         self._desk = desk
         self._announcing = announcing
         self._connection = connection
+        self._on_head = on_head
         self._delegate: HTTPMessageDelegate | None = None
 
     def headers_received(
@@ -77,6 +105,7 @@
         headers: HTTPHeaders,
     ) -> None:
         """Decide who serves the request, before its body arrives."""
+        self._on_head()
         clock = headers.get(CLOCK, '')
         if clock.isdecimal():
             self._desk.events.clock.witness(int(clock[:MAX_CLOCK_DIGITS]))
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -4,12 +4,12 @@
 import collections
 import contextlib
 import dataclasses
+import socket
 from types import TracebackType
 from typing import Any, Self, final
 
 from returns.result import Failure, Result, Success
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from turmericmast.clock import HybridClock
 from turmericmast.exceptions import WireError
@@ -125,10 +125,16 @@
             await asyncio.sleep(RETRY_PAUSE)
 
     async def _connect(self, host: str, port: int) -> None:
-        stream = await asyncio.wait_for(
-            TCPClient().connect(host, port),
-            CONNECT_TIMEOUT,
-        )
+        # Addresses are numbers: a resolver would only bring a thread.
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        with contextlib.ExitStack() as stack:
+            stack.callback(stream.close)
+            await asyncio.wait_for(
+                stream.connect((host, port)),
+                CONNECT_TIMEOUT,
+            )
+            stack.pop_all()
         tune(stream)
         reader = asyncio.ensure_future(self._read(stream))
         with contextlib.ExitStack() as stack:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -296,6 +296,16 @@
         replica.receive(dataclasses.replace(real, **changes), world.now)
         self.assertIs(expected, replica.role)
 
+    def test_group_of_one_founds_itself(self) -> None:
+        world = _settled(1, 0)
+        self.assertEqual(5, len(world.acknowledged))
+        world.crash(world.names[0])
+        world.restart(world.names[0])
+        world.run(4)
+        leader = world.leader()
+        assert leader is not None
+        self.assertEqual(5, len(world.acknowledged))
+
     def test_group_is_not_founded_while_a_member_is_missing(self) -> None:
         world = World(3, 0)
         world.crash(world.names[2])
