--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Things that run: a target, and two deployments."""
--- a/src/turmericmast/programs/admin.py
+++ b/src/turmericmast/programs/admin.py
@@ -37,6 +37,11 @@
 CHANGE = flags.DEFINE_string('change', '', 'Id of a change, to send it again.')
 TENANT = flags.DEFINE_string('tenant', '', 'Tenant to explain values for.')
 ROUTE = flags.DEFINE_string('route', '', 'Path to explain values for.')
+BASE = flags.DEFINE_integer(
+    'base',
+    None,
+    'Version that a proposed document was made from; else the present one.',
+)
 WAIT = flags.DEFINE_float(
     'wait', WAIT_SECONDS, 'Seconds to wait for an answer.'
 )
@@ -45,7 +50,7 @@
 USAGE = """usage: turmericmast-admin --settings FILE COMMAND
 
   get                         show the fleet document
-  propose FILE                change it to the document in FILE
+  propose FILE [--base=N]     change it to the document in FILE, made from N
   explain SERVICE|TARGET      show what decides each value, and why
   take-out domain|target NAME --reason TEXT
   return domain|target NAME
@@ -149,7 +154,14 @@
 
 
 def _get(operator: Operator, arguments: Sequence[str]) -> Answer:
-    return _ordering(operator).ask('GET', '/v1/fleet')
+    answer = _ordering(operator).ask('GET', '/v1/fleet')
+    if isinstance(answer, Success):
+        version = answer.unwrap()['version']
+        sys.stderr.write(
+            f'version {version}; change it, then: '
+            f'propose FILE --base={version}\n',
+        )
+    return answer
 
 
 def _propose(operator: Operator, arguments: Sequence[str]) -> Answer:
@@ -174,7 +186,9 @@
                 '/v1/fleet',
                 {
                     'change': change,
-                    'base_version': current['current'],
+                    'base_version': (
+                        current['current'] if BASE.value is None else BASE.value
+                    ),
                     'base_digest': current['digest'],
                     'document': text,
                 },
--- a/src/turmericmast/programs/tables.py
+++ b/src/turmericmast/programs/tables.py
@@ -6,9 +6,8 @@
 
 
 def show_fleet(document: Mapping[str, Any]) -> str:
-    """Return the fleet document under a line about its version."""
-    text = json.dumps(document['document'], indent=2, ensure_ascii=False)
-    return f'{show_version(document)}\n{text}'
+    """Return the fleet document alone, so that it can go to a file."""
+    return json.dumps(document['document'], indent=2, ensure_ascii=False)
 
 
 def show_version(document: Mapping[str, Any]) -> str:
--- a/src/turmericmast/region/region.py
+++ b/src/turmericmast/region/region.py
@@ -55,7 +55,9 @@
         return self._part_by_command[type(command)].apply(command)
 
     def feed(self, since: Index) -> Feed:
-        """Return what changed after ``since``."""
+        """Return what changed after ``since``; mostly that is nothing."""
+        if since == self.view.index:
+            return Feed(since, complete=False)
         complete = since < self.owners.forgotten or since == 0
         floor = 0 if complete else since
         has_tables = complete or self.tables.changed > floor
--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -1,14 +1,11 @@
 """Frames on a stream: a length, then that many octets."""
 
 import asyncio
-import datetime
 import socket
 import struct
 
 from returns.result import Failure, Result
-from tornado.gen import with_timeout
 from tornado.iostream import IOStream
-from tornado.util import TimeoutError as TornadoTimeoutError
 
 from turmericmast.exceptions import WireError
 from turmericmast.wire.codec import Envelope, decode_envelope, encode_envelope
@@ -46,13 +43,9 @@
                 hint='check that the peer is a process of this system',
             ),
         )
-    rest = asyncio.ensure_future(stream.read_bytes(length))
     try:
-        octets = await with_timeout(
-            datetime.timedelta(seconds=FRAME_TIMEOUT),
-            rest,
-        )
-    except TornadoTimeoutError:
+        octets = await _read_in_time(stream, length)
+    except TimeoutError:
         return Failure(
             WireError(
                 f'a frame was not complete after {FRAME_TIMEOUT:g} s',
@@ -64,6 +57,11 @@
     return decode_envelope(octets)
 
 
+async def _read_in_time(stream: IOStream, length: int) -> bytes:
+    async with asyncio.timeout(FRAME_TIMEOUT):
+        return await stream.read_bytes(length)
+
+
 def tune(stream: IOStream) -> None:
     """Send at once, and notice a link that is cut silently."""
     stream.set_nodelay(True)
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -84,7 +84,7 @@
         envelope: Envelope,
         running: asyncio.Semaphore,
     ) -> None:
-        async with contextlib.AsyncExitStack() as stack:
+        with contextlib.ExitStack() as stack:
             stack.callback(running.release)
             await self._answer_one(stream, envelope)
 
