--- a/examples/deployments.py
+++ b/examples/deployments.py
@@ -37,40 +37,45 @@
         'ordering_region': regions[0],
         'regions': {region: _region(site, region) for region in regions},
     }
-    for number, region in enumerate(regions):
-        following = regions[(number + 1) % len(regions)]
-        places = [*_domains(region), _domains(following)[0]]
-        for kind, seat in itertools.product(PORTS, range(3)):
-            name = f'{kind}-{region}-{seat}'
-            member = shared['regions'][region][kind][seat]
-            yield (
-                name,
-                {
-                    'name': name,
-                    'region': following if seat == 2 else region,
-                    'domain': places[seat],
-                    'http': member['http'],
-                    'peer': member['peer'],
-                    'data': f'{DATA}/{name}',
-                    'events': f'{LOGS}/{name}.jsonl',
-                    **shared,
-                },
-            )
-        for position, domain in enumerate(_domains(region)):
-            for instance in range(ENTRIES_PER_DOMAIN):
-                name = f'entry-{domain}-{instance}'
-                host = f'10.{number + 1}.{position + 1}.{10 + instance}'
-                yield (
-                    name,
-                    {
-                        'name': name,
-                        'region': region,
-                        'domain': domain,
-                        'http': f'{host}:{CALLERS_PORT}',
-                        'events': f'{LOGS}/{name}.jsonl',
-                        **shared,
-                    },
-                )
+    for region in regions:
+        own = (*_members_of(site, region), *_entries_of(site, region))
+        yield from ((str(one['name']), one | shared) for one in own)
+
+
+def _members_of(site: str, region: str) -> Iterator[Document]:
+    places = [*_domains(region), _domains(_following(site, region))[0]]
+    for kind, seat in itertools.product(PORTS, range(3)):
+        member = _group(site, region, kind)[seat]
+        name = member['member']
+        yield {
+            'name': name,
+            'region': _following(site, region) if seat == 2 else region,
+            'domain': places[seat],
+            'http': member['http'],
+            'peer': member['peer'],
+            'data': f'{DATA}/{name}',
+            'events': f'{LOGS}/{name}.jsonl',
+        }
+
+
+def _entries_of(site: str, region: str) -> Iterator[Document]:
+    number = SITES[site].index(region) + 1
+    for position, domain in enumerate(_domains(region), 1):
+        for instance in range(ENTRIES_PER_DOMAIN):
+            name = f'entry-{domain}-{instance}'
+            host = f'10.{number}.{position}.{10 + instance}'
+            yield {
+                'name': name,
+                'region': region,
+                'domain': domain,
+                'http': f'{host}:{CALLERS_PORT}',
+                'events': f'{LOGS}/{name}.jsonl',
+            }
+
+
+def _following(site: str, region: str) -> str:
+    regions = SITES[site]
+    return regions[(regions.index(region) + 1) % len(regions)]
 
 
 def _domains(region: str) -> list[str]:
