--- a/src/turmericmast/service/service.py
+++ b/src/turmericmast/service/service.py
@@ -122,24 +122,7 @@
         has_staying = any(
             not one.is_moving for one in self.target_by_id.values()
         )
-        chosen = staying if has_staying else healthy or free
-        return self._without_stalled(chosen, now)
-
-    def _without_stalled(
-        self,
-        free: list[Target],
-        now: Seconds,
-    ) -> list[Target]:
-        """Leave out targets that slowed down while most others work.
-
-        A slot of another one soon comes free, and is worth the wait.
-        """
-        if self._policy.is_blind:
-            return free
-        stalled = sum(one.is_stalled(now) for one in self.target_by_id.values())
-        if 2 * stalled >= len(self.target_by_id):
-            return free
-        return [one for one in free if not one.is_stalled(now)]
+        return staying if has_staying else healthy or free
 
     def _place(
         self,
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -19,12 +19,6 @@
 """Seconds without an announcement after which a target is forgotten."""
 SILENCE_FACTOR = 4
 """The same in multiples of the interval asked for, where that is longer."""
-STALL_AGE = 2.5
-"""Age of the oldest request, in mean times, that shows a slow target."""
-STALL_GAP = 4.0
-"""Mean times, shared by the requests in flight, without any ending."""
-STALL_FLOOR = 0.005
-"""Seconds; below this, differences are those of the loop itself."""
 ERROR_STREAK = 3
 """Failed answers in a row after which a target is set aside for a while."""
 ERROR_PAUSE = 0.5
@@ -106,8 +100,6 @@
         self._paused_until = now
         self._errors = 0
         self._suspended_until = now
-        self._last_change = now
-        """When a request ended here, or the first of several started."""
 
     @property
     def target(self) -> TargetId:
@@ -173,8 +165,6 @@
 
     def start(self, call: CallId, now: Seconds) -> None:
         """Count a request that is about to be sent."""
-        if not self.in_flight:
-            self._last_change = now
         self.in_flight[call] = now
 
     def end(self, call: CallId, ending: Ending, now: Seconds) -> None:
@@ -182,7 +172,6 @@
         started = self.in_flight.pop(call, None)
         if started is None:
             return
-        self._last_change = now
         if ending is Ending.success:
             self._errors = 0
             self._learn(now - started)
@@ -206,21 +195,6 @@
         """Tell whether it failed often, so that others should be tried."""
         return now < self._suspended_until
 
-    def is_stalled(self, now: Seconds) -> bool:
-        """Tell whether it seems to have slowed down just now.
-
-        Either its oldest request is far older than usual, or none of several
-        has ended for longer than usual.
-        """
-        if not self.in_flight or not self.mean_time:
-            return False
-        usual = max(self.mean_time, STALL_FLOOR)
-        gap = now - self._last_change
-        return (
-            self.oldest_age(now) > STALL_AGE * usual
-            or gap * len(self.in_flight) > STALL_GAP * usual
-        )
-
     def is_gone(self, now: Seconds) -> bool:
         """Tell whether it was silent for so long that it may be forgotten."""
         return now - self._heard_at > GONE_LIMIT
