--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -188,8 +188,7 @@
 
     def is_silent(self, now: Seconds) -> bool:
         """Tell whether an announcement is overdue."""
-        limit = max(SILENCE_LIMIT, SILENCE_FACTOR * self.announce_interval)
-        return now - self._heard_at > limit
+        return now - self._heard_at > self._patience()
 
     def is_suspended(self, now: Seconds) -> bool:
         """Tell whether it failed often, so that others should be tried."""
@@ -197,7 +196,12 @@
 
     def is_gone(self, now: Seconds) -> bool:
         """Tell whether it was silent for so long that it may be forgotten."""
-        return now - self._heard_at > GONE_LIMIT
+        limit = max(GONE_LIMIT, 2 * self._patience())
+        return now - self._heard_at > limit
+
+    def _patience(self) -> float:
+        """Return how long it may be silent."""
+        return max(SILENCE_LIMIT, SILENCE_FACTOR * self.announce_interval)
 
     def _suspend(self, now: Seconds) -> None:
         self._errors += 1
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -155,6 +155,24 @@
         self.target.end(CallId('x'), ending, _at(1 + took))
         self.assertEqual(limit, self.target.limit)
 
+    @parameterized.expand(
+        [('often', 1.0, 5.1, 60.1), ('seldom', 50.0, 200.1, 400.1)],
+    )
+    def test_patience_grows_with_the_interval(
+        self,
+        _name: str,
+        interval: float,
+        silent: float,
+        gone: float,
+    ) -> None:
+        self.target.announce_interval = interval
+        for limit, check in (
+            (silent, self.target.is_silent),
+            (gone, self.target.is_gone),
+        ):
+            self.assertFalse(check(_at(limit - 0.2)))
+            self.assertTrue(check(_at(limit)))
+
     def test_silence_ends_new_work(self) -> None:
         self.assertEqual(1, self.target.free(_at(4.9)))
         self.assertEqual(0, self.target.free(_at(5.1)))
