Earn retries, split large modules, renew every second

Found: nothing ever earned a retry, so a service had five for the life of an entry; the unit test of the budget passed, a test through the front end now fails without it. A request that control could not be told of after a crash was tried again: it is refused now. Dead: the list of stranded calls stood twice, once unused.

--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -164,6 +164,7 @@
         for service in self.ownership.service_by_id.values():
             values = self.values_for(service.service)
             service.backlog.limit = values.queue_limit
+            service.budget.ratio = values.retry_ratio
 
     def _serves(self, name: ServiceId, now: Seconds) -> bool:
         is_open = not self.is_leaving and self.lease.is_valid(now)
--- a/src/turmericmast/entry/ownership.py
+++ b/src/turmericmast/entry/ownership.py
@@ -102,13 +102,12 @@
             if not len(service.backlog) or service.takes_calls(Seconds(0))
         ]
 
-    def stranded(self, now: Seconds) -> list[CallId]:
+    def stranded(self, now: Seconds) -> list[tuple[ServiceId, CallId]]:
         """Return queued calls that no owned target will take."""
         return [
-            call
+            (service.service, call)
             for service in self.service_by_id.values()
-            if service.service not in self.incoming
-            if not service.takes_calls(now) and not service.has_moving
+            if not self._has_prospect(service, now)
             for call in service.backlog.calls()
         ]
 
@@ -117,6 +116,19 @@
         for name in tuple(self._placement_by_target):
             self._drop(name)
 
+    def queued(self) -> list[tuple[ServiceId, CallId]]:
+        """Return all queued calls."""
+        return [
+            (service.service, call)
+            for service in self.service_by_id.values()
+            for call in service.backlog.calls()
+        ]
+
+    def _has_prospect(self, service: Service, now: Seconds) -> bool:
+        """Tell whether calls of a service may wait here."""
+        is_coming = service.service in self.incoming
+        return is_coming or service.has_moving or service.takes_calls(now)
+
     def _take(
         self,
         placement: Placement,
--- a/src/turmericmast/programs/operators.py
+++ b/src/turmericmast/programs/operators.py
@@ -9,20 +9,25 @@
 
 from turmericmast.exceptions import RefusedError, TurmericmastError, WireError
 from turmericmast.fleet.explanation import explain
-from turmericmast.fleet.fleet import ChangeState, FleetVersion
-from turmericmast.ids import ChangeId, Digest, Fingerprint, TargetId, Version
-from turmericmast.region.commands import (
-    LiftQuarantine,
-    ProposeFleet,
-    RegionCommand,
-    SetOutage,
+from turmericmast.fleet.fleet import FleetVersion
+from turmericmast.ids import TargetId
+from turmericmast.programs.documents import (
+    members_document,
+    placement_document,
+    version_document,
 )
+from turmericmast.programs.reading import (
+    bad_field,
+    read_lift,
+    read_outage,
+    read_proposal,
+)
+from turmericmast.region.commands import RegionCommand, SetOutage
 from turmericmast.region.records import OutageKind
 
 if TYPE_CHECKING:
     from turmericmast.programs.control import Control
 
-MAX_CHANGE_LENGTH = 128
 MAX_NAMES_SHOWN = 20
 
 
@@ -72,9 +77,9 @@
         try:
             parsed = json.loads(self.request.body)
         except ValueError as error:
-            return Failure(_bad('body', f'mend the JSON: {error}'))
+            return Failure(bad_field('body', f'mend the JSON: {error}'))
         if not isinstance(parsed, dict):
-            return Failure(_bad('body', 'write a JSON object'))
+            return Failure(bad_field('body', 'write a JSON object'))
         return Success(parsed)
 
 
@@ -88,7 +93,7 @@
         version = self.get_query_argument('version', '')
         wanted = int(version) if version.isdecimal() else 0
         self.finish(
-            _version_document(self.control, wanted or None)
+            version_document(self.control, wanted or None)
             | {'document': json.loads(region.fleet.current.document)},
         )
 
@@ -106,7 +111,7 @@
                 ),
             )
             return
-        command = self.document().bind(_read_proposal)
+        command = self.document().bind(read_proposal)
         if isinstance(command, Success):
             answer = await self.control.change(command.unwrap())
             self.reply(answer.map(self._describe))
@@ -114,7 +119,7 @@
             self.reply(command)
 
     def _describe(self, made: FleetVersion) -> dict[str, Any]:
-        return _version_document(self.control, made.version)
+        return version_document(self.control, made.version)
 
 
 @final
@@ -123,7 +128,7 @@
 
     async def post(self, what: str) -> None:
         """Take out, return, or lift a quarantine."""
-        read = _read_lift if what == 'lift' else _read_outage
+        read = read_lift if what == 'lift' else read_outage
         command = self.document().bind(read).bind(self._check_known)
         if not isinstance(command, Success):
             self.reply(command)
@@ -152,7 +157,7 @@
             return Success(command)
         shown = ', '.join(sorted(map(str, known))[:MAX_NAMES_SHOWN])
         return Failure(
-            _bad(
+            bad_field(
                 'name', f'{command.name} is not known here; use one of {shown}'
             ),
         )
@@ -177,7 +182,7 @@
         self.finish(
             {
                 'service': service,
-                'target': _placement_document(placement) if placement else None,
+                'target': placement_document(placement) if placement else None,
                 'values': [
                     {
                         'name': one.name,
@@ -203,8 +208,8 @@
             {
                 'region': control.region.region,
                 'leader': control.group.seating.me,
-                'members': _members_document(control),
-                'fleet': _version_document(control, None),
+                'members': members_document(control),
+                'fleet': version_document(control, None),
                 'entries': [
                     {
                         'instance': session.instance,
@@ -216,7 +221,7 @@
                     for session in view.session_by_instance.values()
                 ],
                 'targets': [
-                    _placement_document(placement)
+                    placement_document(placement)
                     | {
                         'out': view.is_target_out(
                             placement.spec.target,
@@ -277,119 +282,3 @@
 
 def _no_log(handler: RequestHandler) -> None:
     """Count nothing here: lines are for changes of state only."""
-
-
-def _bad(field: str, wanted: str) -> RefusedError:
-    return RefusedError(f'{field}: {wanted}', step='read request')
-
-
-def _read_text(
-    document: dict[str, Any],
-    field: str,
-) -> Result[str, TurmericmastError]:
-    text = document.get(field)
-    if isinstance(text, str) and 0 < len(text):
-        return Success(text)
-    return Failure(_bad(field, 'write a non-empty string'))
-
-
-def _read_proposal(
-    document: dict[str, Any],
-) -> Result[RegionCommand, TurmericmastError]:
-    version = document.get('base_version')
-    if not isinstance(version, int):
-        return Failure(_bad('base_version', 'write the version it is made for'))
-    return _read_text(document, 'change').bind(
-        lambda change: _read_text(document, 'base_digest').bind(
-            lambda digest: _read_text(document, 'document').map(
-                lambda text: ProposeFleet(
-                    ChangeId(change[:MAX_CHANGE_LENGTH]),
-                    Version(version),
-                    Digest(digest),
-                    text,
-                ),
-            ),
-        ),
-    )
-
-
-def _read_outage(
-    document: dict[str, Any],
-) -> Result[RegionCommand, TurmericmastError]:
-    kind = document.get('kind')
-    if kind not in OutageKind.__members__:
-        return Failure(_bad('kind', 'write domain or target'))
-    if not isinstance(document.get('out'), bool):
-        return Failure(_bad('out', 'write true to take out, false to return'))
-    return _read_text(document, 'change').bind(
-        lambda change: _read_text(document, 'name').map(
-            lambda name: SetOutage(
-                ChangeId(change[:MAX_CHANGE_LENGTH]),
-                OutageKind[str(kind)],
-                name,
-                bool(document['out']),
-                str(document.get('reason', '')),
-            ),
-        ),
-    )
-
-
-def _read_lift(
-    document: dict[str, Any],
-) -> Result[RegionCommand, TurmericmastError]:
-    return _read_text(document, 'change').bind(
-        lambda change: _read_text(document, 'fingerprint').map(
-            lambda fingerprint: LiftQuarantine(
-                ChangeId(change[:MAX_CHANGE_LENGTH]),
-                Fingerprint(fingerprint),
-            ),
-        ),
-    )
-
-
-def _version_document(
-    control: 'Control',
-    version: Version | int | None,
-) -> dict[str, Any]:
-    region = control.region
-    fleet = region.fleet
-    shown = Version(version) if version else fleet.current.version
-    state = fleet.state_of(shown)
-    waiting = (
-        fleet.waiting_for(shown, region.regions)
-        if state is ChangeState.pending
-        else ()
-    )
-    return {
-        'version': shown,
-        'digest': fleet.current.digest,
-        'current': fleet.current.version,
-        'accepted': fleet.accepted,
-        'state': state.value,
-        'waiting_for': list(waiting),
-    }
-
-
-def _placement_document(placement: Any) -> dict[str, Any]:
-    spec = placement.spec
-    return {
-        'target': spec.target,
-        'service': spec.service,
-        'address': spec.address,
-        'domain': spec.domain,
-        'slots': spec.slots,
-        'owner': placement.owner,
-    }
-
-
-def _members_document(control: 'Control') -> list[dict[str, Any]]:
-    core = control.group.replica.core
-    return [
-        {
-            'member': seat.member,
-            'witness': seat.witness,
-            'incarnation': seat.incarnation,
-            'behind': control.group.replica.lag(seat.member),
-        }
-        for seat in core.membership.seats
-    ]
--- a/src/turmericmast/replica/core.py
+++ b/src/turmericmast/replica/core.py
@@ -8,7 +8,12 @@
 from turmericmast.ids import Incarnation, Index, MemberId, Term
 from turmericmast.replica.log import Log
 from turmericmast.replica.membership import Membership
-from turmericmast.replica.messages import Entry, Message, Snapshot
+from turmericmast.replica.messages import (
+    AppendReply,
+    Entry,
+    Message,
+    Snapshot,
+)
 from turmericmast.replica.store import Store, Vote
 
 
@@ -106,6 +111,27 @@
         """Queue a message until the next sync."""
         self.effects.messages.append((member, message))
 
+    def answer(
+        self,
+        leader: MemberId,
+        sent_at: float,
+        *,
+        matched: bool,
+        index: int,
+    ) -> None:
+        """Tell a leader how far the own log agrees with its log."""
+        self.send(
+            leader,
+            AppendReply(
+                term=self.vote.term,
+                member=self.seating.me,
+                incarnation=self.vote.incarnation,
+                matched=matched,
+                index=Index(index),
+                sent_at=sent_at,
+            ),
+        )
+
     def observe(self, term: Term) -> None:
         """Step down when a later term exists."""
         if term > self.vote.term:
--- a/src/turmericmast/replica/replica.py
+++ b/src/turmericmast/replica/replica.py
@@ -9,7 +9,9 @@
 from turmericmast.ids import Incarnation, Index, MemberId, Seconds
 from turmericmast.replica.core import Core, Effects, Role, Seating, Timing
 from turmericmast.replica.election import Election
+from turmericmast.replica.following import Following
 from turmericmast.replica.founding import Founding
+from turmericmast.replica.leading import Leading
 from turmericmast.replica.messages import (
     Append,
     AppendReply,
@@ -21,7 +23,6 @@
     VoteReply,
     VoteRequest,
 )
-from turmericmast.replica.replication import Following, Leading
 from turmericmast.replica.store import Store
 
 
@@ -189,7 +190,13 @@
     def _on_leader(self, message: Append | Install, now: Seconds) -> None:
         core = self._core
         if message.term < core.vote.term:
-            self._refuse(message)
+            # A leader of an earlier term learns that its time is over.
+            core.answer(
+                message.leader,
+                -math.inf,
+                matched=False,
+                index=core.log.last_index,
+            )
             return
         core.observe(message.term)
         core.role = core.resting_role()
@@ -201,21 +208,6 @@
         else:
             self._following.on_append(message)
 
-    def _refuse(self, message: Append | Install) -> None:
-        """Tell a leader of an earlier term that its time is over."""
-        core = self._core
-        core.send(
-            message.leader,
-            AppendReply(
-                term=core.vote.term,
-                member=core.seating.me,
-                incarnation=core.vote.incarnation,
-                matched=False,
-                index=core.log.last_index,
-                sent_at=-math.inf,
-            ),
-        )
-
     def _on_append_reply(self, reply: AppendReply, now: Seconds) -> None:
         self._core.observe(reply.term)
         leading = self._current()
--- a/src/turmericmast/service/budget.py
+++ b/src/turmericmast/service/budget.py
@@ -9,13 +9,13 @@
 
     def __init__(self, ratio: float, reserve: float = 5.0) -> None:
         """Start with a full reserve, so that a quiet service may retry."""
-        self._ratio = ratio
+        self.ratio = ratio
         self._reserve = reserve
         self._tokens = reserve
 
     def earn(self) -> None:
         """Count a first attempt."""
-        self._tokens = min(self._tokens + self._ratio, self._reserve)
+        self._tokens = min(self._tokens + self.ratio, self._reserve)
 
     def spend(self) -> bool:
         """Take a token for a retry, or tell that there is none."""
--- a/src/turmericmast/service/service.py
+++ b/src/turmericmast/service/service.py
@@ -49,6 +49,8 @@
         if not in_time or not self.backlog.has_room(waiting.tenant):
             return False
         self.backlog.push(waiting)
+        if not waiting.avoid:
+            self.budget.earn()
         return True
 
     def expected_wait(self, now: Seconds) -> float:
--- a/src/turmericmast/session/roll.py
+++ b/src/turmericmast/session/roll.py
@@ -12,7 +12,7 @@
 """Seconds after the receipt of a renewal at which a session is over."""
 EVERYTHING = sys.maxsize
 """What is in force where there is nobody to tell."""
-RENEW_INTERVAL = 0.5
+RENEW_INTERVAL = 1.0
 """Seconds between two renewals."""
 
 
--- a/src/turmericmast/web/desk.py
+++ b/src/turmericmast/web/desk.py
@@ -139,15 +139,14 @@
         """Match again where time alone may have freed something."""
         now = self.clock.now()
         ownership = self.entry.ownership
-        for service in ownership.service_by_id.values():
+        for name, service in ownership.service_by_id.items():
             if len(service.backlog):
-                self.pump(service.service)
+                self.pump(name)
+        stranded = ownership.stranded(now)
         if not self.entry.lease.is_valid(now):
-            for service in ownership.service_by_id.values():
-                for call in service.backlog.calls():
-                    self.leave_queue(service.service, call)
-        for name in ownership.service_by_id:
-            self._move_stranded(name)
+            stranded = ownership.queued()
+        for service_name, call in stranded:
+            self.leave_queue(service_name, call)
 
     def spend_retry(self, name: ServiceId) -> bool:
         """Take a token of the retry budget of a service."""
@@ -226,15 +225,6 @@
         self._timer_by_service.pop(name, None)
         self.pump(name)
 
-    def _move_stranded(self, name: ServiceId) -> None:
-        ownership = self.entry.ownership
-        service = ownership.service_by_id[name]
-        is_served = service.takes_calls(self.clock.now()) or service.has_moving
-        if len(service.backlog) and not is_served:
-            if name not in ownership.incoming:
-                for call in service.backlog.calls():
-                    self.leave_queue(name, call)
-
 
 def _do_nothing() -> None:
     """Stand in until somebody wants to know."""
--- a/src/turmericmast/web/suspecting.py
+++ b/src/turmericmast/web/suspecting.py
@@ -18,9 +18,12 @@
         self._request = request
         self._body = body
         self._was_reported = False
+        self._was_refused = False
 
     def refused(self) -> Fingerprint | None:
         """Return the fingerprint if the request is quarantined."""
+        if self._was_refused:
+            return self._fingerprint()
         view = self._desk.entry.view
         if not view.suspicion_by_fingerprint:
             return None
@@ -32,6 +35,7 @@
         """Report the loss of a target; tell if the request is refused now."""
         self._was_reported = True
         is_refused = await self._desk.suspect(self._fingerprint(), started_ms)
+        self._was_refused = is_refused
         if is_refused:
             self._desk.metrics.count('quarantines')
         return is_refused
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -16,7 +16,7 @@
 )
 
 from tests.entry_world import BIG, EntryWorld
-from turmericmast.ids import ChangeId
+from turmericmast.ids import ChangeId, ServiceId
 from turmericmast.region.commands import SetOutage
 from turmericmast.region.records import OutageKind
 
@@ -48,6 +48,7 @@
     return hashlib.sha256(body).hexdigest()
 
 
+RETRIES = ('retries', (('loss', 'cut_short'),))
 POST = b'POST /stock/ok HTTP/1.1\r\nHost: x\r\n'
 
 ANSWERS = [
@@ -196,6 +197,21 @@
                 world.renew()
                 self.assertEqual(200, answer.code)
 
+    async def test_retries_are_earned_by_calls(self) -> None:
+        """The budget is spent once and grows again with the calls."""
+        async with EntryWorld(2) as world:
+            world.adopt('{"defaults": {"retry_ratio": 0.5}}')
+            service = world.entry.ownership.service_by_id[ServiceId('stock')]
+            while service.budget.spend():
+                """Use up the reserve."""
+            answer = await call(world, '/stock/cut')
+            self.assertEqual(502, answer.code)
+            self.assertEqual(0, world.metrics.count_by_name[RETRIES])
+            for _ in range(3):
+                await call(world, '/stock/ok')
+            await call(world, '/stock/cut?again')
+            self.assertEqual(1, world.metrics.count_by_name[RETRIES])
+
     async def test_weak_tag_breaks_the_download_visibly(self) -> None:
         async with EntryWorld() as world:
             with self.assertRaises(HTTPClientError):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -9,6 +9,7 @@
 from tests.replica_world import World
 from turmericmast.ids import Incarnation, MemberId, Term
 from turmericmast.replica.core import Role
+from turmericmast.replica.leading import MAX_ENTRIES
 from turmericmast.replica.messages import (
     Append,
     Install,
@@ -16,7 +17,6 @@
     VoteReply,
     VoteRequest,
 )
-from turmericmast.replica.replication import MAX_ENTRIES
 
 GROUPS = [('three_full', 3, 0), ('two_full_and_witness', 2, 1)]
 
