--- a/src/turmericmast/web/front.py
+++ b/src/turmericmast/web/front.py
@@ -69,13 +69,14 @@
         """Forget a connection."""
         self._waiting_since.pop(server_conn, None)
 
-    def close_idle(self) -> None:
+    def close_idle(self, older_than: float = IDLE_TIMEOUT) -> None:
         """Close connections on which no request has come for long.
 
+        ``older_than`` is in seconds.
         One look at all of them from time to time costs a call less than a
         timer for each of its requests.
         """
-        oldest = self._desk.clock.now() - IDLE_TIMEOUT
+        oldest = self._desk.clock.now() - older_than
         for connection, since in tuple(self._waiting_since.items()):
             if since < oldest and isinstance(connection, HTTP1ServerConnection):
                 self._desk.metrics.count('connections_idle')
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -44,6 +44,7 @@
 REGION = RegionId('tirol')
 DOMAIN = DomainId('tirol-a')
 ME = InstanceId('e1')
+BODY_TIMEOUT = 0.4
 BIG = bytes(range(256)) * 8192
 
 
@@ -331,9 +332,11 @@
             self.metrics,
             events,
         )
+        self.front = Front(self.desk, Announcing(self.desk))
         self.server = HTTPServer(
-            Front(self.desk, Announcing(self.desk)),
+            self.front,
             max_body_size=2**40,
+            body_timeout=BODY_TIMEOUT,
         )
         self.server.add_socket(sock)
         self._stack.callback(self.server.stop)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -15,7 +15,7 @@
     HTTPResponse,
 )
 
-from tests.entry_world import BIG, EntryWorld
+from tests.entry_world import BIG, BODY_TIMEOUT, EntryWorld
 from turmericmast.ids import ChangeId, ServiceId
 from turmericmast.region.commands import SetOutage
 from turmericmast.region.records import OutageKind
@@ -287,6 +287,26 @@
             self.assertEqual(200, good.code)
             self.assertEqual(1, sum(len(one.runs) for one in world.targets))
 
+    @parameterized.expand(
+        [
+            ('half_a_head', b'GET /stock/ok HTTP/1.1\r\nHo'),
+            ('no_head', b''),
+            ('half_a_body', b'%sContent-Length: 9\r\n\r\nhalf' % POST),
+        ],
+    )
+    async def test_slow_request(self, _name: str, octets: bytes) -> None:
+        async with EntryWorld() as world:
+            host, _, port = world.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(octets)
+            await asyncio.sleep(2 * BODY_TIMEOUT)
+            world.front.close_idle(older_than=BODY_TIMEOUT)
+            self.assertEqual(b'', await asyncio.wait_for(reader.read(), 3))
+            writer.close()
+            good = await call(world, '/stock/ok')
+            self.assertEqual(200, good.code)
+            self.assertEqual(1, sum(len(one.runs) for one in world.targets))
+
     @parameterized.expand(
         [('with_length', False), ('chunked', True)],
     )
