--- a/bench/scene.py
+++ b/bench/scene.py
@@ -233,7 +233,13 @@
         *,
         out: bool,
     ) -> dict[str, Any]:
-        """Take a failure domain out, or return it, and write down when."""
+        """Take a failure domain out, or return it, and write down when.
+
+        It is out from the answer on, and may get work again from the moment
+        that its return is sent: the answer comes only when that is in force.
+        """
+        if not out:
+            self.history.write('returned', domain=domain)
         status, told = await self.operate(
             region,
             '/v1/outage',
@@ -247,8 +253,8 @@
         )
         if status != 200:
             raise RuntimeError(f'{domain} could not be changed: {told}')
-        kind = 'taken_out' if out else 'returned'
-        self.history.write(kind, domain=domain)
+        if out:
+            self.history.write('taken_out', domain=domain)
         return told
 
     async def propose(
--- a/src/turmericmast/programs/operators.py
+++ b/src/turmericmast/programs/operators.py
@@ -135,12 +135,22 @@
             return
         answer = await self.control.change(command.unwrap())
         if isinstance(answer, Success):
+            self._show(command.unwrap())
             index = self.control.region.view.index
             in_force = await self.control.wait_in_force(index)
             self.reply(Success({'done': True, 'in_force': in_force}))
         else:
             self.reply(answer)
 
+    def _show(self, command: RegionCommand) -> None:
+        if isinstance(command, SetOutage):
+            self.control.process.events.write(
+                'outage',
+                what=command.kind.name,
+                name=command.name,
+                out=command.out,
+            )
+
     def _check_known(
         self,
         command: RegionCommand,
