--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -71,8 +71,13 @@
             *flags,
         ]
 
-    def start_target(self, name: str, arguments: Sequence[str]) -> None:
-        """Start a stand-in target at an address of its own."""
+    def start_target(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        module: str = 'bench.standin',
+    ) -> None:
+        """Start a target at an address of its own."""
         address = self.address_by_target.get(name) or free_addresses(1)[0]
         self.address_by_target[name] = address
         entries = ','.join(
@@ -83,7 +88,7 @@
             [
                 sys.executable,
                 '-m',
-                'bench.standin',
+                module,
                 f'--name={name}',
                 f'--port={address.rpartition(":")[2]}',
                 f'--entries={entries}',
--- a/bench/quickstart.py
+++ b/bench/quickstart.py
@@ -44,6 +44,7 @@
             fleet.start_target(
                 f't{number}',
                 [f'--domain={domain}', '--service=stock'],
+                'examples.target',
             )
         fleet.await_ready(TARGETS)
         if STAY.value:
--- a/examples/target.py
+++ b/examples/target.py
@@ -123,6 +123,7 @@
     async def _run(self) -> None:
         _log(
             {
+                'event': 'start',
                 'target': NAME.value,
                 'method': self.request.method,
                 'path': self.request.path,
