Do not blame a target for a request that was stopped here

Found by reading: an attempt that the last check stopped (lease over, domain taken out, caller gone) counted as a refused connection, so its target went back to its cold limit and got nothing for 250 ms. The test fails before.

--- a/src/turmericmast/web/exchange.py
+++ b/src/turmericmast/web/exchange.py
@@ -163,7 +163,8 @@
         return self._reply.is_over and not self._keeper.is_open
 
     def _ending(self, loss: Loss | None) -> Ending:
-        if self._is_abandoned:
+        # A target is not blamed for what it was never sent.
+        if self._is_abandoned or self._sender.was_vetoed:
             return Ending.cancelled
         return Ending.of_loss(loss) if loss else self._relay.ending
 
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -12,7 +12,7 @@
 from turmericmast.web.desk import Desk
 from turmericmast.web.parse import onward_headers
 from turmericmast.web.relay import Relay
-from turmericmast.web.transfer import Transfer, TransferRequest
+from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 
@@ -70,6 +70,12 @@
         self._relay.resume = transfer.resume
         return await transfer.run()
 
+    @property
+    def was_vetoed(self) -> bool:
+        """Tell whether the last attempt was stopped here, unsent."""
+        transfer = self._transfer
+        return transfer is not None and transfer.progress is Progress.vetoed
+
     def cancel(self) -> None:
         """End the attempt under way, and allow no other one."""
         self._is_cancelled = True
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -4,8 +4,8 @@
 import contextlib
 import hashlib
 import json
-import unittest
 from typing import Any
+from unittest import IsolatedAsyncioTestCase, mock
 
 from parameterized import parameterized
 from tornado.httpclient import (
@@ -16,6 +16,7 @@
 )
 
 from tests.entry_world import BIG, BODY_TIMEOUT, EntryWorld
+from turmericmast.entry.entry import Entry
 from turmericmast.ids import ChangeId, ServiceId
 from turmericmast.region.commands import SetOutage
 from turmericmast.region.records import OutageKind
@@ -116,7 +117,7 @@
 ]
 
 
-class AnswerTest(unittest.IsolatedAsyncioTestCase):
+class AnswerTest(IsolatedAsyncioTestCase):
     """What callers get when targets behave, and when they do not."""
 
     @parameterized.expand(ANSWERS)
@@ -243,7 +244,7 @@
             self.assertEqual(0, world.desk.running)
 
 
-class RefusalTest(unittest.IsolatedAsyncioTestCase):
+class RefusalTest(IsolatedAsyncioTestCase):
     """Requests that are refused, and the entry that goes on."""
 
     @parameterized.expand(BAD)
@@ -348,6 +349,15 @@
             ran = answer.headers['Turmericmast-Ran']
             self.assertEqual('yes' if runs else 'no', ran)
 
+    async def test_target_is_not_blamed_for_what_was_not_sent(self) -> None:
+        async with EntryWorld(1) as world:
+            with mock.patch.object(Entry, 'may_send', return_value=False):
+                answer = await call(world, '/stock/ok', 'POST', b'x')
+            self.assertEqual('no', answer.headers['Turmericmast-Ran'])
+            self.assertFalse(world.targets[0].runs)
+            target = next(world.entry.ownership.targets())
+            self.assertTrue(target.is_open(world.clock.now()))
+
     async def test_taken_out_domain_gets_nothing(self) -> None:
         async with EntryWorld() as world:
             world.group.apply(
@@ -365,7 +375,7 @@
             self.assertFalse(any(one.runs for one in world.targets))
 
 
-class KeyedTest(unittest.IsolatedAsyncioTestCase):
+class KeyedTest(IsolatedAsyncioTestCase):
     """Keyed requests run once."""
 
     async def _post(
