Take ports below the ephemeral range for fleets under test

Three proofs started at once were red: a ledger member and a control member ended with 'Address already in use', so groups formed late (28 s) or never; orders then took up to 3.7 s of 2 s. Ports were picked by binding to port 0, which is where outgoing connections and the other fleets pick theirs. Ruled out: the founding itself (its members waited, as they must).

--- a/bench/layout.py
+++ b/bench/layout.py
@@ -4,11 +4,14 @@
 import itertools
 import json
 import pathlib
+import random
 import socket
 from collections.abc import Iterator
 from typing import Any, final
 
 HOST = '127.0.0.1'
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
 
 
 @final
@@ -46,15 +49,23 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return addresses on loopback that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [f'{HOST}:{one.getsockname()[1]}' for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return addresses on loopback that nobody listens on.
+
+    The ports lie below those that the system gives to outgoing connections,
+    so that none of these can take one before its process listens.
+    """
+    ports = random.sample(range(LOWEST_PORT, HIGHEST_PORT), 4 * count)
+    free = filter(_is_free, ports)
+    return [f'{HOST}:{port}' for port in itertools.islice(free, count)]
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def plan_fleet(shape: FleetShape, folder: pathlib.Path) -> list[ProcessPlan]:
