--- /dev/null
+++ b/src/turmericmast/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Which target a request goes to, decided from what its answers tell."""
--- /dev/null
+++ b/src/turmericmast/balance/pool.py
@@ -0,0 +1,195 @@
+"""The targets of one service, as one instance sees them."""
+
+import dataclasses
+from collections.abc import Collection, Iterator
+from typing import final
+
+from turmericmast.balance.coldshare import ColdShare
+from turmericmast.balance.repeats import RepeatBudget
+from turmericmast.balance.standing import Standing, Trust
+from turmericmast.balance.value import (
+    Distance,
+    Outlook,
+    expected_time,
+    worth,
+)
+from turmericmast.cluster.records import TargetPhase
+from turmericmast.ids import DomainId, RegionId, Seconds, ServiceId, TargetId
+
+FRESH = 0.1
+"""Seconds for which a load report tells the load.
+
+The speed of targets that share their machine changes several times a
+second."""
+FRESH_ABROAD = 0.4
+"""The same for targets in other regions, where a probe takes long."""
+GOOD_WORTH = 0.6
+"""Worth from which on farther targets are not looked at."""
+MAX_PROBES = 4
+"""Targets probed at once for one request."""
+MAX_PROBES_ABROAD = 2
+SHORTEST_RETURN = 0.05
+"""Seconds after which a refused caller may come back at the earliest."""
+LONGEST_RETURN = 1.0
+USUAL_WORK = 0.1
+"""Seconds of work that a request is taken for until answers were seen."""
+USUAL_OCTETS = 1000.0
+SMOOTHING = 0.05
+"""Weight of the newest answer in means over answers."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where this instance stands."""
+
+    domain: DomainId
+    region: RegionId
+
+    def distance(self, standing: Standing) -> Distance:
+        """Return how far a target is."""
+        if standing.record.domain == self.domain:
+            return Distance.domain
+        is_near = standing.region == self.region
+        return Distance.region if is_near else Distance.abroad
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """What a request needs of a target."""
+
+    aim_at: Seconds
+    deadline: Seconds
+    home_regions: Collection[RegionId]
+    avoid: Collection[TargetId] = ()
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that a request may go to, and what that is worth."""
+
+    standing: Standing
+    distance: Distance
+    worth: float
+
+
+@final
+class Pool:
+    """Ranks the targets of a service and learns what its requests take."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        place: Place,
+        repeats: RepeatBudget,
+    ) -> None:
+        """Start without targets."""
+        self.service = service
+        self.standing_by_target: dict[TargetId, Standing] = {}
+        self.repeats = repeats
+        self.cold_targets: frozenset[TargetId] = frozenset()
+        """Targets that this instance may send to while they are cold."""
+        self.cold_rate = float(0)
+        self.evacuated: Collection[DomainId] = frozenset()
+        self.probe_interval = FRESH
+        """Fewest seconds between two probes of one target."""
+        self._place = place
+        self._work = USUAL_WORK
+        self._octets = USUAL_OCTETS
+        self._cold_share_by_target: dict[TargetId, ColdShare] = {}
+
+    def stale(self, ask: Ask, ring: Distance, now: Seconds) -> list[Standing]:
+        """Return the targets at a distance to probe before sending."""
+        limit = FRESH_ABROAD if ring is Distance.abroad else FRESH
+        known = [
+            one
+            for one in self._open(ask, now)
+            if self._place.distance(one) is ring
+        ]
+        most = MAX_PROBES_ABROAD if ring is Distance.abroad else MAX_PROBES
+        likely = sorted(
+            known,
+            key=lambda one: expected_time(one, ring, self._work),
+        )[:most]
+        return [
+            one
+            for one in likely
+            if one.age(now) > limit or one.trust(now) is Trust.unproved
+            if now - one.probed_at >= self.probe_interval
+        ]
+
+    def best(self, ask: Ask, ring: Distance, now: Seconds) -> Candidate | None:
+        """Return the best target up to a distance that may be sent to."""
+        outlook = self.outlook(ask, now)
+        candidates = (
+            Candidate(one, distance, worth(one, distance, outlook, now))
+            for one in self._open(ask, now)
+            if (distance := self._place.distance(one)) <= ring
+            if self._is_sendable(one, now)
+        )
+        return max(candidates, key=lambda one: one.worth, default=None)
+
+    def is_settled(self, best: Candidate, now: Seconds) -> bool:
+        """Tell whether a target is good by knowledge that is fresh."""
+        is_fresh = best.standing.age(now) <= FRESH
+        return is_fresh and best.worth >= GOOD_WORTH
+
+    def outlook(self, ask: Ask, now: Seconds) -> Outlook:
+        """Return what a request expects of any target."""
+        return Outlook(
+            aim_left=ask.aim_at - now,
+            time_left=ask.deadline - now,
+            work=self._work,
+            octets=self._octets,
+        )
+
+    def start(self, standing: Standing, now: Seconds) -> None:
+        """Count a request that is about to be sent."""
+        standing.start()
+        if standing.trust(now) is Trust.cold:
+            self._cold_share(standing).take(self.cold_rate, now)
+
+    def learn(self, took: float, slowness: float, octets: int) -> None:
+        """Learn from an answer what requests take."""
+        self._work += SMOOTHING * (took / max(slowness, 1) - self._work)
+        self._octets += SMOOTHING * (octets - self._octets)
+
+    def opens_in(self, ask: Ask, now: Seconds) -> float:
+        """Return the seconds until a target may take a request again."""
+        waits = (one.opens_at() - now for one in self._allowed(ask))
+        soonest = min(waits, default=LONGEST_RETURN)
+        return min(max(soonest, SHORTEST_RETURN), LONGEST_RETURN)
+
+    def _allowed(self, ask: Ask) -> Iterator[Standing]:
+        for standing in self.standing_by_target.values():
+            record = standing.record
+            is_home = not ask.home_regions or standing.region in (
+                ask.home_regions
+            )
+            is_in = record.phase is TargetPhase.ready and (
+                record.domain not in self.evacuated
+            )
+            if is_home and is_in and record.target not in ask.avoid:
+                yield standing
+
+    def _open(self, ask: Ask, now: Seconds) -> Iterator[Standing]:
+        return (
+            one
+            for one in self._allowed(ask)
+            if one.trust(now) is not Trust.shunned
+        )
+
+    def _is_sendable(self, standing: Standing, now: Seconds) -> bool:
+        trust = standing.trust(now)
+        if trust is Trust.cold:
+            is_own = standing.record.target in self.cold_targets
+            return is_own and self._cold_share(standing).has_room(now)
+        return trust is Trust.warm
+
+    def _cold_share(self, standing: Standing) -> ColdShare:
+        return self._cold_share_by_target.setdefault(
+            standing.record.target,
+            ColdShare(),
+        )
--- /dev/null
+++ b/src/turmericmast/balance/value.py
@@ -0,0 +1,96 @@
+"""What it is worth to its caller to send a request to a target."""
+
+import dataclasses
+import enum
+import math
+from typing import final
+
+from turmericmast.balance.standing import Standing
+from turmericmast.ids import Seconds
+
+LATE_SHARE = 0.1
+"""Worth of an answer after the aim, of one within it."""
+AIM_SPREAD = 0.15
+"""Share of the aim over which an expected time is uncertain."""
+AIM_MARGIN = 0.8
+"""Share of the aim at which an answer is as likely late as not."""
+LATENCY_COST = 0.05
+"""Worth lost for each aim of waiting: of two good targets take the faster."""
+ILL_COST = 0.3
+"""Worth lost at a target that says it is not healthy."""
+DOMAIN_COST = 0.02
+"""Worth lost for each kilobyte between failure domains, which is billed."""
+REGION_COST = 0.02
+"""The same between regions, on top."""
+KILOBYTE = 1000
+LARGEST_EXCESS = 50.0
+"""Exponent beyond which a likelihood is 0 for any purpose."""
+
+
+@final
+class Distance(enum.IntEnum):
+    """How far a target is from this instance."""
+
+    domain = 0
+    region = 1
+    abroad = 2
+
+
+ROUND_TRIP_BY_DISTANCE = (0.001, 0.004, 0.018)
+"""Seconds there and back, from the delays that the brief gives."""
+_COST_BY_DISTANCE = (0, DOMAIN_COST, DOMAIN_COST + REGION_COST)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a request expects of any target."""
+
+    aim_left: float
+    """Seconds until its answer is late."""
+    time_left: float
+    """Seconds until its caller gives up."""
+    work: float
+    """Seconds of work on an undisturbed target."""
+    octets: float
+    """Size of the request and its answer."""
+
+
+def expected_time(
+    standing: Standing,
+    distance: Distance,
+    work: float,
+) -> float:
+    """Return the seconds until an answer, queueing included."""
+    report = standing.report
+    slots = max(report.slots, 1)
+    queued = max(standing.busy() - slots + 1, 0)
+    rounds = 1 + queued / slots
+    return ROUND_TRIP_BY_DISTANCE[distance] + work * report.slowness * rounds
+
+
+def worth(
+    standing: Standing,
+    distance: Distance,
+    outlook: Outlook,
+    now: Seconds,
+) -> float:
+    """Return the expected worth of sending there, 1 at best."""
+    took = expected_time(standing, distance, outlook.work)
+    in_aim = _likelihood(took, outlook.aim_left)
+    in_time = _likelihood(took, outlook.time_left)
+    gain = in_aim + LATE_SHARE * max(in_time - in_aim, 0)
+    gain *= 1 - standing.risk(now)
+    cost = _COST_BY_DISTANCE[distance] * outlook.octets / KILOBYTE
+    cost += LATENCY_COST * min(took / max(outlook.time_left, took), 1)
+    if standing.is_ill:
+        cost += ILL_COST
+    return gain - cost
+
+
+def _likelihood(took: float, limit: float) -> float:
+    """Return how likely an answer arrives within a limit."""
+    if limit <= 0:
+        return 0
+    excess = (took - AIM_MARGIN * limit) / (AIM_SPREAD * limit)
+    return 1 / (1 + math.exp(min(excess, LARGEST_EXCESS)))
--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -45,6 +45,8 @@
     connection_lost = 'connection_lost'
     timed_out = 'timed_out'
     cut_short = 'cut_short'
+    failed = 'failed'
+    """A whole answer by which the target says that it failed."""
 
 
 @final
@@ -72,11 +74,16 @@
     """Whether a level nearer to the caller already retried this call."""
     depth: int = 0
     home_regions: tuple[RegionId, ...] = ()
+    repeatable: bool | None = None
+    """What the route says about running twice; else the method decides."""
+    max_attempts: int = MAX_ATTEMPTS
 
     @property
     def is_idempotent(self) -> bool:
         """Tell whether running twice does no harm."""
-        return self.method in IDEMPOTENT_METHODS
+        if self.repeatable is None:
+            return self.method in IDEMPOTENT_METHODS
+        return self.repeatable
 
     @property
     def is_kept(self) -> bool:
@@ -138,7 +145,7 @@
         if self.ran is Ran.no:
             has_more = self.attempts < MAX_PLACEMENTS
             return Next.retry if has_more else Next.fail
-        if self.attempts >= MAX_ATTEMPTS:
+        if self.attempts >= self.request.max_attempts:
             return Next.fail
         repeatable = self.request.is_idempotent and not self.request.retried
         return Next.retry if repeatable else Next.fail
--- /dev/null
+++ b/src/turmericmast/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""The cluster aggregate: what the core group keeps for all instances."""
--- /dev/null
+++ b/src/turmericmast/cluster/attendance.py
@@ -0,0 +1,34 @@
+"""Who was heard from, as the leader of the core group knows."""
+
+from collections.abc import Hashable, Iterable
+from typing import Generic, TypeVar, final
+
+from turmericmast.ids import Seconds
+
+Key = TypeVar('Key', bound=Hashable)
+
+
+@final
+class Attendance(Generic[Key]):
+    """Times of the last sign of life; kept in memory only."""
+
+    def __init__(self, patience: float) -> None:
+        """Call silent whoever was not heard for ``patience`` seconds."""
+        self._patience = patience
+        self._heard_at_by_key: dict[Key, Seconds] = {}
+
+    def hear(self, keys: Iterable[Key], now: Seconds) -> None:
+        """Note signs of life."""
+        self._heard_at_by_key.update(dict.fromkeys(keys, now))
+
+    def take_office(self, keys: Iterable[Key], now: Seconds) -> None:
+        """Treat everyone as just heard: earlier signs went to another."""
+        self._heard_at_by_key = dict.fromkeys(keys, now)
+
+    def silent(self, keys: Iterable[Key], now: Seconds) -> tuple[Key, ...]:
+        """Return those of ``keys`` that are silent, and forget the others."""
+        heard_at = {key: self._heard_at_by_key.get(key, now) for key in keys}
+        self._heard_at_by_key = heard_at
+        return tuple(
+            key for key, at in heard_at.items() if now - at > self._patience
+        )
--- /dev/null
+++ b/src/turmericmast/cluster/cluster.py
@@ -0,0 +1,126 @@
+"""The root of the cluster aggregate."""
+
+from typing import final
+
+from returns.result import Result, Success
+
+from turmericmast.cluster import commands
+from turmericmast.cluster.changes import ChangeTable
+from turmericmast.cluster.records import (
+    ClusterFeed,
+    ClusterSnapshot,
+    EdgeRecord,
+    PastVersion,
+    Tombstone,
+)
+from turmericmast.cluster.routes import RouteBook
+from turmericmast.cluster.targets import TargetRegistry
+from turmericmast.exceptions import TurmericmastError
+from turmericmast.ids import DomainId, Index, InstanceId
+
+
+@final
+class Cluster:
+    """Applies commands in the order of the log, the same at each member."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.index = Index(0)
+        """The last index that changed anything an instance has to know."""
+        self.book = RouteBook()
+        self.registry = TargetRegistry()
+        self.edges: ChangeTable[InstanceId, EdgeRecord] = ChangeTable()
+        self.evacuated: set[DomainId] = set()
+
+    def edge(self, instance: InstanceId) -> EdgeRecord | None:
+        """Return an edge as it is known."""
+        return self.edges.record_by_key.get(instance)
+
+    def apply(
+        self,
+        index: Index,
+        command: commands.ClusterCommand,
+    ) -> Result[bool, TurmericmastError]:
+        """Apply a command; tell whether it changed anything."""
+        changed = self._change(index, command)
+        if changed.value_or(False):
+            self.index = index
+        return changed
+
+    def feed(self, known: Index) -> ClusterFeed:
+        """Return what changed after an index."""
+        oldest = max(
+            self.registry.table.complete_since,
+            self.edges.complete_since,
+        )
+        since = known if oldest <= known <= self.index else Index(0)
+        has_routes = self.book.changed_at > since
+        return ClusterFeed(
+            index=self.index,
+            complete=since == 0,
+            routes=self.book.current if has_routes else None,
+            evacuated=tuple(sorted(self.evacuated)),
+            targets=tuple(self.registry.table.changed(since)),
+            removed_targets=tuple(self.registry.table.removed(since)),
+            edges=tuple(self.edges.changed(since)),
+            removed_edges=tuple(self.edges.removed(since)),
+        )
+
+    def snapshot(self) -> ClusterSnapshot:
+        """Return everything."""
+        return ClusterSnapshot(
+            index=self.index,
+            routes=self.book.current,
+            past=tuple(
+                PastVersion(version, digest)
+                for version, digest in self.book.digest_by_version.items()
+            ),
+            evacuated=tuple(sorted(self.evacuated)),
+            targets=tuple(self.registry.table.record_by_key.values()),
+            tombstones=tuple(
+                Tombstone(target, born)
+                for target, born in self.registry.born_by_gone.items()
+            ),
+            edges=tuple(self.edges.record_by_key.values()),
+        )
+
+    def restore(self, snapshot: ClusterSnapshot) -> None:
+        """Replace everything."""
+        index = snapshot.index
+        self.index = index
+        self.book.restore(snapshot.routes, snapshot.past, index)
+        self.registry.restore(snapshot.targets, snapshot.tombstones, index)
+        self.edges.restore({one.instance: one for one in snapshot.edges}, index)
+        self.evacuated = set(snapshot.evacuated)
+
+    def _change(
+        self,
+        index: Index,
+        command: commands.ClusterCommand,
+    ) -> Result[bool, TurmericmastError]:
+        match command:
+            case commands.ReportTarget(record=record):
+                return Success(self.registry.report(record, index))
+            case commands.RemoveTargets(targets=targets):
+                removed = [self.registry.remove(one, index) for one in targets]
+                return Success(any(removed))
+            case commands.ProposeRoutes():
+                return self.book.propose(command, index)
+            case commands.SetEvacuation(domain=domain, evacuated=evacuated):
+                return Success(self._evacuate(domain, evacuated=evacuated))
+            case commands.SetEdge(edge=edge):
+                return Success(self._set_edge(edge, index))
+        dropped = [self.edges.remove(one, index) for one in command.instances]
+        return Success(any(dropped))
+
+    def _evacuate(self, domain: DomainId, *, evacuated: bool) -> bool:
+        if (domain in self.evacuated) == evacuated:
+            return False
+        self.evacuated ^= {domain}
+        return True
+
+    def _set_edge(self, edge: EdgeRecord, index: Index) -> bool:
+        if self.edges.record_by_key.get(edge.instance) == edge:
+            return False
+        self.edges.set(edge.instance, edge, index)
+        return True
--- /dev/null
+++ b/src/turmericmast/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The edge aggregate: an instance that serves callers by routes."""
--- /dev/null
+++ b/src/turmericmast/edge/edge.py
@@ -0,0 +1,234 @@
+"""The root of the edge aggregate."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import final
+
+from turmericmast.balance.coldshare import senders
+from turmericmast.balance.pool import FRESH, Place, Pool
+from turmericmast.balance.repeats import RepeatBudget
+from turmericmast.balance.standing import Standing
+from turmericmast.cluster.records import (
+    ClusterFeed,
+    EdgePhase,
+    EdgeRecord,
+    TargetPhase,
+    TargetRecord,
+)
+from turmericmast.ids import (
+    DomainId,
+    Index,
+    InstanceId,
+    RegionId,
+    ServiceId,
+    TargetId,
+)
+from turmericmast.machine import Bounds
+from turmericmast.route.document import Route, RouteDocument
+from turmericmast.route.table import RouteTable, Splitter
+
+DIRECTORY_LIFETIME = 2.0
+"""Seconds that callers keep an answer of the directory."""
+MAX_ADDRESSES = 64
+"""Addresses in one answer of the directory."""
+PROBE_SHARE = 0.5
+"""Share of the probes a target bears that near instances use."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectoryAnswer:
+    """Where callers should connect, and how long they may think so."""
+
+    addresses: tuple[str, ...]
+    lifetime: float
+    """Seconds."""
+
+
+@final
+class Edge:
+    """Follows the cluster, and decides for the callers of one instance."""
+
+    def __init__(
+        self,
+        record: EdgeRecord,
+        region_by_domain: Mapping[DomainId, RegionId],
+        bounds: Bounds,
+    ) -> None:
+        """Know nothing of the cluster yet."""
+        self.record = record
+        self.bounds = bounds
+        self.index = Index(0)
+        self.table: RouteTable | None = None
+        self.pool_by_service: dict[ServiceId, Pool] = {}
+        self.edge_by_instance: dict[InstanceId, EdgeRecord] = {}
+        self.evacuated: frozenset[DomainId] = frozenset()
+        self._region_by_domain = region_by_domain
+        self._place = Place(record.domain, record.region)
+        self._standing_by_target: dict[TargetId, Standing] = {}
+        self._splitter = Splitter()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        is_serving = self.record.phase is EdgePhase.serving
+        return is_serving and self.table is not None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether this instance is about to stop."""
+        return self.record.phase is EdgePhase.leaving
+
+    def leave(self) -> None:
+        """Begin to stop: no new callers."""
+        self.record = dataclasses.replace(
+            self.record,
+            phase=EdgePhase.leaving,
+        )
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a request."""
+        return self.table.find(host, path) if self.table else None
+
+    def pick_pool(self, route: Route) -> Pool | None:
+        """Return the targets of the service that a request goes to."""
+        service = self._splitter.pick(route)
+        return self._pool(service) if service else None
+
+    def may_send(self, standing: Standing) -> bool:
+        """Tell whether a target still takes work, right before a send."""
+        record = standing.record
+        known = self._standing_by_target.get(record.target)
+        is_ready = standing.record.phase is TargetPhase.ready
+        return (
+            known is standing
+            and is_ready
+            and (record.domain not in self.evacuated)
+        )
+
+    def directory(
+        self,
+        host: str,
+        region: RegionId,
+        domain: DomainId,
+    ) -> DirectoryAnswer:
+        """Return the instances that callers of a host should use."""
+        serving = [
+            edge
+            for edge in self.edge_by_instance.values()
+            if edge.phase is EdgePhase.serving
+        ]
+        homes = self.table.home_regions(host) if self.table else frozenset()
+        if homes and region not in homes:
+            at_home = [edge for edge in serving if edge.region in homes]
+            chosen = at_home or serving
+        else:
+            chosen = _nearest(serving, region, domain)
+        addresses = tuple(edge.address for edge in chosen[:MAX_ADDRESSES])
+        lifetime = min(DIRECTORY_LIFETIME, self.bounds.directory_ttl)
+        return DirectoryAnswer(addresses, lifetime)
+
+    def apply(self, feed: ClusterFeed, document: RouteDocument | None) -> bool:
+        """Follow the cluster; tell whether the feed was news or nothing new.
+
+        A feed from a member that lags behind what is known is refused.
+        """
+        if feed.index < self.index:
+            return False
+        self.index = feed.index
+        if document:
+            self.table = RouteTable(document)
+        self.evacuated = frozenset(feed.evacuated)
+        self._apply_edges(feed)
+        self._apply_targets(feed)
+        self._share_out()
+        return True
+
+    def _apply_edges(self, feed: ClusterFeed) -> None:
+        if feed.complete:
+            self.edge_by_instance.clear()
+        for gone in feed.removed_edges:
+            self.edge_by_instance.pop(gone, None)
+        for edge in feed.edges:
+            self.edge_by_instance[edge.instance] = edge
+
+    def _apply_targets(self, feed: ClusterFeed) -> None:
+        kept = {record.target for record in feed.targets}
+        gone = (
+            self._standing_by_target.keys() - kept
+            if feed.complete
+            else set(feed.removed_targets)
+        )
+        for target in gone:
+            self._forget(target)
+        for record in feed.targets:
+            self._take(record)
+
+    def _take(self, record: TargetRecord) -> None:
+        known = self._standing_by_target.get(record.target)
+        if known and _is_same_start(known.record, record):
+            known.record = record
+            return
+        self._forget(record.target)
+        region = self._region_by_domain.get(record.domain, RegionId(''))
+        standing = Standing(record, region)
+        self._standing_by_target[record.target] = standing
+        pool = self._pool(record.service)
+        pool.standing_by_target[record.target] = standing
+
+    def _forget(self, target: TargetId) -> None:
+        standing = self._standing_by_target.pop(target, None)
+        if standing:
+            pool = self._pool(standing.record.service)
+            pool.standing_by_target.pop(target, None)
+
+    def _pool(self, service: ServiceId) -> Pool:
+        known = self.pool_by_service.get(service)
+        if known is None:
+            known = Pool(
+                service,
+                self._place,
+                RepeatBudget(self.bounds.retry_ratio),
+            )
+            self.pool_by_service[service] = known
+        return known
+
+    def _share_out(self) -> None:
+        """Work out this instance's part of what all of them share."""
+        edges = tuple(self.edge_by_instance.values())
+        near = sum(edge.domain == self.record.domain for edge in edges)
+        probe_rate = self.bounds.probe_rate * PROBE_SHARE
+        for service, pool in self.pool_by_service.items():
+            pool.evacuated = self.evacuated
+            pool.probe_interval = max(FRESH, max(near, 1) / probe_rate)
+            pool.repeats.share(self.bounds.retry_slack, len(edges))
+            pool.cold_rate = self._cold_rate(service)
+            pool.cold_targets = frozenset(
+                target
+                for target, standing in pool.standing_by_target.items()
+                if self.record.instance
+                in senders(standing.record, standing.region, edges)
+            )
+
+    def _cold_rate(self, service: ServiceId) -> float:
+        terms = self.table.document.terms_by_service if self.table else {}
+        known = terms.get(service)
+        return known.cold_rate if known else 0
+
+
+def _is_same_start(known: TargetRecord, record: TargetRecord) -> bool:
+    return (known.born, known.address, known.service) == (
+        record.born,
+        record.address,
+        record.service,
+    )
+
+
+def _nearest(
+    edges: list[EdgeRecord],
+    region: RegionId,
+    domain: DomainId,
+) -> list[EdgeRecord]:
+    in_domain = [edge for edge in edges if edge.domain == domain]
+    in_region = [edge for edge in edges if edge.region == region]
+    return in_domain or in_region or edges
--- a/src/turmericmast/exceptions.py
+++ b/src/turmericmast/exceptions.py
@@ -59,3 +59,8 @@
 
 class RefusedError(TurmericmastError):
     """A rule of an aggregate refuses the request."""
+
+
+@final
+class ConflictError(RefusedError):
+    """A change was made against a version that is not in place any more."""
--- a/src/turmericmast/ids.py
+++ b/src/turmericmast/ids.py
@@ -22,6 +22,10 @@
 MemberId = NewType('MemberId', str)
 Incarnation = NewType('Incarnation', str)
 
+Born = NewType('Born', int)
+"""Milliseconds since the epoch at which a target started."""
+RouteName = NewType('RouteName', str)
+
 Term = NewType('Term', int)
 Index = NewType('Index', int)
 Epoch = NewType('Epoch', int)
--- /dev/null
+++ b/src/turmericmast/platform/settings.py
@@ -0,0 +1,145 @@
+"""Settings as the platform lays them out, turned into the product's own."""
+
+import json
+import pathlib
+from collections.abc import Iterator, Mapping
+from typing import Any, TypeAlias
+
+from returns.result import Failure, Result, Success
+
+from turmericmast.exceptions import SettingsError
+from turmericmast.faults import is_address
+from turmericmast.ids import DomainId, RegionId, Seconds
+from turmericmast.machine import Bounds, Listening, MachineSettings
+
+Tree: TypeAlias = Mapping[str, Any]
+
+_TEXTS = ('node_name', 'zone', 'region')
+_BOUND_BY_NAME = (
+    ('grace', 'grace_s'),
+    ('contact_window', 'contact_window_s'),
+    ('drain', 'drain_s'),
+    ('directory_ttl', 'ttl_max_s'),
+    ('retry_ratio', 'retry_budget_ratio'),
+    ('retry_window', 'budget_window_s'),
+    ('retry_slack', 'budget_slack'),
+    ('cold_slack', 'warmup_slack'),
+    ('probe_rate', 'probe_per_s'),
+)
+
+
+def load_machine_settings(
+    path: pathlib.Path,
+) -> Result[MachineSettings, SettingsError]:
+    """Read and check a settings file, rendered as JSON by the template."""
+    try:
+        tree = json.loads(path.read_text(encoding='utf-8'))
+    except (OSError, ValueError) as error:
+        return Failure(
+            SettingsError(
+                f'cannot be read: {error}',
+                step='read settings',
+                peer=path.name,
+                hint='give a readable JSON file with --settings',
+            ),
+        )
+    return read_settings(tree)
+
+
+def read_settings(tree: Any) -> Result[MachineSettings, SettingsError]:
+    """Return the settings in a document, or all of its faults.
+
+    Fields that are not known are passed over.
+    """
+    faults = list(_faults(tree))
+    if faults:
+        return Failure(
+            SettingsError('\n'.join(faults), step='check settings'),
+        )
+    return Success(_build(tree))
+
+
+def _faults(tree: Any) -> Iterator[str]:
+    if not isinstance(tree, Mapping):
+        yield 'document: not a table'
+        return
+    yield from (
+        f'{name}: found {tree.get(name)!r}; write a non-empty string'
+        for name in _TEXTS
+        if not isinstance(tree.get(name), str) or not tree[name]
+    )
+    yield from _network_faults(tree)
+    yield from (
+        f'bounds.{name}: found {given!r}; write a number'
+        for name, given in _bounds(tree).items()
+        if name in {known for _, known in _BOUND_BY_NAME}
+        and not isinstance(given, int | float)
+    )
+
+
+def _network_faults(tree: Tree) -> Iterator[str]:
+    listen = tree.get('listen')
+    if isinstance(listen, Mapping):
+        yield from (
+            f'listen.{name}: found {given!r}; write IP-NUMBER:PORT'
+            for name, given in listen.items()
+            if given and not is_address(given)
+        )
+    else:
+        yield f'listen: found {listen!r}; write a table of addresses'
+    ports = tree.get('port_range')
+    if not isinstance(ports, list) or len(ports) != 2:
+        yield f'port_range: found {ports!r}; write two ports'
+    if not isinstance(tree.get('zones'), Mapping):
+        yield 'zones: write a table of regions by zone'
+    seeds = tree.get('seeds')
+    if not isinstance(seeds, list) or not all(map(is_address, seeds)):
+        yield f'seeds: found {seeds!r}; write a list of addresses'
+
+
+def _build(tree: Tree) -> MachineSettings:
+    listen = tree['listen']
+    peer_port = tree['port_range'][0]
+    control = listen.get('control') or next(iter(tree['seeds']), ':0')
+    return MachineSettings(
+        name=f'{tree["node_name"]}/{tree.get("role", "")}',
+        region=RegionId(tree['region']),
+        domain=DomainId(tree['zone']),
+        listening=Listening(
+            callers=listen.get('front') or '',
+            readiness=listen.get('ready_address') or '',
+            operators=listen.get('control') or '',
+            directory=listen.get('directory') or '',
+            peers=f'{tree.get("ip", "")}:{peer_port}',
+        ),
+        # A seed is the address for operators; peers use the same machine.
+        contacts=tuple(
+            f'{seed.rpartition(":")[0]}:{peer_port}' for seed in tree['seeds']
+        ),
+        region_by_domain={
+            DomainId(domain): RegionId(region)
+            for domain, region in tree['zones'].items()
+        },
+        bounds=_build_bounds(tree),
+        data=pathlib.Path(tree['data_dir']) if tree.get('data_dir') else None,
+        is_first_start=tree.get('bootstrap') is True,
+        operators_port=int(control.rpartition(':')[-1]),
+    )
+
+
+def _build_bounds(tree: Tree) -> Bounds:
+    given = _bounds(tree)
+    known = {
+        field: given[name]
+        for field, name in _BOUND_BY_NAME
+        if isinstance(given.get(name), int | float)
+    }
+    interval = tree.get('heartbeat_interval_s')
+    if isinstance(interval, int | float):
+        known['report_interval'] = Seconds(interval)
+    return Bounds(**known)
+
+
+def _bounds(tree: Tree) -> Tree:
+    bounds = tree.get('bounds')
+    return bounds if isinstance(bounds, Mapping) else {}
--- /dev/null
+++ b/src/turmericmast/programs/clustermachine.py
@@ -0,0 +1,45 @@
+"""The cluster aggregate behind the replicated log."""
+
+import asyncio
+import contextlib
+from typing import Any, final
+
+from turmericmast.cluster.cluster import Cluster
+from turmericmast.ids import Index
+from turmericmast.programs.group import StateMachine
+
+
+@final
+class ClusterMachine(StateMachine):
+    """Applies commands, and wakes those who wait for news."""
+
+    def __init__(self) -> None:
+        """Start from an empty cluster."""
+        self.cluster = Cluster()
+        self._news: asyncio.Future[None] = asyncio.Future()
+
+    def apply(self, index: Index, command: Any) -> Any:
+        """Apply one command."""
+        answer = self.cluster.apply(index, command)
+        if answer.value_or(False):
+            self._tell()
+        return answer
+
+    def snapshot(self) -> Any:
+        """Return the whole cluster."""
+        return self.cluster.snapshot()
+
+    def restore(self, state: Any) -> None:
+        """Replace the whole cluster."""
+        self.cluster.restore(state)
+        self._tell()
+
+    async def wait_for_news(self, known: Index, timeout: float) -> None:
+        """Return when something changed after an index, or in time."""
+        if self.cluster.index <= known:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(asyncio.shield(self._news), timeout)
+
+    def _tell(self) -> None:
+        self._news.set_result(None)
+        self._news = asyncio.Future()
--- a/src/turmericmast/programs/group.py
+++ b/src/turmericmast/programs/group.py
@@ -2,7 +2,6 @@
 
 import abc
 import asyncio
-import contextlib
 import secrets
 from collections.abc import Mapping
 from types import TracebackType
@@ -23,14 +22,15 @@
 from turmericmast.replica.messages import (
     Entry,
     EntryKind,
-    Message,
+    Seat,
     Snapshot,
 )
 from turmericmast.replica.replica import Replica
 from turmericmast.replica.store import Store
 from turmericmast.units import MILLIS
 from turmericmast.wire.codec import decode, encode
-from turmericmast.wire.link import Link, Node
+from turmericmast.wire.link import Node
+from turmericmast.wire.links import Links
 
 TICK_MS = 50
 COMPACT_ENTRIES = 512
@@ -76,7 +76,7 @@
         self._store = store
         self._clock = clock
         self._events = events
-        self._link_by_member: dict[MemberId, Link] = {}
+        self.links = Links(node)
         self._future_by_index: dict[
             Index,
             tuple[Term, asyncio.Future[Result[Any, TurmericmastError]]],
@@ -106,19 +106,23 @@
     ) -> None:
         """Stop taking part."""
         self._ticker.stop()
-        with contextlib.ExitStack() as stack:
-            for link in self._link_by_member.values():
-                stack.push(link)
-        self._fail_from(Index(0), 'this process stops')
+        with self.links:
+            self._fail_from(Index(0), 'this process stops')
 
     def start(self, address_by_member: Mapping[MemberId, str]) -> None:
-        """Connect to the other members and take part."""
-        self._link_by_member = {
-            member: Link(self._node, address_by_member[member])
-            for member in self.seating.others
-        }
+        """Take part; members without an address are named by theirs."""
+        self.links.address_by_member = address_by_member
         self._ticker.start()
 
+    @property
+    def seats(self) -> tuple[Seat, ...]:
+        """Return who has a seat in the group."""
+        return self.replica.core.membership.seats
+
+    def contact_age(self) -> float:
+        """Return the seconds since a quorum was known to stand behind this."""
+        return self.replica.contact_age(self._clock.now())
+
     @property
     def leads(self) -> bool:
         """Tell whether this member leads and no other one can."""
@@ -184,6 +188,7 @@
         )
 
     def _tick(self) -> None:
+        self._drop_links()
         self.replica.tick(self._clock.now())
         self._flush()
 
@@ -197,7 +202,7 @@
         # Others may write while this disk does: what a leader appended does
         # not count as its own before its sync, and theirs not before theirs.
         for member, message in self.replica.take_appends():
-            self._send(member, message)
+            self.links.to(member).send(message)
         self._store.sync()
         self.replica.synced(self._clock.now())
         # Counting the own log may commit entries and append nothing new.
@@ -207,7 +212,7 @@
     def _carry_out(self) -> None:
         effects = self.replica.take_effects()
         for member, message in effects.messages:
-            self._send(member, message)
+            self.links.to(member).send(message)
         if effects.restored:
             self._restore(effects.restored)
         for entry in effects.committed:
@@ -215,10 +220,13 @@
         if effects.committed:
             self._compact()
 
-    def _send(self, member: MemberId, message: Message) -> None:
-        link = self._link_by_member.get(member)
-        if link:
-            link.send(message)
+    def _drop_links(self) -> None:
+        """Close the links to members that have left an open group."""
+        core = self.replica.core
+        if core.seating.is_open and not self.replica.is_ready:
+            self.links.keep(
+                {*core.others, *core.seating.members, core.leader},
+            )
 
     def _restore(self, snapshot: Snapshot) -> None:
         self.applied = snapshot.index
--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -7,16 +7,16 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TypeAlias
+from typing import Any, Generic, Protocol, TypeAlias, TypeVar, final
 
 from absl import app, flags, logging
-from returns.result import Success
+from returns.result import Result, Success
 
 from turmericmast.clock import Clock, HybridClock, SystemClock
 from turmericmast.events import EventLog
 from turmericmast.exceptions import SettingsError, TurmericmastError
 from turmericmast.metrics import Metrics
-from turmericmast.settings import Settings, load_settings
+from turmericmast.settings import load_settings
 from turmericmast.version import VERSION
 from turmericmast.wire.link import Node
 
@@ -28,32 +28,63 @@
 VERSION_FLAG = flags.DEFINE_bool('version', False, 'Show the version and exit.')
 
 
-class Process:
+class AnySettings(Protocol):
+    """What every program is told."""
+
+    @property
+    def name(self) -> str:
+        """Return the name of the process."""
+
+    @property
+    def events(self) -> pathlib.Path | None:
+        """Return the file for events, if there is one."""
+
+
+SettingsT = TypeVar('SettingsT', bound=AnySettings)
+Load: TypeAlias = Callable[[pathlib.Path], Result[Any, SettingsError]]
+
+
+@final
+class Process(Generic[SettingsT]):
     """The parts that belong to the process as a whole."""
 
-    def __init__(self, settings: Settings, events: EventLog) -> None:
+    def __init__(
+        self,
+        settings: SettingsT,
+        events: EventLog,
+        load: Load = load_settings,
+    ) -> None:
         """Join settings, clock, metrics and events."""
         self.settings = settings
         self.events = events
+        self.load = load
         self.clock: Clock = SystemClock()
         self.metrics = Metrics()
         self.stop = asyncio.Event()
         self.node = Node(settings.name, events.clock, self.metrics)
 
 
-Main: TypeAlias = Callable[[Process, contextlib.ExitStack], Awaitable[None]]
+Main: TypeAlias = Callable[
+    [Process[Any], contextlib.ExitStack],
+    Awaitable[None],
+]
+
+
+def run_program(main: Main, load: Load = load_settings) -> None:
+    """Run a program until it is told to stop; ``load`` reads its settings."""
+    app.run(lambda arguments: _start(main, load, arguments))
 
 
-def run_program(main: Main) -> None:
-    """Run a program until it is told to stop."""
-    app.run(lambda arguments: _start(main, arguments))
+def settings_path() -> pathlib.Path:
+    """Return the settings file that the process was given."""
+    return pathlib.Path(SETTINGS.value)
 
 
-def _start(main: Main, arguments: Sequence[str]) -> int:
+def _start(main: Main, load: Load, arguments: Sequence[str]) -> int:
     if VERSION_FLAG.value:
         sys.stdout.write(f'turmericmast {VERSION}\n')
         return 0
-    loaded = load_settings(pathlib.Path(SETTINGS.value))
+    loaded = load(settings_path())
     if not isinstance(loaded, Success):
         return _complain(loaded.failure())
     if CHECK.value:
@@ -64,7 +95,7 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     try:
-        asyncio.run(_run(main, loaded.unwrap()))
+        asyncio.run(_run(main, loaded.unwrap(), load))
     except TurmericmastError as error:
         return _complain(error)
     except OSError as error:
@@ -78,13 +109,13 @@
     return 0
 
 
-async def _run(main: Main, settings: Settings) -> None:
+async def _run(main: Main, settings: Any, load: Load) -> None:
     clock = HybridClock(SystemClock())
     with contextlib.ExitStack() as stack:
         events = stack.enter_context(
             EventLog(settings.name, settings.events, clock),
         )
-        process = Process(settings, events)
+        process = Process(settings, events, load)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, process.stop.set)
--- /dev/null
+++ b/src/turmericmast/programs/watching.py
@@ -0,0 +1,151 @@
+"""Follow the cluster through whichever core member is near and fresh."""
+
+import asyncio
+import zlib
+from collections.abc import Iterable
+from types import TracebackType
+from typing import Self, final
+
+from returns.result import Success
+
+from turmericmast.clock import Clock
+from turmericmast.cluster.records import RoutesRecord
+from turmericmast.edge.edge import Edge
+from turmericmast.events import EventLog
+from turmericmast.ids import DomainId, MemberId, RegionId
+from turmericmast.machine import MachineSettings
+from turmericmast.programs.runner import Process
+from turmericmast.replica.messages import Seat
+from turmericmast.route.document import RouteDocument, RouteFormat
+from turmericmast.wire.links import Links
+from turmericmast.wire.requests import WatchCluster, WatchedCluster
+
+ASK_TIMEOUT = 1.0
+"""Seconds without an answer after which another member is asked.
+
+Two members can be tried within the contact window of 3 s."""
+FRESH_CONTACT_MS = 1200
+"""Milliseconds without a quorum after which a member is not believed."""
+AVOID_SECONDS = 1.5
+"""Seconds for which a member that failed is asked last."""
+RETRY_PAUSE = 0.1
+
+
+@final
+class Watching:
+    """Keeps an edge's view of the cluster up to date."""
+
+    def __init__(
+        self,
+        process: Process[MachineSettings],
+        edge: Edge,
+        route_format: RouteFormat,
+    ) -> None:
+        """Know only the contacts of the settings."""
+        self._clock: Clock = process.clock
+        self._events: EventLog = process.events
+        self._process = process
+        self._edge = edge
+        self._format = route_format
+        self._seats: tuple[Seat, ...] = ()
+        self._avoid_until_by_member: dict[MemberId, float] = {}
+        self._links = Links(process.node)
+        self._task: asyncio.Task[None] | None = None
+        self._member = MemberId('')
+
+    def __enter__(self) -> Self:
+        """Begin to follow."""
+        self._task = asyncio.ensure_future(self._run())
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop following."""
+        if self._task:
+            self._task.cancel()
+        self._links.keep(())
+
+    async def _run(self) -> None:
+        while True:
+            member = self._pick()
+            if not (member and await self._watch(member)):
+                await asyncio.sleep(RETRY_PAUSE)
+
+    async def _watch(self, member: MemberId) -> bool:
+        """Ask one member; tell whether it may be asked again at once."""
+        answer = await self._links.to(member).ask(
+            WatchCluster(self._edge.record, self._edge.index),
+            ASK_TIMEOUT,
+        )
+        told = answer.value_or(None)
+        is_good = isinstance(told, WatchedCluster) and self._take(told)
+        self._note_contact(member, is_good=is_good)
+        return is_good
+
+    def _take(self, told: WatchedCluster) -> bool:
+        routes = told.feed.routes
+        document = self._document(routes) if routes else None
+        if not self._edge.apply(told.feed, document):
+            return False
+        if told.seats:
+            self._seats = told.seats
+            kept = {seat.member for seat in told.seats}
+            self._links.keep(kept)
+        return told.contact_ms < FRESH_CONTACT_MS
+
+    def _document(self, routes: RoutesRecord) -> RouteDocument | None:
+        if not routes.source:
+            return None
+        parsed = self._format.parse(zlib.decompress(routes.source))
+        if isinstance(parsed, Success):
+            self._events.write('routes', version=routes.version)
+            return parsed.unwrap()
+        self._events.write('routes_bad', reason=parsed.failure().show())
+        return None
+
+    def _note_contact(self, member: MemberId, *, is_good: bool) -> None:
+        if not is_good:
+            until = self._clock.now() + AVOID_SECONDS
+            self._avoid_until_by_member[member] = until
+        shown = member if is_good else MemberId('')
+        if shown != self._member:
+            self._member = shown
+            self._events.write('core_contact', member=shown, asked=member)
+
+    def _pick(self) -> MemberId | None:
+        """Return the nearest member that did not fail just now."""
+        now = self._clock.now()
+        avoid = self._avoid_until_by_member
+        return min(
+            self._members(),
+            key=lambda member: (
+                avoid.get(member, 0) > now,
+                avoid.get(member, 0) if avoid.get(member, 0) > now else 0,
+                self._distance(member),
+                member,
+            ),
+            default=None,
+        )
+
+    def _members(self) -> Iterable[MemberId]:
+        seats = [seat.member for seat in self._seats]
+        avoid = self._avoid_until_by_member
+        now = self._clock.now()
+        is_lost = all(avoid.get(member, 0) > now for member in seats)
+        contacts = self._process.settings.contacts if is_lost else ()
+        return dict.fromkeys((*seats, *map(MemberId, contacts)))
+
+    def _distance(self, member: MemberId) -> int:
+        settings = self._process.settings
+        domain = next(
+            (seat.domain for seat in self._seats if seat.member == member),
+            DomainId(''),
+        )
+        if domain == settings.domain:
+            return 0
+        region = settings.region_by_domain.get(domain, RegionId(''))
+        return 1 if region == settings.region else 2
--- a/src/turmericmast/replica/core.py
+++ b/src/turmericmast/replica/core.py
@@ -5,7 +5,7 @@
 import random
 from typing import final
 
-from turmericmast.ids import Incarnation, Index, MemberId, Term
+from turmericmast.ids import DomainId, Incarnation, Index, MemberId, Term
 from turmericmast.replica.log import Log
 from turmericmast.replica.membership import Membership
 from turmericmast.replica.messages import (
@@ -47,18 +47,19 @@
 
     me: MemberId
     members: tuple[MemberId, ...]
+    """All members of a closed group; the contacts of an open one."""
     witnesses: frozenset[MemberId] = frozenset()
+    domain: DomainId = DomainId('')
+    is_open: bool = False
+    """Whether the log alone decides who is a member."""
+    may_found: bool = True
+    """Whether this member may help to found the group."""
 
     @property
     def is_witness(self) -> bool:
         """Tell whether this replica keeps positions only."""
         return self.me in self.witnesses
 
-    @property
-    def others(self) -> tuple[MemberId, ...]:
-        """Return the members besides this one."""
-        return tuple(one for one in self.members if one != self.me)
-
 
 @final
 @dataclasses.dataclass
@@ -107,6 +108,21 @@
         """Tell whether the group counts the votes of this incarnation."""
         return self.membership.lists(self.seating.me, self.vote.incarnation)
 
+    @property
+    def others(self) -> tuple[MemberId, ...]:
+        """Return the members besides this one.
+
+        An open group goes by its log; its contacts count until it has one.
+        """
+        listed = tuple(seat.member for seat in self.membership.seats)
+        is_listed = self.seating.is_open and listed
+        members = listed if is_listed else self.seating.members
+        return tuple(one for one in members if one != self.seating.me)
+
+    def meet(self, contacts: tuple[MemberId, ...]) -> None:
+        """Take other contacts of an open group, as after new settings."""
+        self.seating = dataclasses.replace(self.seating, members=contacts)
+
     def send(self, member: MemberId, message: Message) -> None:
         """Queue a message until the next sync."""
         self.effects.messages.append((member, message))
--- a/src/turmericmast/replica/election.py
+++ b/src/turmericmast/replica/election.py
@@ -115,7 +115,7 @@
             trial=role is Role.trial,
             handed_over=handed_over,
         )
-        for member in core.seating.others:
+        for member in core.others:
             core.send(member, request)
         return self._settle()
 
--- a/src/turmericmast/replica/founding.py
+++ b/src/turmericmast/replica/founding.py
@@ -2,7 +2,14 @@
 
 from typing import final
 
-from turmericmast.ids import Incarnation, Index, MemberId, Seconds, Term
+from turmericmast.ids import (
+    DomainId,
+    Incarnation,
+    Index,
+    MemberId,
+    Seconds,
+    Term,
+)
 from turmericmast.replica.core import Core
 from turmericmast.replica.membership import Membership
 from turmericmast.replica.messages import Entry, EntryKind, Probe, Seat
@@ -24,15 +31,16 @@
     def __init__(self, core: Core) -> None:
         """Start without any answers."""
         self._core = core
-        self._virgin_by_member: dict[MemberId, tuple[Incarnation, float]] = {}
+        self._virgin_by_member: dict[MemberId, tuple[Seat, float]] = {}
         self._next_probe = float(0)
 
     def tick(self, now: Seconds) -> None:
         """Ask again from time to time while this member has no state."""
-        if not self._core.log.is_empty or now < self._next_probe:
+        may_found = self._core.seating.may_found and self._core.log.is_empty
+        if not may_found or now < self._next_probe:
             return
         self._next_probe = now + PROBE_INTERVAL
-        for member in self._core.seating.others:
+        for member in self._core.others:
             self._core.send(member, self._describe(question=True))
         # A group of one has nobody to wait for.
         self._found(now)
@@ -48,7 +56,8 @@
             self._virgin_by_member.clear()
             self._adopt(probe)
             return
-        self._virgin_by_member[probe.member] = (probe.incarnation, now)
+        seat = self._seat(probe.member, probe.incarnation, probe.domain)
+        self._virgin_by_member[probe.member] = (seat, now)
         self._found(now)
 
     def _describe(self, *, question: bool) -> Probe:
@@ -60,8 +69,18 @@
             formed=not core.log.is_empty,
             question=question,
             seats=founding[0].seats if founding else (),
+            domain=core.seating.domain,
         )
 
+    def _seat(
+        self,
+        member: MemberId,
+        incarnation: Incarnation,
+        domain: DomainId,
+    ) -> Seat:
+        is_witness = member in self._core.seating.witnesses
+        return Seat(member, incarnation, is_witness, domain)
+
     def _adopt(self, probe: Probe) -> None:
         me = (self._core.seating.me, self._core.vote.incarnation)
         if Membership(probe.seats).lists(*me):
@@ -69,23 +88,22 @@
 
     def _found(self, now: Seconds) -> None:
         core = self._core
+        seating = core.seating
         oldest = now - 2 * PROBE_INTERVAL
         fresh = {
-            member: incarnation
-            for member, (incarnation, at) in self._virgin_by_member.items()
-            if at >= oldest
+            member: seat
+            for member, (seat, at) in self._virgin_by_member.items()
+            if at >= oldest and member in seating.members
         }
-        fresh[core.seating.me] = core.vote.incarnation
-        is_first = core.seating.me == min(core.seating.members)
-        if is_first and set(fresh) == set(core.seating.members):
-            self._write(
-                tuple(
-                    Seat(
-                        member, fresh[member], member in core.seating.witnesses
-                    )
-                    for member in sorted(fresh)
-                ),
-            )
+        fresh[seating.me] = self._seat(
+            seating.me,
+            core.vote.incarnation,
+            seating.domain,
+        )
+        is_first = seating.me == min(seating.members, default=MemberId(''))
+        if seating.may_found and is_first:
+            if set(fresh) == set(seating.members):
+                self._write(tuple(fresh[member] for member in sorted(fresh)))
 
     def _write(self, seats: tuple[Seat, ...]) -> None:
         self._core.append(
--- a/src/turmericmast/replica/leading.py
+++ b/src/turmericmast/replica/leading.py
@@ -7,13 +7,16 @@
 
 from turmericmast.ids import Incarnation, Index, MemberId, Seconds, Term
 from turmericmast.replica.core import Core, Role
+from turmericmast.replica.membership import Membership
 from turmericmast.replica.messages import (
     Append,
     AppendReply,
     Entry,
     EntryKind,
     Install,
+    Join,
 )
+from turmericmast.replica.seating import Newcomers, vacated
 
 MAX_ENTRIES = 128
 """Entries in one message."""
@@ -51,10 +54,9 @@
         self._since = now
         self._next_beat = float(0)
         self.synced_index = 0
-        self.progress_by_member = {
-            member: Progress(next_index=core.log.last_index + 1)
-            for member in core.seating.others
-        }
+        self._newcomers = Newcomers(core)
+        self.progress_by_member: dict[MemberId, Progress] = {}
+        self._follow_members()
         core.role = Role.leader
         core.leader = core.seating.me
         self.first_index = self.append(EntryKind.noop)
@@ -94,13 +96,21 @@
             return
         if now >= self._next_beat:
             self._next_beat = now + core.timing.heartbeat
-            for member in core.seating.others:
+            self._newcomers.expire(now)
+            self._follow_members()
+            self._change_seats(vacated(core, self._heard_at, now))
+            for member in self.progress_by_member:
                 if self._is_waiting(member, now):
                     # What is under way is not sent twice.
                     self._beat(member, now)
                 else:
                     self._send(member, now)
 
+    def admit(self, join: Join, now: Seconds) -> None:
+        """Bring a newcomer up to date, so that it can get a seat."""
+        self._newcomers.ask(join, now)
+        self._follow_members()
+
     def spread(self, now: Seconds) -> None:
         """Send new entries to members that wait for nothing else."""
         for member, progress in self.progress_by_member.items():
@@ -166,6 +176,23 @@
         if core.log.term_at(index) == core.vote.term:
             core.commit_to(index)
 
+    def _follow_members(self) -> None:
+        """Keep progress of those who have a seat or asked for one."""
+        core = self._core
+        wanted = dict.fromkeys((*core.others, *self._newcomers.members))
+        for gone in self.progress_by_member.keys() - wanted.keys():
+            self.progress_by_member.pop(gone)
+        for member in wanted:
+            self.progress_by_member.setdefault(
+                member,
+                Progress(next_index=core.log.last_index + 1),
+            )
+
+    def _heard_at(self, member: MemberId) -> float:
+        progress = self.progress_by_member.get(member)
+        heard_at = progress.confirmed_at if progress else -math.inf
+        return max(heard_at, self._since)
+
     def _is_waiting(self, member: MemberId, now: Seconds) -> bool:
         since = self.progress_by_member[member].waiting_since
         return now - since < RESEND_AFTER
@@ -192,21 +219,25 @@
         return self._core.membership.lists(member, progress.incarnation)
 
     def _reseat(self, member: MemberId, progress: Progress) -> None:
-        core = self._core
         is_strange = not self._counts(member, progress)
+        if is_strange and progress.match >= self._core.commit:
+            self._change_seats(
+                self._newcomers.seated(member, progress.incarnation),
+            )
+
+    def _change_seats(self, membership: Membership | None) -> None:
+        """Change one seat, once every earlier change is committed."""
+        core = self._core
         is_quiet = core.log.seats(core.commit) == core.membership.seats
-        if not (is_strange and is_quiet and self.has_settled):
+        if membership is None or not (is_quiet and self.has_settled):
             return
-        if progress.match >= core.commit:
-            membership = core.membership.replace(member, progress.incarnation)
-            index = Index(core.log.last_index + 1)
-            entry = Entry(
-                index,
-                core.vote.term,
-                EntryKind.membership,
-                seats=membership.seats,
-            )
-            core.append([entry])
+        entry = Entry(
+            Index(core.log.last_index + 1),
+            core.vote.term,
+            EntryKind.membership,
+            seats=membership.seats,
+        )
+        core.append([entry])
 
     def _limit(self, member: MemberId, now: Seconds) -> int:
         """Return the last index that may be sent to the member.
--- a/src/turmericmast/replica/membership.py
+++ b/src/turmericmast/replica/membership.py
@@ -43,6 +43,10 @@
         """Tell whether the member keeps positions only."""
         return any(seat.witness for seat in self.seats if seat.member == member)
 
+    def has_seat(self, member: MemberId) -> bool:
+        """Tell whether any incarnation of the member has a seat."""
+        return any(seat.member == member for seat in self.seats)
+
     def replace(
         self,
         member: MemberId,
@@ -57,3 +61,20 @@
                 for seat in self.seats
             ),
         )
+
+    def add(self, seat: Seat) -> 'Membership':
+        """Return the membership with one more seat."""
+        return Membership((*self.seats, seat))
+
+    def remove(self, member: MemberId) -> 'Membership':
+        """Return the membership without the seat of a member."""
+        kept = (seat for seat in self.seats if seat.member != member)
+        return Membership(tuple(kept))
+
+    def successors(self, seat: Seat) -> tuple[MemberId, ...]:
+        """Return the other members in the failure domain of a seat."""
+        return tuple(
+            other.member
+            for other in self.seats
+            if other.domain == seat.domain and other.member != seat.member
+        )
--- a/src/turmericmast/replica/messages.py
+++ b/src/turmericmast/replica/messages.py
@@ -4,7 +4,7 @@
 import enum
 from typing import TypeAlias, final
 
-from turmericmast.ids import Incarnation, Index, MemberId, Term
+from turmericmast.ids import DomainId, Incarnation, Index, MemberId, Term
 
 
 @final
@@ -24,6 +24,8 @@
     member: MemberId
     incarnation: Incarnation
     witness: bool
+    domain: DomainId = DomainId('')
+    """Failure domain, empty where the settings list the members."""
 
 
 @final
@@ -63,6 +65,17 @@
     formed: bool
     question: bool
     seats: tuple[Seat, ...] = ()
+    domain: DomainId = DomainId('')
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """A member of an open group that hears no leader asks for a seat."""
+
+    member: MemberId
+    incarnation: Incarnation
+    domain: DomainId
 
 
 @final
@@ -143,5 +156,12 @@
 
 
 Message: TypeAlias = (
-    Probe | VoteRequest | HandOver | VoteReply | Append | Install | AppendReply
+    Probe
+    | Join
+    | VoteRequest
+    | HandOver
+    | VoteReply
+    | Append
+    | Install
+    | AppendReply
 )
--- a/src/turmericmast/replica/replica.py
+++ b/src/turmericmast/replica/replica.py
@@ -11,6 +11,7 @@
 from turmericmast.replica.election import Election
 from turmericmast.replica.following import Following
 from turmericmast.replica.founding import Founding
+from turmericmast.replica.joining import Joining
 from turmericmast.replica.leading import Leading
 from turmericmast.replica.messages import (
     Append,
@@ -18,6 +19,7 @@
     EntryKind,
     HandOver,
     Install,
+    Join,
     Message,
     Probe,
     VoteReply,
@@ -47,6 +49,7 @@
         self._core = Core(seating, store, incarnation, timing or Timing())
         self._election = Election(self._core, now)
         self._founding = Founding(self._core)
+        self._joining = Joining(self._core)
         self._following = Following(self._core)
         self._leading: Leading | None = None
 
@@ -108,6 +111,7 @@
             leading.tick(now)
             return
         self._founding.tick(now)
+        self._joining.tick(now)
         self._take_office(now, won=self._election.tick(now))
 
     def receive(self, message: Message, now: Seconds) -> None:
@@ -125,6 +129,8 @@
                 self._take_office(now, won=self._election.take_over(now))
             case Probe():
                 self._founding.on_probe(message, now)
+            case Join():
+                self._on_join(message, now)
 
     def synced(self, now: Seconds) -> None:
         """Count the own log after it was made durable."""
@@ -175,13 +181,32 @@
         """Drop the log up to ``index``, which ``state`` makes up for."""
         self._core.compact(index, state)
 
+    def contact_age(self, now: Seconds) -> float:
+        """Return the seconds since a quorum was known to stand behind this.
+
+        A follower goes by its leader's last message, a leader by the
+        sending time of what a quorum answered.
+        """
+        leading = self._current()
+        if leading:
+            return now - leading.confirmed_until()
+        is_following = self._core.is_voter and self._core.leader
+        return now - self._core.heard_at if is_following else math.inf
+
+    def _on_join(self, join: Join, now: Seconds) -> None:
+        leading = self._current()
+        if leading:
+            leading.admit(join, now)
+        else:
+            self._joining.hand_on(join)
+
     def _current(self) -> Leading | None:
         if self._core.role is not Role.leader:
             self._leading = None
         return self._leading
 
     def _on_vote_request(self, request: VoteRequest, now: Seconds) -> None:
-        is_known = request.candidate in self._core.seating.others
+        is_known = request.candidate in self._core.others
         has_lease = self._current() and now < self.lease_end()
         if has_lease or not is_known:
             return
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -61,6 +61,7 @@
         Loss.connection_lost: Ending.lost,
         Loss.timed_out: Ending.error,
         Loss.cut_short: Ending.lost,
+        Loss.failed: Ending.error,
     },
 )
 
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import contextlib
 import math
+import socket
 from types import TracebackType
 from typing import TYPE_CHECKING, Any, Self, final
 
@@ -15,17 +17,29 @@
     from turmericmast.web.transfer import Transfer
 
 CONNECT_TIMEOUT_MS = 1000
+MAX_IDLE_SECONDS = 118
 MAX_IDLE_HANDLES = 512
 MAX_CONNECTIONS = 4096
 """Connections kept open between transfers, over all targets."""
+USER_TIMEOUT_MS = 2000
+"""Time without an acknowledgement of the peer's host that ends a connection."""
 
 
 @final
 class Curl:
     """A ``CurlMulti`` whose sockets and timer belong to the loop."""
 
-    def __init__(self) -> None:
-        """Attach to the current loop."""
+    def __init__(
+        self,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+        idle_seconds: int = MAX_IDLE_SECONDS,
+    ) -> None:
+        """Attach to the current loop.
+
+        Connections that were idle for ``idle_seconds`` are not used again.
+        """
+        self._connect_timeout_ms = connect_timeout_ms
+        self._idle_seconds = idle_seconds
         self._loop = IOLoop.current()
         self._asyncio = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
@@ -71,7 +85,9 @@
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         handle.setopt(pycurl.PROXY, '')
-        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._connect_timeout_ms)
+        handle.setopt(pycurl.MAXAGE_CONN, self._idle_seconds)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, _tune)
         handle.setopt(pycurl.PATH_AS_IS, 1)
         handle.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         return handle
@@ -177,3 +193,16 @@
         if transfer:
             self.stop(transfer)
             transfer.finish(code, message)
+
+
+def _tune(descriptor: int, purpose: int) -> int:
+    """Notice a target whose machine is gone without a word."""
+    with contextlib.closing(socket.socket(fileno=descriptor)) as borrowed:
+        borrowed.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            USER_TIMEOUT_MS,
+        )
+        # curl owns the descriptor; only the wrapper is given up here.
+        borrowed.detach()
+    return int(pycurl.SOCKOPT_OK)
--- /dev/null
+++ b/src/turmericmast/web/edgechoosing.py
@@ -0,0 +1,62 @@
+"""Choose a target for a request, with knowledge that is fresh enough."""
+
+from collections.abc import Sequence
+from typing import final
+
+from turmericmast.balance.pool import GOOD_WORTH, Ask, Candidate, Pool
+from turmericmast.balance.standing import Standing
+from turmericmast.balance.value import Distance, expected_time
+from turmericmast.web.edgedesk import EdgeDesk
+
+PATIENCE_BY_DISTANCE = (0.015, 0.025, 0.06)
+"""Seconds to wait for probes: some round trips at each distance."""
+
+
+@final
+class Chooser:
+    """Looks at near targets first, and probes where knowledge is old."""
+
+    def __init__(self, desk: EdgeDesk, pool: Pool) -> None:
+        """Choose among the targets of ``pool``."""
+        self._desk = desk
+        self._pool = pool
+
+    async def choose(self, ask: Ask) -> Candidate | None:
+        """Return the best target, none when no target can serve in time."""
+        best: Candidate | None = None
+        for ring in Distance:
+            best = await self._look(ask, ring)
+            if best and best.worth >= GOOD_WORTH:
+                break
+        return best if best and self._is_in_time(ask, best) else None
+
+    async def _look(self, ask: Ask, ring: Distance) -> Candidate | None:
+        """Return the best target up to a distance."""
+        now = self._desk.clock.now()
+        best = self._pool.best(ask, ring, now)
+        if best and self._pool.is_settled(best, now):
+            return best
+        stale = self._pool.stale(ask, ring, now)
+        if not stale:
+            return best
+        await self._probe(stale, ring)
+        return self._pool.best(ask, ring, self._desk.clock.now())
+
+    async def _probe(self, stale: Sequence[Standing], ring: Distance) -> None:
+        table = self._desk.edge.table
+        terms = (
+            table.document.terms_by_service.get(self._pool.service)
+            if table
+            else None
+        )
+        if terms:
+            await self._desk.prober.probe(
+                stale,
+                terms.health_path,
+                PATIENCE_BY_DISTANCE[ring],
+            )
+
+    def _is_in_time(self, ask: Ask, chosen: Candidate) -> bool:
+        outlook = self._pool.outlook(ask, self._desk.clock.now())
+        took = expected_time(chosen.standing, chosen.distance, outlook.work)
+        return took < outlook.time_left
--- /dev/null
+++ b/src/turmericmast/web/edgedesk.py
@@ -0,0 +1,28 @@
+"""What every exchange of an edge shares."""
+
+import dataclasses
+from typing import final
+
+from turmericmast.clock import Clock
+from turmericmast.edge.edge import Edge
+from turmericmast.events import EventLog
+from turmericmast.metrics import Metrics
+from turmericmast.web.curl import Curl
+from turmericmast.web.dialect import Dialect
+from turmericmast.web.probing import Prober
+
+
+@final
+@dataclasses.dataclass
+class EdgeDesk:
+    """The edge with its clients, clock and counters."""
+
+    edge: Edge
+    clock: Clock
+    curl: Curl
+    dialect: Dialect
+    prober: Prober
+    metrics: Metrics
+    events: EventLog
+    running: int = 0
+    """Requests that have been read and not answered yet."""
--- /dev/null
+++ b/src/turmericmast/web/edgefront.py
@@ -0,0 +1,175 @@
+"""The HTTP front end of an edge: it finds routes and starts exchanges."""
+
+import itertools
+import secrets
+from typing import Any, final
+
+from returns.result import Failure, Result, Success
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+)
+
+from turmericmast.balance.pool import Pool
+from turmericmast.call.call import CallRequest
+from turmericmast.ids import CallId, RequestKey, Seconds, TenantId
+from turmericmast.route.document import Route, RouteLimits
+from turmericmast.web import edgerefusals
+from turmericmast.web.edgedesk import EdgeDesk
+from turmericmast.web.edgeexchange import EdgeExchange, EdgeRequest
+from turmericmast.web.idle import IdleConnections
+from turmericmast.web.problem import Problem, refuse_unread, respond
+
+
+@final
+class EdgeFront(HTTPServerConnectionDelegate):
+    """Accepts connections of callers."""
+
+    def __init__(self, desk: EdgeDesk) -> None:
+        """Serve requests through ``desk``."""
+        self._desk = desk
+        self.idle = IdleConnections(desk.clock, desk.metrics)
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Return the reader of one request."""
+        self.idle.wait(server_conn)
+        return _Reader(self._desk, self.idle, server_conn, request_conn)
+
+    def close_idle(self) -> None:
+        """Close connections that were idle for longer than is allowed."""
+        table = self._desk.edge.table
+        if table:
+            self.idle.close(table.document.limits.idle_timeout)
+
+
+@final
+class _Reader(HTTPMessageDelegate):
+    """Reads the head of a request and hands the rest to an exchange."""
+
+    def __init__(
+        self,
+        desk: EdgeDesk,
+        idle: IdleConnections,
+        server_conn: object,
+        connection: HTTPConnection,
+    ) -> None:
+        self._desk = desk
+        self._idle = idle
+        self._server_conn = server_conn
+        self._connection = connection
+        self._exchange: EdgeExchange | None = None
+
+    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
+        """Find the route of the request, before its body arrives."""
+        self._idle.serve(self._server_conn)
+        read = _read_request(self._desk, start_line, headers)
+        if not isinstance(read, Success):
+            self._refuse(read.failure(), headers)
+            return
+        exchange = EdgeExchange(self._desk, self._connection, read.unwrap())
+        self._exchange = exchange
+        if isinstance(self._connection, HTTP1Connection):
+            # The delegate itself is told only while the body is read.
+            self._connection.set_close_callback(exchange.on_connection_close)
+
+    def data_received(self, chunk: bytes) -> Any:
+        """Pass on octets of the body."""
+        return self._exchange.data_received(chunk) if self._exchange else None
+
+    def finish(self) -> None:
+        """Pass on the end of the body."""
+        if self._exchange:
+            self._exchange.finish()
+
+    def on_connection_close(self) -> None:
+        """Pass on that the caller is gone."""
+        if self._exchange:
+            self._exchange.on_connection_close()
+
+    def _refuse(self, problem: Problem, headers: HTTPHeaders) -> None:
+        self._desk.metrics.count(
+            'requests',
+            outcome=f'refused_{problem.status:d}',
+        )
+        has_body = headers.get('Content-Length', '0') != '0' or (
+            'Transfer-Encoding' in headers
+        )
+        if has_body and isinstance(self._connection, HTTP1Connection):
+            refuse_unread(self._connection, problem)
+            return
+        respond(
+            self._connection,
+            problem.status,
+            problem.reason,
+            problem.headers(),
+            problem.body(),
+        )
+
+
+def _read_request(
+    desk: EdgeDesk,
+    start: RequestStartLine,
+    headers: HTTPHeaders,
+) -> Result[EdgeRequest, Problem]:
+    edge = desk.edge
+    if edge.table is None:
+        return Failure(edgerefusals.no_routes())
+    problem = _excess(headers, edge.table.document.limits)
+    if problem:
+        return Failure(problem)
+    host = headers.get('Host', '')
+    route = edge.find(host, start.path)
+    pool = edge.pick_pool(route) if route else None
+    if route is None or pool is None:
+        return Failure(edgerefusals.no_route(host))
+    return Success(_make_request(desk, start, headers, route, pool))
+
+
+def _excess(headers: HTTPHeaders, limits: RouteLimits) -> Problem | None:
+    """Return the problem of a request over the limits."""
+    size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
+    if size > limits.header_bytes:
+        return edgerefusals.headers_too_large(limits.header_bytes)
+    if int(headers.get('Content-Length', '0')) > limits.body_bytes:
+        return edgerefusals.body_too_large(limits.body_bytes)
+    return None
+
+
+def _make_request(
+    desk: EdgeDesk,
+    start: RequestStartLine,
+    headers: HTTPHeaders,
+    route: Route,
+    pool: Pool,
+) -> EdgeRequest:
+    now = desk.clock.now()
+    marks = desk.dialect.read_request(headers)
+    wait = route.timeout if marks.wait is None else marks.wait
+    return EdgeRequest(
+        start=start,
+        headers=headers,
+        route=route,
+        pool=pool,
+        call=CallRequest(
+            call=CallId(secrets.token_hex(8)),
+            service=pool.service,
+            method=start.method,
+            path=start.path,
+            tenant=TenantId(''),
+            key=RequestKey(''),
+            deadline=Seconds(now + min(wait, route.timeout)),
+            home_regions=tuple(route.home_regions),
+            repeatable=route.kind.is_repeatable,
+            max_attempts=route.max_attempts,
+        ),
+        request_id=marks.request_id,
+        began_at=now,
+    )
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -122,20 +122,42 @@
     own = (
         (TIMEOUT, str(left_ms)),
         (DEPTH, str(request.depth + 1)),
-        # curl would add these by itself otherwise.
-        ('Expect', ''),
     )
+    return _curl_headers(headers, _NOT_PASSED, (*extra, *own))
+
+
+def forwarded_headers(
+    headers: HTTPHeaders,
+    set_here: frozenset[str],
+    extra: Iterable[tuple[str, str]],
+) -> tuple[bytes, ...]:
+    """Return the headers for a target that gets those of the caller.
+
+    ``set_here`` are names in lower case that ``extra`` sets anew.
+    """
+    dropped = (_NOT_PASSED - {'host'}) | set_here
+    return _curl_headers(headers, dropped, extra)
+
+
+def _curl_headers(
+    headers: HTTPHeaders,
+    dropped: frozenset[str],
+    extra: Iterable[tuple[str, str]],
+) -> tuple[bytes, ...]:
     passed = (
         (name, text)
         for name, text in headers.get_all()
-        if name.lower() not in _NOT_PASSED
+        if name.lower() not in dropped
+    )
+    # What curl would add by itself is left out by an empty header.
+    unwanted = (
+        name
+        for name in ('Content-Type', 'Accept', 'User-Agent', 'Expect')
+        if name == 'Expect' or name not in headers
     )
-    has_type = 'Content-Type' in headers
     return (
         *(_curl_header(name, text) for name, text in (*passed, *extra)),
-        *(f'{name}: {text}'.encode('latin-1') for name, text in own),
-        *(() if has_type else (b'Content-Type:',)),
-        *(() if 'Accept' in headers else (b'Accept:',)),
+        *(f'{name}:'.encode() for name in unwanted),
     )
 
 
--- /dev/null
+++ b/src/turmericmast/web/probing.py
@@ -0,0 +1,122 @@
+"""Ask targets for their health and load."""
+
+import asyncio
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import final
+
+from turmericmast.balance.standing import Standing
+from turmericmast.clock import Clock
+from turmericmast.ids import TargetId
+from turmericmast.metrics import Metrics
+from turmericmast.web.curl import Curl
+from turmericmast.web.dialect import Dialect, HealthMarks
+from turmericmast.web.transfer import (
+    Head,
+    Sink,
+    Transfer,
+    TransferRequest,
+)
+
+PROBE_TIMEOUT = 0.3
+"""Seconds after which a probe that was not answered counts as lost."""
+PROBE_HEADERS = (b'Accept:', b'User-Agent:')
+
+
+@final
+class Prober:
+    """Sends one probe at a time to each target."""
+
+    def __init__(
+        self,
+        curl: Curl,
+        dialect: Dialect,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Probe by ``curl``."""
+        self._curl = curl
+        self._dialect = dialect
+        self._clock = clock
+        self._metrics = metrics
+        self._task_by_target: dict[TargetId, asyncio.Task[None]] = {}
+
+    async def probe(
+        self,
+        standings: Sequence[Standing],
+        path: str,
+        patience: float,
+    ) -> None:
+        """Ask targets, and return when all answered or patience is over.
+
+        Answers that come later still count for the next request.
+        """
+        tasks = [self._task(standing, path) for standing in standings]
+        await asyncio.wait(tasks, timeout=patience)
+
+    def _task(self, standing: Standing, path: str) -> asyncio.Task[None]:
+        target = standing.record.target
+        known = self._task_by_target.get(target)
+        if known:
+            return known
+        standing.probed_at = self._clock.now()
+        task = asyncio.ensure_future(self._ask(standing, path))
+        self._task_by_target[target] = task
+        task.add_done_callback(lambda _: self._task_by_target.pop(target, None))
+        return task
+
+    async def _ask(self, standing: Standing, path: str) -> None:
+        heads = _HeadKeeper()
+        request = TransferRequest(
+            url=f'http://{standing.record.address}{path}',
+            method='GET',
+            headers=PROBE_HEADERS,
+            timeout=PROBE_TIMEOUT,
+            body=None,
+            body_size=0,
+        )
+        transfer = Transfer(self._curl, request, heads, _always)
+        loss = await transfer.run()
+        self._metrics.count('probes', outcome=loss.value if loss else 'whole')
+        if loss or heads.head is None:
+            standing.doubt(self._clock.now())
+        else:
+            marks = self._dialect.read_health(heads.head.headers)
+            self._learn(standing, heads.head.status, marks)
+
+    def _learn(
+        self,
+        standing: Standing,
+        status: int,
+        marks: HealthMarks,
+    ) -> None:
+        now = self._clock.now()
+        if marks.target and marks.target != standing.record.target:
+            standing.shun_misplaced()
+            return
+        if marks.load:
+            standing.hear_load(marks.load, now)
+        if not marks.is_unrun:
+            standing.is_ill = status != HTTPStatus.OK
+            standing.prove(marks.cold_left, now)
+
+
+@final
+class _HeadKeeper(Sink):
+    """Keeps the head of an answer and drops its body."""
+
+    def __init__(self) -> None:
+        self.head: Head | None = None
+
+    def on_head(self, head: Head) -> bool:
+        """Keep it."""
+        self.head = head
+        return True
+
+    def on_chunk(self, chunk: bytes) -> bool:
+        """Drop it."""
+        return True
+
+
+def _always() -> bool:
+    return True
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -16,6 +16,7 @@
 from tornado.util import TimeoutError as TornadoTimeoutError
 
 from turmericmast.call.call import Ran
+from turmericmast.units import MILLIS
 
 LINGER_SECONDS = 1
 """Seconds to wait for the caller to close after an early refusal."""
@@ -38,6 +39,8 @@
     peer: str = ''
     retry_after_ms: int = 0
     addresses: tuple[str, ...] = ()
+    is_precise: bool = False
+    """Whether the caller reads fractions of a second."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -65,7 +68,7 @@
             },
         )
         if self.retry_after_ms:
-            headers['Retry-After'] = str(-(-self.retry_after_ms // 1000))
+            headers['Retry-After'] = self._retry_after()
         return headers
 
     @property
@@ -73,6 +76,11 @@
         """Return the reason phrase."""
         return http.HTTPStatus(self.status).phrase
 
+    def _retry_after(self) -> str:
+        if self.is_precise:
+            return f'{self.retry_after_ms / MILLIS:g}'
+        return str(-(-self.retry_after_ms // MILLIS))
+
 
 def refuse_unread(connection: HTTP1Connection, problem: Problem) -> None:
     """Send a problem in place of reading the body of the request.
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -20,6 +20,10 @@
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
+def _is_never() -> bool:
+    return False
+
+
 @final
 class RelayState(enum.Enum):
     """What became of an answer."""
@@ -34,8 +38,17 @@
 class Relay(Sink):
     """Gives a caller one whole answer, or a connection that breaks."""
 
-    def __init__(self, connection: HTTPConnection, method: str) -> None:
-        """Answer on ``connection``."""
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        method: str,
+        is_last: Callable[[], bool] = _is_never,
+    ) -> None:
+        """Answer on ``connection``.
+
+        ``is_last`` tells whether its caller should use another one next.
+        """
+        self._is_last = is_last
         self.head: Head | None = None
         self.state = RelayState.empty
         self.sent = 0
@@ -48,14 +61,15 @@
         self._is_blocked = False
         self._is_resuming = False
 
-    def on_head(self, head: Head) -> None:
+    def on_head(self, head: Head) -> bool:
         """Take status and headers of an attempt."""
         if self._is_resuming:
             if not self._continues(head):
                 self.state = RelayState.broken
-            return
+            return True
         self.head = head
         self.state = RelayState.held
+        return True
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Take octets of the body, when the caller keeps up."""
@@ -211,6 +225,8 @@
         start = ResponseStartLine(
             'HTTP/1.1', self.head.status, self.head.reason
         )
+        if self._is_last():
+            headers['Connection'] = 'close'
         written = self._connection.write_headers(start, headers, body)
         written.add_done_callback(_forget_error)
 
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -16,6 +16,9 @@
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import Curl
 
+BREAK_OFF = -1
+"""What a header callback returns to end the transfer."""
+
 
 @final
 @dataclasses.dataclass(frozen=True)
@@ -46,8 +49,8 @@
     """Receives an answer while it arrives."""
 
     @abc.abstractmethod
-    def on_head(self, head: Head) -> None:
-        """Take status and headers."""
+    def on_head(self, head: Head) -> bool:
+        """Take status and headers; false to break the transfer off."""
 
     @abc.abstractmethod
     def on_chunk(self, chunk: bytes) -> bool:
@@ -170,28 +173,29 @@
             return pycurl.READFUNC_PAUSE
         return chunk
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int | None:
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/'):
             self._head_lines = [text]
         elif text:
             self._head_lines.append(text)
-        else:
-            self._on_head()
+        elif not self._on_head():
+            return BREAK_OFF
+        return None
 
-    def _on_head(self) -> None:
+    def _on_head(self) -> bool:
         if self.progress is Progress.head or not self._head_lines:
             # Trailers come after the body; they are not passed on.
-            return
+            return True
         start = parse_response_start_line(self._head_lines[0])
         if start.code < HTTPStatus.OK:
             self._head_lines = []
-            return
+            return True
         headers = HTTPHeaders()
         for line in self._head_lines[1:]:
             headers.parse_line(line)
         self.progress = Progress.head
-        self._sink.on_head(Head(start.code, start.reason, headers))
+        return self._sink.on_head(Head(start.code, start.reason, headers))
 
     def _on_write(self, chunk: bytes) -> int:
         if self._sink.on_chunk(chunk):
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from turmericmast.cluster import commands as cluster_commands
+from turmericmast.cluster import records as cluster_records
 from turmericmast.ledger import commands as ledger_commands
 from turmericmast.ledger import ledger
 from turmericmast.region import commands as region_commands
@@ -29,4 +31,13 @@
     store.Vote,
     region_snapshot.RegionSnapshot,
     ledger.LedgerSnapshot,
+    *typing.get_args(cluster_commands.ClusterCommand),
+    cluster_records.ClusterSnapshot,
+    requests.Conflict,
+    requests.ChangeCluster,
+    requests.WatchCluster,
+    requests.WatchedCluster,
+    requests.Heard,
+    requests.AskIndex,
+    requests.TellIndex,
 )
--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -17,8 +17,13 @@
 """Limit for a frame of a peer that has not sent a good one yet."""
 FRAME_TIMEOUT = 10.0
 """Seconds in which a frame that has begun must be complete."""
-USER_TIMEOUT_MS = 3000
-"""Time without an acknowledgement of the peer's host that ends a connection."""
+USER_TIMEOUT_MS = 1500
+"""Time without an acknowledgement of the peer's host that ends a connection.
+
+Short enough to use a new connection within the contact window of 3 s."""
+KEEPALIVE_SECONDS = 1
+"""Seconds without traffic, and between probes, that find a dead connection."""
+KEEPALIVE_PROBES = 2
 
 
 def pack_frame(envelope: Envelope) -> bytes:
@@ -71,3 +76,9 @@
         USER_TIMEOUT_MS,
     )
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, number in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        stream.socket.setsockopt(socket.IPPROTO_TCP, option, number)
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import socket
+import time
 from types import TracebackType
 from typing import Any, Self, final
 
@@ -60,6 +61,8 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._is_closed = False
+        self._stream: IOStream | None = None
+        self._heard_at = float(0)
 
     def __enter__(self) -> Self:
         """Return the link."""
@@ -87,6 +90,7 @@
         asked = self._last_id
         future: asyncio.Future[Result[Any, WireError]] = asyncio.Future()
         self._future_by_id[asked] = future
+        asked_at = time.monotonic()
         self._push(body, asked)
         future.add_done_callback(
             lambda _: self._future_by_id.pop(asked, None),
@@ -94,8 +98,15 @@
         try:
             return await asyncio.wait_for(future, timeout)
         except TimeoutError:
+            self._drop_silent(asked_at)
             return Failure(self._error(f'no answer in {timeout:g} s'))
 
+    def _drop_silent(self, since: float) -> None:
+        """Close a connection on which nothing came; a new one may work."""
+        if self._stream and self._heard_at < since:
+            self._node.metrics.count('links_silent', peer=self.address)
+            self._stream.close()
+
     def _push(self, body: object, asked: int) -> None:
         stamp = self._node.clock.tick().pack()
         frame = pack_frame(Envelope(asked, 0, stamp, self._node.name, body))
@@ -136,6 +147,7 @@
             )
             stack.pop_all()
         tune(stream)
+        self._stream = stream
         reader = asyncio.ensure_future(self._read(stream))
         with contextlib.ExitStack() as stack:
             stack.callback(reader.cancel)
@@ -170,6 +182,7 @@
                 stream.close()
                 return
             envelope = frame.unwrap()
+            self._heard_at = time.monotonic()
             self._node.clock.witness(envelope.clock)
             future = self._future_by_id.get(envelope.answers)
             if future and not future.done():
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -8,6 +8,7 @@
   1: string member
   2: string incarnation
   3: bool witness
+  4: string domain = ""
 }
 
 /** What a member without state asks, and what every member answers. */
@@ -17,6 +18,14 @@
   3: bool formed
   4: bool question
   5: list<Seat> seats
+  6: string domain = ""
+}
+
+/** A member of an open group that hears no leader asks for a seat. */
+struct Join {
+  1: string member
+  2: string incarnation
+  3: string domain
 }
 
 /** A candidate asks for a vote; ``trial`` asks without binding anyone. */
@@ -439,6 +448,137 @@
   1: list<Record> records
 }
 
+/** A target as it described itself. */
+struct TargetRecord {
+  1: string target
+  2: i64 born
+  3: i64 sequence
+  4: string service_
+  5: string address
+  6: string domain
+  7: i32 slots
+  8: string phase
+}
+
+/** An instance that serves callers. */
+struct EdgeRecord {
+  1: string instance
+  2: string incarnation
+  3: string address
+  4: string domain
+  5: string region
+  6: string phase
+}
+
+/** One version of the route document; its text is compressed. */
+struct RoutesRecord {
+  1: i64 version
+  2: string digest
+  3: binary source
+}
+
+/** What changed after an index that a reader knew. */
+struct ClusterFeed {
+  1: i64 index
+  2: bool complete
+  3: optional RoutesRecord routes
+  4: list<string> evacuated
+  5: list<TargetRecord> targets
+  6: list<string> removed_targets
+  7: list<EdgeRecord> edges
+  8: list<string> removed_edges
+}
+
+/** A target that has left. */
+struct Tombstone {
+  1: string target
+  2: i64 born
+}
+
+/** An accepted version of the routes. */
+struct PastVersion {
+  1: i64 version
+  2: string digest
+}
+
+/** The whole cluster. */
+struct ClusterSnapshot {
+  1: i64 index
+  2: RoutesRecord routes
+  3: list<PastVersion> past
+  4: list<string> evacuated
+  5: list<TargetRecord> targets
+  6: list<Tombstone> tombstones
+  7: list<EdgeRecord> edges
+}
+
+/** A target described itself in a new way. */
+struct ReportTarget {
+  1: TargetRecord record
+}
+
+/** Targets have left, or were silent for long. */
+struct RemoveTargets {
+  1: list<string> targets
+}
+
+/** An operator replaces the version ``base`` of the routes. */
+struct ProposeRoutes {
+  1: RoutesRecord routes
+  2: i64 base
+}
+
+/** An operator empties a failure domain, or takes it back. */
+struct SetEvacuation {
+  1: string domain
+  2: bool evacuated
+}
+
+/** An edge instance started, or changed its phase. */
+struct SetEdge {
+  1: EdgeRecord edge
+}
+
+/** Edge instances were silent for too long. */
+struct DropEdges {
+  1: list<string> instances
+}
+
+/** The change was made against a version that is not in place. */
+struct Conflict {
+  1: string step
+  2: string message
+  3: string hint
+}
+
+/** An edge tells that it runs, and asks what changed after an index. */
+struct WatchCluster {
+  1: EdgeRecord edge
+  2: i64 known
+}
+
+/** What changed, who the members are, and how fresh this member is. */
+struct WatchedCluster {
+  1: ClusterFeed feed
+  2: list<Seat> seats
+  3: i64 contact_ms
+}
+
+/** A member tells the leader whom it heard from. */
+struct Heard {
+  1: list<string> targets
+  2: list<string> instances
+}
+
+/** A member asks the leader up to where the log is committed. */
+struct AskIndex {
+}
+
+/** The answer of a leader whose lease holds. */
+struct TellIndex {
+  1: i64 index
+}
+
 /** Exactly one field is set. Numbers are never used again. */
 struct Body {
   1: optional Probe probe
@@ -482,6 +622,21 @@
   39: optional Vote vote
   40: optional RegionSnapshot region_snapshot
   41: optional LedgerSnapshot ledger_snapshot
+  42: optional Join join
+  43: optional ReportTarget report_target
+  44: optional RemoveTargets remove_targets
+  45: optional ProposeRoutes propose_routes
+  46: optional SetEvacuation set_evacuation
+  47: optional SetEdge set_edge
+  48: optional DropEdges drop_edges
+  49: optional ClusterSnapshot cluster_snapshot
+  50: optional Conflict conflict
+  51: optional ChangeCluster change_cluster
+  52: optional WatchCluster watch_cluster
+  53: optional WatchedCluster watched_cluster
+  54: optional Heard heard
+  55: optional AskIndex ask_index
+  56: optional TellIndex tell_index
 }
 
 /** A command for the control group. */
@@ -495,6 +650,11 @@
   1: Body command
 }
 
+/** A command for the core group. */
+struct ChangeCluster {
+  1: Body command
+}
+
 /** One frame between two processes. */
 struct Envelope {
   /** Not 0 when an answer is wanted. */
