--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -55,15 +55,16 @@
         )
         since = known if oldest <= known <= self.index else Index(0)
         has_routes = self.book.changed_at > since
+        table = self.registry.table
         return ClusterFeed(
             index=self.index,
             complete=since == 0,
             routes=self.book.current if has_routes else None,
             evacuated=tuple(sorted(self.evacuated)),
-            targets=tuple(self.registry.table.changed(since)),
-            removed_targets=tuple(self.registry.table.removed(since)),
+            targets=tuple(table.changed(since)),
+            removed_targets=tuple(table.removed(since) if since else ()),
             edges=tuple(self.edges.changed(since)),
-            removed_edges=tuple(self.edges.removed(since)),
+            removed_edges=tuple(self.edges.removed(since) if since else ()),
         )
 
     def snapshot(self) -> ClusterSnapshot:
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,253 @@
+"""The cluster: routes by compare-and-set, targets by start, changes by index."""
+
+import unittest
+
+from parameterized import parameterized
+from returns.result import Failure, Success
+
+from turmericmast.cluster import commands
+from turmericmast.cluster.attendance import Attendance
+from turmericmast.cluster.changes import MAX_REMOVALS, ChangeTable
+from turmericmast.cluster.cluster import Cluster
+from turmericmast.cluster.records import (
+    EdgePhase,
+    EdgeRecord,
+    RoutesRecord,
+    TargetPhase,
+    TargetRecord,
+)
+
+
+def record(
+    target: str = 'a',
+    born: int = 10,
+    sequence: int = 1,
+    address: str = '10.0.0.1:80',
+    phase: TargetPhase = TargetPhase.ready,
+) -> TargetRecord:
+    """Return a record of a target."""
+    return TargetRecord(
+        target,
+        born,
+        sequence,
+        'stock',
+        address,
+        'tirol-a',
+        4,
+        phase,
+    )
+
+
+def routes(version: int, digest: str = 'd') -> RoutesRecord:
+    """Return a version of the routes."""
+    return RoutesRecord(version, f'{digest}{version}', b'source')
+
+
+DRAINING = TargetPhase.draining
+
+REPORTS = [
+    ('same_again', [record(), record()], {'a': record()}),
+    ('beat_only', [record(), record(sequence=2)], {'a': record()}),
+    (
+        'drains',
+        [record(), record(sequence=2, phase=DRAINING)],
+        {'a': record(sequence=2, phase=DRAINING)},
+    ),
+    (
+        'late_ready_after_drain',
+        [record(sequence=5, phase=DRAINING), record(sequence=4)],
+        {'a': record(sequence=5, phase=DRAINING)},
+    ),
+    (
+        'restart_under_the_same_id',
+        [record(sequence=9, phase=DRAINING), record(born=11)],
+        {'a': record(born=11)},
+    ),
+    (
+        'late_report_of_an_earlier_start',
+        [record(born=11), record(sequence=99, phase=DRAINING)],
+        {'a': record(born=11)},
+    ),
+    (
+        'address_goes_to_a_later_start',
+        [record(), record('b', born=11)],
+        {'b': record('b', born=11)},
+    ),
+    (
+        'late_report_at_a_reused_address',
+        [record('b', born=11), record(sequence=7)],
+        {'b': record('b', born=11)},
+    ),
+]
+
+PROPOSALS = [
+    ('first', [(1, 0, 'd')], 1, True),
+    ('uneven_step', [(1, 0, 'd'), (9, 1, 'd')], 9, True),
+    ('sent_again', [(1, 0, 'd'), (1, 0, 'd')], 1, True),
+    (
+        'sent_again_after_a_later_one',
+        [(1, 0, 'd'), (4, 1, 'd'), (1, 0, 'd')],
+        4,
+        True,
+    ),
+    ('other_under_same_number', [(1, 0, 'd'), (1, 0, 'e')], 1, False),
+    ('other_on_same_base', [(1, 0, 'd'), (3, 0, 'e')], 1, False),
+    ('version_not_above', [(5, 0, 'd'), (5, 5, 'e')], 5, False),
+    ('old_version', [(5, 0, 'd'), (3, 5, 'e')], 5, False),
+]
+
+
+class RegistryTest(unittest.TestCase):
+    """Reports in any order leave the newest start of each target."""
+
+    @parameterized.expand(REPORTS)
+    def test_reports(
+        self,
+        _name: str,
+        reports: list[TargetRecord],
+        known: dict[str, TargetRecord],
+    ) -> None:
+        cluster = Cluster()
+        for index, report in enumerate(reports, start=1):
+            cluster.apply(index, commands.ReportTarget(report))
+        self.assertEqual(cluster.registry.table.record_by_key, known)
+
+    @parameterized.expand(
+        [
+            ('late_report', record(sequence=99), False),
+            ('new_start', record(born=11), True),
+        ],
+    )
+    def test_reports_after_leaving(
+        self,
+        _name: str,
+        report: TargetRecord,
+        is_known: bool,
+    ) -> None:
+        cluster = Cluster()
+        cluster.apply(1, commands.ReportTarget(record()))
+        cluster.apply(2, commands.RemoveTargets(('a',)))
+        cluster.apply(3, commands.ReportTarget(report))
+        self.assertEqual('a' in cluster.registry.table.record_by_key, is_known)
+
+
+class RouteBookTest(unittest.TestCase):
+    """One change for each version; whoever was accepted stays accepted."""
+
+    @parameterized.expand(PROPOSALS)
+    def test_proposals(
+        self,
+        _name: str,
+        proposals: list[tuple[int, int, str]],
+        version: int,
+        is_accepted: bool,
+    ) -> None:
+        cluster = Cluster()
+        outcomes = [
+            cluster.apply(
+                index,
+                commands.ProposeRoutes(routes(number, digest), base),
+            )
+            for index, (number, base, digest) in enumerate(proposals, start=1)
+        ]
+        self.assertEqual(cluster.book.current.version, version)
+        kind = Success if is_accepted else Failure
+        self.assertIsInstance(outcomes[-1], kind)
+
+
+class FeedTest(unittest.TestCase):
+    """A reader gets what changed, or everything."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster()
+        for index, command in enumerate(
+            (
+                commands.ReportTarget(record()),
+                commands.ReportTarget(record('b', address='10.0.0.2:80')),
+                commands.RemoveTargets(('a',)),
+                commands.ProposeRoutes(routes(1), 0),
+                commands.SetEvacuation('tirol-a', evacuated=True),
+            ),
+            start=1,
+        ):
+            self.cluster.apply(index, command)
+
+    @parameterized.expand(
+        [
+            ('new', 0, True, ['b'], [], True),
+            ('saw_first', 1, False, ['b'], ['a'], True),
+            ('saw_removal', 3, False, [], [], True),
+            ('saw_all', 5, False, [], [], False),
+            ('ahead_of_this_member', 9, True, ['b'], [], True),
+        ],
+    )
+    def test_changes(
+        self,
+        _name: str,
+        known: int,
+        complete: bool,
+        targets: list[str],
+        removed: list[str],
+        has_routes: bool,
+    ) -> None:
+        feed = self.cluster.feed(known)
+        self.assertIs(feed.complete, complete)
+        self.assertEqual([one.target for one in feed.targets], targets)
+        self.assertEqual([*feed.removed_targets] if known else [], removed)
+        self.assertIs(feed.routes is not None, has_routes)
+        self.assertEqual(feed.evacuated, ('tirol-a',))
+
+    def test_snapshot_holds_everything(self) -> None:
+        other = Cluster()
+        other.restore(self.cluster.snapshot())
+        self.assertEqual(other.snapshot(), self.cluster.snapshot())
+        again = other.apply(6, commands.ProposeRoutes(routes(1), 0))
+        self.assertEqual(again, Success(False))
+        other.apply(7, commands.ReportTarget(record(sequence=9)))
+        self.assertNotIn('a', other.registry.table.record_by_key)
+
+    def test_edges(self) -> None:
+        edge = EdgeRecord(
+            'e',
+            '1',
+            '10.0.0.3:80',
+            'tirol-a',
+            'tirol',
+            EdgePhase.serving,
+        )
+        self.cluster.apply(6, commands.SetEdge(edge))
+        self.assertEqual(self.cluster.feed(5).edges, (edge,))
+        self.cluster.apply(7, commands.SetEdge(edge))
+        self.assertEqual(self.cluster.index, 6)
+        self.cluster.apply(8, commands.DropEdges(('e',)))
+        self.assertEqual(self.cluster.feed(6).removed_edges, ('e',))
+
+    def test_reader_far_behind_gets_everything(self) -> None:
+        table: ChangeTable[str, int] = ChangeTable()
+        for number in range(MAX_REMOVALS + 2):
+            table.set('k', number, 2 * number + 1)
+            table.remove('k', 2 * number + 2)
+        self.assertGreater(table.complete_since, 0)
+
+
+class AttendanceTest(unittest.TestCase):
+    """Silence counts from the last sign of life, or from taking office."""
+
+    @parameterized.expand(
+        [
+            ('heard', {'a': 10.0}, 12, ()),
+            ('silent', {'a': 10.0}, 14, ('a',)),
+            ('never_heard_counts_from_now', {}, 99, ()),
+        ],
+    )
+    def test_silence(
+        self,
+        _name: str,
+        heard: dict[str, float],
+        now: float,
+        silent: tuple[str, ...],
+    ) -> None:
+        attendance: Attendance[str] = Attendance(3)
+        for key, at in heard.items():
+            attendance.hear((key,), at)
+        self.assertEqual(attendance.silent(('a',), now), silent)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,240 @@
+"""The adapter: what the platform sends becomes the product's own types."""
+
+import pathlib
+import re
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+from returns.result import Failure, Success
+from tornado.httputil import HTTPHeaders
+
+from tests.platform_samples import (
+    REPORT,
+    ROUTES,
+    SETTINGS,
+    changed,
+    encoded,
+    without,
+)
+from turmericmast.balance.load import LoadReport
+from turmericmast.cluster.records import TargetPhase
+from turmericmast.ids import TargetId
+from turmericmast.platform.dialect import PlatformDialect
+from turmericmast.platform.documents import DocumentFormat, read_report
+from turmericmast.platform.settings import read_settings
+
+SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'turmericmast'
+WORDS = (
+    'X-Request-Id',
+    'X-Deadline-Ms',
+    'X-Expect-Instance',
+    'X-Response-Signature',
+    'X-Not-Executed',
+    'X-Server-Load',
+    'X-Warmup-Ms',
+    'warmup_left_s',
+    'warmup_per_s',
+    'path_prefix',
+    'traffic_split',
+    'target_latency_s',
+    'allowed_regions',
+    'heartbeat_address',
+    'counts_as_loss',
+    'ready_address',
+    'TURMERICMAST_NODE_FILE',
+    '/-/instances',
+    '/-/evacuations',
+    '/-/resolve',
+    '/-/ready',
+)
+
+BAD_ROUTES = [
+    ('cut_short', encoded(ROUTES)[:-40]),
+    ('no_object', b'[]'),
+    ('no_version', encoded(without(ROUTES, 'version'))),
+    ('version_no_number', encoded(changed(ROUTES, 'version', 'x'))),
+    ('odd_kind', encoded(changed(ROUTES, 'routes.look.kind', 'odd'))),
+    ('no_timeout', encoded(without(ROUTES, 'routes.look.timeout_s'))),
+    ('no_service', encoded(without(ROUTES, 'routes.order.service'))),
+    ('no_host', encoded(without(ROUTES, 'routes.order.host'))),
+    ('host_number', encoded(changed(ROUTES, 'routes.look.host', 4))),
+    ('no_routes', encoded(without(ROUTES, 'routes'))),
+]
+
+FAULTY_ROUTES = [
+    ('unknown_service', 'routes.order.service', 'gone', 'routes.order'),
+    ('empty_host', 'routes.look.host', '', 'routes.look.host'),
+    ('long_timeout', 'routes.look.timeout_s', 601, 'routes.look.timeout'),
+    ('aim_over', 'routes.look.target_latency_s', 61.2, 'routes.look.aim'),
+    (
+        'below_zero',
+        'routes.look.traffic_split',
+        [{'service': 'stock', 'weight': -1}],
+        'routes.look.weight',
+    ),
+]
+
+BAD_REPORTS = [
+    ('cut_short', encoded(REPORT)[:-9]),
+    ('no_born', encoded(without(REPORT, 'born'))),
+    ('born_text', encoded(changed(REPORT, 'born', '17'))),
+    ('born_boolean', encoded(changed(REPORT, 'born', True))),
+    ('unknown_state', encoded(changed(REPORT, 'status.state', 'odd'))),
+    ('no_address', encoded(without(REPORT, 'address'))),
+    ('address_name', encoded(changed(REPORT, 'address', 'host:80'))),
+    ('slots_text', encoded(changed(REPORT, 'info.capacity', '4'))),
+    ('sequence_part', encoded(changed(REPORT, 'status.sequence', 1.5))),
+    ('info_list', encoded(changed(REPORT, 'info', []))),
+    ('service_number', encoded(changed(REPORT, 'info.service', 3))),
+]
+
+BAD_SETTINGS = [
+    ('no_zone', without(SETTINGS, 'zone'), 'zone'),
+    ('no_seeds', without(SETTINGS, 'seeds'), 'seeds'),
+    ('seed_name', changed(SETTINGS, 'seeds', ['host:1']), 'seeds'),
+    ('no_listen', changed(SETTINGS, 'listen', 3), 'listen'),
+    (
+        'listen_name',
+        changed(SETTINGS, 'listen.front', 'host:1'),
+        'listen.front',
+    ),
+    ('no_ports', changed(SETTINGS, 'port_range', [1]), 'port_range'),
+    ('grace_text', changed(SETTINGS, 'bounds.grace_s', 'x'), 'bounds.grace_s'),
+    ('list', [], 'document'),
+]
+
+LOADS = [
+    ('usual', '3,0,8', LoadReport(3, 0, 8, 1)),
+    ('slow', '3,1,4,650', LoadReport(3, 1, 4, 6.5)),
+    ('spoiled', '3,x,8', None),
+    ('cut', '3,0', None),
+    ('empty', '', None),
+]
+
+
+class RoutesTest(unittest.TestCase):
+    """Route documents are read whole or not at all."""
+
+    @parameterized.expand(BAD_ROUTES)
+    def test_unreadable(self, _name: str, source: bytes) -> None:
+        self.assertIsInstance(DocumentFormat().parse(source), Failure)
+
+    @parameterized.expand(FAULTY_ROUTES)
+    def test_faults_are_named(
+        self,
+        _name: str,
+        path: str,
+        to: Any,
+        place: str,
+    ) -> None:
+        source = encoded(changed(ROUTES, path, to))
+        checked = DocumentFormat().parse(source).bind(lambda one: one.check())
+        self.assertIn(place, checked.failure().show())
+
+    def test_good_document(self) -> None:
+        document = DocumentFormat().parse(encoded(ROUTES)).unwrap()
+        self.assertIsInstance(document.check(), Success)
+        self.assertEqual((document.version, document.base), (7, 5))
+        order = document.route_by_name['order']
+        self.assertFalse(order.kind.is_repeatable)
+        self.assertEqual(order.home_regions, {'tirol', 'kaernten'})
+        self.assertEqual(document.terms_by_service['stock'].cold_rate, 13)
+
+
+class ReportsTest(unittest.TestCase):
+    """A report with a fault names no target."""
+
+    @parameterized.expand(BAD_REPORTS)
+    def test_unreadable(self, _name: str, source: bytes) -> None:
+        self.assertIsInstance(read_report('i-1', source), Failure)
+
+    def test_good_report(self) -> None:
+        record = read_report('i-1', encoded(REPORT)).unwrap()
+        self.assertEqual(record.order, (1_700_000_000_000, 4))
+        self.assertIs(record.phase, TargetPhase.ready)
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings are checked as a whole; unknown fields are passed over."""
+
+    @parameterized.expand(BAD_SETTINGS)
+    def test_faults_are_named(self, _name: str, tree: Any, place: str) -> None:
+        self.assertIn(place, read_settings(tree).failure().show())
+
+    def test_good_settings(self) -> None:
+        settings = read_settings(SETTINGS).unwrap()
+        self.assertEqual(
+            settings.contacts, ('10.1.0.34:7540', '10.2.0.34:7540')
+        )
+        self.assertEqual(settings.listening.peers, '10.1.0.34:7540')
+        self.assertEqual(settings.operators_port, 8544)
+        self.assertEqual(settings.bounds.grace, 6)
+        self.assertIsNone(settings.data)
+        self.assertTrue(settings.is_first_start)
+
+
+class DialectTest(unittest.TestCase):
+    """Headers become marks."""
+
+    @parameterized.expand(LOADS)
+    def test_load(self, _name: str, text: str, load: LoadReport | None) -> None:
+        marks = PlatformDialect().read_answer(
+            200,
+            HTTPHeaders({'X-Server-Load': text}),
+        )
+        self.assertEqual(marks.load, load)
+
+    @parameterized.expand(
+        [
+            ('answered', 200, {}, False),
+            ('full', 503, {'X-Not-Executed': '1'}, True),
+            ('other_target', 421, {}, True),
+            ('failed', 500, {}, False),
+            ('busy_without_a_word', 503, {}, False),
+        ],
+    )
+    def test_not_run_needs_a_word(
+        self,
+        _name: str,
+        status: int,
+        headers: dict[str, str],
+        is_unrun: bool,
+    ) -> None:
+        marks = PlatformDialect().read_answer(status, HTTPHeaders(headers))
+        self.assertIs(marks.is_unrun, is_unrun)
+
+    @parameterized.expand([('800', 0.8), ('', None), ('soon', None)])
+    def test_wait(self, text: str, wait: float | None) -> None:
+        marks = PlatformDialect().read_request(
+            HTTPHeaders({'X-Deadline-Ms': text}),
+        )
+        self.assertEqual(marks.wait, wait)
+
+    def test_onward(self) -> None:
+        self.assertEqual(
+            PlatformDialect().onward(TargetId('i-1'), 0.25),
+            (('X-Deadline-Ms', '250'), ('X-Expect-Instance', 'i-1')),
+        )
+
+
+class BoundaryTest(unittest.TestCase):
+    """The platform's words stand in its folder only, and it stays small."""
+
+    def test_words_stay_in_the_adapter(self) -> None:
+        pattern = re.compile('|'.join(map(re.escape, WORDS)))
+        for path in SOURCE.rglob('*.py'):
+            if 'platform' not in path.parts and 'generated' not in path.parts:
+                with self.subTest(path.name):
+                    text = path.read_text(encoding='utf-8')
+                    self.assertIsNone(pattern.search(text))
+
+    def test_adapter_is_small(self) -> None:
+        def lines(folder: pathlib.Path) -> int:
+            return sum(
+                len(path.read_text(encoding='utf-8').splitlines())
+                for path in folder.rglob('*.py')
+                if 'generated' not in path.parts
+            )
+
+        self.assertLess(lines(SOURCE / 'platform'), 0.2 * lines(SOURCE))
