Know after a restart what was committed, before any election

Ruled out: start of processes (0.25 s), the watch (0.11 s). Change: the log on disk notes up to where it is committed, so a member that starts hands out that state at once; elections after 0.6 to 1.2 s.

--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -17,7 +17,12 @@
 from turmericmast.exceptions import DiskError
 from turmericmast.ids import Index
 from turmericmast.replica.messages import Entry, Snapshot
-from turmericmast.replica.store import Recovered, Store, Vote
+from turmericmast.replica.store import (
+    CommitMark,
+    Recovered,
+    Store,
+    Vote,
+)
 from turmericmast.wire.codec import decode, encode
 
 
@@ -36,6 +41,8 @@
         self._log_path = folder / 'log'
         self._ends: list[int] = []
         """Where each entry of the log file ends."""
+        self._size = 0
+        """Octets of the log file, with what is not written yet."""
         self._first = Index(1)
         """The index of the first entry of the log file."""
         self._is_dirty = False
@@ -83,18 +90,21 @@
     def append(self, entries: Sequence[Entry]) -> None:
         """Add entries behind the last one."""
         octets = [frame_record(encode(entry)) for entry in entries]
-        start = self._ends[-1] if self._ends else 0
-        sizes = itertools.accumulate(map(len, octets), initial=start)
+        sizes = itertools.accumulate(map(len, octets), initial=self._size)
         self._ends.extend(itertools.islice(sizes, 1, None))
-        self._log.write(b''.join(octets))
-        self._is_dirty = True
+        self._write(b''.join(octets))
+
+    def save_commit(self, index: Index) -> None:
+        """Note up to where the log is committed, behind its entries."""
+        self._write(frame_record(encode(CommitMark(index))))
 
     def truncate(self, index: Index) -> None:
         """Drop the entry at ``index`` and all behind it."""
         kept = max(index - self._first, 0)
         self._ends = self._ends[:kept]
         self._log.flush()
-        self._log.truncate(self._ends[-1] if self._ends else 0)
+        self._size = self._ends[-1] if self._ends else 0
+        self._log.truncate(self._size)
         self._is_dirty = True
 
     def save_snapshot(
@@ -109,6 +119,7 @@
         self._log.close()
         self._log = self._log_path.open('ab')
         self._ends = list(itertools.accumulate(map(len, octets)))
+        self._size = self._ends[-1] if self._ends else 0
         self._first = Index(snapshot.index + 1)
 
     def sync(self) -> None:
@@ -119,6 +130,11 @@
             self._is_dirty = False
             self.syncs += 1
 
+    def _write(self, octets: bytes) -> None:
+        self._log.write(octets)
+        self._size += len(octets)
+        self._is_dirty = True
+
     def _replace(self, name: str, record: Vote | Snapshot) -> None:
         replace_file(self._folder / name, frame_record(encode(record)))
         self.syncs += 1
@@ -126,7 +142,8 @@
     def _load(self) -> Recovered:
         vote = self._read_one('vote') or Vote()
         snapshot = self._read_one('snapshot')
-        entries = self._read_log()
+        records = self._read_log()
+        entries = [one for one in records if isinstance(one, Entry)]
         base = snapshot.index if snapshot else 0
         stale = sum(entry.index <= base for entry in entries)
         fresh = tuple(entries[stale:])
@@ -134,7 +151,8 @@
         if [entry.index for entry in fresh] != list(expected):
             raise self._damage('the log does not go on where it should')
         self._first = entries[0].index if entries else Index(base + 1)
-        return Recovered(vote, snapshot, fresh)
+        marks = (one.index for one in records if isinstance(one, CommitMark))
+        return Recovered(vote, snapshot, fresh, max(marks, default=Index(0)))
 
     def _read_one(self, name: str) -> Any:
         path = self._folder / name
@@ -145,17 +163,19 @@
             raise self._damage(f'{name} is not one whole record')
         return self._decode(records[0][1])
 
-    def _read_log(self) -> list[Entry]:
+    def _read_log(self) -> list[Entry | CommitMark]:
         image = self._log_path.read_bytes()
         records = list(read_records(image))
-        self._ends = [end for end, _ in records]
-        good = self._ends[-1] if self._ends else 0
+        good = records[-1][0] if records else 0
         if good < len(image):
             if not is_torn(image[good:]):
                 raise self._damage('a record of the log is damaged')
             self._log.truncate(good)
             os.fsync(self._log.fileno())
-        return [self._decode(octets) for _, octets in records]
+        self._size = good
+        decoded = [(end, self._decode(octets)) for end, octets in records]
+        self._ends = [end for end, one in decoded if isinstance(one, Entry)]
+        return [one for _, one in decoded]
 
     def _decode(self, octets: bytes) -> Any:
         decoded = decode(octets).value_or(None)
@@ -178,4 +198,5 @@
                 path.replace(self._folder / f'{name}.damaged')
         self._log = self._log_path.open('ab')
         self._ends = []
+        self._size = 0
         self._first = Index(1)
--- a/src/turmericmast/replica/core.py
+++ b/src/turmericmast/replica/core.py
@@ -33,9 +33,9 @@
 class Timing:
     """Times of the protocol in seconds."""
 
-    heartbeat: float = 0.2
-    election_min: float = 1.0
-    election_max: float = 2.0
+    heartbeat: float = 0.15
+    election_min: float = 0.6
+    election_max: float = 1.2
     drift: float = 0.1
     """Share of a timeout set aside for clocks that run apart."""
 
@@ -92,8 +92,12 @@
         self.log = Log(recovered.snapshot, recovered.entries)
         self.role = Role.follower
         self.leader = MemberId('')
-        self.commit = self.log.base
-        self.effects = Effects(restored=recovered.snapshot)
+        known = min(recovered.commit, self.log.last_index)
+        self.commit = Index(max(self.log.base, known))
+        self.effects = Effects(
+            committed=self.log.between(self.log.base + 1, self.commit),
+            restored=recovered.snapshot,
+        )
         self.heard_at = float(0)
         self.random = random.Random(incarnation)  # noqa: S311
         self.vote = recovered.vote
@@ -200,6 +204,7 @@
                 self.log.between(self.commit + 1, index),
             )
             self.commit = index
+            self.store.save_commit(index)
 
     def compact(self, index: Index, state: bytes) -> None:
         """Replace the log up to ``index`` by the state there."""
--- a/src/turmericmast/replica/store.py
+++ b/src/turmericmast/replica/store.py
@@ -19,6 +19,14 @@
     incarnation: Incarnation = Incarnation('')
 
 
+@final
+@dataclasses.dataclass(frozen=True)
+class CommitMark:
+    """Up to where the log was known to be committed at some time."""
+
+    index: Index
+
+
 @final
 @dataclasses.dataclass(frozen=True)
 class Recovered:
@@ -27,6 +35,8 @@
     vote: Vote
     snapshot: Snapshot | None
     entries: tuple[Entry, ...]
+    commit: Index = Index(0)
+    """The last index known to be committed; later ones may be too."""
 
 
 class Store(abc.ABC):
@@ -47,6 +57,10 @@
     def append(self, entries: Sequence[Entry]) -> None:
         """Add entries behind the last one."""
 
+    @abc.abstractmethod
+    def save_commit(self, index: Index) -> None:
+        """Note up to where the log is committed, so that a restart knows."""
+
     @abc.abstractmethod
     def truncate(self, index: Index) -> None:
         """Drop the entry at ``index`` and all behind it."""
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -29,6 +29,7 @@
     messages.Entry,
     messages.Snapshot,
     store.Vote,
+    store.CommitMark,
     region_snapshot.RegionSnapshot,
     ledger.LedgerSnapshot,
     *typing.get_args(cluster_commands.ClusterCommand),
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -574,6 +574,11 @@
 struct AskIndex {
 }
 
+/** Up to where a log was known to be committed. */
+struct CommitMark {
+  1: i64 index
+}
+
 /** The answer of a leader whose lease holds. */
 struct TellIndex {
   1: i64 index
@@ -637,6 +642,7 @@
   54: optional Heard heard
   55: optional AskIndex ask_index
   56: optional TellIndex tell_index
+  57: optional CommitMark commit_mark
 }
 
 /** A command for the control group. */
--- a/tests/replica_world.py
+++ b/tests/replica_world.py
@@ -44,6 +44,10 @@
             entries=(*self._written.entries, *entries),
         )
 
+    def save_commit(self, index: Index) -> None:
+        """Note a committed index, unsynced."""
+        self._written = dataclasses.replace(self._written, commit=index)
+
     def truncate(self, index: Index) -> None:
         """Drop a suffix, unsynced."""
         kept = tuple(one for one in self._written.entries if one.index < index)
@@ -55,7 +59,12 @@
         tail: Sequence[Entry],
     ) -> None:
         """Replace the snapshot; as in the file store, at once."""
-        self._written = Recovered(self._written.vote, snapshot, tuple(tail))
+        self._written = Recovered(
+            self._written.vote,
+            snapshot,
+            tuple(tail),
+            self._written.commit,
+        )
         self._durable = self._written
 
     def sync(self) -> None:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,4 +1,4 @@
-"""The cluster: routes by compare-and-set, targets by start, changes by index."""
+"""The cluster: routes by compare-and-set, targets by start, feeds."""
 
 import unittest
 
@@ -193,7 +193,7 @@
         feed = self.cluster.feed(known)
         self.assertIs(feed.complete, complete)
         self.assertEqual([one.target for one in feed.targets], targets)
-        self.assertEqual([*feed.removed_targets] if known else [], removed)
+        self.assertEqual(list(feed.removed_targets), removed)
         self.assertIs(feed.routes is not None, has_routes)
         self.assertEqual(feed.evacuated, ('tirol-a',))
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -38,6 +38,9 @@
     return octets[:12] + bytes([octets[12] ^ 1]) + octets[13:]
 
 
+ENTRIES = [_entry(one) for one in range(1, 5)]
+
+
 class FileStoreTest(unittest.TestCase):
     """What is found again after a stop of any kind."""
 
@@ -100,6 +103,29 @@
         self.assertEqual(Recovered(Vote(), None, ()), self._load())
         self.assertTrue((self.folder / f'{name}.damaged').exists())
 
+    @parameterized.expand([('whole', 0, 3), ('torn', 4, 2)])
+    def test_commit_is_found_again(
+        self,
+        _name: str,
+        lost: int,
+        commit: int,
+    ) -> None:
+        with FileStore(self.folder) as store:
+            store.load()
+            store.append(ENTRIES[:2])
+            store.save_commit(2)
+            store.append(ENTRIES[2:3])
+            store.save_commit(3)
+        path = self.folder / 'log'
+        path.write_bytes(path.read_bytes()[: path.stat().st_size - lost])
+        with FileStore(self.folder) as store:
+            found = store.load()
+            self.assertEqual(found.commit, commit)
+            self.assertEqual(found.entries, tuple(ENTRIES[:3]))
+            store.append(ENTRIES[3:4])
+        with FileStore(self.folder) as store:
+            self.assertEqual(store.load().entries, tuple(ENTRIES[:4]))
+
     def test_snapshot_takes_the_place_of_entries(self) -> None:
         self._write(5)
         snapshot = Snapshot(Index(3), Term(1), SEATS, b'state')
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,7 +19,7 @@
 )
 from turmericmast.balance.load import LoadReport
 from turmericmast.cluster.records import TargetPhase
-from turmericmast.ids import TargetId
+from turmericmast.ids import RouteName, ServiceId, TargetId
 from turmericmast.platform.dialect import PlatformDialect
 from turmericmast.platform.documents import DocumentFormat, read_report
 from turmericmast.platform.settings import read_settings
@@ -136,10 +136,12 @@
         document = DocumentFormat().parse(encoded(ROUTES)).unwrap()
         self.assertIsInstance(document.check(), Success)
         self.assertEqual((document.version, document.base), (7, 5))
-        order = document.route_by_name['order']
+        order = document.route_by_name[RouteName('order')]
         self.assertFalse(order.kind.is_repeatable)
         self.assertEqual(order.home_regions, {'tirol', 'kaernten'})
-        self.assertEqual(document.terms_by_service['stock'].cold_rate, 13)
+        self.assertEqual(
+            document.terms_by_service[ServiceId('stock')].cold_rate, 13
+        )
 
 
 class ReportsTest(unittest.TestCase):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -296,6 +296,27 @@
         replica.receive(dataclasses.replace(real, **changes), world.now)
         self.assertIs(expected, replica.role)
 
+    @parameterized.expand(GROUPS)
+    def test_restart_knows_what_was_committed_before_any_election(
+        self,
+        _name: str,
+        full: int,
+        witnesses: int,
+    ) -> None:
+        world = _settled(full, witnesses)
+        last = max(world.acknowledged)
+        for name in world.names:
+            world.crash(name)
+        for name in world.names:
+            world.restart(name)
+        applied = [
+            member.last_applied
+            for member in world.running
+            if not member.seating.is_witness
+        ]
+        self.assertIsNone(world.leader())
+        self.assertGreaterEqual(min(applied), last)
+
     def test_group_of_one_founds_itself(self) -> None:
         world = _settled(1, 0)
         self.assertEqual(5, len(world.acknowledged))
