Share the load of targets between edges; hedge by what the first one reports

Ruled out: own share (traced: requests take 60 to 115 ms at the edge, the rest is the callers' way there).

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -16,7 +16,7 @@
 from turmericmast.cluster.records import TargetPhase
 from turmericmast.ids import DomainId, RegionId, Seconds, ServiceId, TargetId
 
-FRESH = 0.1
+FRESH = 0.2
 """Seconds for which a load report tells the load.
 
 The speed of targets that share their machine changes several times a
@@ -96,7 +96,8 @@
         self.probe_interval = FRESH
         """Fewest seconds between two probes of one target."""
         self._place = place
-        self._work = USUAL_WORK
+        self.work = USUAL_WORK
+        """Seconds of work that a request takes on an undisturbed target."""
         self._octets = USUAL_OCTETS
         self._cold_share_by_target: dict[TargetId, ColdShare] = {}
 
@@ -111,7 +112,7 @@
         most = MAX_PROBES_ABROAD if ring is Distance.abroad else MAX_PROBES
         likely = sorted(
             known,
-            key=lambda one: expected_time(one, ring, self._work),
+            key=lambda one: expected_time(one, ring, self.work),
         )[:most]
         return [
             one
@@ -141,7 +142,7 @@
         return Outlook(
             aim_left=ask.aim_at - now,
             time_left=ask.deadline - now,
-            work=self._work,
+            work=self.work,
             octets=self._octets,
         )
 
@@ -153,7 +154,7 @@
 
     def learn(self, took: float, slowness: float, octets: int) -> None:
         """Learn from an answer what requests take."""
-        self._work += SMOOTHING * (took / max(slowness, 1) - self._work)
+        self.work += SMOOTHING * (took / max(slowness, 1) - self.work)
         self._octets += SMOOTHING * (octets - self._octets)
 
     def opens_in(self, ask: Ask, now: Seconds) -> float:
--- a/src/turmericmast/balance/standing.py
+++ b/src/turmericmast/balance/standing.py
@@ -72,6 +72,14 @@
             return Trust.unproved
         return Trust.warm
 
+    def proof_age(self, now: Seconds) -> float:
+        """Return the seconds since the target told that it is there."""
+        return now - self._proved_at
+
+    def cold_left(self, now: Seconds) -> float:
+        """Return the seconds for which the target stays cold."""
+        return max(self._cold_until - now, 0)
+
     def age(self, now: Seconds) -> float:
         """Return the seconds since the load was reported."""
         return now - self.reported_at
@@ -92,12 +100,20 @@
         self.reported_at = now
         self._unseen = 0
 
+    def expect(self) -> None:
+        """Count a request that another instance is about to send."""
+        self._unseen += 1
+
     def prove(self, cold_left: Seconds, now: Seconds) -> None:
         """Take the word of the target itself that it is there."""
         self._proved_at = now
         self._cold_until = now + cold_left if cold_left > 0 else -math.inf
         self._failures = 0
 
+    def disprove(self) -> None:
+        """Another instance lost the target: ask before sending."""
+        self._proved_at = -math.inf
+
     def doubt(self, now: Seconds) -> None:
         """Send nothing more until the target has answered a probe."""
         self._proved_at = -math.inf
--- a/src/turmericmast/balance/value.py
+++ b/src/turmericmast/balance/value.py
@@ -10,15 +10,17 @@
 
 LATE_SHARE = 0.1
 """Worth of an answer after the aim, of one within it."""
-AIM_SPREAD = 0.15
+AIM_SPREAD = 0.08
 """Share of the aim over which an expected time is uncertain."""
-AIM_MARGIN = 0.8
+AIM_MARGIN = 0.9
 """Share of the aim at which an answer is as likely late as not."""
 LATENCY_COST = 0.05
 """Worth lost for each aim of waiting: of two good targets take the faster."""
+LOAD_COST = 0.03
+"""Worth lost at a target whose slots are all taken: spread before filling."""
 ILL_COST = 0.3
 """Worth lost at a target that says it is not healthy."""
-DOMAIN_COST = 0.02
+DOMAIN_COST = 0.03
 """Worth lost for each kilobyte between failure domains, which is billed."""
 REGION_COST = 0.02
 """The same between regions, on top."""
@@ -77,15 +79,20 @@
 ) -> float:
     """Return the expected worth of sending there, 1 at best."""
     took = expected_time(standing, distance, outlook.work)
-    in_aim = _likelihood(took, outlook.aim_left)
-    in_time = _likelihood(took, outlook.time_left)
-    gain = in_aim + LATE_SHARE * max(in_time - in_aim, 0)
-    gain *= 1 - standing.risk(now)
+    gained = gain(took, outlook) * (1 - standing.risk(now))
     cost = _COST_BY_DISTANCE[distance] * outlook.octets / KILOBYTE
     cost += LATENCY_COST * min(took / max(outlook.time_left, took), 1)
+    cost += LOAD_COST * standing.busy() / max(standing.report.slots, 1)
     if standing.is_ill:
         cost += ILL_COST
-    return gain - cost
+    return gained - cost
+
+
+def gain(took: float, outlook: Outlook) -> float:
+    """Return the worth of an answer that is expected in some seconds."""
+    in_aim = _likelihood(took, outlook.aim_left)
+    in_time = _likelihood(took, outlook.time_left)
+    return in_aim + LATE_SHARE * max(in_time - in_aim, 0)
 
 
 def _likelihood(took: float, limit: float) -> float:
--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -73,6 +73,8 @@
     domain: DomainId
     region: RegionId
     phase: EdgePhase
+    peer: str
+    """Address for news of load from other edges."""
 
 
 @final
--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -145,10 +145,9 @@
         records = self._read_log()
         entries = [one for one in records if isinstance(one, Entry)]
         base = snapshot.index if snapshot else 0
-        stale = sum(entry.index <= base for entry in entries)
-        fresh = tuple(entries[stale:])
-        expected = range(base + 1, base + 1 + len(fresh))
-        if [entry.index for entry in fresh] != list(expected):
+        fresh = tuple(one for one in entries if one.index > base)
+        indexes = [entry.index for entry in fresh]
+        if indexes != list(range(base + 1, base + 1 + len(fresh))):
             raise self._damage('the log does not go on where it should')
         self._first = entries[0].index if entries else Index(base + 1)
         marks = (one.index for one in records if isinstance(one, CommitMark))
@@ -200,3 +199,8 @@
         self._ends = []
         self._size = 0
         self._first = Index(1)
+
+
+def _newest_mark(records: Sequence[Entry | CommitMark]) -> Index:
+    marks = (one.index for one in records if isinstance(one, CommitMark))
+    return max(marks, default=Index(0))
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,7 +1,7 @@
 """The root of the edge aggregate."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
 from turmericmast.balance.coldshare import senders
@@ -24,11 +24,15 @@
     TargetId,
 )
 from turmericmast.machine import Bounds
-from turmericmast.route.document import Route, RouteDocument
+from turmericmast.route.document import Route, RouteDocument, ServiceTerms
 from turmericmast.route.table import RouteTable, Splitter
 
-DIRECTORY_LIFETIME = 2.0
-"""Seconds that callers keep an answer of the directory."""
+DIRECTORY_LIFETIME = 5.0
+"""Seconds that callers keep an answer of the directory, at most.
+
+A look-up costs a caller two round trips before its request."""
+FEWEST_ADDRESSES = 2
+"""Addresses in an answer, as long as the region has so many instances."""
 MAX_ADDRESSES = 64
 """Addresses in one answer of the directory."""
 PROBE_SHARE = 0.5
@@ -79,6 +83,11 @@
         """Tell whether this instance is about to stop."""
         return self.record.phase is EdgePhase.leaving
 
+    @property
+    def lifetime(self) -> float:
+        """Return the seconds that callers keep an answer of the directory."""
+        return min(DIRECTORY_LIFETIME, self.bounds.directory_ttl)
+
     def leave(self) -> None:
         """Begin to stop: no new callers."""
         self.record = dataclasses.replace(
@@ -95,6 +104,19 @@
         service = self._splitter.pick(route)
         return self._pool(service) if service else None
 
+    def standings(self) -> Iterable[Standing]:
+        """Return all targets as they are known."""
+        return self._standing_by_target.values()
+
+    def standing(self, target: TargetId) -> Standing | None:
+        """Return a target as it is known."""
+        return self._standing_by_target.get(target)
+
+    def health_path(self, service: ServiceId) -> str:
+        """Return where the targets of a service tell their health."""
+        terms = self._terms(service)
+        return terms.health_path if terms else ''
+
     def may_send(self, standing: Standing) -> bool:
         """Tell whether a target still takes work, right before a send."""
         record = standing.record
@@ -125,8 +147,7 @@
         else:
             chosen = _nearest(serving, region, domain)
         addresses = tuple(edge.address for edge in chosen[:MAX_ADDRESSES])
-        lifetime = min(DIRECTORY_LIFETIME, self.bounds.directory_ttl)
-        return DirectoryAnswer(addresses, lifetime)
+        return DirectoryAnswer(addresses, self.lifetime)
 
     def apply(self, feed: ClusterFeed, document: RouteDocument | None) -> bool:
         """Follow the cluster; tell whether the feed was news or nothing new.
@@ -202,7 +223,8 @@
             pool.evacuated = self.evacuated
             pool.probe_interval = max(FRESH, max(near, 1) / probe_rate)
             pool.repeats.share(self.bounds.retry_slack, len(edges))
-            pool.cold_rate = self._cold_rate(service)
+            terms = self._terms(service)
+            pool.cold_rate = terms.cold_rate if terms else 0
             pool.cold_targets = frozenset(
                 target
                 for target, standing in pool.standing_by_target.items()
@@ -210,10 +232,10 @@
                 in senders(standing.record, standing.region, edges)
             )
 
-    def _cold_rate(self, service: ServiceId) -> float:
-        terms = self.table.document.terms_by_service if self.table else {}
-        known = terms.get(service)
-        return known.cold_rate if known else 0
+    def _terms(self, service: ServiceId) -> ServiceTerms | None:
+        if self.table is None:
+            return None
+        return self.table.document.terms_by_service.get(service)
 
 
 def _is_same_start(known: TargetRecord, record: TargetRecord) -> bool:
@@ -231,4 +253,8 @@
 ) -> list[EdgeRecord]:
     in_domain = [edge for edge in edges if edge.domain == domain]
     in_region = [edge for edge in edges if edge.region == region]
-    return in_domain or in_region or edges
+    if len(in_domain) >= FEWEST_ADDRESSES:
+        return in_domain
+    # Callers of a lone instance need another one while it is gone.
+    others = [edge for edge in in_region if edge.domain != domain]
+    return in_domain + others[: FEWEST_ADDRESSES - len(in_domain)] or edges
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -100,6 +100,8 @@
 def _build(tree: Tree) -> MachineSettings:
     listen = tree['listen']
     peer_port = tree['port_range'][0]
+    # Two processes of one machine share its ports.
+    own_port = peer_port if listen.get('control') else peer_port + 1
     control = listen.get('control') or next(iter(tree['seeds']), ':0')
     return MachineSettings(
         name=f'{tree["node_name"]}/{tree.get("role", "")}',
@@ -110,7 +112,7 @@
             readiness=listen.get('ready_address') or '',
             operators=listen.get('control') or '',
             directory=listen.get('directory') or '',
-            peers=f'{tree.get("ip", "")}:{peer_port}',
+            peers=f'{tree.get("ip", "")}:{own_port}',
         ),
         # A seed is the address for operators; peers use the same machine.
         contacts=tuple(
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -30,15 +30,15 @@
 """Seconds after which a watch is answered although nothing changed."""
 STALE_AFTER = 1.0
 """Seconds without a quorum after which a watch is answered at once."""
-TICK_MS = 500
-EDGE_PATIENCE = 2.5
+TICK_MS = 250
+EDGE_PATIENCE = 1.5
 """Seconds of silence after which an edge is dropped from the directory.
 
 Callers must not be sent to a lost one for longer than the contact window
 and three seconds."""
 TARGET_PATIENCE_INTERVALS = 8
 """Missed reports after which a target is forgotten."""
-STALL = 1.5
+STALL = 1.0
 """Seconds between two ticks from which on reports may have been missed."""
 
 
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -22,6 +22,7 @@
 from turmericmast.web.curl import Curl
 from turmericmast.web.edgedesk import EdgeDesk
 from turmericmast.web.edgefront import EdgeFront
+from turmericmast.web.newsroom import Newsroom
 from turmericmast.web.probing import Prober
 
 CONNECT_TIMEOUT_MS = 250
@@ -35,8 +36,8 @@
 MAX_BODY_BYTES = 1_073_741_824
 """Above every limit of the routes, which decide."""
 BODY_TIMEOUT = 60.0
-DIRECTORY_PAUSE = 2.5
-"""Seconds that callers may still come by an old directory answer."""
+TELLING_PAUSE = 0.3
+"""Seconds until every directory has left this instance out."""
 QUIET_PAUSE = 0.3
 """Seconds without a request after which the instance stops."""
 GRACE_RESERVE = 0.4
@@ -71,7 +72,7 @@
             now = clock.now()
             if self._desk.running:
                 quiet_since = now
-            is_known = now - began_at > DIRECTORY_PAUSE
+            is_known = now - began_at > self._desk.edge.lifetime + TELLING_PAUSE
             if is_known and now - quiet_since > QUIET_PAUSE:
                 break
             await asyncio.sleep(STOP_PAUSE)
@@ -94,6 +95,7 @@
             settings.domain,
             settings.region,
             EdgePhase.serving,
+            settings.listening.peers,
         ),
         settings.region_by_domain,
         settings.bounds,
@@ -110,22 +112,30 @@
         settings.listening.callers,
     )
     stack.callback(server.stop)
-    pages = make_application(edge, process.metrics)
-    for address in (
-        settings.listening.directory,
-        settings.listening.readiness,
-    ):
-        stack.callback(_listen(HTTPServer(pages), address).stop)
-    ticker = PeriodicCallback(front.close_idle, SWEEP_MS)
-    ticker.start()
-    stack.callback(ticker.stop)
+    _serve_pages(process, stack, edge, front)
     stack.enter_context(Watching(process, edge, DocumentFormat()))
     stack.enter_context(Reloading(process, _keep))
+    await desk.newsroom.open(settings.listening.peers)
     process.events.write('serving', domain=settings.domain)
     await process.stop.wait()
     await Leaving(process, desk, front).run(server)
 
 
+def _serve_pages(
+    process: Process[MachineSettings],
+    stack: contextlib.ExitStack,
+    edge: Edge,
+    front: EdgeFront,
+) -> None:
+    listening = process.settings.listening
+    pages = make_application(edge, process.metrics)
+    for address in (listening.directory, listening.readiness):
+        stack.callback(_listen(HTTPServer(pages), address).stop)
+    ticker = PeriodicCallback(front.close_idle, SWEEP_MS)
+    ticker.start()
+    stack.callback(ticker.stop)
+
+
 def _make_desk(
     process: Process[MachineSettings],
     stack: contextlib.ExitStack,
@@ -133,12 +143,15 @@
 ) -> EdgeDesk:
     curl = stack.enter_context(Curl(CONNECT_TIMEOUT_MS, IDLE_SECONDS))
     dialect = PlatformDialect()
+    prober = Prober(curl, dialect, process.clock, process.metrics)
+    newsroom = Newsroom(edge, prober, process.clock, process.metrics)
     desk = EdgeDesk(
         edge=edge,
         clock=process.clock,
         curl=curl,
         dialect=dialect,
-        prober=Prober(curl, dialect, process.clock, process.metrics),
+        prober=prober,
+        newsroom=stack.enter_context(newsroom),
         metrics=process.metrics,
         events=process.events,
     )
--- a/src/turmericmast/programs/watching.py
+++ b/src/turmericmast/programs/watching.py
@@ -56,6 +56,7 @@
     def __enter__(self) -> Self:
         """Begin to follow."""
         self._task = asyncio.ensure_future(self._run())
+        self._task.add_done_callback(self._show_end)
         return self
 
     def __exit__(
@@ -69,6 +70,11 @@
             self._task.cancel()
         self._links.keep(())
 
+    def _show_end(self, task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error:
+            self._events.write('watching_ended', error=repr(error))
+
     async def _run(self) -> None:
         while True:
             member = self._pick()
--- a/src/turmericmast/web/edgeanswer.py
+++ b/src/turmericmast/web/edgeanswer.py
@@ -1,5 +1,6 @@
 """Check an answer of a target before any of it goes to the caller."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import final
 
@@ -22,8 +23,14 @@
         dialect: Dialect,
         request_id: str,
         relay: Relay,
+        claim: Callable[['EdgeAnswer'], bool],
     ) -> None:
-        """Take the answer to the request with an id."""
+        """Take the answer to the request with an id.
+
+        ``claim`` tells whether a good answer may go to the caller; another
+        one may have been faster.
+        """
+        self._claim = claim
         self.octets = 0
         self._dialect = dialect
         self._request_id = request_id
@@ -57,8 +64,10 @@
             return False
         self._head = head
         self._marks = marks
-        self._is_passed_on = is_success
-        return self._relay.on_head(head) if is_success else True
+        if not is_success:
+            return True
+        self._is_passed_on = self._claim(self)
+        return self._is_passed_on and self._relay.on_head(head)
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Take octets of the body."""
--- a/src/turmericmast/web/edgechoosing.py
+++ b/src/turmericmast/web/edgechoosing.py
@@ -23,7 +23,10 @@
 
     async def choose(self, ask: Ask) -> Candidate | None:
         """Return the best target, none when no target can serve in time."""
-        best: Candidate | None = None
+        now = self._desk.clock.now()
+        best = self._pool.best(ask, Distance.abroad, now)
+        if best and self._pool.is_settled(best, now):
+            return best
         for ring in Distance:
             best = await self._look(ask, ring)
             if best and best.worth >= GOOD_WORTH:
@@ -43,16 +46,11 @@
         return self._pool.best(ask, ring, self._desk.clock.now())
 
     async def _probe(self, stale: Sequence[Standing], ring: Distance) -> None:
-        table = self._desk.edge.table
-        terms = (
-            table.document.terms_by_service.get(self._pool.service)
-            if table
-            else None
-        )
-        if terms:
+        path = self._desk.edge.health_path(self._pool.service)
+        if path:
             await self._desk.prober.probe(
                 stale,
-                terms.health_path,
+                path,
                 PATIENCE_BY_DISTANCE[ring],
             )
 
--- a/src/turmericmast/web/edgedesk.py
+++ b/src/turmericmast/web/edgedesk.py
@@ -9,6 +9,7 @@
 from turmericmast.metrics import Metrics
 from turmericmast.web.curl import Curl
 from turmericmast.web.dialect import Dialect
+from turmericmast.web.newsroom import Newsroom
 from turmericmast.web.probing import Prober
 
 
@@ -22,6 +23,7 @@
     curl: Curl
     dialect: Dialect
     prober: Prober
+    newsroom: Newsroom
     metrics: Metrics
     events: EventLog
     running: int = 0
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 from typing import final
 
 from tornado.httputil import (
@@ -12,19 +13,22 @@
 )
 
 from turmericmast.balance.pool import Ask, Candidate, Pool
+from turmericmast.balance.value import Distance
 from turmericmast.call.call import Call, CallRequest, Loss, Next
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.route.document import Route
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import Body
 from turmericmast.web.edgeanswer import EdgeAnswer
+from turmericmast.web.edgeattempt import EdgeAttempt
 from turmericmast.web.edgechoosing import Chooser
 from turmericmast.web.edgedesk import EdgeDesk
+from turmericmast.web.edgerace import EdgeRace
 from turmericmast.web.parse import forwarded_headers
 from turmericmast.web.problem import Problem
 from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.sending import METHODS_WITH_BODY
-from turmericmast.web.transfer import Progress, Transfer, TransferRequest
+from turmericmast.web.transfer import TransferRequest
 
 
 @final
@@ -63,7 +67,11 @@
             incoming.call.method,
             lambda: desk.edge.is_leaving,
         )
-        self._transfer: Transfer | None = None
+        self._race = EdgeRace(incoming.pool)
+        self._claimed: EdgeAnswer | None = None
+        """The answer that goes to the caller."""
+        self._refusal: EdgeAnswer | None = None
+        """The last answer by which a target said that it failed."""
         self._task: asyncio.Task[None] | None = None
         self._tried: set[TargetId] = set()
         self._is_over = False
@@ -92,8 +100,7 @@
             self._desk.metrics.count('requests', outcome='left')
         self._is_over = True
         self._body.abandon()
-        if self._transfer:
-            self._transfer.cancel()
+        self._race.cancel()
 
     def _start(self) -> None:
         if self._task is None and not self._is_over:
@@ -118,7 +125,7 @@
             if chosen is None:
                 self._refuse_unserved()
                 return
-            goes_on = await self._attempt(chosen)
+            goes_on = await self._try(chosen)
 
     def _ask(self) -> Ask:
         route = self._incoming.route
@@ -129,91 +136,91 @@
             avoid=self._tried,
         )
 
-    async def _attempt(self, chosen: Candidate) -> bool:
-        """Make one attempt; tell whether to make another one."""
-        standing = chosen.standing
-        began_at = self._desk.clock.now()
-        slowness = standing.report.slowness
+    async def _try(self, chosen: Candidate) -> bool:
+        """Try a target; tell whether to try another one."""
+        first = self._begin(chosen)
+        decided = await self._race.run(lambda: self._hedge(first))
+        loss = decided.task.result()
+        self._race.cancel(decided)
+        for earlier in self._race.losses:
+            self._call.fail(earlier)
+        self._race = EdgeRace(self._pool)
+        if loss is None:
+            self._deliver(decided.answer)
+            return False
+        return self._goes_on(loss, decided.answer)
+
+    def _begin(self, chosen: Candidate) -> EdgeAttempt:
         self._call.begin()
-        self._tried.add(standing.record.target)
-        self._relay.forget()
+        self._tried.add(chosen.standing.record.target)
         answer = EdgeAnswer(
             self._desk.dialect,
             self._incoming.request_id,
             self._relay,
+            self._claim,
         )
-        self._pool.start(standing, began_at)
-        transfer = self._make_transfer(chosen, answer, began_at)
-        self._relay.resume = transfer.resume
-        self._transfer = transfer
-        ended = await transfer.run()
-        self._transfer = None
-        loss = answer.judge(ended)
-        now = self._desk.clock.now()
-        if answer.load:
-            standing.hear_load(answer.load, now)
-        self._note_end(chosen, transfer, answer, loss)
-        if loss is None:
-            self._pool.learn(now - began_at, slowness, answer.octets)
-            self._deliver(answer)
+        attempt = EdgeAttempt(self._desk, self._pool, chosen, answer)
+        attempt.begin(self._make_request)
+        self._relay.resume = self._race.resume
+        self._race.add(attempt)
+        return attempt
+
+    def _claim(self, answer: EdgeAnswer) -> bool:
+        """Let one answer at a time go to the caller."""
+        if self._is_over or self._claimed is not None:
             return False
-        return self._goes_on(loss, answer)
+        self._claimed = answer
+        return True
 
-    def _note_end(
-        self,
-        chosen: Candidate,
-        transfer: Transfer,
-        answer: EdgeAnswer,
-        loss: Loss | None,
-    ) -> None:
-        standing = chosen.standing
-        if self._is_over or transfer.progress is Progress.vetoed:
-            standing.leave()
-            return
-        standing.end(loss, self._desk.clock.now())
-        if answer.is_misdirected:
-            standing.shun_misplaced()
+    def _hedge(self, first: EdgeAttempt) -> bool:
+        """Begin a second attempt where that pays; tell whether to look on."""
+        call = self._incoming.call
+        is_possible = call.is_idempotent and self._body.can_replay
+        if not is_possible or self._call.attempts >= call.max_attempts:
+            return False
+        if self._claimed or self._is_over:
+            return False
+        ask = self._ask()
+        now = self._desk.clock.now()
+        second = self._pool.best(ask, Distance.abroad, now)
+        outlook = self._pool.outlook(ask, now)
+        if second is None or not first.hedge.is_worth(second, outlook, now):
+            return True
+        if self._pool.repeats.spend():
+            self._desk.metrics.count('repeats', loss='slow')
+            self._begin(second)
+            return False
+        return True
 
-    def _make_transfer(
+    def _make_request(
         self,
         chosen: Candidate,
-        answer: EdgeAnswer,
-        now: Seconds,
-    ) -> Transfer:
+        resume: Callable[[], None],
+    ) -> TransferRequest:
         incoming = self._incoming
         record = chosen.standing.record
-        left = Seconds(incoming.call.deadline - now)
+        left = Seconds(incoming.call.deadline - self._desk.clock.now())
         has_body = self._body.size or incoming.call.method in METHODS_WITH_BODY
         length = incoming.headers.get('Content-Length')
         whole = self._body.size if self._body.is_complete else -1
-        return Transfer(
-            self._desk.curl,
-            TransferRequest(
-                url=f'http://{record.address}{incoming.start.path}',
-                method=incoming.call.method,
-                headers=forwarded_headers(
-                    incoming.headers,
-                    self._desk.dialect.own_names,
-                    self._desk.dialect.onward(record.target, left),
-                ),
-                timeout=left,
-                body=self._body.reader(self._resume) if has_body else None,
-                body_size=int(length) if length else whole,
+        return TransferRequest(
+            url=f'http://{record.address}{incoming.start.path}',
+            method=incoming.call.method,
+            headers=forwarded_headers(
+                incoming.headers,
+                self._desk.dialect.own_names,
+                self._desk.dialect.onward(record.target, left),
             ),
-            answer,
-            lambda: self._may_send(chosen),
+            timeout=left,
+            body=self._body.reader(resume) if has_body else None,
+            body_size=int(length) if length else whole,
         )
 
-    def _may_send(self, chosen: Candidate) -> bool:
-        return not self._is_over and self._desk.edge.may_send(chosen.standing)
-
-    def _resume(self) -> None:
-        if self._transfer:
-            self._transfer.resume()
-
     def _goes_on(self, loss: Loss, answer: EdgeAnswer) -> bool:
         """Decide after a failed attempt; answer the caller if it ends."""
         self._call.fail(loss)
+        if loss is Loss.failed:
+            self._refusal = answer
         if self._is_over:
             return False
         now = self._desk.clock.now()
@@ -225,15 +232,20 @@
         step = self._call.next_step(now, can_replay=self._body.can_replay)
         if step is Next.retry and self._is_affordable(loss):
             self._desk.metrics.count('repeats', loss=loss.value)
+            self._claimed = None
+            self._relay.forget()
             return True
-        self._fail(loss, answer)
+        self._fail()
         return False
 
     def _is_affordable(self, loss: Loss) -> bool:
         return loss is Loss.never_sent or self._pool.repeats.spend()
 
-    def _fail(self, loss: Loss, answer: EdgeAnswer) -> None:
-        if loss is Loss.failed and answer.pass_on():
+    def _fail(self) -> None:
+        """Answer a request whose attempts all failed."""
+        refusal = self._refusal
+        self._relay.forget()
+        if refusal and refusal.pass_on():
             self._finish('target_failed')
             return
         now = self._desk.clock.now()
@@ -241,14 +253,12 @@
         self._refuse(edgerefusals.lost(self._call, now, returns_in))
 
     def _refuse_unserved(self) -> None:
+        if self._call.losses:
+            self._fail()
+            return
         now = self._desk.clock.now()
         returns_in = self._pool.opens_in(self._ask(), now)
-        if self._call.losses:
-            self._refuse(edgerefusals.lost(self._call, now, returns_in))
-        else:
-            self._refuse(
-                edgerefusals.no_room(self._pool.service, returns_in),
-            )
+        self._refuse(edgerefusals.no_room(self._pool.service, returns_in))
 
     def _deliver(self, answer: EdgeAnswer) -> None:
         if answer.is_plain_refusal and not answer.pass_on():
--- /dev/null
+++ b/src/turmericmast/web/edgerace.py
@@ -0,0 +1,79 @@
+"""Attempts of one request that run beside each other."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from turmericmast.balance.hedge import NEXT_LOOK
+from turmericmast.balance.pool import Pool
+from turmericmast.call.call import Loss
+from turmericmast.web.edgeattempt import EdgeAttempt
+
+
+@final
+class EdgeRace:
+    """Waits for the first good answer, and asks for a second target."""
+
+    def __init__(self, pool: Pool) -> None:
+        """Start without attempts."""
+        self.losses: list[Loss] = []
+        """How attempts ended while another one still ran."""
+        self._pool = pool
+        self._running: list[EdgeAttempt] = []
+
+    def add(self, attempt: EdgeAttempt) -> None:
+        """Take an attempt that has begun."""
+        self._running.append(attempt)
+
+    def cancel(self, winner: EdgeAttempt | None = None) -> None:
+        """Give up all attempts but one."""
+        for attempt in tuple(self._running):
+            if attempt is not winner:
+                attempt.cancel()
+
+    async def run(self, ask_for_second: Callable[[], bool]) -> EdgeAttempt:
+        """Return the attempt that decides: a good one, or the last one.
+
+        ``ask_for_second`` begins another attempt where that pays, and tells
+        whether to ask it again.
+        """
+        looks = await self._wait(self._first_look())
+        while looks and ask_for_second():
+            looks = await self._wait(NEXT_LOOK)
+        deciding: EdgeAttempt | None = None
+        while deciding is None:
+            await self._wait(None)
+            deciding = self._decide()
+        return deciding
+
+    def resume(self) -> None:
+        """Go on after the caller made the answer wait."""
+        for attempt in self._running:
+            attempt.resume()
+
+    def _decide(self) -> EdgeAttempt | None:
+        """Return the attempt that decides, if there is one by now."""
+        ended = [one for one in self._running if one.task.done()]
+        for attempt in ended:
+            loss = attempt.task.result()
+            if loss is None or len(self._running) == 1:
+                return attempt
+            self._running.remove(attempt)
+            self.losses.append(loss)
+        return None
+
+    def _first_look(self) -> float:
+        work = self._pool.work
+        return self._running[0].hedge.first_look(work)
+
+    def _has_ended(self) -> bool:
+        return any(attempt.task.done() for attempt in self._running)
+
+    async def _wait(self, timeout: float | None) -> bool:
+        """Wait until an attempt ends; tell whether none has."""
+        await asyncio.wait(
+            [attempt.task for attempt in self._running],
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return not self._has_ended()
--- /dev/null
+++ b/src/turmericmast/web/newsroom.py
@@ -0,0 +1,95 @@
+"""Keeps the instances' common knowledge of load up to date."""
+
+from types import TracebackType
+from typing import Any, Self, final
+
+from tornado.ioloop import PeriodicCallback
+
+from turmericmast.balance.news import LoadNews
+from turmericmast.balance.standing import Standing
+from turmericmast.clock import Clock
+from turmericmast.edge.bulletin import Bulletin
+from turmericmast.edge.edge import Edge
+from turmericmast.metrics import Metrics
+from turmericmast.web.probing import Prober
+from turmericmast.wire.datagrams import Datagrams
+
+TICK_MS = 30
+"""Time between two looks at what is due; a quarter of a report's age."""
+
+
+@final
+class Newsroom:
+    """Probes what is due, and passes on what was learned."""
+
+    def __init__(
+        self,
+        edge: Edge,
+        prober: Prober,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        """Serve ``edge``; ``open`` begins."""
+        self._edge = edge
+        self._bulletin = Bulletin(edge)
+        self._prober = prober
+        self._clock = clock
+        self._datagrams = Datagrams(metrics, self._receive)
+        self._ticker = PeriodicCallback(self._tick, TICK_MS)
+
+    def __enter__(self) -> Self:
+        """Return the newsroom."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        with self._datagrams:
+            self._ticker.stop()
+
+    async def open(self, address: str) -> None:
+        """Listen for news, and begin to probe."""
+        self._prober.on_learned = self.tell
+        await self._datagrams.open(address)
+        self._ticker.start()
+
+    def tell(self, standing: Standing, *, is_lost: bool = False) -> None:
+        """Tell the neighbours what was learned of a target."""
+        neighbours = self._bulletin.neighbours()
+        if neighbours:
+            news = self._bulletin.news(
+                standing,
+                self._clock.now(),
+                is_lost=is_lost,
+            )
+            self._datagrams.send(news, neighbours)
+
+    def announce(self, standing: Standing) -> None:
+        """Tell the neighbours that a request is about to be sent."""
+        neighbours = self._bulletin.neighbours()
+        if neighbours:
+            self._datagrams.send(self._bulletin.start(standing), neighbours)
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        for standing in self._bulletin.due(now):
+            path = self._edge.health_path(standing.record.service)
+            if path:
+                self._prober.start(standing, path)
+        digest = self._bulletin.digest(now)
+        if digest and digest.loads:
+            self._datagrams.send(digest, self._bulletin.heralds())
+
+    def _receive(self, message: Any) -> None:
+        if not isinstance(message, LoadNews):
+            return
+        self._bulletin.hear(message, self._clock.now())
+        if message.hand_on:
+            self._datagrams.send(
+                LoadNews(message.domain, hand_on=False, loads=message.loads),
+                self._bulletin.neighbours(),
+            )
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import final
+from typing import Protocol, final
 
 from turmericmast.balance.standing import Standing
 from turmericmast.clock import Clock
@@ -23,6 +23,13 @@
 PROBE_HEADERS = (b'Accept:', b'User-Agent:')
 
 
+class Learned(Protocol):
+    """Takes what was learned of a target."""
+
+    def __call__(self, standing: Standing, *, is_lost: bool = False) -> None:
+        """Take a target that told something, or was lost."""
+
+
 @final
 class Prober:
     """Sends one probe at a time to each target."""
@@ -39,6 +46,8 @@
         self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
+        self.on_learned: Learned = _tell_nobody
+        """Called with what a probe has told."""
         self._task_by_target: dict[TargetId, asyncio.Task[None]] = {}
 
     async def probe(
@@ -51,10 +60,11 @@
 
         Answers that come later still count for the next request.
         """
-        tasks = [self._task(standing, path) for standing in standings]
+        tasks = [self.start(standing, path) for standing in standings]
         await asyncio.wait(tasks, timeout=patience)
 
-    def _task(self, standing: Standing, path: str) -> asyncio.Task[None]:
+    def start(self, standing: Standing, path: str) -> asyncio.Task[None]:
+        """Probe one target, unless a probe is under way."""
         target = standing.record.target
         known = self._task_by_target.get(target)
         if known:
@@ -80,6 +90,7 @@
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         if loss or heads.head is None:
             standing.doubt(self._clock.now())
+            self.on_learned(standing, is_lost=True)
         else:
             marks = self._dialect.read_health(heads.head.headers)
             self._learn(standing, heads.head.status, marks)
@@ -99,6 +110,7 @@
         if not marks.is_unrun:
             standing.is_ill = status != HTTPStatus.OK
             standing.prove(marks.cold_left, now)
+        self.on_learned(standing)
 
 
 @final
@@ -120,3 +132,7 @@
 
 def _always() -> bool:
     return True
+
+
+def _tell_nobody(standing: Standing, *, is_lost: bool = False) -> None:
+    """Keep what was learned to this instance."""
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from turmericmast.balance import news
 from turmericmast.cluster import commands as cluster_commands
 from turmericmast.cluster import records as cluster_records
 from turmericmast.ledger import commands as ledger_commands
@@ -41,4 +42,5 @@
     requests.Heard,
     requests.AskIndex,
     requests.TellIndex,
+    news.LoadNews,
 )
--- a/src/turmericmast/wire/codec.py
+++ b/src/turmericmast/wire/codec.py
@@ -4,7 +4,7 @@
 from typing import Any, final
 
 from returns.result import Failure, Result, Success
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -68,14 +68,14 @@
 
 def _write(struct: Any) -> bytes:
     transport = TMemoryBuffer()
-    struct.write(TBinaryProtocolAccelerated(transport))
+    struct.write(TCompactProtocolAccelerated(transport))
     octets: bytes = transport.getvalue()
     return octets
 
 
 def _read(struct_class: Any, octets: bytes) -> Result[Any, WireError]:
     struct = struct_class()
-    protocol = TBinaryProtocolAccelerated(
+    protocol = TCompactProtocolAccelerated(
         TMemoryBuffer(octets),
         string_length_limit=MAX_STRING_BYTES,
         container_length_limit=MAX_CONTAINER_LENGTH,
--- /dev/null
+++ b/src/turmericmast/wire/datagrams.py
@@ -0,0 +1,73 @@
+"""Messages that may be lost, as datagrams."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from types import TracebackType
+from typing import Any, Self, final
+
+from returns.result import Success
+
+from turmericmast.metrics import Metrics
+from turmericmast.wire.codec import decode, encode
+
+
+@final
+class Datagrams(asyncio.DatagramProtocol):
+    """Sends and receives datagrams at one address."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        receive: Callable[[Any], object],
+    ) -> None:
+        """Give each message to ``receive``."""
+        self._metrics = metrics
+        self._receive = receive
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def __enter__(self) -> Self:
+        """Return the sender; ``open`` makes it work."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the socket."""
+        if self._transport:
+            self._transport.close()
+
+    async def open(self, address: str) -> None:
+        """Bind the socket."""
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host, int(port)),
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the open socket."""
+        self._transport = transport
+
+    def datagram_received(self, octets: bytes, address: Any) -> None:
+        """Decode a message; a bad one is counted and dropped."""
+        message = decode(octets)
+        if isinstance(message, Success):
+            self._receive(message.unwrap())
+        else:
+            self._metrics.count('datagrams_bad')
+
+    def error_received(self, error: Exception) -> None:
+        """Count a refusal of the network; the next news follows soon."""
+        self._metrics.count('datagrams_refused', error=type(error).__name__)
+
+    def send(self, message: object, addresses: Iterable[str]) -> None:
+        """Send a message to some peers."""
+        octets = encode(message)
+        for address in addresses:
+            host, _, port = address.rpartition(':')
+            if self._transport and host:
+                self._transport.sendto(octets, (host, int(port)))
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -468,6 +468,28 @@
   4: string domain
   5: string region
   6: string phase
+  7: string peer = ""
+}
+
+/** What an edge knows of one target. */
+struct TargetLoad {
+  1: string target
+  2: i32 age_ms
+  3: i32 running
+  4: i32 waiting
+  5: i32 slots
+  6: i32 slowness_percent
+  7: i32 proof_age_ms
+  8: i32 cold_ms
+}
+
+/** News of load from one edge to others. */
+struct LoadNews {
+  1: string domain
+  2: bool hand_on
+  3: list<TargetLoad> loads
+  4: list<string> started
+  5: list<string> lost
 }
 
 /** One version of the route document; its text is compressed. */
@@ -643,6 +665,7 @@
   55: optional AskIndex ask_index
   56: optional TellIndex tell_index
   57: optional CommitMark commit_mark
+  58: optional LoadNews load_news
 }
 
 /** A command for the control group. */
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,263 @@
+"""Where requests go under loads of a known pattern, without a network."""
+
+import itertools
+import unittest
+
+from parameterized import parameterized
+
+from tests.edge_samples import (
+    NOW,
+    ask,
+    instance,
+    pool,
+    standing,
+    target,
+)
+from turmericmast.balance.coldshare import ColdShare, senders
+from turmericmast.balance.hedge import Hedge
+from turmericmast.balance.load import LoadReport
+from turmericmast.balance.news import describe, learn
+from turmericmast.balance.pool import Candidate
+from turmericmast.balance.repeats import RepeatBudget
+from turmericmast.balance.standing import PROOF_LIFE, Standing, Trust
+from turmericmast.balance.value import Distance, Outlook
+from turmericmast.call.call import Loss
+
+PATTERNS = [
+    (
+        'calm_near_before_far',
+        [standing('1'), standing('2', 'tirol-b'), standing('3', 'wien-a')],
+        '1',
+    ),
+    (
+        'neighbour_slows_down_in_the_domain',
+        [standing('1', slowness=7), standing('2')],
+        '2',
+    ),
+    (
+        'whole_domain_slow_goes_to_the_region',
+        [
+            standing('1', slowness=7),
+            standing('2', 'tirol-b'),
+            standing('3', 'wien-a'),
+        ],
+        '2',
+    ),
+    (
+        'whole_region_slow_goes_abroad',
+        [
+            standing('1', slowness=7),
+            standing('2', 'tirol-b', slowness=7),
+            standing('3', 'wien-a'),
+        ],
+        '3',
+    ),
+    (
+        'burst_fills_the_near_one',
+        [standing('1', busy=12), standing('2', busy=1)],
+        '2',
+    ),
+    (
+        'burst_fills_the_domain',
+        [standing('1', busy=12), standing('2', 'tirol-b')],
+        '2',
+    ),
+    (
+        'far_one_no_better_stays_near',
+        [standing('1', slowness=1.5), standing('2', 'tirol-b')],
+        '1',
+    ),
+]
+
+ENDINGS = [
+    ('refused_connection', Loss.never_sent, 0, Trust.shunned),
+    ('after_the_pause_ask_first', Loss.never_sent, 0.25, Trust.unproved),
+    ('lost_connection', Loss.connection_lost, 0.25, Trust.unproved),
+    ('full', Loss.shed, 0, Trust.shunned),
+    ('full_a_moment_later', Loss.shed, 0.06, Trust.warm),
+    ('failed_answer', Loss.failed, 0, Trust.warm),
+    ('success', None, 0, Trust.warm),
+    ('proof_grows_old', None, PROOF_LIFE + 0.01, Trust.unproved),
+]
+
+HEDGES = [
+    ('first_is_at_work_as_usual', 1, 1, 0.12, 1, False),
+    ('first_has_slowed_down', 1, 7, 0.12, 1, True),
+    ('first_was_slow_all_along', 7, 7, 0.12, 1, True),
+    ('first_is_nearly_done', 7, 1, 0.12, 1, False),
+    ('second_is_slow_too', 1, 7, 0.12, 7, False),
+]
+
+
+class PoolTest(unittest.TestCase):
+    """The best target by what is known of all of them."""
+
+    @parameterized.expand(PATTERNS)
+    def test_pattern(
+        self,
+        _name: str,
+        standings: list[Standing],
+        wanted: str,
+    ) -> None:
+        best = pool(*standings).best(ask(), Distance.abroad, NOW)
+        self.assertEqual(best and best.standing.record.target, wanted)
+
+    def test_download_stays_in_its_domain(self) -> None:
+        known = pool(standing('1', slowness=3), standing('2', 'tirol-b'))
+        for _ in range(200):
+            known.learn(0.1, 1, 90_000)
+        best = known.best(ask(), Distance.abroad, NOW)
+        self.assertEqual(best and best.standing.record.target, '1')
+
+    @parameterized.expand(
+        [
+            ('evacuated_domain', 'evacuated', frozenset(('tirol-a',))),
+            ('already_tried', 'avoid', ('1',)),
+            ('home_elsewhere', 'homes', ('wien',)),
+        ],
+    )
+    def test_never_sent_to(self, name: str, what: str, to: tuple) -> None:
+        known = pool(standing('1'))
+        if what == 'evacuated':
+            known.evacuated = to
+        wanted = ask(*to) if what == 'avoid' else ask()
+        wanted = ask(homes=to) if what == 'homes' else wanted
+        self.assertIsNone(known.best(wanted, Distance.abroad, NOW))
+
+    def test_burst_spreads_over_equal_targets(self) -> None:
+        known = pool(standing('1'), standing('2'), standing('3'))
+        for _ in range(9):
+            best = known.best(ask(), Distance.abroad, NOW)
+            assert best is not None
+            known.start(best.standing, NOW)
+        spread = [one.in_flight for one in known.standing_by_target.values()]
+        self.assertEqual(spread, [3, 3, 3])
+
+    def test_refused_callers_return_when_a_target_opens(self) -> None:
+        shunned = standing('1')
+        shunned.start()
+        shunned.end(Loss.connection_lost, NOW)
+        self.assertAlmostEqual(pool(shunned).opens_in(ask(), NOW), 0.2)
+
+
+class StandingTest(unittest.TestCase):
+    """What an answer says about sending more."""
+
+    @parameterized.expand(ENDINGS)
+    def test_endings(
+        self,
+        _name: str,
+        loss: Loss | None,
+        later: float,
+        trust: Trust,
+    ) -> None:
+        known = standing('1')
+        known.start()
+        known.end(loss, NOW)
+        self.assertIs(known.trust(NOW + later), trust)
+
+    def test_failed_answers_count_against_a_target(self) -> None:
+        grey, sound = standing('1'), standing('2')
+        for _ in range(4):
+            grey.start()
+            grey.end(Loss.failed, NOW)
+        best = pool(grey, sound).best(ask(), Distance.abroad, NOW)
+        self.assertEqual(best and best.standing.record.target, '2')
+
+    @parameterized.expand(
+        [('older', -0.1, False), ('newer', 0.1, True)],
+    )
+    def test_news(self, _name: str, shift: float, is_news: bool) -> None:
+        told, known = standing('1', slowness=5), standing('1')
+        told.hear_load(LoadReport(3, 0, 4, 5), NOW + shift)
+        told.prove(0, NOW + shift)
+        heard = learn(known, describe(told, NOW + 0.2), NOW + 0.2)
+        self.assertIs(heard, is_news)
+        self.assertEqual(known.report.slowness, 5 if is_news else 1)
+
+
+class ColdTest(unittest.TestCase):
+    """A cold target never gets more than it bears, whoever sends."""
+
+    @parameterized.expand(
+        [
+            ('one_domain', 3, 0),
+            ('lone_instance', 1, 0),
+            ('many_instances', 20, 0),
+            ('two_views_at_once', 20, 3),
+        ],
+    )
+    def test_cold_return(self, _name: str, count: int, lost: int) -> None:
+        rate, slack, factor = 13, 5, 1.5
+        edges = [instance(f'e{number}') for number in range(count)]
+        views = [edges, edges[lost:]]
+        allowed = {
+            name
+            for view in views
+            for name in senders(target('1'), 'tirol', view)
+        }
+        shares = [ColdShare() for _ in allowed]
+        sent = 0
+        for step, share in itertools.product(range(1000), shares):
+            now = NOW + step / 1000
+            if share.has_room(now):
+                share.take(rate, now)
+                sent += 1
+        self.assertLessEqual(sent, rate * factor + slack)
+        self.assertGreater(sent, 0)
+
+    def test_cold_target_gets_nothing_from_the_others(self) -> None:
+        cold = standing('1')
+        cold.prove(3, NOW)
+        known = pool(cold)
+        self.assertIsNone(known.best(ask(), Distance.abroad, NOW))
+        known.cold_targets = frozenset(('1',))
+        self.assertIsNotNone(known.best(ask(), Distance.abroad, NOW))
+
+    def test_unproved_target_is_asked_first(self) -> None:
+        known = pool(standing('1', proved_at=NOW - 2))
+        self.assertIsNone(known.best(ask(), Distance.abroad, NOW))
+        self.assertEqual(len(known.stale(ask(), Distance.domain, NOW)), 1)
+
+
+class RepeatsTest(unittest.TestCase):
+    """Instances together keep the budget without asking each other."""
+
+    @parameterized.expand([(1, 100), (20, 10), (20, 100), (60, 3)])
+    def test_retry_storm(self, instances: int, requests: int) -> None:
+        ratio, slack = 0.2, 68
+        spent = 0
+        for _ in range(instances):
+            budget = RepeatBudget(ratio)
+            budget.share(slack, instances)
+            for _request in range(requests):
+                budget.earn()
+                spent += sum(budget.spend() for _ in range(3))
+        self.assertLessEqual(spent, ratio * requests * instances + slack)
+
+
+class HedgeTest(unittest.TestCase):
+    """A repeat has a reason in what the first target reports."""
+
+    @parameterized.expand(HEDGES)
+    def test_slow_neighbour(
+        self,
+        _name: str,
+        slowness: float,
+        slowness_now: float,
+        waited: float,
+        slowness_of_second: float,
+        is_worth: bool,
+    ) -> None:
+        first = standing('1', slowness=slowness)
+        hedge = Hedge(Candidate(first, Distance.domain, 1), NOW)
+        now = NOW + waited
+        first.hear_load(LoadReport(1, 0, 4, slowness_now), now)
+        second = standing('2', slowness=slowness_of_second)
+        outlook = Outlook(0.25 - waited, 1.2 - waited, 0.09, 800)
+        found = hedge.is_worth(
+            Candidate(second, Distance.domain, 1),
+            outlook,
+            now,
+        )
+        self.assertIs(found, is_worth)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -214,6 +214,7 @@
             'tirol-a',
             'tirol',
             EdgePhase.serving,
+            '10.0.0.3:81',
         )
         self.cluster.apply(6, commands.SetEdge(edge))
         self.assertEqual(self.cluster.feed(5).edges, (edge,))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -169,7 +169,7 @@
         self.assertEqual(
             settings.contacts, ('10.1.0.34:7540', '10.2.0.34:7540')
         )
-        self.assertEqual(settings.listening.peers, '10.1.0.34:7540')
+        self.assertEqual(settings.listening.peers, '10.1.0.34:7541')
         self.assertEqual(settings.operators_port, 8544)
         self.assertEqual(settings.bounds.grace, 6)
         self.assertIsNone(settings.data)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import inspect
 import unittest
 from typing import Any
 
@@ -12,7 +14,9 @@
 from tornado.testing import AsyncTestCase, bind_unused_port, gen_test
 
 from tests.test_region import Driver
+from turmericmast.balance import news
 from turmericmast.clock import HybridClock, SystemClock
+from turmericmast.cluster import records as cluster_records
 from turmericmast.ids import (
     Epoch,
     Fingerprint,
@@ -31,7 +35,9 @@
 from turmericmast.wire import codec, requests
 from turmericmast.wire.client import GroupClient
 from turmericmast.wire.frame import LENGTH, MAX_UNPROVED_BYTES
+from turmericmast.wire.generated import ttypes
 from turmericmast.wire.link import Link, Node
+from turmericmast.wire.mapping import RESERVED
 from turmericmast.wire.server import Handler, PeerServer
 
 
@@ -54,6 +60,19 @@
 ]  # fmt: skip
 
 
+def _structs() -> list[type]:
+    """Return the records that stand for structs of the IDL."""
+    records = (
+        one
+        for module in (cluster_records, news, messages, requests)
+        for _name, one in inspect.getmembers(module, inspect.isclass)
+        if dataclasses.is_dataclass(one)
+    )
+    return [
+        one for one in dict.fromkeys(records) if hasattr(ttypes, one.__name__)
+    ]
+
+
 class CodecTest(unittest.TestCase):
     """What was encoded comes back; anything else is refused."""
 
@@ -65,6 +84,21 @@
         octets = codec.encode_envelope(envelope)
         self.assertEqual(envelope, codec.decode_envelope(octets).unwrap())
 
+    @parameterized.expand([(one.__name__, one) for one in _structs()])
+    def test_fields_stand_in_the_order_of_the_idl(
+        self,
+        name: str,
+        message_class: Any,
+    ) -> None:
+        spec = getattr(ttypes, name).thrift_spec
+        self.assertEqual(
+            [
+                RESERVED.get(field.name, field.name)
+                for field in dataclasses.fields(message_class)
+            ],
+            [field[2] for field in spec if field],
+        )
+
     @settings(derandomize=True, max_examples=400)
     @given(st.binary(max_size=200))
     def test_noise_is_refused(self, octets: bytes) -> None:
