--- a/src/turmericmast/events.py
+++ b/src/turmericmast/events.py
@@ -3,16 +3,20 @@
 import json
 import pathlib
 from types import TracebackType
-from typing import Self, TextIO, final
+from typing import Self, TextIO, TypeAlias, final
 
 from absl import logging
 
-from turmericmast.clock import HybridClock
+from turmericmast.clock import Clock, HybridClock, SystemClock
+from turmericmast.lines import LineBudget, LineSink
 
 MAX_FILE_BYTES = 67_108_864
 """Size at which an event file is put aside as ``.1``."""
 
 
+Field: TypeAlias = str | int | float | bool | None
+
+
 @final
 class EventLog:
     """Writes changes of state; never bodies, keys or paths of requests."""
@@ -22,8 +26,12 @@
         process: str,
         path: pathlib.Path | None,
         clock: HybridClock,
+        sink: LineSink | None = None,
     ) -> None:
-        """Write to ``path``, or nowhere."""
+        """Write to ``path``, and to ``sink`` in place of the log."""
+        self._sink = sink
+        self._budget = LineBudget()
+        self._steady: Clock = SystemClock()
         self.process = process
         self.clock = clock
         self._path = path
@@ -47,20 +55,32 @@
             self._stream.close()
             self._stream = None
 
-    def write(self, kind: str, **fields: str | int | float | bool) -> None:
+    def write(self, kind: str, **fields: Field) -> None:
         """Write an event, and a log line, for a change of state."""
+        now = self._steady.now()
+        for over, count in self._budget.turn_over(now).items():
+            self._write('lines_left_out', {'kind': over, 'count': count})
+        if self._budget.admit(kind, now):
+            self._write(kind, fields)
+
+    def _write(self, kind: str, fields: dict[str, Field]) -> None:
         stamp = self.clock.tick()
-        parts = ' '.join(f'{name}={text}' for name, text in fields.items())
-        logging.info('%s %s', kind, parts)
+        line = json.dumps(
+            {
+                'clock': [stamp.wall, stamp.count],
+                'process': self.process,
+                'event': kind,
+                **fields,
+            },
+        )
+        if self._sink:
+            self._sink.write(line)
+        else:
+            parts = ' '.join(f'{name}={text}' for name, text in fields.items())
+            logging.info('%s %s', kind, parts)
         if self._stream is None:
             return
-        line = {
-            'clock': [stamp.wall, stamp.count],
-            'process': self.process,
-            'event': kind,
-            **fields,
-        }
-        self._stream.write(f'{json.dumps(line)}\n')
+        self._stream.write(f'{line}\n')
         if self._stream.tell() > MAX_FILE_BYTES:
             self._turn_over()
 
--- /dev/null
+++ b/src/turmericmast/lines.py
@@ -0,0 +1,98 @@
+"""Lines on standard output that never hold up the process that writes them."""
+
+import collections
+import os
+from types import TracebackType
+from typing import Self, final
+
+from turmericmast.ids import Seconds
+
+MAX_WAITING_BYTES = 262_144
+"""Octets kept for a reader that is slow; what comes beyond is left out."""
+LINES_A_SECOND = 20
+"""Lines of one kind that are written in a second; the others are counted."""
+BLOCKED = (BlockingIOError, BrokenPipeError, OSError)
+"""What a write raises when nobody reads, or nobody can."""
+
+
+@final
+class LineBudget:
+    """Counts the lines of each kind in the present second."""
+
+    def __init__(self) -> None:
+        """Start a first second."""
+        self._second = 0
+        self._count_by_kind: collections.Counter[str] = collections.Counter()
+
+    def admit(self, kind: str, now: Seconds) -> bool:
+        """Tell whether a line of a kind may be written."""
+        self._count_by_kind[kind] += 1
+        return self._count_by_kind[kind] <= LINES_A_SECOND
+
+    def turn_over(self, now: Seconds) -> dict[str, int]:
+        """Begin a new second; return how many lines were left out by kind."""
+        if int(now) == self._second:
+            return {}
+        self._second = int(now)
+        left_out = {
+            kind: count - LINES_A_SECOND
+            for kind, count in self._count_by_kind.items()
+            if count > LINES_A_SECOND
+        }
+        self._count_by_kind.clear()
+        return left_out
+
+
+@final
+class LineSink:
+    """Writes lines to a descriptor, or counts them while nobody reads."""
+
+    def __init__(self, descriptor: int) -> None:
+        """Write to an open descriptor, which is made not to block."""
+        self.lost = 0
+        """Lines left out because nobody read the earlier ones."""
+        self._descriptor = descriptor
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        self._was_blocking = True
+
+    def __enter__(self) -> Self:
+        """Make writes return at once."""
+        self._was_blocking = os.get_blocking(self._descriptor)
+        os.set_blocking(self._descriptor, False)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Write what fits, and leave the descriptor as it was."""
+        self.flush()
+        os.set_blocking(self._descriptor, self._was_blocking)
+
+    def write(self, line: str) -> None:
+        """Write one line, now or when the reader is ready for it."""
+        octets = f'{line}\n'.encode()
+        if self._waiting_bytes + len(octets) > MAX_WAITING_BYTES:
+            self.lost += 1
+        else:
+            self._waiting.append(octets)
+            self._waiting_bytes += len(octets)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the reader takes."""
+        while self._waiting:
+            octets = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, octets)
+            except BLOCKED:
+                # The lines wait; what finds no room is counted as lost.
+                return
+            self._waiting_bytes -= written
+            if written < len(octets):
+                self._waiting[0] = octets[written:]
+                return
+            self._waiting.popleft()
--- a/src/turmericmast/machine.py
+++ b/src/turmericmast/machine.py
@@ -64,6 +64,8 @@
     operators_port: int = 0
     """Port at which every core member serves operators and targets."""
     events: pathlib.Path | None = None
+    writes_lines: bool = True
+    """Whether events go to standard output, as JSON lines."""
 
     @property
     def instance(self) -> InstanceId:
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -143,7 +143,13 @@
 ) -> EdgeDesk:
     curl = stack.enter_context(Curl(CONNECT_TIMEOUT_MS, IDLE_SECONDS))
     dialect = PlatformDialect()
-    prober = Prober(curl, dialect, process.clock, process.metrics)
+    prober = Prober(
+        curl,
+        dialect,
+        process.clock,
+        process.metrics,
+        process.events,
+    )
     newsroom = Newsroom(edge, prober, process.clock, process.metrics)
     desk = EdgeDesk(
         edge=edge,
--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -15,6 +15,7 @@
 from turmericmast.clock import Clock, HybridClock, SystemClock
 from turmericmast.events import EventLog
 from turmericmast.exceptions import SettingsError, TurmericmastError
+from turmericmast.lines import LineSink
 from turmericmast.metrics import Metrics
 from turmericmast.settings import load_settings
 from turmericmast.version import VERSION
@@ -39,6 +40,10 @@
     def events(self) -> pathlib.Path | None:
         """Return the file for events, if there is one."""
 
+    @property
+    def writes_lines(self) -> bool:
+        """Tell whether events go to standard output, as JSON lines."""
+
 
 SettingsT = TypeVar('SettingsT', bound=AnySettings)
 Load: TypeAlias = Callable[[pathlib.Path], Result[Any, SettingsError]]
@@ -112,8 +117,13 @@
 async def _run(main: Main, settings: Any, load: Load) -> None:
     clock = HybridClock(SystemClock())
     with contextlib.ExitStack() as stack:
+        sink = (
+            stack.enter_context(LineSink(sys.stdout.fileno()))
+            if settings.writes_lines
+            else None
+        )
         events = stack.enter_context(
-            EventLog(settings.name, settings.events, clock),
+            EventLog(settings.name, settings.events, clock, sink),
         )
         process = Process(settings, events, load)
         loop = asyncio.get_running_loop()
--- a/src/turmericmast/settings.py
+++ b/src/turmericmast/settings.py
@@ -65,6 +65,8 @@
     ordering_region: RegionId
     """Region whose group orders changes of the fleet document."""
     region_by_id: Mapping[RegionId, RegionSettings]
+    writes_lines: bool = False
+    """Whether events go to standard output, as JSON lines."""
 
     @property
     def instance(self) -> InstanceId:
--- a/src/turmericmast/web/edgechoosing.py
+++ b/src/turmericmast/web/edgechoosing.py
@@ -20,9 +20,16 @@
         """Choose among the targets of ``pool``."""
         self._desk = desk
         self._pool = pool
+        self.last: Candidate | None = None
+        """The target that looked best last, whether it was good or not."""
 
     async def choose(self, ask: Ask) -> Candidate | None:
         """Return the best target, none when no target can serve in time."""
+        best = await self._find(ask)
+        self.last = best
+        return best if best and self._is_in_time(ask, best) else None
+
+    async def _find(self, ask: Ask) -> Candidate | None:
         now = self._desk.clock.now()
         best = self._pool.best(ask, Distance.abroad, now)
         if best and self._pool.is_settled(best, now):
@@ -31,7 +38,7 @@
             best = await self._look(ask, ring)
             if best and best.worth >= GOOD_WORTH:
                 break
-        return best if best and self._is_in_time(ask, best) else None
+        return best
 
     async def _look(self, ask: Ask, ring: Distance) -> Candidate | None:
         """Return the best target up to a distance."""
--- /dev/null
+++ b/src/turmericmast/web/edgeevents.py
@@ -0,0 +1,64 @@
+"""Events of an edge that touch a request or what is believed of a target."""
+
+import enum
+from typing import final
+
+from turmericmast.balance.pool import Candidate
+from turmericmast.balance.standing import Standing
+from turmericmast.events import EventLog, Field
+from turmericmast.ids import Seconds
+from turmericmast.units import MILLIS
+
+
+@final
+class EdgeEvent(enum.Enum):
+    """What an edge writes a line about."""
+
+    refused = 'request_refused'
+    repeated = 'request_repeated'
+    hedged = 'request_hedged'
+    left = 'request_left'
+    broken_off = 'request_broken_off'
+    target_failed = 'request_failed_at_target'
+    trust_changed = 'target_trust'
+
+
+def describe_target(standing: Standing, now: Seconds) -> dict[str, Field]:
+    """Return what decided for or against a target, with its age."""
+    age = standing.age(now)
+    return {
+        'target': standing.record.target,
+        'domain': standing.record.domain,
+        'trust': standing.trust(now).value,
+        'load_age_ms': int(min(age, MILLIS) * MILLIS),
+        'busy': standing.busy(),
+        'slots': standing.report.slots,
+        'slowness': standing.report.slowness,
+    }
+
+
+def describe_choice(
+    chosen: Candidate | None,
+    now: Seconds,
+) -> dict[str, Field]:
+    """Return the target that looked best, and what it was worth."""
+    if chosen is None:
+        return {'target': None}
+    return {
+        **describe_target(chosen.standing, now),
+        'worth': round(chosen.worth, 2),
+    }
+
+
+@final
+class RequestLog:
+    """Writes the lines of one request."""
+
+    def __init__(self, events: EventLog, **about: Field) -> None:
+        """Put ``about`` into each line, the request's id among it."""
+        self._events = events
+        self._about = about
+
+    def write(self, event: EdgeEvent, **fields: Field) -> None:
+        """Write a line about a decision."""
+        self._events.write(event.value, **self._about, **fields)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -1,29 +1,33 @@
 """One request of a caller at an edge, from its head to its answer."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 from typing import final
 
 from tornado.httputil import (
     HTTPConnection,
-    HTTPHeaders,
     HTTPMessageDelegate,
-    RequestStartLine,
 )
 
-from turmericmast.balance.pool import Ask, Candidate, Pool
+from turmericmast.balance.pool import Ask, Candidate
 from turmericmast.balance.value import Distance
-from turmericmast.call.call import Call, CallRequest, Loss, Next
+from turmericmast.call.call import Call, Loss, Next
+from turmericmast.events import Field
 from turmericmast.ids import Seconds, TargetId
-from turmericmast.route.document import Route
+from turmericmast.units import MILLIS
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import Body
 from turmericmast.web.edgeanswer import EdgeAnswer
 from turmericmast.web.edgeattempt import EdgeAttempt
 from turmericmast.web.edgechoosing import Chooser
 from turmericmast.web.edgedesk import EdgeDesk
+from turmericmast.web.edgeevents import (
+    EdgeEvent,
+    RequestLog,
+    describe_choice,
+)
 from turmericmast.web.edgerace import EdgeRace
+from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.parse import forwarded_headers
 from turmericmast.web.problem import Problem
 from turmericmast.web.relay import Relay, RelayState
@@ -31,20 +35,6 @@
 from turmericmast.web.transfer import TransferRequest
 
 
-@final
-@dataclasses.dataclass(frozen=True)
-class EdgeRequest:
-    """A request as it arrived, with its route."""
-
-    start: RequestStartLine
-    headers: HTTPHeaders
-    route: Route
-    pool: Pool
-    call: CallRequest
-    request_id: str
-    began_at: Seconds
-
-
 @final
 class EdgeExchange(HTTPMessageDelegate):
     """Finds a target, sends the request and gives the caller the answer."""
@@ -60,6 +50,12 @@
         self._incoming = incoming
         self._pool = incoming.pool
         self._call = Call(incoming.call)
+        self._log = RequestLog(
+            desk.events,
+            request=incoming.request_id,
+            route=incoming.route.name,
+            service=incoming.pool.service,
+        )
         self._chooser = Chooser(desk, incoming.pool)
         self._body = Body()
         self._relay = Relay(
@@ -98,6 +94,7 @@
         """The caller went away: nobody waits for the answer any more."""
         if not self._is_over:
             self._desk.metrics.count('requests', outcome='left')
+            self._log.write(EdgeEvent.left, **self._progress())
         self._is_over = True
         self._body.abandon()
         self._race.cancel()
@@ -188,6 +185,11 @@
             return True
         if self._pool.repeats.spend():
             self._desk.metrics.count('repeats', loss='slow')
+            self._log.write(
+                EdgeEvent.hedged,
+                **describe_choice(second, now),
+                **self._progress(),
+            )
             self._begin(second)
             return False
         return True
@@ -227,11 +229,21 @@
         if self._relay.state is RelayState.streaming:
             self._is_over = True
             self._desk.metrics.count('requests', outcome='broken_off')
+            self._log.write(
+                EdgeEvent.broken_off,
+                loss=loss.value,
+                **self._progress(),
+            )
             self._relay.break_off()
             return False
         step = self._call.next_step(now, can_replay=self._body.can_replay)
         if step is Next.retry and self._is_affordable(loss):
             self._desk.metrics.count('repeats', loss=loss.value)
+            self._log.write(
+                EdgeEvent.repeated,
+                loss=loss.value,
+                **self._progress(),
+            )
             self._claimed = None
             self._relay.forget()
             return True
@@ -246,6 +258,7 @@
         refusal = self._refusal
         self._relay.forget()
         if refusal and refusal.pass_on():
+            self._log.write(EdgeEvent.target_failed, **self._progress())
             self._finish('target_failed')
             return
         now = self._desk.clock.now()
@@ -277,8 +290,29 @@
         if not self._is_over:
             self._is_over = True
             self._count(f'refused_{problem.status:d}')
+            self._log.write(
+                EdgeEvent.refused,
+                status=int(problem.status),
+                step=problem.step,
+                reason=problem.detail,
+                ran=problem.ran.value,
+                retry_after_ms=problem.retry_after_ms,
+                **describe_choice(self._chooser.last, self._desk.clock.now()),
+                **self._progress(),
+            )
             self._relay.refuse(problem)
 
+    def _progress(self) -> dict[str, Field]:
+        """Return how far the request has come, for the log."""
+        now = self._desk.clock.now()
+        return {
+            'tried': ','.join(sorted(self._tried)),
+            'losses': ','.join(loss.value for loss in self._call.losses),
+            'waited_ms': int((now - self._incoming.began_at) * MILLIS),
+            'left_ms': int((self._incoming.call.deadline - now) * MILLIS),
+            'cluster_index': self._desk.edge.index,
+        }
+
     def _count(self, outcome: str) -> None:
         now = self._desk.clock.now()
         self._desk.metrics.count('requests', outcome=outcome)
--- a/src/turmericmast/web/edgefront.py
+++ b/src/turmericmast/web/edgefront.py
@@ -20,7 +20,8 @@
 from turmericmast.route.document import Route, RouteLimits
 from turmericmast.web import edgerefusals
 from turmericmast.web.edgedesk import EdgeDesk
-from turmericmast.web.edgeexchange import EdgeExchange, EdgeRequest
+from turmericmast.web.edgeexchange import EdgeExchange
+from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.idle import IdleConnections
 from turmericmast.web.problem import Problem, refuse_unread, respond
 
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -5,12 +5,15 @@
 from http import HTTPStatus
 from typing import Protocol, final
 
-from turmericmast.balance.standing import Standing
+from turmericmast.balance.standing import Standing, Trust
+from turmericmast.call.call import Loss
 from turmericmast.clock import Clock
+from turmericmast.events import EventLog
 from turmericmast.ids import TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.web.curl import Curl
 from turmericmast.web.dialect import Dialect, HealthMarks
+from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.transfer import (
     Head,
     Sink,
@@ -40,8 +43,10 @@
         dialect: Dialect,
         clock: Clock,
         metrics: Metrics,
+        events: EventLog,
     ) -> None:
         """Probe by ``curl``."""
+        self._events = events
         self._curl = curl
         self._dialect = dialect
         self._clock = clock
@@ -88,12 +93,30 @@
         transfer = Transfer(self._curl, request, heads, _always)
         loss = await transfer.run()
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
+        before = standing.trust(self._clock.now())
         if loss or heads.head is None:
             standing.doubt(self._clock.now())
             self.on_learned(standing, is_lost=True)
         else:
             marks = self._dialect.read_health(heads.head.headers)
             self._learn(standing, heads.head.status, marks)
+        self._show(standing, before, loss)
+
+    def _show(
+        self,
+        standing: Standing,
+        before: Trust,
+        loss: Loss | None,
+    ) -> None:
+        now = self._clock.now()
+        if standing.trust(now) is before:
+            return
+        self._events.write(
+            EdgeEvent.trust_changed.value,
+            **describe_target(standing, now),
+            before=before.value,
+            loss=loss.value if loss else '',
+        )
 
     def _learn(
         self,
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,83 @@
+"""Lines: bounded by kind, and never in the way of the process."""
+
+import json
+import os
+import time
+import unittest
+
+from parameterized import parameterized
+
+from turmericmast.clock import HybridClock, SystemClock
+from turmericmast.events import EventLog
+from turmericmast.lines import LINES_A_SECOND, LineBudget, LineSink
+
+PIPE_IS_FULL = 4000
+"""Lines that no pipe takes while nobody reads."""
+LONGEST_WRITE = 0.5
+"""Seconds for all of them; a blocked one would never return."""
+
+
+class SinkTest(unittest.TestCase):
+    """A reader that stops costs lines, never time."""
+
+    def setUp(self) -> None:
+        reader, writer = os.pipe()
+        self.reader = reader
+        self.writer = writer
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def test_nobody_reads(self) -> None:
+        with LineSink(self.writer) as sink:
+            began_at = time.monotonic()
+            for _ in range(PIPE_IS_FULL):
+                sink.write('x' * 200)
+            self.assertLess(time.monotonic() - began_at, LONGEST_WRITE)
+            self.assertGreater(sink.lost, 0)
+
+    def test_lines_that_waited_come_whole_and_in_order(self) -> None:
+        with LineSink(self.writer) as sink:
+            for number in range(1000):
+                sink.write(f'{number:0100d}')
+            found = b''
+            while found.count(b'\n') < 1000:
+                found += os.read(self.reader, 65_536)
+                sink.flush()
+        numbers = [int(line) for line in found.splitlines()]
+        self.assertEqual(numbers, list(range(1000)))
+
+    def test_flood_of_one_kind_is_counted(self) -> None:
+        with LineSink(self.writer) as sink:
+            events = EventLog('p', None, HybridClock(SystemClock()), sink)
+            for _ in range(200):
+                events.write('request_refused', request='r')
+            events.write('rare', reason='once')
+        lines = [
+            json.loads(one) for one in os.read(self.reader, 65_536).splitlines()
+        ]
+        kinds = [line['event'] for line in lines]
+        self.assertLessEqual(kinds.count('request_refused'), 2 * LINES_A_SECOND)
+        self.assertIn('rare', kinds)
+
+
+class BudgetTest(unittest.TestCase):
+    """What was left out is told once its second is over."""
+
+    @parameterized.expand(
+        [
+            ('few', LINES_A_SECOND, {}),
+            ('flood', LINES_A_SECOND + 7, {'k': 7}),
+        ],
+    )
+    def test_left_out(
+        self,
+        _name: str,
+        count: int,
+        left_out: dict[str, int],
+    ) -> None:
+        budget = LineBudget()
+        budget.turn_over(1)
+        admitted = [budget.admit('k', 1) for _ in range(count)]
+        self.assertEqual(sum(admitted), min(count, LINES_A_SECOND))
+        self.assertEqual(budget.turn_over(1.9), {})
+        self.assertEqual(budget.turn_over(2), left_out)
