--- a/bench/layout.py
+++ b/bench/layout.py
@@ -59,6 +59,13 @@
     return [f'{HOST}:{port}' for port in itertools.islice(free, count)]
 
 
+def free_block(count: int) -> list[int]:
+    """Return consecutive ports on loopback that nobody listens on."""
+    starts = random.sample(range(LOWEST_PORT, HIGHEST_PORT - count), 4 * count)
+    blocks = (list(range(start, start + count)) for start in starts)
+    return next(block for block in blocks if all(map(_is_free, block)))
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- a/src/turmericmast/programs/watching.py
+++ b/src/turmericmast/programs/watching.py
@@ -68,6 +68,7 @@
         """Stop following."""
         if self._task:
             self._task.cancel()
+            self._task = None
         self._links.keep(())
 
     def _show_end(self, task: asyncio.Task[None]) -> None:
@@ -118,7 +119,7 @@
             until = self._clock.now() + AVOID_SECONDS
             self._avoid_until_by_member[member] = until
         shown = member if is_good else MemberId('')
-        if shown != self._member:
+        if shown != self._member and self._task:
             self._member = shown
             self._events.write('core_contact', member=shown, asked=member)
 
