--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -34,6 +34,8 @@
 USUAL_WORK = 0.1
 """Seconds of work that a request is taken for until answers were seen."""
 USUAL_OCTETS = 1000.0
+WORTH_DIGITS = 2
+"""Decimal places of worth that tell targets apart."""
 SMOOTHING = 0.05
 """Weight of the newest answer in means over answers."""
 
@@ -130,7 +132,7 @@
             if (distance := self._place.distance(one)) <= ring
             if self._is_sendable(one, now)
         )
-        return max(candidates, key=lambda one: one.worth, default=None)
+        return max(candidates, key=_preference, default=None)
 
     def is_settled(self, best: Candidate, now: Seconds) -> bool:
         """Tell whether a target is good by knowledge that is fresh."""
@@ -149,6 +151,7 @@
     def start(self, standing: Standing, now: Seconds) -> None:
         """Count a request that is about to be sent."""
         standing.start()
+        standing.sent_at = now
         if standing.trust(now) is Trust.cold:
             self._cold_share(standing).take(self.cold_rate, now)
 
@@ -194,3 +197,15 @@
             standing.record.target,
             ColdShare(),
         )
+
+
+def _preference(candidate: Candidate) -> tuple[float, float]:
+    """Return what ranks a candidate: its worth, then how long it was idle.
+
+    Of targets that are worth the same, the one that was not sent to for
+    longest goes first, so a newcomer gets its turn.
+    """
+    return (
+        round(candidate.worth, WORTH_DIGITS),
+        -candidate.standing.sent_at,
+    )
--- a/src/turmericmast/balance/standing.py
+++ b/src/turmericmast/balance/standing.py
@@ -50,7 +50,8 @@
         self.reported_at = -math.inf
         self.in_flight = 0
         """Requests of this instance that the target has not answered."""
-        self.probed_at = -math.inf
+        self.probed_at: float = -math.inf
+        self.sent_at: float = -math.inf
         self.is_ill = False
         """Whether it said last that it is not healthy."""
         self._unseen = 0
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -133,6 +133,20 @@
         spread = [one.in_flight for one in known.standing_by_target.values()]
         self.assertEqual(spread, [3, 3, 3])
 
+    def test_newcomer_gets_its_turn_at_low_load(self) -> None:
+        known = pool(standing('1'), standing('2'))
+        newcomer = standing('3')
+        known.standing_by_target['3'] = newcomer
+        used = []
+        for step in range(6):
+            best = known.best(ask(), Distance.abroad, NOW)
+            assert best is not None
+            known.start(best.standing, NOW + step / 100)
+            best.standing.leave()
+            best.standing.hear_load(LoadReport(0, 0, 4), NOW)
+            used.append(best.standing.record.target)
+        self.assertEqual(used, ['1', '2', '3', '1', '2', '3'])
+
     def test_refused_callers_return_when_a_target_opens(self) -> None:
         shunned = standing('1')
         shunned.start()
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -9,12 +9,16 @@
 
 SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'turmericmast'
 DECISIONS = (
+    'balance',
     'call',
+    'cluster',
+    'edge',
     'entry',
     'fleet',
     'ledger',
     'region',
     'replica',
+    'route',
     'service',
     'session',
     'target',
