--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -136,7 +136,7 @@
     def test_newcomer_gets_its_turn_at_low_load(self) -> None:
         known = pool(standing('1'), standing('2'))
         newcomer = standing('3')
-        known.standing_by_target['3'] = newcomer
+        known.standing_by_target[newcomer.record.target] = newcomer
         used = []
         for step in range(6):
             best = known.best(ask(), Distance.abroad, NOW)
