Rescue requests whose target hangs; walks from failed requests to their causes

Cause: the hedge took a request that is overdue for nearly done, so one whose target hangs without reporting load was never tried elsewhere (found by the stand-in: a look-up without answer ended with 504 after one attempt). Change: what is overdue is expected to take as long again.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -38,6 +38,8 @@
 ASK_TIMEOUT = 2.0
 STEP = 0.05
 SLOWNESS_AS_USUAL = 100
+HANG_SECONDS = 3.0
+"""Longer than any caller waits here."""
 
 
 @final
@@ -58,7 +60,10 @@
     def __enter__(self) -> Self:
         """Start to listen."""
         self._server = HTTPServer(
-            Application([('/.*', _UpstreamPage, {'upstream': self})]),
+            Application(
+                [('/.*', _UpstreamPage, {'upstream': self})],
+                log_function=_log_nothing,
+            ),
         )
         host, _, port = self.address.rpartition(':')
         self._server.listen(int(port), host)
@@ -101,8 +106,8 @@
         """Keep the target."""
         self.upstream = upstream
 
-    def get(self) -> None:
-        """Answer."""
+    async def get(self) -> None:
+        """Answer, unless the path asks for a failure."""
         one = self.upstream
         self.set_header('X-Server-Load', f'0,0,4,{SLOWNESS_AS_USUAL}')
         if self.request.path == '/health':
@@ -115,9 +120,17 @@
         one.paths.append(self.request.path)
         self.set_header('X-Request-Id', self.request.headers['X-Request-Id'])
         self.set_header('X-Response-Signature', 'signed')
+        if 'hang' in self.request.path:
+            await asyncio.sleep(HANG_SECONDS)
+        if 'fail' in self.request.path:
+            self.set_status(500)
         self.finish(f'{one.name} {self.request.path}')
 
 
+def _log_nothing(page: RequestHandler) -> None:
+    """Leave out the access log, which tells nothing here."""
+
+
 @final
 class Machines:
     """Three machines with a core member and an edge each."""
@@ -179,6 +192,10 @@
         process.send_signal(number)
         return process.wait(STOP_TIMEOUT)
 
+    def logs(self) -> list[pathlib.Path]:
+        """Return the files with what the processes wrote."""
+        return sorted(self.folder.glob('*.log'))
+
     def lines(self, role: str, zone: str) -> list[dict[str, Any]]:
         """Return what a process has written to its standard output."""
         text = (self.folder / f'{role}-{zone}.log').read_text(encoding='utf-8')
@@ -213,16 +230,22 @@
             # It may not listen yet, or not any more.
             return HTTPResponse(request, NO_ANSWER, reason=str(error))
 
-    async def call(self, zone: str, path: str, request: str) -> HTTPResponse:
+    async def call(
+        self,
+        zone: str,
+        path: str,
+        request: str,
+        host: str = 'shop.example',
+    ) -> HTTPResponse:
         """Send a request of a caller."""
         return await self.ask(
             zone,
             self.ports[0],
             path,
             headers={
-                'Host': 'shop.example',
+                'Host': host,
                 'X-Request-Id': request,
-                'X-Deadline-Ms': '1200',
+                'X-Deadline-Ms': '900',
             },
         )
 
--- a/src/turmericmast/balance/hedge.py
+++ b/src/turmericmast/balance/hedge.py
@@ -43,11 +43,13 @@
         """Return the expected seconds until the target answers.
 
         How far it is follows from how slow it was at the sending and is now.
+        One that is overdue will take as long again: it may never answer.
         """
         slow_now = self._chosen.standing.report.slowness
         usual = (self._slowness + slow_now) / 2
         done = (now - self._began_at) / max(usual, 1)
-        rest = max(LONG_WORK * work - done, LEAST_LEFT * work)
+        overdue = done - LONG_WORK * work
+        rest = max(-overdue, LEAST_LEFT * work, overdue)
         return ROUND_TRIP_BY_DISTANCE[self._chosen.distance] + rest * slow_now
 
     def is_worth(
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -242,6 +242,10 @@
             self._log.write(
                 EdgeEvent.repeated,
                 loss=loss.value,
+                **describe_choice(
+                    self._chooser.last,
+                    self._desk.clock.now(),
+                ),
                 **self._progress(),
             )
             self._claimed = None
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -86,6 +86,8 @@
     ('first_was_slow_all_along', 7, 7, 0.12, 1, True),
     ('first_is_nearly_done', 7, 1, 0.12, 1, False),
     ('second_is_slow_too', 1, 7, 0.12, 7, False),
+    ('first_is_a_little_late', 1, 1, 0.2, 1, False),
+    ('first_hangs_though_it_reports_no_load', 1, 1, 0.8, 1, True),
 ]
 
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -9,6 +9,8 @@
 
 from bench.machines import Machines, Upstream
 from tests.platform_samples import ROUTES, changed
+from turmericmast.programs.timeline import read_events
+from turmericmast.programs.why import story
 
 FIRST = changed(changed(ROUTES, 'version', '00000001'), 'base_version', '0')
 FIRST = changed(
@@ -16,9 +18,35 @@
     'routes.look.traffic_split',
     [{'service': 'stock', 'weight': 1}],
 )
+FIRST = changed(FIRST, 'routes.order.service', 'stock')
+FIRST = changed(FIRST, 'routes.order.allowed_regions', ['wien'])
 SECOND = changed(changed(FIRST, 'version', '00000004'), 'base_version', '1')
 SECOND = changed(SECOND, 'routes.look.path_prefix', '/bales/')
 
+STORIES = [
+    (
+        'order-without-answer',
+        'pay.example',
+        '/orders/hang',
+        504,
+        ['request_refused'],
+    ),
+    (
+        'look-up-that-fails-everywhere',
+        'shop.example',
+        '/bales/fail',
+        500,
+        ['request_repeated', 'request_failed_at_target'],
+    ),
+    (
+        'look-up-without-answer',
+        'shop.example',
+        '/bales/hang',
+        504,
+        ['request_hedged', 'request_refused'],
+    ),
+]
+
 
 class MachinesTest(unittest.IsolatedAsyncioTestCase):
     """Three machines, found from seeds; targets and operator played here."""
@@ -27,6 +55,7 @@
         async with _running() as (machines, upstreams):
             await self._check_requests(machines)
             await self._check_orders(machines)
+            await self._check_stories(machines)
             await self._check_evacuation(machines, upstreams)
             await self._check_planned_stop(machines)
             await self._check_lost_member(machines)
@@ -71,6 +100,22 @@
 
         await machines.until(is_in_force, 2)
 
+    async def _check_stories(self, machines: Machines) -> None:
+        """Find the cause of each failure by the lines alone."""
+        for request, host, path, status, told in STORIES:
+            with self.subTest(request):
+                answer = await machines.call('wien-a', path, request, host)
+                self.assertEqual(answer.code, status)
+                events, _ = read_events(machines.logs())
+                found = [
+                    event
+                    for event in story(events, request)
+                    if event.get('request') == request
+                ]
+                self.assertEqual([one['event'] for one in found], told)
+                self.assertTrue(found[-1]['tried'].startswith('u-'))
+                self.assertIn('load_age_ms', found[0])
+
     async def _check_evacuation(
         self,
         machines: Machines,
