--- a/src/turmericmast/platform/control.py
+++ b/src/turmericmast/platform/control.py
@@ -17,6 +17,7 @@
 from turmericmast.ids import DomainId, TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.platform.documents import read_report
+from turmericmast.platform.pages import Counters, log_nothing
 
 if TYPE_CHECKING:
     from turmericmast.programs.clusterdesk import ClusterDesk
@@ -118,15 +119,6 @@
         )
 
 
-class Counters(_Page):
-    """Metrics."""
-
-    def get(self) -> None:
-        """Return them as text."""
-        self.set_header('Content-Type', 'text/plain; version=0.0.4')
-        self.finish(self.metrics.render())
-
-
 def make_application(desk: 'ClusterDesk', metrics: Metrics) -> Application:
     """Return the pages of a core member."""
     parts = {'desk': desk, 'metrics': metrics}
@@ -135,11 +127,7 @@
             ('/-/instances/([^/]+)', Instances, parts),
             ('/-/config', Routes, parts),
             ('/-/evacuations/([^/]+)', Evacuations, parts),
-            ('/metrics', Counters, parts),
+            ('/metrics', Counters, {'metrics': metrics}),
         ],
-        log_function=_log_nothing,
+        log_function=log_nothing,
     )
-
-
-def _log_nothing(page: RequestHandler) -> None:
-    """Leave a request to the counters: a line for each would be too much."""
--- a/src/turmericmast/platform/directory.py
+++ b/src/turmericmast/platform/directory.py
@@ -8,6 +8,7 @@
 
 from turmericmast.ids import DomainId, RegionId
 from turmericmast.metrics import Metrics
+from turmericmast.platform.pages import Counters, log_nothing
 
 if TYPE_CHECKING:
     from turmericmast.edge.edge import Edge
@@ -55,15 +56,6 @@
             self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
 
-class Counters(_Page):
-    """Metrics."""
-
-    def get(self) -> None:
-        """Return them as text."""
-        self.set_header('Content-Type', 'text/plain; version=0.0.4')
-        self.finish(self.metrics.render())
-
-
 def make_application(edge: 'Edge', metrics: Metrics) -> Application:
     """Return the pages of an edge."""
     parts = {'edge': edge, 'metrics': metrics}
@@ -71,11 +63,7 @@
         [
             ('/-/resolve', Resolve, parts),
             ('/-/ready', Ready, parts),
-            ('/metrics', Counters, parts),
+            ('/metrics', Counters, {'metrics': metrics}),
         ],
-        log_function=_log_nothing,
+        log_function=log_nothing,
     )
-
-
-def _log_nothing(page: RequestHandler) -> None:
-    """Leave a request to the counters: a line for each would be too much."""
--- a/src/turmericmast/web/edgefront.py
+++ b/src/turmericmast/web/edgefront.py
@@ -23,7 +23,7 @@
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.idle import IdleConnections
-from turmericmast.web.problem import Problem, refuse_unread, respond
+from turmericmast.web.problem import Problem, refuse_request
 
 
 @final
@@ -100,19 +100,7 @@
             'requests',
             outcome=f'refused_{problem.status:d}',
         )
-        has_body = headers.get('Content-Length', '0') != '0' or (
-            'Transfer-Encoding' in headers
-        )
-        if has_body and isinstance(self._connection, HTTP1Connection):
-            refuse_unread(self._connection, problem)
-            return
-        respond(
-            self._connection,
-            problem.status,
-            problem.reason,
-            problem.headers(),
-            problem.body(),
-        )
+        refuse_request(self._connection, problem, headers)
 
 
 def _read_request(
--- a/src/turmericmast/web/front.py
+++ b/src/turmericmast/web/front.py
@@ -7,7 +7,7 @@
 from typing import Any, final
 
 from returns.result import Success
-from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -17,10 +17,11 @@
 )
 
 from turmericmast.entry.routing import Way
-from turmericmast.ids import DomainId, Seconds, ServiceId
+from turmericmast.ids import DomainId, ServiceId
 from turmericmast.web.announcing import Announcing
 from turmericmast.web.desk import Desk
 from turmericmast.web.exchange import Exchange
+from turmericmast.web.idle import IdleConnections
 from turmericmast.web.parse import (
     CLOCK,
     TENANT,
@@ -29,7 +30,7 @@
     parse_address,
     parse_call,
 )
-from turmericmast.web.problem import Problem, refuse_unread, respond
+from turmericmast.web.problem import Problem, refuse_request, respond
 from turmericmast.web.refusals import misdirected, too_large
 from turmericmast.web.sending import Incoming
 
@@ -49,7 +50,7 @@
         """Serve calls through ``desk``."""
         self._desk = desk
         self._announcing = announcing
-        self._waiting_since: dict[object, Seconds] = {}
+        self._idle = IdleConnections(desk.clock, desk.metrics)
 
     def start_request(
         self,
@@ -57,30 +58,21 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the reader of one request."""
-        self._waiting_since[server_conn] = self._desk.clock.now()
+        self._idle.wait(server_conn)
         return _Reader(
             self._desk,
             self._announcing,
             request_conn,
-            lambda: self._waiting_since.pop(server_conn, None),
+            lambda: self._idle.serve(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection."""
-        self._waiting_since.pop(server_conn, None)
+        self._idle.serve(server_conn)
 
     def close_idle(self, older_than: float = IDLE_TIMEOUT) -> None:
-        """Close connections on which no request has come for long.
-
-        ``older_than`` is in seconds.
-        One look at all of them from time to time costs a call less than a
-        timer for each of its requests.
-        """
-        oldest = self._desk.clock.now() - older_than
-        for connection, since in tuple(self._waiting_since.items()):
-            if since < oldest and isinstance(connection, HTTP1ServerConnection):
-                self._desk.metrics.count('connections_idle')
-                connection.stream.close()
+        """Close connections that were idle for longer, in seconds."""
+        self._idle.close(older_than)
 
 
 @final
@@ -124,7 +116,7 @@
                 'calls',
                 outcome=f'refused_{problem.status}',
             )
-            self._refuse(problem, headers)
+            refuse_request(self._connection, problem, headers)
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass on octets of the body."""
@@ -140,21 +132,6 @@
         if self._delegate:
             self._delegate.on_connection_close()
 
-    def _refuse(self, problem: Problem, headers: HTTPHeaders) -> None:
-        has_body = headers.get('Content-Length', '0') != '0' or (
-            'Transfer-Encoding' in headers
-        )
-        if has_body and isinstance(self._connection, HTTP1Connection):
-            refuse_unread(self._connection, problem)
-            return
-        respond(
-            self._connection,
-            problem.status,
-            problem.reason,
-            problem.headers(),
-            problem.body(),
-        )
-
     def _begin(
         self,
         start: RequestStartLine,
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -82,6 +82,27 @@
         return str(-(-self.retry_after_ms // MILLIS))
 
 
+def refuse_request(
+    connection: HTTPConnection,
+    problem: Problem,
+    headers: HTTPHeaders,
+) -> None:
+    """Send a problem before the body of the request, if any, was read."""
+    has_body = headers.get('Content-Length', '0') != '0' or (
+        'Transfer-Encoding' in headers
+    )
+    if has_body and isinstance(connection, HTTP1Connection):
+        refuse_unread(connection, problem)
+        return
+    respond(
+        connection,
+        problem.status,
+        problem.reason,
+        problem.headers(),
+        problem.body(),
+    )
+
+
 def refuse_unread(connection: HTTP1Connection, problem: Problem) -> None:
     """Send a problem in place of reading the body of the request.
 
