Send nothing for a caller that left while targets were asked

Cause: found by reading: between the choice of a target and the send nobody looked whether the caller was still there, so its request ran for nobody. Change: looked at again; an answer that lost a race no longer counts against its target. Test: red before, with answers of every kind in a table beside it.

--- a/src/turmericmast/web/edgeanswer.py
+++ b/src/turmericmast/web/edgeanswer.py
@@ -32,6 +32,8 @@
         """
         self._claim = claim
         self.octets = 0
+        self.is_outrun = False
+        """Whether it was good, but another answer was faster."""
         self._dialect = dialect
         self._request_id = request_id
         self._relay = relay
@@ -67,6 +69,7 @@
         if not is_success:
             return True
         self._is_passed_on = self._claim(self)
+        self.is_outrun = not self._is_passed_on
         return self._is_passed_on and self._relay.on_head(head)
 
     def on_chunk(self, chunk: bytes) -> bool:
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -76,7 +76,8 @@
         standing = self.chosen.standing
         if self.answer.load:
             standing.hear_load(self.answer.load, now)
-        if self._is_cancelled or transfer.progress is Progress.vetoed:
+        is_unsent = transfer.progress is Progress.vetoed
+        if self._is_cancelled or is_unsent or self.answer.is_outrun:
             standing.leave()
             return loss
         standing.end(loss, now)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -119,6 +119,9 @@
         goes_on = True
         while goes_on and not self._is_over:
             chosen = await self._chooser.choose(self._ask())
+            if self._is_over:
+                # The caller left while targets were asked.
+                return
             if chosen is None:
                 self._refuse_unserved()
                 return
--- /dev/null
+++ b/tests/test_edge_exchange.py
@@ -0,0 +1,105 @@
+"""One request at an edge, without a network."""
+
+import unittest.mock
+from typing import Any
+
+from parameterized import parameterized
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from tests.edge_samples import NOW, edge, feed, instance, target
+from turmericmast.balance.load import LoadReport
+from turmericmast.call.call import Loss
+from turmericmast.metrics import Metrics
+from turmericmast.platform.dialect import PlatformDialect
+from turmericmast.web.edgeanswer import EdgeAnswer
+from turmericmast.web.edgedesk import EdgeDesk
+from turmericmast.web.edgeexchange import EdgeExchange
+from turmericmast.web.edgefront import _read_request
+from turmericmast.web.transfer import Head
+
+OWN = {'X-Request-Id': 'r', 'X-Response-Signature': 's'}
+
+ANSWERS = [
+    ('good', 200, OWN, None, None),
+    ('broken_off', 200, OWN, Loss.cut_short, Loss.cut_short),
+    ('late_answer_to_another', 200, {**OWN, 'X-Request-Id': 'q'}, None, 'cut'),
+    ('no_id', 200, {'X-Response-Signature': 's'}, None, 'cut'),
+    ('unsigned_success', 200, {'X-Request-Id': 'r'}, None, 'cut'),
+    ('encoded', 200, {**OWN, 'Content-Encoding': 'gzip'}, None, 'cut'),
+    ('failed', 500, OWN, None, Loss.failed),
+    ('full', 503, {'X-Not-Executed': '1'}, None, Loss.shed),
+    ('other_target', 421, {}, None, Loss.shed),
+    ('busy_but_perhaps_run', 503, OWN, None, Loss.failed),
+    ('refused_by_target', 404, OWN, None, None),
+]
+
+
+class AnswerTest(unittest.TestCase):
+    """Only the whole answer of the target to this request goes on."""
+
+    @parameterized.expand(ANSWERS)
+    def test_judge(
+        self,
+        _name: str,
+        status: int,
+        headers: dict[str, str],
+        ended: Loss | None,
+        wanted: Any,
+    ) -> None:
+        relay = unittest.mock.Mock()
+        answer = EdgeAnswer(PlatformDialect(), 'r', relay, lambda _: True)
+        relay.on_head.return_value = True
+        goes_on = answer.on_head(Head(status, '', HTTPHeaders(headers)))
+        wanted = Loss.cut_short if wanted == 'cut' else wanted
+        self.assertIs(answer.judge(ended), wanted)
+        is_foreign = wanted is Loss.cut_short and ended is None
+        self.assertIs(bool(goes_on), not is_foreign)
+        is_passed_on = status == 200 and not is_foreign
+        self.assertIs(relay.on_head.called, is_passed_on)
+
+    def test_slower_answer_is_dropped(self) -> None:
+        answer = EdgeAnswer(
+            PlatformDialect(), 'r', unittest.mock.Mock(), lambda _: False
+        )
+        self.assertFalse(answer.on_head(Head(200, '', HTTPHeaders(OWN))))
+        self.assertTrue(answer.is_outrun)
+
+
+class LeavingCallerTest(unittest.IsolatedAsyncioTestCase):
+    """What a caller has left is not sent to a target."""
+
+    async def test_caller_leaves_while_targets_are_asked(self) -> None:
+        exchange = self._exchange()
+
+        async def leave(standings: Any, *_how: object) -> None:
+            exchange.on_connection_close()
+            for standing in standings:
+                standing.prove(0, NOW)
+                standing.hear_load(LoadReport(0, 0, 4), NOW)
+
+        prober = exchange._desk.prober
+        with (
+            unittest.mock.patch.object(prober, 'probe', leave),
+            unittest.mock.patch.object(EdgeExchange, '_begin') as begin,
+        ):
+            await exchange._serve()
+        self.assertFalse(begin.called)
+
+    def _exchange(self) -> EdgeExchange:
+        known = edge(instance('a'), feed(targets=(target('1'),)))
+        desk = EdgeDesk(
+            edge=known,
+            clock=unittest.mock.Mock(now=lambda: NOW),
+            curl=unittest.mock.Mock(),
+            dialect=PlatformDialect(),
+            prober=unittest.mock.Mock(),
+            newsroom=unittest.mock.Mock(),
+            metrics=Metrics(),
+            events=unittest.mock.Mock(),
+        )
+        request = _read_request(
+            desk,
+            RequestStartLine('GET', '/stock/1', 'HTTP/1.1'),
+            HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'}),
+        )
+        return EdgeExchange(desk, unittest.mock.Mock(), request.unwrap())
