Take nothing in that would outlast an instance about to stop

Cause: found by reading: an edge that stops serves on until callers' directory answers have run out (5.3 s of 6 s grace); a request taken in the last second could have been cut off. Change: one that may not be over in time is refused at once, not run, on a connection that closes. Test: test_request_to_an_instance_that_stops.

--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,6 +1,7 @@
 """The root of the edge aggregate."""
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 from typing import final
 
@@ -20,6 +21,7 @@
     Index,
     InstanceId,
     RegionId,
+    Seconds,
     ServiceId,
     TargetId,
 )
@@ -35,6 +37,8 @@
 """Addresses in an answer, as long as the region has so many instances."""
 MAX_ADDRESSES = 64
 """Addresses in one answer of the directory."""
+LONGEST_USUAL = 2.0
+"""Seconds within which requests are over but for rare ones."""
 PROBE_SHARE = 0.5
 """Share of the probes a target bears that near instances use."""
 
@@ -73,6 +77,7 @@
         self._place = Place(record.domain, record.region)
         self._standing_by_target: dict[TargetId, Standing] = {}
         self._splitter = Splitter()
+        self._ends_at = math.inf
 
     @property
     def is_ready(self) -> bool:
@@ -90,8 +95,9 @@
         """Return the seconds that callers keep an answer of the directory."""
         return min(DIRECTORY_LIFETIME, self.bounds.directory_ttl)
 
-    def leave(self) -> None:
-        """Begin to stop: no new callers."""
+    def leave(self, ends_at: Seconds) -> None:
+        """Begin to stop: no new callers, and no process after ``ends_at``."""
+        self._ends_at = ends_at
         self.record = dataclasses.replace(
             self.record,
             phase=EdgePhase.leaving,
@@ -106,6 +112,13 @@
         service = self._splitter.pick(route)
         return self._pool(service) if service else None
 
+    def can_finish(self, deadline: Seconds, now: Seconds) -> bool:
+        """Tell whether a request is over before this instance stops.
+
+        One that may not be must go elsewhere, where it is not cut off.
+        """
+        return min(deadline, now + LONGEST_USUAL) < self._ends_at
+
     def standings(self) -> Iterable[Standing]:
         """Return all targets as they are known."""
         return self._standing_by_target.values()
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -10,7 +10,7 @@
 
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
-from turmericmast.ids import Incarnation
+from turmericmast.ids import Incarnation, Seconds
 from turmericmast.machine import MachineSettings
 from turmericmast.platform.dialect import PlatformDialect
 from turmericmast.platform.directory import make_application
@@ -65,7 +65,7 @@
         clock = self._process.clock
         began_at = clock.now()
         ends_at = began_at + self._process.settings.bounds.grace - GRACE_RESERVE
-        self._desk.edge.leave()
+        self._desk.edge.leave(Seconds(ends_at))
         self._process.events.write('leaving', running=self._desk.running)
         quiet_since = began_at
         while clock.now() < ends_at:
--- a/src/turmericmast/web/edgefront.py
+++ b/src/turmericmast/web/edgefront.py
@@ -119,7 +119,10 @@
     pool = edge.pick_pool(route) if route else None
     if route is None or pool is None:
         return Failure(edgerefusals.no_route(host))
-    return Success(_make_request(desk, start, headers, route, pool))
+    request = _make_request(desk, start, headers, route, pool)
+    if not edge.can_finish(request.call.deadline, request.began_at):
+        return Failure(edgerefusals.leaving())
+    return Success(request)
 
 
 def _excess(headers: HTTPHeaders, limits: RouteLimits) -> Problem | None:
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -9,6 +9,8 @@
 
 UNKNOWN_ROUTES_RETURN = 0.5
 """Seconds after which a caller may ask again while there are no routes."""
+LEAVING_RETURN_MS = 10
+"""Milliseconds after which another instance may be asked: at once."""
 
 
 def no_routes() -> Problem:
@@ -24,6 +26,20 @@
     )
 
 
+def leaving() -> Problem:
+    """Return the problem of a request that would outlast this instance."""
+    return Problem(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'Leaving',
+        'this instance is about to stop; use another one',
+        'read request',
+        Ran.no,
+        retry_after_ms=LEAVING_RETURN_MS,
+        is_precise=True,
+        is_last=True,
+    )
+
+
 def no_route(host: str) -> Problem:
     """Return the problem of a request that no route matches."""
     return Problem(
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -41,6 +41,8 @@
     addresses: tuple[str, ...] = ()
     is_precise: bool = False
     """Whether the caller reads fractions of a second."""
+    is_last: bool = False
+    """Whether the caller should use another connection from here on."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -69,6 +71,8 @@
         )
         if self.retry_after_ms:
             headers['Retry-After'] = self._retry_after()
+        if self.is_last:
+            headers['Connection'] = 'close'
         return headers
 
     @property
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -4,11 +4,13 @@
 from typing import Any
 
 from parameterized import parameterized
+from returns.result import Success
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from tests.edge_samples import NOW, edge, feed, instance, target
 from turmericmast.balance.load import LoadReport
 from turmericmast.call.call import Loss
+from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.dialect import PlatformDialect
 from turmericmast.web.edgeanswer import EdgeAnswer
@@ -65,6 +67,32 @@
         self.assertTrue(answer.is_outrun)
 
 
+class LeavingInstanceTest(unittest.TestCase):
+    """A planned stop cuts off nothing that it took."""
+
+    @parameterized.expand(
+        [
+            ('time_enough', 3.0, True),
+            ('would_outlast_the_instance', 0.5, False),
+        ],
+    )
+    def test_request_to_an_instance_that_stops(
+        self,
+        _name: str,
+        left: float,
+        is_taken: bool,
+    ) -> None:
+        desk = _desk()
+        desk.edge.leave(Seconds(NOW + left))
+        read = _read(desk)
+        self.assertIs(isinstance(read, Success), is_taken)
+        if not is_taken:
+            problem = read.failure()
+            self.assertEqual(problem.status, 503)
+            self.assertEqual(problem.headers()['Connection'], 'close')
+            self.assertEqual(problem.headers()['Retry-After'], '0.01')
+
+
 class LeavingCallerTest(unittest.IsolatedAsyncioTestCase):
     """What a caller has left is not sent to a target."""
 
@@ -86,20 +114,26 @@
         self.assertFalse(begin.called)
 
     def _exchange(self) -> EdgeExchange:
-        known = edge(instance('a'), feed(targets=(target('1'),)))
-        desk = EdgeDesk(
-            edge=known,
-            clock=unittest.mock.Mock(now=lambda: NOW),
-            curl=unittest.mock.Mock(),
-            dialect=PlatformDialect(),
-            prober=unittest.mock.Mock(),
-            newsroom=unittest.mock.Mock(),
-            metrics=Metrics(),
-            events=unittest.mock.Mock(),
-        )
-        request = _read_request(
-            desk,
-            RequestStartLine('GET', '/stock/1', 'HTTP/1.1'),
-            HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'}),
-        )
-        return EdgeExchange(desk, unittest.mock.Mock(), request.unwrap())
+        desk = _desk()
+        return EdgeExchange(desk, unittest.mock.Mock(), _read(desk).unwrap())
+
+
+def _desk() -> EdgeDesk:
+    return EdgeDesk(
+        edge=edge(instance('a'), feed(targets=(target('1'),))),
+        clock=unittest.mock.Mock(now=lambda: NOW),
+        curl=unittest.mock.Mock(),
+        dialect=PlatformDialect(),
+        prober=unittest.mock.Mock(),
+        newsroom=unittest.mock.Mock(),
+        metrics=Metrics(),
+        events=unittest.mock.Mock(),
+    )
+
+
+def _read(desk: EdgeDesk) -> Any:
+    return _read_request(
+        desk,
+        RequestStartLine('GET', '/stock/1', 'HTTP/1.1'),
+        HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'}),
+    )
