Let time stand still while a flood of announcements is turned away

Trace: the budget refills 4,096 octets a second of real time, so about every 0.12 s one announcement is rightly heard, and now and then that is the last of the flood. Change: the clock is frozen during the flood, and every answer after the first 429 has to be one, which is stricter than the last alone.

--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -1,7 +1,7 @@
 """Announcements of targets over HTTP, and what hearing them may cost."""
 
 import json
-import unittest
+import unittest.mock
 from typing import Any
 
 from parameterized import parameterized
@@ -81,9 +81,19 @@
         async with EntryWorld(0) as world:
             await _announce(world, GOOD)
             world.renew()
-            statuses = [(await _announce(world, GOOD))[0] for _ in range(60)]
+            # The budget refills with time, so time stands still here.
+            frozen = world.clock.now()
+            with unittest.mock.patch.object(
+                type(world.clock),
+                'now',
+                lambda _clock: frozen,
+            ):
+                statuses = [
+                    (await _announce(world, GOOD))[0] for _ in range(60)
+                ]
             self.assertIn(429, statuses)
-            self.assertEqual(429, statuses[-1])
+            turned_away = statuses[statuses.index(429) :]
+            self.assertEqual({429}, set(turned_away))
             leaving = {**GOOD, 'state': 'leaving'}
             self.assertEqual(200, (await _announce(world, leaving))[0])
 
