Ask targets beforehand only where requests come often; count the crowd

- A service is asked beforehand when that costs fewer probes than asking at each request; otherwise only often enough to know who runs.
- From the last free slot on each request at a target adds a fifth of the work.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from turmericmast.balance.coldshare import ColdShare
+from turmericmast.balance.demand import Demand
 from turmericmast.balance.repeats import RepeatBudget
 from turmericmast.balance.standing import Standing, Trust
 from turmericmast.balance.usual import Usual
@@ -31,6 +32,10 @@
 a probe within the domain takes a hundredth of this time."""
 FRESH_ABROAD = 0.15
 """The same for targets in other regions, where a probe takes 20 ms."""
+REPORT_AGE = 0.12
+"""Seconds after which the load of a target is asked for again.
+
+The speed of targets changes several times a second."""
 GOOD_WORTH = 0.6
 """Worth from which on farther targets are not looked at."""
 MAX_PROBES = 2
@@ -102,6 +107,9 @@
         self.probe_interval = FRESH
         """Fewest seconds between two probes of one target."""
         self._place = place
+        self.near_instances = 1
+        """Instances of the own domain, which share the probes there."""
+        self.demand = Demand()
         self._usual_by_route: dict[RouteName, Usual] = {}
         self._cold_share_by_target: dict[TargetId, ColdShare] = {}
 
@@ -126,6 +134,18 @@
             if now - one.probed_at >= self.probe_interval
         ]
 
+    def wants_reports(self, now: Seconds) -> bool:
+        """Tell whether to ask the near targets before requests arrive.
+
+        Where requests are rare, it costs fewer probes to ask at each of them.
+        """
+        near = sum(
+            self._place.distance(one) is Distance.domain
+            for one in self.standing_by_target.values()
+        )
+        requests = self.demand.rate(now) * self.near_instances
+        return requests * MAX_PROBES * REPORT_AGE > near
+
     def best(self, ask: Ask, ring: Distance, now: Seconds) -> Candidate | None:
         """Return the best target up to a distance that may be sent to."""
         outlook = self.outlook(ask, now)
--- a/src/turmericmast/balance/value.py
+++ b/src/turmericmast/balance/value.py
@@ -23,6 +23,10 @@
 """Seconds after which a report tells no less than any older one."""
 LOAD_COST = 0.05
 """Worth lost at a target whose slots are all taken: spread before filling."""
+CROWD_COST = 0.2
+"""Share of the work that each request from the last free slot on adds.
+
+Some targets slow down when they are nearly full."""
 ILL_COST = 0.3
 """Worth lost at a target that says it is not healthy."""
 DOMAIN_COST = 0.03
@@ -71,9 +75,11 @@
     """Return the seconds until an answer, queueing included."""
     report = standing.report
     slots = max(report.slots, 1)
-    queued = max(standing.busy() - slots + 1, 0)
-    rounds = 1 + queued / slots
-    return ROUND_TRIP_BY_DISTANCE[distance] + work * report.slowness * rounds
+    behind = standing.busy() + 1
+    rounds = 1 + max(behind - slots, 0) / slots
+    crowd = 1 + CROWD_COST * max(behind - slots + 1, 0)
+    took = work * report.slowness * rounds * crowd
+    return ROUND_TRIP_BY_DISTANCE[distance] + took
 
 
 def worth(
--- a/src/turmericmast/edge/bulletin.py
+++ b/src/turmericmast/edge/bulletin.py
@@ -1,6 +1,6 @@
 """Who probes which target, and who tells whom what was learned."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import final
 
 from turmericmast.balance.coldshare import senders
@@ -10,15 +10,12 @@
     describe,
     learn,
 )
+from turmericmast.balance.pool import REPORT_AGE
 from turmericmast.balance.standing import Standing
 from turmericmast.cluster.records import EdgeRecord, TargetPhase
 from turmericmast.edge.edge import Edge
-from turmericmast.ids import DomainId, InstanceId, Seconds, TargetId
+from turmericmast.ids import DomainId, InstanceId, Seconds, ServiceId, TargetId
 
-REPORT_AGE = 0.12
-"""Seconds after which the load of a target is asked for again.
-
-The speed of targets changes several times a second."""
 PROOF_AGE = 0.4
 """Seconds after which a target is asked again whether it is cold."""
 DIGEST_INTERVAL = 0.2
@@ -48,7 +45,12 @@
     def due(self, now: Seconds) -> list[Standing]:
         """Return the targets that this instance has to probe now."""
         self._follow()
-        return [one for one in self._duties if self._is_due(one, now)]
+        wanting = {
+            service
+            for service, pool in self._edge.pool_by_service.items()
+            if pool.wants_reports(now)
+        }
+        return [one for one in self._duties if self._is_due(one, wanting, now)]
 
     def neighbours(self) -> tuple[str, ...]:
         """Return the addresses of the other instances of the domain."""
@@ -123,12 +125,18 @@
         found = map(self._edge.standing, targets)
         return [standing for standing in found if standing]
 
-    def _is_due(self, standing: Standing, now: Seconds) -> bool:
+    def _is_due(
+        self,
+        standing: Standing,
+        wanting: Collection[ServiceId],
+        now: Seconds,
+    ) -> bool:
         is_in = standing.record.phase is TargetPhase.ready and (
             standing.record.domain not in self._edge.evacuated
         )
-        is_old = standing.age(now) > REPORT_AGE or (
-            standing.proof_age(now) > PROOF_AGE
+        is_wanted = standing.record.service in wanting
+        is_old = standing.proof_age(now) > PROOF_AGE or (
+            is_wanted and standing.age(now) > REPORT_AGE
         )
         has_paused = now - standing.probed_at >= REPORT_AGE
         return is_in and is_old and has_paused and standing.opens_at() <= now
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -241,7 +241,11 @@
         probe_rate = self.bounds.probe_rate * PROBE_SHARE
         for service, pool in self.pool_by_service.items():
             pool.evacuated = self.evacuated
-            pool.probe_interval = max(FRESH, max(near, 1) / probe_rate)
+            pool.near_instances = max(near, 1)
+            pool.probe_interval = max(
+                FRESH,
+                pool.near_instances / probe_rate,
+            )
             pool.repeats.share(self.bounds.retry_slack, len(edges))
             terms = self._terms(service)
             pool.cold_rate = terms.cold_rate if terms else 0
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -116,6 +116,7 @@
 
     async def _serve(self) -> None:
         self._pool.repeats.earn()
+        self._pool.demand.note(self._desk.clock.now())
         goes_on = True
         while goes_on and not self._is_over:
             chosen = await self._chooser.choose(self._ask())
