Write a line for each refusal, serve metrics at a port of their own

- Refusals before an exchange write `request_refused` with the id, as the others.
- `--metrics_port`; one metrics page in place of two copies.
- A Content-Length that is no number is answered with 400.
- A reader of standard output that is gone is told apart from one that waits.
- The refusals of an edge share their two shapes; 0.25 s until an instance without routes is asked again, by how often it asks members.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -18,7 +18,7 @@
     sys.path.insert(0, str(source))
     program = importlib.import_module(f'turmericmast.programs.{sys.argv[1]}')
     settings = os.environ.get(SETTINGS_VARIABLE, '')
-    sys.argv = [sys.argv[0], f'--settings={settings}']
+    sys.argv = [sys.argv[0], f'--settings={settings}', *sys.argv[2:]]
     program.main()
 
 
--- a/src/turmericmast/events.py
+++ b/src/turmericmast/events.py
@@ -60,7 +60,7 @@
         now = self._steady.now()
         for over, count in self._budget.turn_over(now).items():
             self._write('lines_left_out', {'kind': over, 'count': count})
-        if self._budget.admit(kind, now):
+        if self._budget.admit(kind):
             self._write(kind, fields)
 
     def _write(self, kind: str, fields: dict[str, Field]) -> None:
--- a/src/turmericmast/lines.py
+++ b/src/turmericmast/lines.py
@@ -5,14 +5,14 @@
 from types import TracebackType
 from typing import Self, final
 
+from absl import logging
+
 from turmericmast.ids import Seconds
 
 MAX_WAITING_BYTES = 262_144
 """Octets kept for a reader that is slow; what comes beyond is left out."""
 LINES_A_SECOND = 20
 """Lines of one kind that are written in a second; the others are counted."""
-BLOCKED = (BlockingIOError, BrokenPipeError, OSError)
-"""What a write raises when nobody reads, or nobody can."""
 
 
 @final
@@ -24,7 +24,7 @@
         self._second = 0
         self._count_by_kind: collections.Counter[str] = collections.Counter()
 
-    def admit(self, kind: str, now: Seconds) -> bool:
+    def admit(self, kind: str) -> bool:
         """Tell whether a line of a kind may be written."""
         self._count_by_kind[kind] += 1
         return self._count_by_kind[kind] <= LINES_A_SECOND
@@ -55,6 +55,7 @@
         self._waiting: collections.deque[bytes] = collections.deque()
         self._waiting_bytes = 0
         self._was_blocking = True
+        self._has_complained = False
 
     def __enter__(self) -> Self:
         """Make writes return at once."""
@@ -88,11 +89,23 @@
             octets = self._waiting[0]
             try:
                 written = os.write(self._descriptor, octets)
-            except BLOCKED:
+            except BlockingIOError:
                 # The lines wait; what finds no room is counted as lost.
                 return
+            except OSError as error:
+                self._give_up(error)
+                return
             self._waiting_bytes -= written
             if written < len(octets):
                 self._waiting[0] = octets[written:]
                 return
             self._waiting.popleft()
+
+    def _give_up(self, error: OSError) -> None:
+        """Lose what waits: nobody will ever read it here."""
+        self.lost += len(self._waiting)
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        if not self._has_complained:
+            self._has_complained = True
+            logging.warning('standard output cannot be written: %s', error)
--- a/src/turmericmast/platform/control.py
+++ b/src/turmericmast/platform/control.py
@@ -17,7 +17,11 @@
 from turmericmast.ids import DomainId, TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.platform.documents import read_report
-from turmericmast.platform.pages import Counters, log_nothing
+from turmericmast.web.metricspage import (
+    METRICS_PATH,
+    MetricsPage,
+    log_nothing,
+)
 
 if TYPE_CHECKING:
     from turmericmast.programs.clusterdesk import ClusterDesk
@@ -127,7 +131,7 @@
             ('/-/instances/([^/]+)', Instances, parts),
             ('/-/config', Routes, parts),
             ('/-/evacuations/([^/]+)', Evacuations, parts),
-            ('/metrics', Counters, {'metrics': metrics}),
+            (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
         log_function=log_nothing,
     )
--- a/src/turmericmast/platform/directory.py
+++ b/src/turmericmast/platform/directory.py
@@ -8,7 +8,11 @@
 
 from turmericmast.ids import DomainId, RegionId
 from turmericmast.metrics import Metrics
-from turmericmast.platform.pages import Counters, log_nothing
+from turmericmast.web.metricspage import (
+    METRICS_PATH,
+    MetricsPage,
+    log_nothing,
+)
 
 if TYPE_CHECKING:
     from turmericmast.edge.edge import Edge
@@ -63,7 +67,7 @@
         [
             ('/-/resolve', Resolve, parts),
             ('/-/ready', Ready, parts),
-            ('/metrics', Counters, {'metrics': metrics}),
+            (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
         log_function=log_nothing,
     )
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -20,7 +20,7 @@
 from turmericmast.programs.member import HAND_OVER_TIMEOUT, MAX_PAGE_BODY
 from turmericmast.programs.openmember import contacts_of, open_member
 from turmericmast.programs.reload import Reloading
-from turmericmast.programs.runner import Process, run_program
+from turmericmast.programs.runner import Process, run_program, serve_metrics
 from turmericmast.replica import messages
 from turmericmast.units import MILLIS
 from turmericmast.wire import clusterrequests, replies
@@ -176,6 +176,7 @@
     peers = PeerServer(process.node, core)
     host, _, port = listening.peers.rpartition(':')
     peers.listen(int(port), host)
+    serve_metrics(process, stack, host)
     stack.callback(peers.close_all)
     pages = HTTPServer(
         make_application(core.desk, process.metrics),
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -17,7 +17,7 @@
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.settings import load_machine_settings
 from turmericmast.programs.reload import Reloading
-from turmericmast.programs.runner import Process, run_program
+from turmericmast.programs.runner import Process, run_program, serve_metrics
 from turmericmast.programs.watching import Watching
 from turmericmast.web.curl import Curl
 from turmericmast.web.edgedesk import EdgeDesk
@@ -160,6 +160,7 @@
     pages = make_application(edge, process.metrics)
     for address in (listening.directory, listening.readiness):
         stack.callback(_listen(HTTPServer(pages), address).stop)
+    serve_metrics(process, stack, listening.peers.rpartition(':')[0])
     ticker = PeriodicCallback(front.close_idle, SWEEP_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/programs/ledger.py
+++ b/src/turmericmast/programs/ledger.py
@@ -19,10 +19,10 @@
     refusal_of,
     serve,
 )
-from turmericmast.programs.operators import MetricsPage
 from turmericmast.programs.runner import Process, run_program
 from turmericmast.replica import messages
 from turmericmast.settings import GroupKind, load_settings
+from turmericmast.web.metricspage import MetricsPage
 from turmericmast.wire import replies, requests
 from turmericmast.wire.server import Handler
 
--- a/src/turmericmast/programs/operators.py
+++ b/src/turmericmast/programs/operators.py
@@ -24,6 +24,7 @@
 )
 from turmericmast.region.commands import RegionCommand, SetOutage
 from turmericmast.region.records import OutageKind
+from turmericmast.web.metricspage import MetricsPage, log_nothing
 
 if TYPE_CHECKING:
     from turmericmast.programs.control import Control
@@ -261,20 +262,6 @@
         )
 
 
-@final
-class MetricsPage(RequestHandler):
-    """The metrics of the process, on every replica."""
-
-    def initialize(self, metrics: Any) -> None:
-        """Show ``metrics``."""
-        self.metrics = metrics
-
-    def get(self) -> None:
-        """Return the Prometheus text form."""
-        self.set_header('Content-Type', 'text/plain; version=0.0.4')
-        self.finish(self.metrics.render())
-
-
 def make_application(control: 'Control') -> Application:
     """Return the pages of a control replica."""
     given = {'control': control}
@@ -286,9 +273,5 @@
             ('/v1/(outage|lift)', _ChangePage, given),
             ('/-/metrics', MetricsPage, {'metrics': control.process.metrics}),
         ],
-        log_function=_no_log,
+        log_function=log_nothing,
     )
-
-
-def _no_log(handler: RequestHandler) -> None:
-    """Count nothing here: lines are for changes of state only."""
--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -20,6 +20,7 @@
 from turmericmast.lines import LineSink
 from turmericmast.metrics import Metrics
 from turmericmast.version import VERSION
+from turmericmast.web.metricspage import make_metrics_server
 from turmericmast.wire.link import Node
 
 INCARNATION_OCTETS = 6
@@ -27,8 +28,17 @@
 GC_THRESHOLD = 50_000
 """Allocations between two collections of the youngest generation."""
 
+HIGHEST_PORT = 65_535
+
 SETTINGS = flags.DEFINE_string('settings', '', 'Settings file, in JSON.')
 CHECK = flags.DEFINE_bool('check', False, 'Check the settings and exit.')
+METRICS_PORT = flags.DEFINE_integer(
+    'metrics_port',
+    0,
+    'Port at which metrics alone are served; 0 for none.',
+    lower_bound=0,
+    upper_bound=HIGHEST_PORT,
+)
 VERSION_FLAG = flags.DEFINE_bool('version', False, 'Show the version and exit.')
 
 
@@ -119,6 +129,18 @@
     return 0
 
 
+def serve_metrics(
+    process: Process[Any],
+    stack: contextlib.ExitStack,
+    host: str,
+) -> None:
+    """Serve the metrics at the port of the flag, if it names one."""
+    if METRICS_PORT.value:
+        server = make_metrics_server(process.metrics)
+        server.listen(METRICS_PORT.value, host)
+        stack.callback(server.stop)
+
+
 async def _run(main: Main, settings: Any, load: Load) -> None:
     clock = HybridClock(SystemClock())
     with contextlib.ExitStack() as stack:
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -8,6 +8,7 @@
 from turmericmast.events import EventLog, Field
 from turmericmast.ids import Seconds
 from turmericmast.units import MILLIS
+from turmericmast.web.problem import Problem
 
 
 @final
@@ -50,6 +51,17 @@
     }
 
 
+def describe_problem(problem: Problem) -> dict[str, Field]:
+    """Return what a caller is told in place of an answer."""
+    return {
+        'status': int(problem.status),
+        'step': problem.step,
+        'reason': problem.detail,
+        'ran': problem.ran.value,
+        'retry_after_ms': problem.retry_after_ms,
+    }
+
+
 @final
 class RequestLog:
     """Writes the lines of one request."""
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -25,6 +25,7 @@
     EdgeEvent,
     RequestLog,
     describe_choice,
+    describe_problem,
 )
 from turmericmast.web.edgerace import EdgeRace
 from turmericmast.web.edgerequest import EdgeRequest
@@ -311,11 +312,7 @@
             self._count(f'refused_{problem.status:d}')
             self._log.write(
                 EdgeEvent.refused,
-                status=int(problem.status),
-                step=problem.step,
-                reason=problem.detail,
-                ran=problem.ran.value,
-                retry_after_ms=problem.retry_after_ms,
+                **describe_problem(problem),
                 **describe_choice(self._chooser.last, self._desk.clock.now()),
                 **self._progress(),
             )
--- a/src/turmericmast/web/edgefront.py
+++ b/src/turmericmast/web/edgefront.py
@@ -20,6 +20,7 @@
 from turmericmast.route.document import Route, RouteLimits
 from turmericmast.web import edgerefusals
 from turmericmast.web.edgedesk import EdgeDesk
+from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.idle import IdleConnections
@@ -73,7 +74,7 @@
         self._idle.serve(self._server_conn)
         read = _read_request(self._desk, start_line, headers)
         if not isinstance(read, Success):
-            self._refuse(read.failure(), headers)
+            self._refuse(read.failure(), start_line, headers)
             return
         exchange = EdgeExchange(self._desk, self._connection, read.unwrap())
         self._exchange = exchange
@@ -95,10 +96,20 @@
         if self._exchange:
             self._exchange.on_connection_close()
 
-    def _refuse(self, problem: Problem, headers: HTTPHeaders) -> None:
-        self._desk.metrics.count(
-            'requests',
-            outcome=f'refused_{problem.status:d}',
+    def _refuse(
+        self,
+        problem: Problem,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        desk = self._desk
+        desk.metrics.count('requests', outcome=f'refused_{problem.status:d}')
+        desk.events.write(
+            EdgeEvent.refused.value,
+            request=desk.dialect.read_request(headers).request_id,
+            method=start_line.method,
+            **describe_problem(problem),
+            cluster_index=desk.edge.index,
         )
         refuse_request(self._connection, problem, headers)
 
@@ -130,7 +141,10 @@
     size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
     if size > limits.header_bytes:
         return edgerefusals.headers_too_large(limits.header_bytes)
-    if int(headers.get('Content-Length', '0')) > limits.body_bytes:
+    length = headers.get('Content-Length', '0')
+    if not length.isdecimal():
+        return edgerefusals.bad_length(length)
+    if int(length) > limits.body_bytes:
         return edgerefusals.body_too_large(limits.body_bytes)
     return None
 
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -1,89 +1,86 @@
 """The problems that an edge answers with."""
 
-import http
+from http import HTTPStatus
 
 from turmericmast.call.call import Call, Loss, Ran
 from turmericmast.ids import Seconds
 from turmericmast.units import MILLIS
 from turmericmast.web.problem import Problem
 
-UNKNOWN_ROUTES_RETURN = 0.5
-"""Seconds after which a caller may ask again while there are no routes."""
-LEAVING_RETURN_MS = 10
-"""Milliseconds after which another instance may be asked: at once."""
+UNKNOWN_ROUTES_RETURN = 0.25
+"""Seconds after which a caller may ask again while there are no routes.
+
+An edge asks all members for them several times in this time."""
+LEAVING_RETURN = 0.01
+"""Seconds after which another instance may be asked: at once."""
 
 
 def no_routes() -> Problem:
     """Return the problem of an instance that knows no routes yet."""
-    return Problem(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    return _unserved(
         'Not ready',
         'this instance has not learned the routes yet',
         'find route',
-        Ran.no,
-        retry_after_ms=int(UNKNOWN_ROUTES_RETURN * MILLIS),
-        is_precise=True,
+        UNKNOWN_ROUTES_RETURN,
     )
 
 
 def leaving() -> Problem:
     """Return the problem of a request that would outlast this instance."""
-    return Problem(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    return _unserved(
         'Leaving',
         'this instance is about to stop; use another one',
         'read request',
-        Ran.no,
-        retry_after_ms=LEAVING_RETURN_MS,
-        is_precise=True,
+        LEAVING_RETURN,
         is_last=True,
     )
 
 
+def no_room(service: str, returns_in: float) -> Problem:
+    """Return the problem of a request that no target can serve now."""
+    return _unserved(
+        'No target in time',
+        f'no target of {service} can serve the request now',
+        'choose target',
+        returns_in,
+        peer=service,
+    )
+
+
 def no_route(host: str) -> Problem:
     """Return the problem of a request that no route matches."""
-    return Problem(
-        http.HTTPStatus.NOT_FOUND,
+    return _not_allowed(
+        HTTPStatus.NOT_FOUND,
         'No route',
         f'no route of host {host!r} matches the path',
         'find route',
-        Ran.no,
     )
 
 
 def headers_too_large(limit: int) -> Problem:
     """Return the problem of headers over the limit."""
-    return Problem(
-        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    return _not_allowed(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         'Headers too large',
         f'at most {limit} octets of headers are allowed',
-        'read request',
-        Ran.no,
     )
 
 
 def body_too_large(limit: int) -> Problem:
     """Return the problem of a body over the limit."""
-    return Problem(
-        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    return _not_allowed(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         'Body too large',
         f'at most {limit} octets of body are allowed',
-        'read request',
-        Ran.no,
     )
 
 
-def no_room(service: str, returns_in: float) -> Problem:
-    """Return the problem of a request that no target can serve now."""
-    return Problem(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'No target in time',
-        f'no target of {service} can serve the request now',
-        'choose target',
-        Ran.no,
-        peer=service,
-        retry_after_ms=max(int(returns_in * MILLIS), 1),
-        is_precise=True,
+def bad_length(found: str) -> Problem:
+    """Return the problem of a length that is no number."""
+    return _not_allowed(
+        HTTPStatus.BAD_REQUEST,
+        'Bad length',
+        f'Content-Length is {found!r}; send the octets of the body',
     )
 
 
@@ -94,9 +91,7 @@
         return no_room(call.request.service, returns_in)
     is_late = last is Loss.timed_out or now >= call.request.deadline
     return Problem(
-        http.HTTPStatus.GATEWAY_TIMEOUT
-        if is_late
-        else http.HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY,
         'No answer from a target',
         f'{last.value} after {call.attempts} attempts',
         'send to target',
@@ -108,9 +103,42 @@
 def unexpected(error: Exception) -> Problem:
     """Return the problem of a fault of this program."""
     return Problem(
-        http.HTTPStatus.INTERNAL_SERVER_ERROR,
+        HTTPStatus.INTERNAL_SERVER_ERROR,
         'Internal error',
         f'{type(error).__name__}; tell the operators',
         'serve request',
         Ran.unknown,
     )
+
+
+def _unserved(
+    title: str,
+    detail: str,
+    step: str,
+    returns_in: float,
+    *,
+    peer: str = '',
+    is_last: bool = False,
+) -> Problem:
+    """Return the problem of a request that has not run and may come back."""
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        title,
+        detail,
+        step,
+        Ran.no,
+        peer=peer,
+        retry_after_ms=max(int(returns_in * MILLIS), 1),
+        is_precise=True,
+        is_last=is_last,
+    )
+
+
+def _not_allowed(
+    status: HTTPStatus,
+    title: str,
+    detail: str,
+    step: str = 'read request',
+) -> Problem:
+    """Return the problem of a request that is refused however often sent."""
+    return Problem(status, title, detail, step, Ran.no)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -46,6 +46,15 @@
         numbers = [int(line) for line in found.splitlines()]
         self.assertEqual(numbers, list(range(1000)))
 
+    def test_reader_that_is_gone_costs_lines_only(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        with LineSink(writer) as sink:
+            for _ in range(3):
+                sink.write('x')
+            self.assertEqual(sink.lost, 3)
+        os.close(writer)
+
     def test_flood_of_one_kind_is_counted(self) -> None:
         with LineSink(self.writer) as sink:
             events = EventLog('p', None, HybridClock(SystemClock()), sink)
@@ -77,7 +86,7 @@
     ) -> None:
         budget = LineBudget()
         budget.turn_over(1)
-        admitted = [budget.admit('k', 1) for _ in range(count)]
+        admitted = [budget.admit('k') for _ in range(count)]
         self.assertEqual(sum(admitted), min(count, LINES_A_SECOND))
         self.assertEqual(budget.turn_over(1.9), {})
         self.assertEqual(budget.turn_over(2), left_out)
