Refuse requests that crash their targets, wherever they come again

- An edge whose target lost a request asks the target at once; if it does not answer, the core is told the request's fingerprint.
- From the third crash on the request is refused with 503 and the time that is left, before it is sent and before it is tried again.

What an edge sends on is now made by EdgeRequest, and the port for callers stands in a module of its own.

--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -14,6 +14,7 @@
     Tombstone,
 )
 from turmericmast.cluster.routes import RouteBook
+from turmericmast.cluster.suspects import SuspectBook
 from turmericmast.cluster.targets import TargetRegistry
 from turmericmast.exceptions import TurmericmastError
 from turmericmast.ids import DomainId, Index, InstanceId
@@ -31,6 +32,7 @@
         self.registry = TargetRegistry()
         self.edges: ChangeTable[InstanceId, EdgeRecord] = ChangeTable()
         self.evacuated: set[DomainId] = set()
+        self.suspects = SuspectBook()
 
     def edge(self, instance: InstanceId) -> EdgeRecord | None:
         """Return an edge as it is known."""
@@ -52,6 +54,7 @@
         oldest = max(
             self.registry.table.complete_since,
             self.edges.complete_since,
+            self.suspects.table.complete_since,
         )
         since = known if oldest <= known <= self.index else Index(0)
         has_routes = self.book.changed_at > since
@@ -65,6 +68,7 @@
             removed_targets=tuple(table.removed(since) if since else ()),
             edges=tuple(self.edges.changed(since)),
             removed_edges=tuple(self.edges.removed(since) if since else ()),
+            suspects=tuple(self.suspects.table.changed(since)),
         )
 
     def snapshot(self) -> ClusterSnapshot:
@@ -83,6 +87,7 @@
                 for target, born in self.registry.born_by_gone.items()
             ),
             edges=tuple(self.edges.record_by_key.values()),
+            suspects=tuple(self.suspects.table.record_by_key.values()),
         )
 
     def restore(self, snapshot: ClusterSnapshot) -> None:
@@ -93,6 +98,7 @@
         self.registry.restore(snapshot.targets, snapshot.tombstones, index)
         self.edges.restore({one.instance: one for one in snapshot.edges}, index)
         self.evacuated = set(snapshot.evacuated)
+        self.suspects.restore(snapshot.suspects, index)
 
     def _change(
         self,
@@ -111,6 +117,8 @@
                 return Success(self._evacuate(domain, evacuated=evacuated))
             case commands.SetEdge(edge=edge):
                 return Success(self._set_edge(edge, index))
+            case commands.ReportCrash():
+                return Success(self.suspects.report(command, index))
         dropped = [self.edges.remove(one, index) for one in command.instances]
         return Success(any(dropped))
 
--- a/src/turmericmast/cluster/commands.py
+++ b/src/turmericmast/cluster/commands.py
@@ -8,7 +8,14 @@
     RoutesRecord,
     TargetRecord,
 )
-from turmericmast.ids import DomainId, InstanceId, TargetId, Version
+from turmericmast.ids import (
+    DomainId,
+    Fingerprint,
+    InstanceId,
+    Millis,
+    TargetId,
+    Version,
+)
 
 
 @final
@@ -61,6 +68,16 @@
     instances: tuple[InstanceId, ...]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCrash:
+    """A target crashed while it ran a request."""
+
+    fingerprint: Fingerprint
+    at_ms: Millis
+    """Wall clock of the instance that sent the request."""
+
+
 ClusterCommand: TypeAlias = (
     ReportTarget
     | RemoveTargets
@@ -68,4 +85,5 @@
     | SetEvacuation
     | SetEdge
     | DropEdges
+    | ReportCrash
 )
--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -8,9 +8,11 @@
     Born,
     Digest,
     DomainId,
+    Fingerprint,
     Incarnation,
     Index,
     InstanceId,
+    Millis,
     RegionId,
     ServiceId,
     TargetId,
@@ -88,6 +90,17 @@
     """The document as the operator wrote it, compressed."""
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRecord:
+    """A request that targets crashed on."""
+
+    fingerprint: Fingerprint
+    crashes: int
+    until_ms: Millis
+    """Wall clock until which the crashes count."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClusterFeed:
@@ -102,6 +115,8 @@
     removed_targets: tuple[TargetId, ...]
     edges: tuple[EdgeRecord, ...]
     removed_edges: tuple[InstanceId, ...]
+    suspects: tuple[SuspectRecord, ...] = ()
+    """Those that changed; an edge forgets them by their time."""
 
 
 @final
@@ -134,3 +149,4 @@
     targets: tuple[TargetRecord, ...]
     tombstones: tuple[Tombstone, ...]
     edges: tuple[EdgeRecord, ...]
+    suspects: tuple[SuspectRecord, ...] = ()
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -16,6 +16,7 @@
     TargetPhase,
     TargetRecord,
 )
+from turmericmast.edge.quarantine import Quarantine
 from turmericmast.ids import (
     DomainId,
     Index,
@@ -76,6 +77,7 @@
         self._region_by_domain = region_by_domain
         self._place = Place(record.domain, record.region)
         self._standing_by_target: dict[TargetId, Standing] = {}
+        self.quarantine = Quarantine()
         self._splitter = Splitter()
         self._ends_at = math.inf
 
@@ -180,6 +182,7 @@
         if document:
             self.table = RouteTable(document)
         self.evacuated = frozenset(feed.evacuated)
+        self.quarantine.take(feed.suspects)
         self._apply_edges(feed)
         self._apply_targets(feed)
         self._share_out()
--- a/src/turmericmast/programs/clusterdesk.py
+++ b/src/turmericmast/programs/clusterdesk.py
@@ -160,6 +160,13 @@
                 return outcome
             await asyncio.sleep(RETRY_PAUSE)
 
+    async def take_crash(self, crash: commands.ReportCrash) -> Any:
+        """Answer an edge whose target crashed."""
+        taken = await self.change(crash)
+        if isinstance(taken, Success):
+            return self._tell_index()
+        return refusal_of(taken.failure())
+
     async def serve_change(self, command: commands.ClusterCommand) -> Any:
         """Answer a member that handed on a change."""
         if not self._group.leads:
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -76,6 +76,8 @@
                 return await self._watch(body)
             case clusterrequests.ChangeCluster():
                 return await self.desk.serve_change(body.command)
+            case commands.ReportCrash():
+                return await self.desk.take_crash(body)
             case clusterrequests.AskIndex():
                 return self.desk.serve_index()
             case clusterrequests.Heard():
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -6,7 +6,6 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
-from tornado.netutil import bind_sockets
 
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
@@ -16,9 +15,11 @@
 from turmericmast.platform.directory import make_application
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.settings import load_machine_settings
+from turmericmast.programs.callerport import CallerPort
 from turmericmast.programs.reload import Reloading
 from turmericmast.programs.runner import Process, run_program, serve_metrics
 from turmericmast.programs.watching import Watching
+from turmericmast.web.crashwatch import CrashWatch, Tell
 from turmericmast.web.curl import Curl
 from turmericmast.web.edgedesk import EdgeDesk
 from turmericmast.web.edgefront import EdgeFront
@@ -33,10 +34,6 @@
 
 Targets close theirs after some 10 s and say so in whole seconds."""
 SWEEP_MS = 500
-MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 1_073_741_824
-"""Above every limit of the routes, which decide."""
-BODY_TIMEOUT = 60.0
 TELLING_PAUSE = 0.3
 """Seconds until every directory has left this instance out."""
 QUIET_PAUSE = 0.3
@@ -44,12 +41,6 @@
 GRACE_RESERVE = 0.4
 """Seconds of the grace that are left for stopping itself."""
 STOP_PAUSE = 0.05
-ROUTES_PATIENCE = 0.25
-"""Seconds that callers wait at most for a start to learn the routes.
-
-A third of the shortest time that a caller is known to have; later it would
-take its request elsewhere."""
-ROUTES_PAUSE = 0.01
 
 
 @final
@@ -107,47 +98,17 @@
         settings.region_by_domain,
         settings.bounds,
     )
-    desk = _make_desk(process, stack, edge)
+    watching = Watching(process, edge, DocumentFormat(), Links(process.node))
+    desk = _make_desk(process, stack, edge, watching.tell)
     front = EdgeFront(desk)
-    server = HTTPServer(
-        front,
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-        body_timeout=BODY_TIMEOUT,
-    )
-    host, _, port = settings.listening.callers.rpartition(':')
-    sockets = bind_sockets(int(port), host)
-    stack.callback(server.stop)
+    port = stack.enter_context(CallerPort(process, edge, front))
     _serve_pages(process, stack, edge, front)
-    stack.enter_context(
-        Watching(process, edge, DocumentFormat(), Links(process.node)),
-    )
+    stack.enter_context(watching)
     stack.enter_context(Reloading(process, _keep))
     await desk.newsroom.open(settings.listening.peers)
-    await _know_routes(process, edge)
-    server.add_sockets(sockets)
+    await port.open()
     await process.stop.wait()
-    await Leaving(process, desk, front).run(server)
-
-
-async def _know_routes(
-    process: Process[MachineSettings],
-    edge: Edge,
-) -> None:
-    """Wait a moment for the routes, with which callers can be served.
-
-    Callers that connect meanwhile wait in the queue of the kernel. That is
-    better for them than a refusal: the routes are there after a few round
-    trips, if a core member runs at all.
-    """
-    ends_at = process.clock.now() + ROUTES_PATIENCE
-    while not edge.is_ready and process.clock.now() < ends_at:
-        await asyncio.sleep(ROUTES_PAUSE)
-    process.events.write(
-        'serving',
-        domain=edge.record.domain,
-        has_routes=edge.is_ready,
-    )
+    await Leaving(process, desk, front).run(port.server)
 
 
 def _serve_pages(
@@ -170,6 +131,7 @@
     process: Process[MachineSettings],
     stack: contextlib.ExitStack,
     edge: Edge,
+    tell: Tell,
 ) -> EdgeDesk:
     curl = stack.enter_context(Curl(CONNECT_TIMEOUT_MS, IDLE_SECONDS))
     dialect = PlatformDialect()
@@ -188,6 +150,7 @@
         dialect=dialect,
         prober=prober,
         newsroom=stack.enter_context(newsroom),
+        crashes=CrashWatch(edge, prober, process.clock, process.events, tell),
         metrics=process.metrics,
         events=process.events,
     )
--- a/src/turmericmast/programs/watching.py
+++ b/src/turmericmast/programs/watching.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from turmericmast.clock import Clock
+from turmericmast.cluster.commands import ReportCrash
 from turmericmast.cluster.records import RoutesRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
@@ -17,7 +18,11 @@
 from turmericmast.machine import MachineSettings
 from turmericmast.replica.messages import Seat
 from turmericmast.route.document import RouteDocument, RouteFormat
-from turmericmast.wire.clusterrequests import WatchCluster, WatchedCluster
+from turmericmast.wire.clusterrequests import (
+    TellIndex,
+    WatchCluster,
+    WatchedCluster,
+)
 from turmericmast.wire.links import Links
 
 if TYPE_CHECKING:
@@ -81,6 +86,14 @@
             self._task = None
         self._links.keep(())
 
+    async def tell(self, crash: ReportCrash) -> bool:
+        """Tell the core of a crash; returns whether it took note."""
+        if not self._member:
+            return False
+        link = self._links.to(self._member)
+        answer = await link.ask(crash, ASK_TIMEOUT)
+        return isinstance(answer.value_or(None), TellIndex)
+
     async def find(self) -> MemberId | None:
         """Return the first member that answers well, the nearest asked first.
 
--- a/src/turmericmast/web/edgedesk.py
+++ b/src/turmericmast/web/edgedesk.py
@@ -7,6 +7,7 @@
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
 from turmericmast.metrics import Metrics
+from turmericmast.web.crashwatch import CrashWatch
 from turmericmast.web.curl import Curl
 from turmericmast.web.dialect import Dialect
 from turmericmast.web.newsroom import Newsroom
@@ -24,6 +25,7 @@
     dialect: Dialect
     prober: Prober
     newsroom: Newsroom
+    crashes: CrashWatch
     metrics: Metrics
     events: EventLog
     running: int = 0
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -22,6 +22,7 @@
     broken_off = 'request_broken_off'
     target_failed = 'request_failed_at_target'
     trust_changed = 'target_trust'
+    crashed = 'target_crashed'
 
 
 def describe_target(standing: Standing, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -9,14 +9,14 @@
     HTTPMessageDelegate,
 )
 
-from turmericmast.balance.pool import Ask, Candidate
+from turmericmast.balance.pool import Candidate
 from turmericmast.balance.value import Distance
-from turmericmast.call.call import Call, Loss, Next
+from turmericmast.call.call import Call, Loss, Next, Ran
 from turmericmast.events import Field
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.units import MILLIS
 from turmericmast.web import edgerefusals
-from turmericmast.web.body import METHODS_WITH_BODY, Body
+from turmericmast.web.body import Body
 from turmericmast.web.edgeanswer import EdgeAnswer
 from turmericmast.web.edgeattempt import EdgeAttempt
 from turmericmast.web.edgechoosing import Chooser
@@ -29,7 +29,7 @@
 )
 from turmericmast.web.edgerace import EdgeRace
 from turmericmast.web.edgerequest import EdgeRequest
-from turmericmast.web.parse import forwarded_headers
+from turmericmast.web.edgesuspecting import EdgeSuspecting
 from turmericmast.web.problem import Problem
 from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.transfer import TransferRequest
@@ -58,6 +58,7 @@
         )
         self._chooser = Chooser(desk, incoming.pool)
         self._body = Body()
+        self._suspecting = EdgeSuspecting(desk, incoming.call, self._body)
         self._relay = Relay(
             connection,
             incoming.call.method,
@@ -120,7 +121,11 @@
         self._pool.demand.note(self._desk.clock.now())
         goes_on = True
         while goes_on and not self._is_over:
-            chosen = await self._chooser.choose(self._ask())
+            left = self._suspecting.left()
+            if left:
+                self._refuse_suspect(left)
+                return
+            chosen = await self._chooser.choose(self._incoming.ask(self._tried))
             if self._is_over:
                 # The caller left while targets were asked.
                 return
@@ -129,30 +134,27 @@
                 return
             goes_on = await self._try(chosen)
 
-    def _ask(self) -> Ask:
-        route = self._incoming.route
-        return Ask(
-            route=route.name,
-            aim_at=Seconds(self._incoming.began_at + route.aim),
-            deadline=self._incoming.call.deadline,
-            home_regions=route.home_regions,
-            avoid=self._tried,
-        )
-
     async def _try(self, chosen: Candidate) -> bool:
         """Try a target; tell whether to try another one."""
         first = self._begin(chosen)
         decided = await self._race.run(lambda: self._hedge(first))
         loss = decided.task.result()
         self._race.cancel(decided)
-        for earlier in self._race.losses:
-            self._call.fail(earlier)
+        for earlier in self._race.failed:
+            self._fail_attempt(earlier)
         self._race = EdgeRace(self._usual)
         if loss is None:
             self._deliver(decided.answer)
             return False
+        self._fail_attempt(decided)
         return self._goes_on(loss, decided.answer)
 
+    def _fail_attempt(self, attempt: EdgeAttempt) -> None:
+        loss = attempt.task.result()
+        self._suspecting.note(attempt.chosen.standing, loss)
+        if loss:
+            self._call.fail(loss)
+
     def _begin(self, chosen: Candidate) -> EdgeAttempt:
         self._call.begin()
         self._tried.add(chosen.standing.record.target)
@@ -189,7 +191,7 @@
             return False
         if self._claimed or self._is_over:
             return False
-        ask = self._ask()
+        ask = self._incoming.ask(self._tried)
         now = self._desk.clock.now()
         outlook = self._pool.outlook(ask, now)
         if first.hedge.is_blind(now):
@@ -215,28 +217,16 @@
         chosen: Candidate,
         resume: Callable[[], None],
     ) -> TransferRequest:
-        incoming = self._incoming
-        record = chosen.standing.record
-        left = Seconds(incoming.call.deadline - self._desk.clock.now())
-        has_body = self._body.size or incoming.call.method in METHODS_WITH_BODY
-        length = incoming.headers.get('Content-Length')
-        whole = self._body.size if self._body.is_complete else -1
-        return TransferRequest(
-            url=f'http://{record.address}{incoming.start.path}',
-            method=incoming.call.method,
-            headers=forwarded_headers(
-                incoming.headers,
-                self._desk.dialect.own_names,
-                self._desk.dialect.onward(record.target, left),
-            ),
-            timeout=left,
-            body=self._body.reader(resume) if has_body else None,
-            body_size=int(length) if length else whole,
+        return self._incoming.onward(
+            chosen.standing.record,
+            self._body,
+            resume,
+            Seconds(self._incoming.call.deadline - self._desk.clock.now()),
+            self._desk.dialect,
         )
 
     def _goes_on(self, loss: Loss, answer: EdgeAnswer) -> bool:
         """Decide after a failed attempt; answer the caller if it ends."""
-        self._call.fail(loss)
         if loss is Loss.failed:
             self._refusal = answer
         if self._is_over:
@@ -253,7 +243,8 @@
             self._relay.break_off()
             return False
         step = self._call.next_step(now, can_replay=self._body.can_replay)
-        if step is Next.retry and self._is_affordable(loss):
+        is_free = loss is Loss.never_sent
+        if step is Next.retry and (is_free or self._pool.repeats.spend()):
             self._desk.metrics.count('repeats', loss=loss.value)
             self._log.write(
                 EdgeEvent.repeated,
@@ -270,9 +261,6 @@
         self._fail()
         return False
 
-    def _is_affordable(self, loss: Loss) -> bool:
-        return loss is Loss.never_sent or self._pool.repeats.spend()
-
     def _fail(self) -> None:
         """Answer a request whose attempts all failed."""
         refusal = self._refusal
@@ -282,15 +270,21 @@
             self._finish('target_failed')
             return
         now = self._desk.clock.now()
-        returns_in = self._pool.opens_in(self._ask(), now)
+        returns_in = self._pool.opens_in(self._incoming.ask(self._tried), now)
         self._refuse(edgerefusals.lost(self._call, now, returns_in))
 
+    def _refuse_suspect(self, left: float) -> None:
+        if self._call.ran is Ran.no:
+            self._refuse(edgerefusals.quarantined(left))
+        else:
+            self._fail()
+
     def _refuse_unserved(self) -> None:
         if self._call.losses:
             self._fail()
             return
         now = self._desk.clock.now()
-        returns_in = self._pool.opens_in(self._ask(), now)
+        returns_in = self._pool.opens_in(self._incoming.ask(self._tried), now)
         self._refuse(edgerefusals.no_room(self._pool.service, returns_in))
 
     def _deliver(self, answer: EdgeAnswer) -> None:
--- a/src/turmericmast/web/edgerace.py
+++ b/src/turmericmast/web/edgerace.py
@@ -6,7 +6,6 @@
 
 from turmericmast.balance.hedge import NEXT_LOOK
 from turmericmast.balance.usual import Usual
-from turmericmast.call.call import Loss
 from turmericmast.web.edgeattempt import EdgeAttempt
 
 
@@ -16,8 +15,8 @@
 
     def __init__(self, usual: Usual) -> None:
         """Start without attempts."""
-        self.losses: list[Loss] = []
-        """How attempts ended while another one still ran."""
+        self.failed: list[EdgeAttempt] = []
+        """Attempts that failed while another one still ran."""
         self._usual = usual
         self._running: list[EdgeAttempt] = []
 
@@ -59,7 +58,7 @@
             if loss is None or len(self._running) == 1:
                 return attempt
             self._running.remove(attempt)
-            self.losses.append(loss)
+            self.failed.append(attempt)
         return None
 
     def _first_look(self) -> float:
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -47,6 +47,16 @@
     )
 
 
+def quarantined(left: float) -> Problem:
+    """Return the problem of a request that crashes its targets."""
+    return _unserved(
+        'Quarantined',
+        'targets crashed while they ran this request',
+        'check suspects',
+        left,
+    )
+
+
 def no_route(host: str) -> Problem:
     """Return the problem of a request that no route matches."""
     return _not_allowed(
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -53,7 +53,7 @@
         self._metrics = metrics
         self.on_learned: Learned = _tell_nobody
         """Called with what a probe has told."""
-        self._task_by_target: dict[TargetId, asyncio.Task[None]] = {}
+        self._task_by_target: dict[TargetId, asyncio.Task[bool]] = {}
 
     async def probe(
         self,
@@ -68,8 +68,11 @@
         tasks = [self.start(standing, path) for standing in standings]
         await asyncio.wait(tasks, timeout=patience)
 
-    def start(self, standing: Standing, path: str) -> asyncio.Task[None]:
-        """Probe one target, unless a probe is under way."""
+    def start(self, standing: Standing, path: str) -> asyncio.Task[bool]:
+        """Probe one target, unless a probe is under way.
+
+        The task returns whether the target itself answered.
+        """
         target = standing.record.target
         known = self._task_by_target.get(target)
         if known:
@@ -80,7 +83,7 @@
         task.add_done_callback(lambda _: self._task_by_target.pop(target, None))
         return task
 
-    async def _ask(self, standing: Standing, path: str) -> None:
+    async def _ask(self, standing: Standing, path: str) -> bool:
         heads = _HeadKeeper()
         request = TransferRequest(
             url=f'http://{standing.record.address}{path}',
@@ -97,10 +100,12 @@
         if loss or heads.head is None:
             standing.doubt(self._clock.now())
             self.on_learned(standing, is_lost=True)
+            is_there = False
         else:
             marks = self._dialect.read_health(heads.head.headers)
-            self._learn(standing, heads.head.status, marks)
+            is_there = self._learn(standing, heads.head.status, marks)
         self._show(standing, before, loss)
+        return is_there
 
     def _show(
         self,
@@ -123,17 +128,19 @@
         standing: Standing,
         status: int,
         marks: HealthMarks,
-    ) -> None:
+    ) -> bool:
+        """Learn from an answer; tell whether it is the target's own."""
         now = self._clock.now()
         if marks.target and marks.target != standing.record.target:
             standing.shun_misplaced()
-            return
+            return False
         if marks.load:
             standing.hear_load(marks.load, now)
         if not marks.is_unrun:
             standing.is_ill = status != HTTPStatus.OK
             standing.prove(marks.cold_left, now)
         self.on_learned(standing)
+        return True
 
 
 @final
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -61,6 +61,7 @@
             'SetEvacuation',
             'SetEdge',
             'DropEdges',
+            'ReportCrash',
         ),
         'cluster.records': ('ClusterSnapshot',),
         'balance.news': ('LoadNews',),
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -499,6 +499,13 @@
   3: binary source
 }
 
+/** A request that targets crashed on. */
+struct SuspectRecord {
+  1: string fingerprint
+  2: i64 crashes
+  3: i64 until_ms
+}
+
 /** What changed after an index that a reader knew. */
 struct ClusterFeed {
   1: i64 index
@@ -509,6 +516,7 @@
   6: list<string> removed_targets
   7: list<EdgeRecord> edges
   8: list<string> removed_edges
+  9: list<SuspectRecord> suspects
 }
 
 /** A target that has left. */
@@ -532,6 +540,7 @@
   5: list<TargetRecord> targets
   6: list<Tombstone> tombstones
   7: list<EdgeRecord> edges
+  8: list<SuspectRecord> suspects
 }
 
 /** A target described itself in a new way. */
@@ -566,6 +575,12 @@
   1: list<string> instances
 }
 
+/** A target crashed while it ran a request. */
+struct ReportCrash {
+  1: string fingerprint
+  2: i64 at_ms
+}
+
 /** The change was made against a version that is not in place. */
 struct Conflict {
   1: string step
@@ -666,6 +681,7 @@
   56: optional TellIndex tell_index
   57: optional CommitMark commit_mark
   58: optional LoadNews load_news
+  59: optional ReportCrash report_crash
 }
 
 /** A command for the control group. */
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -10,6 +10,7 @@
 from tests.edge_samples import NOW, edge, feed, instance, target
 from turmericmast.balance.load import LoadReport
 from turmericmast.call.call import Loss
+from turmericmast.cluster.records import SuspectRecord
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.dialect import PlatformDialect
@@ -113,6 +114,21 @@
             await exchange._serve()
         self.assertFalse(begin.called)
 
+    async def test_request_that_crashes_targets_is_not_sent(self) -> None:
+        exchange = self._exchange()
+        exchange._body.end()
+        request = exchange._incoming.call.fingerprint(b'')
+        quarantine = exchange._desk.edge.quarantine
+        quarantine.take([SuspectRecord(request, 3, 5000)])
+        with (
+            unittest.mock.patch.object(EdgeExchange, '_begin') as begin,
+            unittest.mock.patch.object(exchange._relay, 'refuse') as refuse,
+        ):
+            await exchange._serve()
+        self.assertFalse(begin.called)
+        problem = refuse.call_args.args[0]
+        self.assertEqual((problem.status, problem.retry_after_ms), (503, 5000))
+
     def _exchange(self) -> EdgeExchange:
         desk = _desk()
         return EdgeExchange(desk, unittest.mock.Mock(), _read(desk).unwrap())
@@ -121,10 +137,14 @@
 def _desk() -> EdgeDesk:
     return EdgeDesk(
         edge=edge(instance('a'), feed(targets=(target('1'),))),
-        clock=unittest.mock.Mock(now=lambda: NOW),
+        clock=unittest.mock.Mock(
+            now=unittest.mock.Mock(return_value=NOW),
+            wall=unittest.mock.Mock(return_value=0),
+        ),
         curl=unittest.mock.Mock(),
         dialect=PlatformDialect(),
         prober=unittest.mock.Mock(),
+        crashes=unittest.mock.Mock(),
         newsroom=unittest.mock.Mock(),
         metrics=Metrics(),
         events=unittest.mock.Mock(),
