Do not take a late word of an earlier start for one of this start

An announcement of the killed start ("ready"), still on its way, had replaced the "cold" of the new one; starts carry random names, so nothing told their order.

A target now remembers the last eight starts that were replaced, and passes over their announcements. Ruled out: two owners (one entry sent all of them), the ramp.

--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -1,11 +1,12 @@
 """The target aggregate: everything the owner of a target knows about it."""
 
+import collections
 import enum
 from types import MappingProxyType
 from typing import final
 
 from turmericmast.call.call import Loss
-from turmericmast.ids import CallId, Seconds, TargetId
+from turmericmast.ids import CallId, Incarnation, Seconds, TargetId
 from turmericmast.target.announcement import (
     Announcement,
     TargetSpec,
@@ -26,6 +27,8 @@
 ERROR_PAUSE_MAX = 8.0
 FOREIGN_LIMIT = 30.0
 """Seconds after which work of an earlier owner is over at the latest."""
+MAX_ENDED = 8
+"""Earlier starts of a target that are remembered."""
 SMOOTHING = 0.2
 """Weight of the newest sample in the mean service time."""
 COLD_JUMP = 8.0
@@ -92,6 +95,10 @@
         self.in_flight: dict[CallId, Seconds] = {}
         self.mean_time = float(0)
         self._ramp = Ramp(spec.cold_slots, spec.slots)
+        self._ended: collections.deque[Incarnation] = collections.deque(
+            maxlen=MAX_ENDED,
+        )
+        """Earlier starts, whose announcements may still be on their way."""
         # Until the target itself says otherwise: the last owner may have
         # known it cold, and successes alone do not make it warm.
         self._state = TargetState.cold
@@ -140,8 +147,14 @@
         return self._paused_until
 
     def hear(self, announcement: Announcement, now: Seconds) -> None:
-        """Take an announcement of the target itself."""
+        """Take an announcement of the target itself.
+
+        One of an earlier start arrives late, and says nothing of this one.
+        """
+        if announcement.spec.incarnation in self._ended:
+            return
         if announcement.spec.incarnation != self.spec.incarnation:
+            self._ended.append(self.spec.incarnation)
             self._ramp = Ramp(
                 announcement.spec.cold_slots,
                 announcement.spec.slots,
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -21,6 +21,7 @@
     TargetState,
     parse_announcement,
 )
+from turmericmast.target.ramp import SUCCESSES_PER_STEP
 from turmericmast.target.target import Ending, Target
 
 SPEC = TargetSpec(
@@ -73,6 +74,43 @@
         target.end(call, Ending.success, _at(now + 0.01))
 
 
+class RestartTest(unittest.TestCase):
+    """A start is known by its own announcements alone."""
+
+    @parameterized.expand(
+        [
+            ('cold_start_is_known', ['i2'], TargetState.cold, 1),
+            ('late_word_of_the_earlier_start', ['i2', 'i1'], None, 1),
+            ('late_word_of_the_one_before', ['i2', 'i3', 'i1'], None, 1),
+            ('warm_by_its_own_word', ['i2', 'i2'], None, 2),
+        ],
+    )
+    def test_limit_after(
+        self,
+        _name: str,
+        incarnations: list[str],
+        last_state: TargetState | None,
+        limit: int,
+    ) -> None:
+        target = Target(SPEC, _at(0), wary=False)
+        target.hear(_announce(), _at(0))
+        for name in incarnations[:-1]:
+            cold = _announce(incarnation=name, state=TargetState.cold)
+            target.hear(cold, _at(1))
+        target.hear(
+            _announce(
+                incarnation=incarnations[-1],
+                state=last_state or TargetState.ready,
+            ),
+            _at(1),
+        )
+        for number in range(SUCCESSES_PER_STEP):
+            call = CallId(str(number))
+            target.start(call, _at(1))
+            target.end(call, Ending.success, _at(1.01))
+        self.assertEqual(target.limit, limit)
+
+
 class AnnouncementTest(unittest.TestCase):
     """Each fault is named with its field."""
 
