A fault soak of our own: real processes, harmed from outside

Targets stand behind proxies that delay, reset, silence or cut one way; processes are frozen, killed, stopped and started again, a member loses its disk, domains are emptied and versions follow each other, all overlapping, drawn from a seed.

Not harmed: clocks (nothing here can shift the clock of one process without rights) and the links between members.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 
 from tornado.httpclient import (
     AsyncHTTPClient,
+    HTTPClientError,
     HTTPRequest,
     HTTPResponse,
 )
@@ -46,12 +48,25 @@
 class Upstream:
     """A target that announces itself and signs its answers."""
 
-    def __init__(self, name: str, zone: str, address: str) -> None:
-        """Listen on ``address`` once started."""
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        behind: str = '',
+    ) -> None:
+        """Listen on ``address`` once started.
+
+        With ``behind`` it listens there, and something at ``address``
+        forwards to it.
+        """
+        self._listens_at = behind or address
         self.name = name
         self.zone = zone
         self.address = address
         self.paths: list[str] = []
+        self.times: list[float] = []
+        """When each of them began, by the steady clock."""
         self.cold_ms = 0
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -65,7 +80,7 @@
                 log_function=_log_nothing,
             ),
         )
-        host, _, port = self.address.rpartition(':')
+        host, _, port = self._listens_at.rpartition(':')
         self._server.listen(int(port), host)
         return self
 
@@ -118,6 +133,7 @@
             self.set_status(421)
             return
         one.paths.append(self.request.path)
+        one.times.append(time.monotonic())
         self.set_header('X-Request-Id', self.request.headers['X-Request-Id'])
         self.set_header('X-Response-Signature', 'signed')
         if 'hang' in self.request.path:
@@ -126,6 +142,10 @@
             self.set_status(500)
         self.finish(f'{one.name} {self.request.path}')
 
+    async def post(self) -> None:
+        """Answer in the same way."""
+        await self.get()
+
 
 def _log_nothing(page: RequestHandler) -> None:
     """Leave out the access log, which tells nothing here."""
@@ -192,6 +212,22 @@
         process.send_signal(number)
         return process.wait(STOP_TIMEOUT)
 
+    def signal(self, role: str, zone: str, number: signal.Signals) -> None:
+        """Send a signal to one process that was started here."""
+        self._process_by_name[f'{role}-{zone}'].send_signal(number)
+
+    def reap(self, role: str, zone: str) -> bool:
+        """Tell whether a process has ended, and forget it if so."""
+        name = f'{role}-{zone}'
+        if self._process_by_name[name].poll() is None:
+            return False
+        self._process_by_name.pop(name)
+        return True
+
+    def wipe(self, role: str, zone: str) -> None:
+        """Remove the data of a process that has ended."""
+        shutil.rmtree(self.folder / f'data-{role}-{zone}', ignore_errors=True)
+
     def logs(self) -> list[pathlib.Path]:
         """Return the files with what the processes wrote."""
         return sorted(self.folder.glob('*.log'))
@@ -226,7 +262,7 @@
         )
         try:
             return await AsyncHTTPClient().fetch(request, raise_error=False)
-        except OSError as error:
+        except (OSError, HTTPClientError) as error:
             # It may not listen yet, or not any more.
             return HTTPResponse(request, NO_ANSWER, reason=str(error))
 
