Go back to a near member once it may answer again

Cause: found when reading the diff: since members are asked one beside the other, an edge stayed with whichever answered first until that one failed, so after a restart of the near member it would have followed a far one for good, over links that are billed.

--- a/src/turmericmast/programs/watching.py
+++ b/src/turmericmast/programs/watching.py
@@ -94,6 +94,16 @@
         answer = await link.ask(crash, ASK_TIMEOUT)
         return isinstance(answer.value_or(None), TellIndex)
 
+    async def follow(self, member: MemberId | None) -> MemberId | None:
+        """Ask a member for news; return whom to ask next, if anybody.
+
+        A nearer one is gone back to as soon as it may answer again.
+        """
+        is_nearest = member is not None and member == self._ranked()[0]
+        if member and is_nearest and await self._watch(member):
+            return member
+        return await self.find()
+
     async def find(self) -> MemberId | None:
         """Return the first member that answers well, the nearest asked first.
 
@@ -108,9 +118,11 @@
                 member_by_task[task] = member
                 found = await _first_good(member_by_task, STAGGER)
                 if found:
-                    return found
+                    break
             while member_by_task and found is None:
                 found = await _first_good(member_by_task, None)
+        for silent in member_by_task.values():
+            self._avoid(silent)
         return found
 
     def _show_end(self, task: asyncio.Task[None]) -> None:
@@ -119,12 +131,11 @@
             self._events.write('watching_ended', error=repr(error))
 
     async def _run(self) -> None:
+        member: MemberId | None = None
         while True:
-            member = await self.find()
+            member = await self.follow(member)
             if member is None:
                 await asyncio.sleep(RETRY_PAUSE)
-            while member and await self._watch(member):
-                """Ask the same one again: it answers when there is news."""
 
     async def _watch(self, member: MemberId) -> bool:
         """Ask one member; tell whether it may be asked again at once."""
@@ -160,13 +171,16 @@
 
     def _note_contact(self, member: MemberId, *, is_good: bool) -> None:
         if not is_good:
-            until = self._clock.now() + AVOID_SECONDS
-            self._avoid_until_by_member[member] = until
+            self._avoid(member)
         shown = member if is_good else MemberId('')
         if shown != self._member and self._task:
             self._member = shown
             self._events.write('core_contact', member=shown, asked=member)
 
+    def _avoid(self, member: MemberId) -> None:
+        until = self._clock.now() + AVOID_SECONDS
+        self._avoid_until_by_member[member] = until
+
     def _ranked(self) -> list[MemberId]:
         """Return the members, near ones that did not fail just now first."""
         now = self._clock.now()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -13,8 +13,14 @@
 from tests.edge_samples import REGION_BY_DOMAIN, edge, feed, instance
 from turmericmast.clock import SystemClock
 from turmericmast.exceptions import WireError
+from turmericmast.ids import Seconds
 from turmericmast.platform.documents import DocumentFormat
-from turmericmast.programs.watching import ASK_TIMEOUT, STAGGER, Watching
+from turmericmast.programs.watching import (
+    ASK_TIMEOUT,
+    AVOID_SECONDS,
+    STAGGER,
+    Watching,
+)
 from turmericmast.wire.clusterrequests import WatchedCluster
 
 KNOWN = 5
@@ -80,6 +86,10 @@
         """Return the link to a member."""
         return self._link_by_member[member]
 
+    def set_manner(self, member: str, manner: float | str) -> None:
+        """Let a member answer in another manner."""
+        self._link_by_member[member] = _Link(manner)
+
     def keep(self, _members: object) -> None:
         """Keep all of them."""
 
@@ -95,21 +105,50 @@
         wanted: int | None,
         within: float,
     ) -> None:
-        process: Any = types.SimpleNamespace(
-            clock=SystemClock(),
-            events=_Events(),
-            settings=types.SimpleNamespace(
-                contacts=CONTACTS,
-                domain='wien-a',
-                region='wien',
-                region_by_domain=REGION_BY_DOMAIN,
-                listening=types.SimpleNamespace(peers='10.0.0.9:8'),
-            ),
-        )
-        links: Any = _Links(manners)
-        known = edge(instance('a'), feed(instance('a'), index=KNOWN))
-        watching = Watching(process, known, DocumentFormat(), links)
+        watching, _, _ = _watching(manners)
         began_at = time.monotonic()
         found = await watching.find()
         self.assertEqual(found, None if wanted is None else CONTACTS[wanted])
         self.assertLess(time.monotonic() - began_at, within + ASK_TIMEOUT / 4)
+
+    async def test_near_member_is_gone_back_to(self) -> None:
+        watching, links, clock = _watching([SILENT, 0.01, 0.01])
+        member = await watching.follow(None)
+        self.assertEqual(member, CONTACTS[1])
+        member = await watching.follow(member)
+        self.assertEqual(member, CONTACTS[1])
+        links.set_manner(CONTACTS[0], 0.01)
+        clock.ahead = AVOID_SECONDS + 0.1
+        member = await watching.follow(member)
+        self.assertEqual(member, CONTACTS[0])
+
+
+class _Clock(SystemClock):
+    """A clock that can be set ahead."""
+
+    ahead = 0.0
+
+    def now(self) -> Seconds:
+        """Return the time."""
+        return Seconds(super().now() + self.ahead)
+
+
+def _watching(
+    manners: list[float | str],
+) -> tuple[Watching, _Links, _Clock]:
+    clock = _Clock()
+    process: Any = types.SimpleNamespace(
+        clock=clock,
+        events=_Events(),
+        settings=types.SimpleNamespace(
+            contacts=CONTACTS,
+            domain='wien-a',
+            region='wien',
+            region_by_domain=REGION_BY_DOMAIN,
+            listening=types.SimpleNamespace(peers='10.0.0.9:8'),
+        ),
+    )
+    links: Any = _Links(manners)
+    known = edge(instance('a'), feed(instance('a'), index=KNOWN))
+    watching = Watching(process, known, DocumentFormat(), links)
+    return watching, links, clock
