--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -137,7 +137,11 @@
 
     ``set_here`` are names in lower case that ``extra`` sets anew.
     """
-    dropped = (_NOT_PASSED - {'host'}) | set_here
+    of_connection = {
+        name.strip().lower()
+        for name in headers.get('Connection', '').split(',')
+    }
+    dropped = ((_NOT_PASSED | of_connection) - {'host'}) | set_here
     return _curl_headers(headers, dropped, extra)
 
 
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -1,6 +1,7 @@
 """One request at an edge, without a network."""
 
 import unittest.mock
+from collections.abc import Mapping
 from typing import Any
 
 from parameterized import parameterized
@@ -14,6 +15,7 @@
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.dialect import PlatformDialect
+from turmericmast.web.body import Body
 from turmericmast.web.edgeanswer import EdgeAnswer
 from turmericmast.web.edgedesk import EdgeDesk
 from turmericmast.web.edgeexchange import EdgeExchange
@@ -94,6 +96,64 @@
             self.assertEqual(problem.headers()['Retry-After'], '0.01')
 
 
+REQUESTS = [
+    ('plain', '/stock/1', {}, [], []),
+    ('query', '/stock/1?size=2&size=3', {}, [], []),
+    ('escaped_path', '/stock/a%2Fb%20c/../d', {}, [], []),
+    ('own_header', '/stock/1', {'X-Own': 'a, b'}, ['X-Own: a, b'], []),
+    (
+        'header_of_the_connection',
+        '/stock/1',
+        {'Connection': 'keep-alive, X-Hop', 'X-Hop': '1', 'X-Own': '2'},
+        ['X-Own: 2'],
+        ['X-Hop', 'Connection'],
+    ),
+    (
+        'caller_names_a_target',
+        '/stock/1',
+        {'X-Expect-Instance': 'another'},
+        ['X-Expect-Instance: 1'],
+        ['X-Expect-Instance: another'],
+    ),
+    (
+        'caller_frames_twice',
+        '/stock/1',
+        {'Transfer-Encoding': 'chunked', 'Content-Length': '3'},
+        [],
+        ['Transfer-Encoding'],
+    ),
+]
+
+
+class OnwardTest(unittest.TestCase):
+    """A target gets the request of the caller and nothing else."""
+
+    @parameterized.expand(REQUESTS)
+    def test_request(
+        self,
+        _name: str,
+        path: str,
+        headers: dict[str, str],
+        passed: list[str],
+        dropped: list[str],
+    ) -> None:
+        incoming = _read(_desk(), path, headers).unwrap()
+        sent = incoming.onward(
+            target('1'),
+            Body(),
+            unittest.mock.Mock(),
+            Seconds(0.8),
+            PlatformDialect(),
+        )
+        lines = [line.decode() for line in sent.headers]
+        self.assertEqual(sent.url, f'http://10.0.0.1:80{path}')
+        self.assertEqual((sent.method, sent.timeout), ('GET', 0.8))
+        for line in ('X-Request-Id: r', 'X-Deadline-Ms: 800', *passed):
+            self.assertIn(line, lines)
+        for start in dropped:
+            self.assertFalse([one for one in lines if one.startswith(start)])
+
+
 class LeavingCallerTest(unittest.IsolatedAsyncioTestCase):
     """What a caller has left is not sent to a target."""
 
@@ -114,6 +174,17 @@
             await exchange._serve()
         self.assertFalse(begin.called)
 
+    async def test_caller_leaves_while_a_target_works(self) -> None:
+        exchange = self._exchange()
+        exchange._body.end()
+        attempt = unittest.mock.Mock()
+        exchange._race.add(attempt)
+        exchange.on_connection_close()
+        attempt.cancel.assert_called_once_with()
+        with unittest.mock.patch.object(EdgeExchange, '_begin') as begin:
+            await exchange._serve()
+        self.assertFalse(begin.called)
+
     async def test_request_that_crashes_targets_is_not_sent(self) -> None:
         exchange = self._exchange()
         exchange._body.end()
@@ -151,9 +222,14 @@
     )
 
 
-def _read(desk: EdgeDesk) -> Any:
+def _read(
+    desk: EdgeDesk,
+    path: str = '/stock/1',
+    headers: Mapping[str, str] | None = None,
+) -> Any:
+    own = {'Host': 'shop.example', 'X-Request-Id': 'r'}
     return _read_request(
         desk,
-        RequestStartLine('GET', '/stock/1', 'HTTP/1.1'),
-        HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'}),
+        RequestStartLine('GET', path, 'HTTP/1.1'),
+        HTTPHeaders({**own, **(headers or {})}),
     )
