Let instances lean to different far targets

Instances in other domains hear of each other's requests only with the digest every 0.2 s; of far targets that looked alike, all chose, and probed, the same.

Near targets are ranked by load alone, since instances there tell each other what they send.

Ruled out: lost targets (no connection was lost there), cold ones, the budget. HerdTest fails without the change (all 16 instances choose one of 6 targets).

--- a/src/turmericmast/balance/coldshare.py
+++ b/src/turmericmast/balance/coldshare.py
@@ -1,9 +1,9 @@
 """The part of a cold target's requests that one instance may send."""
 
-import hashlib
 from collections.abc import Iterable
 from typing import final
 
+from turmericmast.balance.affinity import affinity
 from turmericmast.cluster.records import EdgeRecord, TargetRecord
 from turmericmast.ids import InstanceId, RegionId, Seconds
 
@@ -30,7 +30,7 @@
         key=lambda edge: (
             edge.domain != record.domain,
             edge.region != region,
-            _rank(record, edge),
+            affinity(record.target, edge.instance),
         ),
     )
     return tuple(edge.instance for edge in ranked[:COLD_SENDERS])
@@ -52,10 +52,3 @@
         """Count a request; ``rate`` is what the target bears from all."""
         own_rate = max(rate, 1) * RATE_SHARE / COLD_SENDERS
         self._free_at = now + 1 / own_rate
-
-
-def _rank(record: TargetRecord, edge: EdgeRecord) -> bytes:
-    return hashlib.blake2b(
-        f'{record.target}/{edge.instance}'.encode(),
-        digest_size=8,
-    ).digest()
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -44,6 +44,8 @@
 SHORTEST_RETURN = 0.05
 """Seconds after which a refused caller may come back at the earliest."""
 LONGEST_RETURN = 1.0
+TIME_DIGITS = 2
+"""Decimal places of seconds that tell targets apart."""
 WORTH_DIGITS = 2
 """Decimal places of worth that tell targets apart."""
 
@@ -125,7 +127,10 @@
         work = self.usual(ask.route).work
         likely = sorted(
             known,
-            key=lambda one: expected_time(one, ring, work),
+            key=lambda one: (
+                round(expected_time(one, ring, work), TIME_DIGITS),
+                one.distaste,
+            ),
         )[:most]
         return [
             one
--- a/src/turmericmast/balance/standing.py
+++ b/src/turmericmast/balance/standing.py
@@ -42,10 +42,18 @@
 class Standing:
     """One target as its answers show it."""
 
-    def __init__(self, record: TargetRecord, region: RegionId) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        region: RegionId,
+        distaste: float = 0,
+    ) -> None:
         """Know nothing yet."""
         self.record = record
         self.region = region
+        self.distaste = distaste
+        """From 0 to 1; tells apart, for this instance alone, far targets
+        that are alike."""
         self.report = LoadReport(0, 0, record.slots)
         self.reported_at = -math.inf
         self.in_flight = 0
--- a/src/turmericmast/balance/value.py
+++ b/src/turmericmast/balance/value.py
@@ -27,6 +27,12 @@
 """Share of the work that each request from the last free slot on adds.
 
 Some targets slow down when they are nearly full."""
+SPREAD_COST = 0.1
+"""Worth by which instances rank far targets that are alike differently.
+
+They hear of each other's requests there only after some 0.2 s: without this all
+of them send to the same target until its queue is long. As much as a report
+loses in this time."""
 ILL_COST = 0.3
 """Worth lost at a target that says it is not healthy."""
 DOMAIN_COST = 0.03
@@ -94,6 +100,8 @@
     cost = _COST_BY_DISTANCE[distance] * outlook.octets / KILOBYTE
     cost += CHANGE_COST * (took + min(standing.age(now), OLDEST_REPORT))
     cost += LOAD_COST * standing.busy() / max(standing.report.slots, 1)
+    if distance is not Distance.domain:
+        cost += SPREAD_COST * standing.distaste
     if standing.is_ill:
         cost += ILL_COST
     return gained - cost
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from typing import final
 
+from turmericmast.balance.affinity import affinity
 from turmericmast.balance.coldshare import senders
 from turmericmast.balance.pool import FRESH, Place, Pool
 from turmericmast.balance.repeats import RepeatBudget
@@ -215,7 +216,8 @@
             return
         self._forget(record.target)
         region = self._region_by_domain.get(record.domain, RegionId(''))
-        standing = Standing(record, region)
+        distaste = affinity(record.target, self.record.instance)
+        standing = Standing(record, region, distaste)
         self._standing_by_target[record.target] = standing
         pool = self._pool(record.service)
         pool.standing_by_target[record.target] = standing
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,5 +1,6 @@
 """Where requests go under loads of a known pattern, without a network."""
 
+import collections
 import dataclasses
 import itertools
 import unittest
@@ -14,17 +15,21 @@
     standing,
     target,
 )
+from turmericmast.balance.affinity import affinity
 from turmericmast.balance.coldshare import ColdShare, senders
 from turmericmast.balance.hedge import Hedge
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.news import describe, learn
-from turmericmast.balance.pool import Candidate
+from turmericmast.balance.pool import Candidate, Pool
 from turmericmast.balance.repeats import RepeatBudget
 from turmericmast.balance.standing import PROOF_LIFE, Standing, Trust
 from turmericmast.balance.usual import Usual
 from turmericmast.balance.value import Distance, Outlook
 from turmericmast.call.call import Loss
 
+INSTANCES = 16
+FAR_TARGETS = 6
+
 PATTERNS = [
     (
         'calm_near_before_far',
@@ -210,6 +215,70 @@
         self.assertAlmostEqual(pool(shunned).opens_in(ask(), NOW), 0.2)
 
 
+class HerdTest(unittest.TestCase):
+    """Instances that know the same do not all do the same."""
+
+    @parameterized.expand(
+        [
+            ('whole_domain_slow', 'tirol-b', 1),
+            ('whole_region_slow', 'wien-a', 1),
+            ('targets_there_half_full', 'wien-a', 3),
+        ],
+    )
+    def test_far_targets_share_what_comes(
+        self,
+        _name: str,
+        domain: str,
+        busy: int,
+    ) -> None:
+        chosen = collections.Counter(
+            self._choose(f'edge-{number}', domain, busy)
+            for number in range(INSTANCES)
+        )
+        self.assertGreaterEqual(len(chosen), FAR_TARGETS - 2)
+        self.assertLessEqual(max(chosen.values()), INSTANCES / 3)
+
+    def test_instances_probe_different_targets(self) -> None:
+        probed = collections.Counter(
+            one.record.target
+            for number in range(INSTANCES)
+            for one in self._pool(f'edge-{number}', 'wien-a', 0, age=1).stale(
+                ask(),
+                Distance.abroad,
+                NOW,
+            )
+        )
+        self.assertGreaterEqual(len(probed), FAR_TARGETS - 2)
+
+    def test_near_targets_are_ranked_by_load_alone(self) -> None:
+        known = pool(standing('1', busy=1), standing('2'))
+        for one in known.standing_by_target.values():
+            one.distaste = affinity(one.record.target, 'edge')
+        best = known.best(ask(), Distance.abroad, NOW)
+        self.assertEqual(best and best.standing.record.target, '2')
+
+    def _choose(self, edge: str, domain: str, busy: int) -> str:
+        known = self._pool(edge, domain, busy)
+        best = known.best(ask(), Distance.abroad, NOW)
+        assert best is not None
+        return best.standing.record.target
+
+    def _pool(
+        self,
+        edge: str,
+        domain: str,
+        busy: int,
+        age: float = 0,
+    ) -> Pool:
+        far = [
+            standing(str(number), domain, busy=busy, age=age)
+            for number in range(FAR_TARGETS)
+        ]
+        for one in far:
+            one.distaste = affinity(one.record.target, edge)
+        return pool(*far)
+
+
 class DemandTest(unittest.TestCase):
     """Targets are asked beforehand where that costs fewer probes."""
 
