Count the octets of a repeat, and do not probe where nothing can be gained

A slow near target also made downloads wait for probes of far ones that could never win against their octets.

Ruled out: more look-ups abroad (1 to 2 kB each).

tests/test_balance.py: test_octets_of_a_repeat_count and test_far_targets_are_probed_only_if_they_could_win.

--- a/src/turmericmast/balance/hedge.py
+++ b/src/turmericmast/balance/hedge.py
@@ -8,6 +8,7 @@
     Outlook,
     expected_time,
     gain,
+    octets_cost,
 )
 from turmericmast.ids import Seconds
 
@@ -78,6 +79,7 @@
         took = expected_time(second.standing, second.distance, outlook.work)
         left = self.left(outlook.work, now)
         added = gain(took, outlook) - gain(left, outlook)
+        added -= octets_cost(second.distance, outlook)
         if outlook.aim_left <= took:
             return added > WORTH_WHEN_LATE
         return added > WORTH_A_REPEAT
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -13,6 +13,7 @@
     Distance,
     Outlook,
     expected_time,
+    octets_cost,
     worth,
 )
 from turmericmast.cluster.records import TargetPhase
@@ -162,6 +163,16 @@
         )
         return max(candidates, key=_preference, default=None)
 
+    def may_do_better(
+        self,
+        ask: Ask,
+        ring: Distance,
+        best: Candidate,
+        now: Seconds,
+    ) -> bool:
+        """Tell whether any target at a distance could beat the best one."""
+        return 1 - octets_cost(ring, self.outlook(ask, now)) > best.worth
+
     def is_settled(self, best: Candidate, now: Seconds) -> bool:
         """Tell whether a target is good by knowledge that is fresh."""
         is_fresh = best.standing.age(now) <= FRESH
--- a/src/turmericmast/balance/value.py
+++ b/src/turmericmast/balance/value.py
@@ -97,7 +97,7 @@
     """Return the expected worth of sending there, 1 at best."""
     took = expected_time(standing, distance, outlook.work)
     gained = gain(took, outlook) * (1 - standing.risk(now))
-    cost = _COST_BY_DISTANCE[distance] * outlook.octets / KILOBYTE
+    cost = octets_cost(distance, outlook)
     cost += CHANGE_COST * (took + min(standing.age(now), OLDEST_REPORT))
     cost += LOAD_COST * standing.busy() / max(standing.report.slots, 1)
     if distance is not Distance.domain:
@@ -107,6 +107,11 @@
     return gained - cost
 
 
+def octets_cost(distance: Distance, outlook: Outlook) -> float:
+    """Return the worth lost to the octets between failure domains."""
+    return _COST_BY_DISTANCE[distance] * outlook.octets / KILOBYTE
+
+
 def gain(took: float, outlook: Outlook) -> float:
     """Return the worth of an answer that is expected in some seconds."""
     in_aim = _likelihood(took, outlook.aim_left)
--- a/src/turmericmast/web/edgechoosing.py
+++ b/src/turmericmast/web/edgechoosing.py
@@ -40,12 +40,19 @@
         best = self._pool.best(ask, Distance.abroad, now)
         if best and self._pool.is_settled(best, now):
             return best
+        best = None
         for ring in Distance:
-            best = await self._look(ask, ring)
-            if best and best.worth >= GOOD_WORTH:
+            if best and self._is_enough(ask, ring, best):
                 break
+            best = await self._look(ask, ring)
         return best
 
+    def _is_enough(self, ask: Ask, ring: Distance, best: Candidate) -> bool:
+        """Tell whether targets at a distance need not be looked at."""
+        now = self._desk.clock.now()
+        is_good = best.worth >= GOOD_WORTH
+        return is_good or not self._pool.may_do_better(ask, ring, best, now)
+
     async def _look(self, ask: Ask, ring: Distance) -> Candidate | None:
         """Return the best target up to a distance."""
         now = self._desk.clock.now()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -152,6 +152,29 @@
         best = known.best(plans, Distance.abroad, NOW)
         self.assertEqual(best and best.standing.record.target, '1')
 
+    @parameterized.expand(
+        [
+            ('look_up_at_a_slow_one', 800, 7, True),
+            ('look_up_at_a_fast_one', 800, 1, True),
+            ('download_at_a_slow_one', 90_000, 7, False),
+            ('download_at_a_fast_one', 90_000, 1, False),
+        ],
+    )
+    def test_far_targets_are_probed_only_if_they_could_win(
+        self,
+        _name: str,
+        octets: int,
+        slowness: float,
+        could_win: bool,
+    ) -> None:
+        known = pool(standing('1', slowness=slowness), standing('2', 'tirol-b'))
+        for _ in range(200):
+            known.usual('look').learn(0.1, 1, octets)
+        best = known.best(ask(), Distance.domain, NOW)
+        assert best is not None
+        found = known.may_do_better(ask(), Distance.region, best, NOW)
+        self.assertIs(found, could_win)
+
     def test_download_beside_orders_keeps_its_own_size(self) -> None:
         known = pool(standing('1', slowness=3), standing('2', 'tirol-b'))
         for _ in range(200):
@@ -422,6 +445,29 @@
 class HedgeTest(unittest.TestCase):
     """A repeat has a reason in what the first target reports."""
 
+    @parameterized.expand(
+        [
+            ('look_up_to_the_domain', 800, Distance.domain, True),
+            ('look_up_to_the_region', 800, Distance.region, True),
+            ('download_to_the_domain', 90_000, Distance.domain, True),
+            ('download_to_the_region', 90_000, Distance.region, False),
+        ],
+    )
+    def test_octets_of_a_repeat_count(
+        self,
+        _name: str,
+        octets: int,
+        distance: Distance,
+        is_worth: bool,
+    ) -> None:
+        first = standing('1')
+        hedge = Hedge(Candidate(first, Distance.domain, 1), NOW)
+        now = NOW + 0.1
+        first.hear_load(LoadReport(1, 0, 4, 7), now)
+        second = Candidate(standing('2'), distance, 1)
+        outlook = Outlook(0.15, 1.1, 0.07, octets)
+        self.assertIs(hedge.is_worth(second, outlook, now), is_worth)
+
     @parameterized.expand(ON_COURSE)
     def test_neighbour_wakes_up(
         self,
