--- a/src/turmericmast/balance/hedge.py
+++ b/src/turmericmast/balance/hedge.py
@@ -45,7 +45,7 @@
         """Return the seconds until it makes sense to look."""
         return FIRST_LOOK * work
 
-    def is_blind(self, now: Seconds) -> bool:
+    def needs_report(self, now: Seconds) -> bool:
         """Tell whether the target has to be asked how it does."""
         standing = self._chosen.standing
         last = max(standing.reported_at, standing.probed_at)
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -130,7 +130,7 @@
             known,
             key=lambda one: (
                 round(expected_time(one, ring, work), TIME_DIGITS),
-                one.distaste,
+                one.spread_rank,
             ),
         )[:most]
         return [
--- a/src/turmericmast/balance/standing.py
+++ b/src/turmericmast/balance/standing.py
@@ -46,12 +46,12 @@
         self,
         record: TargetRecord,
         region: RegionId,
-        distaste: float = 0,
+        spread_rank: float = 0,
     ) -> None:
         """Know nothing yet."""
         self.record = record
         self.region = region
-        self.distaste = distaste
+        self.spread_rank = spread_rank
         """From 0 to 1; tells apart, for this instance alone, far targets
         that are alike."""
         self.report = LoadReport(0, 0, record.slots)
--- a/src/turmericmast/balance/value.py
+++ b/src/turmericmast/balance/value.py
@@ -101,7 +101,7 @@
     cost += CHANGE_COST * (took + min(standing.age(now), OLDEST_REPORT))
     cost += LOAD_COST * standing.busy() / max(standing.report.slots, 1)
     if distance is not Distance.domain:
-        cost += SPREAD_COST * standing.distaste
+        cost += SPREAD_COST * standing.spread_rank
     if standing.is_ill:
         cost += ILL_COST
     return gained - cost
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -216,8 +216,8 @@
             return
         self._forget(record.target)
         region = self._region_by_domain.get(record.domain, RegionId(''))
-        distaste = affinity(record.target, self.record.instance)
-        standing = Standing(record, region, distaste)
+        spread_rank = affinity(record.target, self.record.instance)
+        standing = Standing(record, region, spread_rank)
         self._standing_by_target[record.target] = standing
         pool = self._pool(record.service)
         pool.standing_by_target[record.target] = standing
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -73,8 +73,8 @@
         for fd in tuple(self._events_by_fd):
             self._loop.remove_handler(fd)
         self._events_by_fd.clear()
-        for handle in self._idle:
-            handle.close()
+        while self._idle:
+            self._idle.pop().close()
         self._multi.close()
 
     def borrow(self) -> Any:
@@ -94,6 +94,10 @@
 
     def start(self, transfer: 'Transfer') -> None:
         """Begin a transfer now rather than at the next turn of the loop."""
+        if self._is_closed:
+            # The process stops; this one comes too late.
+            transfer.finish(pycurl.E_ABORTED_BY_CALLBACK, 'client is closed')
+            return
         self._transfer_by_handle[transfer.handle] = transfer
         self._multi.add_handle(transfer.handle)
         # This is what curl asked for just now, with a delay of 0.
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -194,7 +194,7 @@
         ask = self._incoming.ask(self._tried)
         now = self._desk.clock.now()
         outlook = self._pool.outlook(ask, now)
-        if first.hedge.is_blind(now):
+        if first.hedge.needs_report(now):
             self._chooser.probe(first.chosen)
         if first.hedge.is_on_course(outlook, now):
             return True
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -276,7 +276,7 @@
     def test_near_targets_are_ranked_by_load_alone(self) -> None:
         known = pool(standing('1', busy=1), standing('2'))
         for one in known.standing_by_target.values():
-            one.distaste = affinity(one.record.target, 'edge')
+            one.spread_rank = affinity(one.record.target, 'edge')
         best = known.best(ask(), Distance.abroad, NOW)
         self.assertEqual(best and best.standing.record.target, '2')
 
@@ -298,7 +298,7 @@
             for number in range(FAR_TARGETS)
         ]
         for one in far:
-            one.distaste = affinity(one.record.target, edge)
+            one.spread_rank = affinity(one.record.target, edge)
         return pool(*far)
 
 
@@ -495,14 +495,14 @@
         _name: str,
         report_age: float,
         probe_age: float,
-        is_blind: bool,
+        needs_report: bool,
     ) -> None:
         first = standing('1')
         now = NOW + report_age
         if probe_age >= 0:
             first.probed_at = now - probe_age
         hedge = Hedge(Candidate(first, Distance.domain, 1), NOW)
-        self.assertIs(hedge.is_blind(now), is_blind)
+        self.assertIs(hedge.needs_report(now), needs_report)
 
     @parameterized.expand(HEDGES)
     def test_slow_neighbour(
