--- a/src/turmericmast/service/policy.py
+++ b/src/turmericmast/service/policy.py
@@ -13,7 +13,7 @@
 class Policy(abc.ABC):
     """Chooses one of several targets; the sequence is never empty."""
 
-    needs_report = False
+    is_blind = False
     """Whether it sends at once, without regard to free slots."""
 
     @abc.abstractmethod
@@ -25,7 +25,7 @@
 class RandomPolicy(Policy):
     """Any target, with equal chance."""
 
-    needs_report = True
+    is_blind = True
 
     def __init__(self, source: random.Random) -> None:
         """Draw from ``source``."""
@@ -40,7 +40,7 @@
 class RoundRobinPolicy(Policy):
     """One target after the other."""
 
-    needs_report = True
+    is_blind = True
 
     def __init__(self) -> None:
         """Start with the first target."""
@@ -55,7 +55,7 @@
 class TwoChoicesPolicy(Policy):
     """The less loaded of two targets drawn at random."""
 
-    needs_report = True
+    is_blind = True
 
     def __init__(self, source: random.Random) -> None:
         """Draw from ``source``."""
@@ -71,7 +71,7 @@
 class LeastReportedPolicy(Policy):
     """The target that reported the lowest load, however long ago."""
 
-    needs_report = True
+    is_blind = True
 
     def __init__(self, source: random.Random) -> None:
         """Break ties by ``source``."""
--- a/src/turmericmast/service/service.py
+++ b/src/turmericmast/service/service.py
@@ -116,7 +116,7 @@
             target
             for target in self.target_by_id.values()
             if target.free(now) > 0
-            or (self._policy.needs_report and target.is_open(now))
+            or (self._policy.is_blind and target.is_open(now))
         ]
         # Targets that fail or move to another owner are the last resort.
         healthy = [one for one in free if not one.is_suspended(now)]
