Membership: work for a change of one instance in proportion to it

Ruled out: caching the hashes alone, which still compares all pairs. Change: AssignmentTable keeps the three nearest instances of each target and updates only what an arrival or departure affects; Membership owns it, and the pools and the gossip share it. Pools group targets by distance. A pool forgets the cold limiter of a removed target.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -106,13 +106,16 @@
         service: ServiceId,
         locality: Locality,
         retry_budget: SharedRetryBudget,
+        cold_targets: Collection[TargetId] = (),
     ) -> None:
-        """Create an empty pool; the edge adds targets to ``view_by_target``."""
+        """Create an empty pool.
+
+        ``cold_targets`` are the targets that this instance may send to while
+        they are cold; the edge may change them.
+        """
         self.service = service
-        self.view_by_target: dict[TargetId, TargetView] = {}
         self.retry_budget = retry_budget
-        self.cold_targets: frozenset[TargetId] = frozenset()
-        """Targets that this instance may send to while they are cold."""
+        self.cold_targets = cold_targets
         self.cold_rate = float(0)
         """Requests a second that a cold target accepts from all instances."""
         self.evacuated: Collection[DomainId] = frozenset()
@@ -125,9 +128,24 @@
         They share the probes of its targets.
         """
         self.request_rate = RequestRate()
+        self._views_by_distance: dict[Distance, dict[TargetId, TargetView]] = {
+            distance: {} for distance in Distance
+        }
         self._profile_by_route: dict[RouteName, RouteProfile] = {}
         self._cold_limiter_by_target: dict[TargetId, ColdRateLimiter] = {}
 
+    def add(self, view: TargetView) -> None:
+        """Add a target, or replace its view."""
+        distance = self._locality.distance(view)
+        self._views_by_distance[distance][view.record.target] = view
+
+    def remove(self, view: TargetView) -> None:
+        """Remove a target and its slow-start state."""
+        target = view.record.target
+        distance = self._locality.distance(view)
+        self._views_by_distance[distance].pop(target, None)
+        self._cold_limiter_by_target.pop(target, None)
+
     def targets_to_probe(
         self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> list[TargetView]:
@@ -141,11 +159,7 @@
             if distance is Distance.remote
             else FRESH_REPORT_AGE
         )
-        reachable = [
-            view
-            for view in self._not_ejected(requirements, now)
-            if self._locality.distance(view) is distance
-        ]
+        reachable = self._not_ejected(requirements, distance, now)
         max_probes = (
             MAX_PROBES_REMOTE if distance is Distance.remote else MAX_PROBES
         )
@@ -173,10 +187,7 @@
 
         Where requests are rare, probing for each request costs fewer probes.
         """
-        near = sum(
-            self._locality.distance(view) is Distance.domain
-            for view in self.view_by_target.values()
-        )
+        near = len(self._views_by_distance[Distance.domain])
         requests = self.request_rate.per_second(now) * self.near_instances
         return requests * MAX_PROBES * PROBE_AFTER > near
 
@@ -187,8 +198,9 @@
         estimate = self.estimate(requirements, now)
         candidates = (
             Candidate(view, distance, score(view, distance, estimate, now))
-            for view in self._not_ejected(requirements, now)
-            if (distance := self._locality.distance(view)) <= max_distance
+            for distance in Distance
+            if distance <= max_distance
+            for view in self._not_ejected(requirements, distance, now)
             if self._may_send(view, now)
         )
         return max(candidates, key=_preference, default=None)
@@ -241,13 +253,17 @@
         between ``MIN_RETRY_DELAY`` and ``MAX_RETRY_DELAY``.
         """
         delays = (
-            view.ejected_until() - now for view in self._permitted(requirements)
+            view.ejected_until() - now
+            for distance in Distance
+            for view in self._permitted(requirements, distance)
         )
         soonest = min(delays, default=MAX_RETRY_DELAY)
         return min(max(soonest, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
 
-    def _permitted(self, requirements: Requirements) -> Iterator[TargetView]:
-        for view in self.view_by_target.values():
+    def _permitted(
+        self, requirements: Requirements, distance: Distance
+    ) -> Iterator[TargetView]:
+        for view in self._views_by_distance[distance].values():
             record = view.record
             is_home = not requirements.home_regions or view.region in (
                 requirements.home_regions
@@ -263,11 +279,11 @@
                 yield view
 
     def _not_ejected(
-        self, requirements: Requirements, now: Seconds
+        self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> Iterator[TargetView]:
         return (
             view
-            for view in self._permitted(requirements)
+            for view in self._permitted(requirements, distance)
             if view.eligibility(now) is not Eligibility.ejected
         )
 
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -6,7 +6,6 @@
 from typing import final
 
 from turmericmast.balance.affinity import affinity
-from turmericmast.balance.coldlimit import cold_senders
 from turmericmast.balance.pool import FRESH_REPORT_AGE, Locality, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
@@ -17,11 +16,11 @@
     TargetPhase,
     TargetRecord,
 )
+from turmericmast.edge.membership import Membership
 from turmericmast.edge.quarantine import Quarantine
 from turmericmast.ids import (
     DomainId,
     Index,
-    InstanceId,
     RegionId,
     Seconds,
     ServiceId,
@@ -70,11 +69,9 @@
         self.bounds = bounds
         self.index = Index(0)
         """Index of the newest feed that was applied."""
-        self.revision = 0
-        """Incremented by each change; tells whether derived state is stale."""
         self.route_table: RouteTable | None = None
         self.pool_by_service: dict[ServiceId, Pool] = {}
-        self.edge_by_instance: dict[InstanceId, EdgeRecord] = {}
+        self.membership = Membership(record.instance)
         self.evacuated: frozenset[DomainId] = frozenset()
         self._region_by_domain = region_by_domain
         self._locality = Locality(record.domain, record.region)
@@ -163,7 +160,7 @@
         """
         serving = [
             edge
-            for edge in self.edge_by_instance.values()
+            for edge in self.membership.edge_by_instance.values()
             if edge.phase is EdgePhase.serving
         ]
         homes = (
@@ -200,18 +197,9 @@
             self.route_table = RouteTable(document)
         self.evacuated = frozenset(feed.evacuated)
         self.quarantine.update(feed.suspects)
-        self._apply_edges(feed)
+        self.membership.apply(feed)
         self._apply_targets(feed)
         self._update_shares()
-        self.revision += 1
-
-    def _apply_edges(self, feed: ClusterFeed) -> None:
-        if feed.complete:
-            self.edge_by_instance.clear()
-        for instance in feed.removed_edges:
-            self.edge_by_instance.pop(instance, None)
-        for edge in feed.edges:
-            self.edge_by_instance[edge.instance] = edge
 
     def _apply_targets(self, feed: ClusterFeed) -> None:
         listed = {record.target for record in feed.targets}
@@ -235,14 +223,14 @@
         spread_rank = affinity(record.target, self.record.instance)
         view = TargetView(record, region, spread_rank)
         self._view_by_target[record.target] = view
-        pool = self._pool(record.service)
-        pool.view_by_target[record.target] = view
+        self._pool(record.service).add(view)
+        self.membership.assignments.add_target(record, region)
 
     def _remove_target(self, target: TargetId) -> None:
         view = self._view_by_target.pop(target, None)
         if view:
-            pool = self._pool(view.record.service)
-            pool.view_by_target.pop(target, None)
+            self._pool(view.record.service).remove(view)
+            self.membership.assignments.remove_target(target)
 
     def _pool(self, service: ServiceId) -> Pool:
         known = self.pool_by_service.get(service)
@@ -251,14 +239,18 @@
                 service,
                 self._locality,
                 SharedRetryBudget(self.bounds.retry_ratio),
+                self.membership.assignments.own_targets,
             )
             self.pool_by_service[service] = known
         return known
 
     def _update_shares(self) -> None:
         """Update this instance's share of the limits for all instances."""
-        edges = tuple(self.edge_by_instance.values())
-        near = sum(edge.domain == self.record.domain for edge in edges)
+        near = len(
+            self.membership.assignments.edges_by_domain.get(
+                self.record.domain, ()
+            )
+        )
         probe_rate = self.bounds.probe_rate * PROBE_SHARE
         for service, pool in self.pool_by_service.items():
             pool.evacuated = self.evacuated
@@ -267,15 +259,11 @@
                 FRESH_REPORT_AGE,
                 pool.near_instances / probe_rate,
             )
-            pool.retry_budget.set_share(self.bounds.retry_slack, len(edges))
+            pool.retry_budget.set_share(
+                self.bounds.retry_slack, len(self.membership.edge_by_instance)
+            )
             config = self._config(service)
             pool.cold_rate = config.cold_rate if config else 0
-            pool.cold_targets = frozenset(
-                target
-                for target, view in pool.view_by_target.items()
-                if self.record.instance
-                in cold_senders(view.record, view.region, edges)
-            )
 
     def _config(self, service: ServiceId) -> ServiceConfig | None:
         if self.route_table is None:
@@ -284,10 +272,11 @@
 
 
 def _is_same_start(known: TargetRecord, record: TargetRecord) -> bool:
-    return (known.born, known.address, known.service) == (
+    return (known.born, known.address, known.service, known.domain) == (
         record.born,
         record.address,
         record.service,
+        record.domain,
     )
 
 
--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection, Iterable
 from typing import final
 
-from turmericmast.balance.coldlimit import cold_senders
 from turmericmast.balance.news import (
     LoadNews,
     TargetLoad,
@@ -14,7 +13,7 @@
 from turmericmast.balance.targetview import TargetView
 from turmericmast.cluster.records import EdgeRecord, TargetPhase
 from turmericmast.edge.edge import Edge
-from turmericmast.ids import DomainId, InstanceId, Seconds, ServiceId, TargetId
+from turmericmast.ids import DomainId, Seconds, ServiceId, TargetId
 
 REVERIFY_AFTER = 0.4
 """Age in seconds from which the verification of a target is renewed."""
@@ -39,13 +38,11 @@
         self._edge = edge
         self._digest_sent_at = float(0)
         self._known_revision = -1
-        self._assigned_views: tuple[TargetView, ...] = ()
         self._domain_peers: tuple[str, ...] = ()
         self._delegate_by_domain: dict[DomainId, EdgeRecord] = {}
 
     def probes_due(self, now: Seconds) -> list[TargetView]:
         """Return the targets that this instance must probe now."""
-        self._update_assignments()
         services_to_probe = {
             service
             for service, pool in self._edge.pool_by_service.items()
@@ -53,18 +50,20 @@
         }
         return [
             view
-            for view in self._assigned_views
+            for view in self._known_views(
+                self._edge.membership.assignments.probed_targets
+            )
             if self._is_due(view, services_to_probe, now)
         ]
 
     def domain_peers(self) -> tuple[str, ...]:
         """Return the peer addresses of the other instances of the domain."""
-        self._update_assignments()
+        self._update_peers()
         return self._domain_peers
 
     def delegates(self) -> tuple[str, ...]:
         """Return the peer addresses of the delegates of the other domains."""
-        self._update_assignments()
+        self._update_peers()
         return tuple(
             edge.peer
             for domain, edge in self._delegate_by_domain.items()
@@ -77,7 +76,7 @@
         It holds the targets of the own domain that have a report since the
         previous digest. Only the delegate of a domain sends digests.
         """
-        self._update_assignments()
+        self._update_peers()
         own_record = self._edge.record
         delegate = self._delegate_by_domain.get(own_record.domain)
         is_delegate = (
@@ -162,34 +161,22 @@
             and view.ejected_until() <= now
         )
 
-    def _update_assignments(self) -> None:
-        """Recompute the roles after instances or targets have changed."""
-        if self._known_revision == self._edge.revision:
+    def _update_peers(self) -> None:
+        """Recompute peers and delegates after instances have changed."""
+        if self._known_revision == self._edge.membership.revision:
             return
-        self._known_revision = self._edge.revision
+        self._known_revision = self._edge.membership.revision
         own_record = self._edge.record
-        edges = tuple(self._edge.edge_by_instance.values())
-        self._assigned_views = tuple(
-            view
-            for view in self._edge.views()
-            if _assigned_prober(view, edges) == own_record.instance
-        )
+        edges_by_domain = self._edge.membership.assignments.edges_by_domain
         self._domain_peers = tuple(
             edge.peer
-            for edge in edges
-            if edge.domain == own_record.domain
-            and edge.instance != own_record.instance
+            for edge in edges_by_domain.get(own_record.domain, {}).values()
+            if edge.instance != own_record.instance
         )
         # The lowest name is the delegate, so that instances with the same
         # view of the membership agree.
-        ordered = sorted(edges, key=lambda edge: edge.instance, reverse=True)
-        self._delegate_by_domain = {edge.domain: edge for edge in ordered}
-
-
-def _assigned_prober(
-    view: TargetView,
-    edges: tuple[EdgeRecord, ...],
-) -> InstanceId | None:
-    """Return the instance that probes a target: its first cold sender."""
-    senders = cold_senders(view.record, view.region, edges)
-    return next(iter(senders), None)
+        self._delegate_by_domain = {
+            domain: edge_by_instance[min(edge_by_instance)]
+            for domain, edge_by_instance in edges_by_domain.items()
+            if edge_by_instance
+        }
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -49,7 +49,7 @@
 
     success = 'success'
     error = 'error'
-    """A complete answer with a server error as its status (5xx), or a timeout."""
+    """A complete answer with status 5xx, or a timeout."""
     refused = 'refused'
     """Nothing was sent, for example since the connection was refused."""
     shed = 'shed'
--- a/tests/edge_samples.py
+++ b/tests/edge_samples.py
@@ -99,7 +99,8 @@
     """Return the pool of an instance in ``tirol-a``."""
     sample = Pool('stock', Locality('tirol-a', 'tirol'), SharedRetryBudget(0.2))
     sample.cold_rate = 13
-    sample.view_by_target = {view.record.target: view for view in views}
+    for view in views:
+        sample.add(view)
     return sample
 
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -16,7 +16,8 @@
     target_view,
 )
 from turmericmast.balance.affinity import affinity
-from turmericmast.balance.coldlimit import ColdRateLimiter, cold_senders
+from turmericmast.balance.assignment import AssignmentTable
+from turmericmast.balance.coldlimit import ColdRateLimiter
 from turmericmast.balance.hedge import Hedge
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.news import describe_load, merge_load
@@ -241,18 +242,19 @@
         self.assertIsNone(stock_pool.best(constraints, Distance.remote, NOW))
 
     def test_burst_spreads_over_equal_targets(self) -> None:
-        stock_pool = pool(target_view('1'), target_view('2'), target_view('3'))
+        views = [target_view('1'), target_view('2'), target_view('3')]
+        stock_pool = pool(*views)
         for _ in range(9):
             best = stock_pool.best(requirements(), Distance.remote, NOW)
             assert best is not None
             stock_pool.begin_request(best.view, NOW)
-        spread = [view.in_flight for view in stock_pool.view_by_target.values()]
+        spread = [view.in_flight for view in views]
         self.assertEqual(spread, [3, 3, 3])
 
     def test_new_target_gets_requests_at_low_load(self) -> None:
         stock_pool = pool(target_view('1'), target_view('2'))
         added = target_view('3')
-        stock_pool.view_by_target[added.record.target] = added
+        stock_pool.add(added)
         used = []
         for step in range(6):
             best = stock_pool.best(requirements(), Distance.remote, NOW)
@@ -310,9 +312,10 @@
         self.assertGreaterEqual(len(probed), FAR_TARGETS - 2)
 
     def test_near_targets_are_ranked_by_load_alone(self) -> None:
-        stock_pool = pool(target_view('1', busy=1), target_view('2'))
-        for view in stock_pool.view_by_target.values():
+        views = [target_view('1', busy=1), target_view('2')]
+        for view in views:
             view.spread_rank = affinity(view.record.target, 'edge')
+        stock_pool = pool(*views)
         best = stock_pool.best(requirements(), Distance.remote, NOW)
         self.assertEqual(best and best.view.record.target, '2')
 
@@ -422,12 +425,14 @@
     ) -> None:
         rate, slack, factor = 13, 5, 1.5
         edges = [instance(f'e{number}') for number in range(count)]
-        views = [edges, edges[lost:]]
-        allowed = {
-            name
-            for view in views
-            for name in cold_senders(target('1'), 'tirol', view)
-        }
+        table = AssignmentTable('e0')
+        for edge in edges:
+            table.set_edge(edge)
+        table.add_target(target('1'), 'tirol')
+        allowed = set(table.senders('1'))
+        for edge in edges[:lost]:
+            table.remove_edge(edge)
+        allowed.update(table.senders('1'))
         limiters = [ColdRateLimiter() for _ in allowed]
         sent = 0
         for step, limiter in itertools.product(range(1000), limiters):
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -97,7 +97,7 @@
     def test_older_feed_is_refused(self) -> None:
         own_edge = edge(instance('a'), feed(instance('a'), index=7))
         self.assertFalse(own_edge.accepts(feed(index=6)))
-        self.assertEqual(len(own_edge.edge_by_instance), 1)
+        self.assertEqual(len(own_edge.membership.edge_by_instance), 1)
 
     def test_restarted_target_gets_a_new_view(self) -> None:
         own_edge = edge(instance('a'), feed(targets=(target('1'),)))
