Retry budget: whole tokens that hundreds of instances can use

Cause: each instance's part of the slack, 440 x 0.7 / 315 = 0.98, is under one token, and a retry takes a whole one, so no instance of 315 could ever retry or hedge. A restarted process took its part again within the window, and the loss of instances handed theirs to the others at once. Ruled out: a larger fraction of the slack, which fails again at other sizes. Change: where the slack does not suffice for a token each, the instances of the lowest rank (a hash of service and instance) get one, so that the sum stays the same; a new process may use its part of the slack one window after its start; growth of the part is earned by deposits.

--- a/src/turmericmast/clock.py
+++ b/src/turmericmast/clock.py
@@ -2,12 +2,15 @@
 
 import abc
 import dataclasses
+import math
 import time
 from typing import final
 
 from turmericmast.ids import Millis, Seconds
 from turmericmast.units import NANOS_PER_MILLI
 
+LONG_AGO = Seconds(-math.inf)
+"""A time before any other on the clock of a process."""
 COUNT_BITS = 16
 """Number of low bits of a packed stamp that hold its ``count``."""
 
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -9,6 +9,7 @@
 from turmericmast.balance.pool import FRESH_REPORT_AGE, Locality, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
+from turmericmast.clock import LONG_AGO
 from turmericmast.cluster.records import (
     ClusterFeed,
     EdgePhase,
@@ -63,8 +64,12 @@
         record: EdgeRecord,
         region_by_domain: Mapping[DomainId, RegionId],
         bounds: Bounds,
+        started_at: Seconds = LONG_AGO,
     ) -> None:
-        """Begin with an empty view of the cluster."""
+        """Begin with an empty view of the cluster.
+
+        ``started_at`` is when this process started.
+        """
         self.record = record
         self.bounds = bounds
         self.index = Index(0)
@@ -73,6 +78,7 @@
         self.pool_by_service: dict[ServiceId, Pool] = {}
         self.membership = Membership(record.instance)
         self.evacuated: frozenset[DomainId] = frozenset()
+        self._started_at = started_at
         self._region_by_domain = region_by_domain
         self._locality = Locality(record.domain, record.region)
         self._view_by_target: dict[TargetId, TargetView] = {}
@@ -238,12 +244,19 @@
             known = Pool(
                 service,
                 self._locality,
-                SharedRetryBudget(self.bounds.retry_ratio),
+                self._make_retry_budget(service),
                 self.membership.assignments.own_targets,
             )
             self.pool_by_service[service] = known
         return known
 
+    def _make_retry_budget(self, service: ServiceId) -> SharedRetryBudget:
+        return SharedRetryBudget(
+            self.bounds.retry_ratio,
+            affinity(service, self.record.instance),
+            Seconds(self._started_at + self.bounds.retry_window),
+        )
+
     def _update_shares(self) -> None:
         """Update this instance's share of the limits for all instances."""
         near = len(
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -109,6 +109,7 @@
         ),
         settings.region_by_domain,
         settings.bounds,
+        process.clock.now(),
     )
     watcher = ClusterWatcher(
         process, edge, DocumentFormat(), LinkPool(process.context)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -127,8 +127,9 @@
             self._body.stop_reading()
 
     async def _serve(self) -> None:
-        self._pool.retry_budget.deposit()
-        self._pool.request_rate.record(self._context.clock.now())
+        now = self._context.clock.now()
+        self._pool.retry_budget.deposit(now)
+        self._pool.request_rate.record(now)
         should_retry = True
         while should_retry and not self._is_finished:
             time_left = self._quarantine_check.time_left()
@@ -220,7 +221,7 @@
             second, estimate, now
         ):
             return True
-        if self._pool.retry_budget.try_withdraw():
+        if self._pool.retry_budget.try_withdraw(now):
             self._context.metrics.count('repeats', loss='slow')
             self._log.write(
                 EdgeEvent.hedged,
@@ -264,7 +265,7 @@
         step = self._call.next_step(now, can_replay=self._body.can_replay)
         was_unsent = loss is Loss.never_sent
         if step is NextStep.retry and (
-            was_unsent or self._pool.retry_budget.try_withdraw()
+            was_unsent or self._pool.retry_budget.try_withdraw(now)
         ):
             self._context.metrics.count('repeats', loss=loss.value)
             self._log.write(
