Responses: an id decides whose they are, and bodies end

Cause: a refusal (header of a request that was not run, or status 421) was believed whatever request it named, so a target that wrote an earlier refusal once more on a kept connection made an edge tell 'not run' of a request that was running, or send it to a second target. A health check shares connections with requests and took the response to an earlier request for its own. Error bodies and health bodies were read until the time of the request was over. Ruled out: heads without end; curl ends them (tests of each kind pass as is). Chunk extensions without end are limited by the time of the request only, since curl skips them without telling; a test shows that. Change: every response must bear the id of the request; a health response that bears one is rejected and its connection closed. Rejections are counted by reason. An error body over 64 KiB is cut off and counts as a failure, a rejection (3xx, 4xx) of that length is streamed to the caller, who got a broken connection before.

--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -97,6 +97,7 @@
             ),
             _load(headers.get(LOAD_HEADER, '')),
             is_not_run=NOT_RUN_HEADER in headers,
+            answers_request=REQUEST_ID_HEADER in headers,
         )
 
 
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -111,6 +111,10 @@
         self._context.load_sharing.share_result(view, is_lost=is_lost)
         if self.response.is_misdirected:
             view.eject_misplaced()
+        if self.response.rejection:
+            self._context.metrics.count(
+                'responses_rejected', reason=self.response.rejection.value
+            )
         if loss is None:
             self._profile.learn(
                 now - self.began_at,
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -1,5 +1,6 @@
 """Validation of a target's response before the caller receives any of it."""
 
+import enum
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import final
@@ -13,10 +14,23 @@
 MAX_BUFFERED_BYTES = 65_536
 """Bytes buffered of a response whose status is 300 or above.
 
-A longer one can't be forwarded.
+A longer one with a status below 500 is forwarded as it arrives. One with a
+status of 500 or above is cut off, since another target may succeed.
 """
 
 
+@final
+class Rejection(enum.Enum):
+    """Why a response is not the target's to this request; a metric label."""
+
+    other_request = 'other_request'
+    """It bears another request's id, or none."""
+    encoded = 'encoded'
+    """It was encoded on the way."""
+    unsigned = 'unsigned'
+    """It reports success without the target's signature."""
+
+
 @final
 class EdgeResponse(ResponseSink):
     """Forwards a successful response and buffers any other one.
@@ -51,7 +65,7 @@
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._is_forwarded = False
-        self._is_invalid = False
+        self.rejection: Rejection | None = None
         self._buffered: list[bytes] = []
 
     @property
@@ -68,15 +82,8 @@
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.headers)
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
-        id_matches = metadata.request_id == self._request_id
-        is_unencoded = 'Content-Encoding' not in head.headers
-        is_authentic = metadata.is_signed or not is_success
-        if not (id_matches or metadata.is_not_run) or not (
-            is_unencoded and is_authentic
-        ):
-            # It answers another request, or it is not what the target sent: a
-            # successful response is signed and never encoded.
-            self._is_invalid = True
+        self.rejection = self._find_rejection(head, metadata)
+        if self.rejection:
             return False
         self._head = head
         self._metadata = metadata
@@ -93,21 +100,30 @@
             self.octets += len(chunk) if is_accepted else 0
             return is_accepted
         self.octets += len(chunk)
-        if self.octets <= MAX_BUFFERED_BYTES:
-            self._buffered.append(chunk)
+        self._buffered.append(chunk)
+        if self.octets > MAX_BUFFERED_BYTES and not self._is_retryable:
+            self._is_forwarded = self._claim(self)
+            self.is_superseded = not self._is_forwarded
+            if self._is_forwarded:
+                self._forward_buffer()
         return True
 
+    @property
+    def is_overfull(self) -> bool:
+        """Tell whether the response can be neither buffered nor forwarded."""
+        return not self._is_forwarded and self.octets > MAX_BUFFERED_BYTES
+
     def final_loss(self, loss: Loss | None) -> Loss | None:
         """Return how the attempt failed; ``loss`` is that of the transfer."""
         if loss is Loss.never_sent:
             return loss
-        if self._is_invalid:
+        if self.rejection:
             return Loss.cut_short
         if self._metadata and self._metadata.is_not_run:
             return Loss.shed
         if loss is None and self._head is None:
             return Loss.cut_short
-        if loss is None and self._is_failure:
+        if self._is_failure and (loss is None or self.is_overfull):
             return Loss.failed
         return loss
 
@@ -115,8 +131,7 @@
         """Write a buffered response to the relay; false if it is too long."""
         if self._head is None or self.octets > MAX_BUFFERED_BYTES:
             return False
-        self._relay.on_head(self._head)
-        self._relay.on_chunk(b''.join(self._buffered))
+        self._forward_buffer()
         return True
 
     @property
@@ -124,6 +139,30 @@
         """Tell whether a valid response was received but not forwarded."""
         return self._head is not None and not self._is_forwarded
 
+    def _find_rejection(
+        self, head: ResponseHead, metadata: ResponseMetadata
+    ) -> Rejection | None:
+        # A target may send an earlier response once more, refusals included.
+        if metadata.request_id != self._request_id:
+            return Rejection.other_request
+        if 'Content-Encoding' in head.headers:
+            return Rejection.encoded
+        is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_success and not metadata.is_signed:
+            return Rejection.unsigned
+        return None
+
+    def _forward_buffer(self) -> None:
+        if self._head:
+            self._relay.on_head(self._head)
+            self._relay.on_chunk(b''.join(self._buffered))
+        self._buffered = []
+
+    @property
+    def _is_retryable(self) -> bool:
+        is_not_run = self._metadata is not None and self._metadata.is_not_run
+        return self._is_failure or is_not_run
+
     @property
     def _is_failure(self) -> bool:
         return self._head is not None and (
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -51,6 +51,8 @@
     """Load report of the target, ``None`` if it sent no valid one."""
     is_not_run: bool
     """Whether the target was too busy to run the health check."""
+    answers_request: bool = False
+    """Whether it is the response to an earlier request, not to this check."""
 
 
 class HeaderFormat(abc.ABC):
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -23,6 +23,8 @@
 
 PROBE_TIMEOUT = 0.3
 """Seconds after which a probe without a response counts as lost."""
+MAX_BODY_BYTES = 65_536
+"""Bytes of a health response after which the probe is aborted."""
 PROBE_HEADERS = (b'Accept:', b'User-Agent:')
 """Header lines without content, which stop curl from adding its own."""
 
@@ -87,7 +89,7 @@
         return task
 
     async def _run_probe(self, view: TargetView, path: str) -> bool:
-        sink = _HeadSink()
+        sink = _HealthSink(self._header_format)
         request = TransferRequest(
             url=f'http://{view.record.address}{path}',
             method='GET',
@@ -100,13 +102,14 @@
         loss = await transfer.run()
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         before = view.eligibility(self._clock.now())
-        if loss or sink.head is None:
+        if loss or sink.head is None or sink.metadata is None:
             view.eject(self._clock.now())
             self.on_result(view, is_lost=True)
             has_responded = False
         else:
-            metadata = self._header_format.read_health(sink.head.headers)
-            has_responded = self._apply_health(view, sink.head.status, metadata)
+            has_responded = self._apply_health(
+                view, sink.head.status, sink.metadata
+            )
         self._log_change(view, before, loss)
         return has_responded
 
@@ -147,21 +150,35 @@
 
 
 @final
-class _HeadSink(ResponseSink):
-    """Stores the status and headers of a response and drops the body."""
+class _HealthSink(ResponseSink):
+    """Stores the head of a health response and drops the body."""
 
-    def __init__(self) -> None:
+    def __init__(self, header_format: HeaderFormat) -> None:
         self.head: ResponseHead | None = None
+        self.metadata: HealthMetadata | None = None
+        self._header_format = header_format
+        self._octets = 0
 
     def on_head(self, head: ResponseHead) -> bool:
-        """Store status and headers."""
+        """Store the head; false if it belongs to an earlier request.
+
+        Connections are shared with requests, and a target may send a response
+        once more.
+        """
         self.head = head
-        return True
+        self.metadata = self._header_format.read_health(head.headers)
+        return not self.metadata.answers_request
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Drop a part of the body."""
+        self._octets += len(chunk)
         return True
 
+    @property
+    def is_overfull(self) -> bool:
+        """Tell whether the body is longer than any health response."""
+        return self._octets > MAX_BODY_BYTES
+
 
 def _always() -> bool:
     return True
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -17,7 +17,7 @@
 from turmericmast.web.curl import CurlClient
 
 ABORT_TRANSFER = -1
-"""Return value of a header callback that aborts the transfer."""
+"""Return value of a header or body callback that aborts the transfer."""
 
 
 @final
@@ -60,6 +60,11 @@
         ``Transfer.resume``.
         """
 
+    @property
+    def is_overfull(self) -> bool:
+        """Tell whether to abort: the body exceeds what the sink can use."""
+        return False
+
 
 @final
 class Progress(enum.Enum):
@@ -217,6 +222,6 @@
 
     def _on_write(self, chunk: bytes) -> int:
         if self._sink.on_chunk(chunk):
-            return len(chunk)
+            return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
