Feeds: changes in quick succession reach a watcher as one

Cause: each start of an instance woke all watchers of a member, so 315 starts within 0.3 s were 315 feeds for each of 35 watchers. Change: a change is sent at once if none was within 50 ms, else with the later ones. GracefulShutdown moves to its own module.

--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -68,7 +68,8 @@
     ) -> None:
         """Begin with an empty view of the cluster.
 
-        ``started_at`` is when this process started.
+        ``started_at`` is when this process started, ``LONG_AGO`` if none can
+        have run here shortly before.
         """
         self.record = record
         self.bounds = bounds
--- a/src/turmericmast/programs/clusterstate.py
+++ b/src/turmericmast/programs/clusterstate.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Any, final
 
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.ids import Index
 from turmericmast.programs.groupmember import StateMachine
 
+MERGE_INTERVAL = 0.05
+"""Shortest time in seconds between two wake-ups of watchers.
+
+Changes in between are sent as one feed. While hundreds of instances start, a
+watcher gets a few feeds instead of one for each of them."""
+
 
 @final
 class ClusterStateMachine(StateMachine):
@@ -17,6 +24,9 @@
         """Begin with an empty cluster."""
         self.cluster = Cluster()
         self._next_change: asyncio.Future[None] = asyncio.Future()
+        self._woken_at = -math.inf
+        self._wake_timer: asyncio.TimerHandle | None = None
+        """Set while a change waits to be sent with later ones."""
 
     def apply(self, index: Index, command: Any) -> Any:
         """Apply a command; return whether it made a change, or an error."""
@@ -39,12 +49,25 @@
 
         Returns after ``timeout`` seconds at the latest, without an error.
         """
-        if self.cluster.index <= known_index:
+        if self._wake_timer or self.cluster.index <= known_index:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
                     asyncio.shield(self._next_change), timeout
                 )
 
     def _notify_waiters(self) -> None:
+        """Wake the watchers now, or later if they have just been woken."""
+        if self._wake_timer:
+            return
+        loop = self._next_change.get_loop()
+        delay = self._woken_at + MERGE_INTERVAL - loop.time()
+        if delay > 0:
+            self._wake_timer = loop.call_later(delay, self._wake)
+        else:
+            self._wake()
+
+    def _wake(self) -> None:
+        self._wake_timer = None
+        self._woken_at = self._next_change.get_loop().time()
         self._next_change.set_result(None)
         self._next_change = asyncio.Future()
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -1,15 +1,14 @@
 """``turmericmast-edge``: an instance that routes requests to targets."""
 
-import asyncio
 import contextlib
-from typing import Any, final
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
 
+from turmericmast.clock import LONG_AGO
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
-from turmericmast.ids import Seconds
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.edgeapi import make_application
@@ -17,6 +16,7 @@
 from turmericmast.platform.settings import load_instance_settings
 from turmericmast.programs.callerport import CallerPort
 from turmericmast.programs.clusterwatcher import ClusterWatcher
+from turmericmast.programs.gracefulshutdown import GracefulShutdown
 from turmericmast.programs.runner import Process, run_program, serve_metrics
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.web.crashdetection import CrashDetector, ReportToCore
@@ -36,60 +36,6 @@
 whole seconds."""
 IDLE_SWEEP_INTERVAL_MS = 500
 """Milliseconds between two checks for idle connections of callers."""
-PROPAGATION_TIME = 0.3
-"""Seconds until no directory lists this instance any more."""
-QUIET_TIME = 0.3
-"""Seconds without a running request after which a drained instance stops."""
-GRACE_RESERVE = 0.4
-"""Seconds of the grace period reserved for stopping the process itself."""
-STOP_POLL_INTERVAL = 0.05
-"""Seconds between two checks whether the instance may stop."""
-
-
-@final
-class GracefulShutdown:
-    """Drains an edge, so that it stops without cutting off requests."""
-
-    def __init__(
-        self,
-        process: Process[InstanceSettings],
-        context: EdgeContext,
-        frontend: EdgeFrontend,
-    ) -> None:
-        """Drain the requests that ``frontend`` accepted."""
-        self._process = process
-        self._context = context
-        self._frontend = frontend
-
-    async def run(self, server: HTTPServer) -> None:
-        """Announce that the edge is leaving, and finish running requests.
-
-        Accepts requests until cached directory answers have expired and
-        callers are quiet, and returns before the grace period is over.
-        """
-        clock = self._process.clock
-        started_at = clock.now()
-        ends_at = (
-            started_at + self._process.settings.bounds.grace - GRACE_RESERVE
-        )
-        self._context.edge.leave(Seconds(ends_at))
-        self._process.events.write('leaving', running=self._context.running)
-        quiet_since = started_at
-        while clock.now() < ends_at:
-            now = clock.now()
-            if self._context.running:
-                quiet_since = now
-            is_propagated = (
-                now - started_at
-                > self._context.edge.directory_ttl + PROPAGATION_TIME
-            )
-            if is_propagated and now - quiet_since > QUIET_TIME:
-                break
-            await asyncio.sleep(STOP_POLL_INTERVAL)
-        server.stop()
-        self._frontend.idle_connections.close_older(0)
-        while self._context.running and clock.now() < ends_at:
-            await asyncio.sleep(STOP_POLL_INTERVAL)
 
 
 async def _main(
@@ -109,7 +55,8 @@
         ),
         settings.region_by_domain,
         settings.bounds,
-        process.clock.now(),
+        # At the first start, no process has spent retries here before.
+        LONG_AGO if settings.is_first_start else process.clock.now(),
     )
     watcher = ClusterWatcher(
         process, edge, DocumentFormat(), LinkPool(process.context)
--- /dev/null
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -0,0 +1,67 @@
+"""Stops an edge without cutting off requests."""
+
+import asyncio
+from typing import final
+
+from tornado.httpserver import HTTPServer
+
+from turmericmast.ids import Seconds
+from turmericmast.instancesettings import InstanceSettings
+from turmericmast.programs.runner import Process
+from turmericmast.web.edgecontext import EdgeContext
+from turmericmast.web.edgefrontend import EdgeFrontend
+
+PROPAGATION_TIME = 0.3
+"""Seconds until no directory lists this instance any more."""
+QUIET_TIME = 0.3
+"""Seconds without a running request after which a drained instance stops."""
+GRACE_RESERVE = 0.4
+"""Seconds of the grace period reserved for stopping the process itself."""
+STOP_POLL_INTERVAL = 0.05
+"""Seconds between two checks whether the instance may stop."""
+
+
+@final
+class GracefulShutdown:
+    """Drains an edge, so that it stops without cutting off requests."""
+
+    def __init__(
+        self,
+        process: Process[InstanceSettings],
+        context: EdgeContext,
+        frontend: EdgeFrontend,
+    ) -> None:
+        """Drain the requests that ``frontend`` accepted."""
+        self._process = process
+        self._context = context
+        self._frontend = frontend
+
+    async def run(self, server: HTTPServer) -> None:
+        """Announce that the edge is leaving, and finish running requests.
+
+        Accepts requests until cached directory answers have expired and
+        callers are quiet, and returns before the grace period is over.
+        """
+        clock = self._process.clock
+        started_at = clock.now()
+        ends_at = (
+            started_at + self._process.settings.bounds.grace - GRACE_RESERVE
+        )
+        self._context.edge.leave(Seconds(ends_at))
+        self._process.events.write('leaving', running=self._context.running)
+        quiet_since = started_at
+        while clock.now() < ends_at:
+            now = clock.now()
+            if self._context.running:
+                quiet_since = now
+            is_propagated = (
+                now - started_at
+                > self._context.edge.directory_ttl + PROPAGATION_TIME
+            )
+            if is_propagated and now - quiet_since > QUIET_TIME:
+                break
+            await asyncio.sleep(STOP_POLL_INTERVAL)
+        server.stop()
+        self._frontend.idle_connections.close_older(0)
+        while self._context.running and clock.now() < ends_at:
+            await asyncio.sleep(STOP_POLL_INTERVAL)
