Targets: judge a near target by the best that any could offer

Cause: a near target was good enough from a score of 0.6 on, but the score falls by 0.6 for each second until the answer. With requests of 590 to 760 ms even an idle near target stayed under it, so that nearly every request probed targets in the region and beyond, one distance after the other. Change: good is what is within 0.34 of an ideal target of the domain (0.6 for requests of 90 ms, as before), and a distance is considered only if an ideal target there would win.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -12,8 +12,8 @@
     Distance,
     RequestEstimate,
     expected_latency,
+    ideal_score,
     score,
-    transfer_cost,
 )
 from turmericmast.balance.targetview import Eligibility, TargetView
 from turmericmast.cluster.records import TargetPhase
@@ -39,8 +39,10 @@
 """Age in seconds from which a load report is refreshed by background probes.
 
 The speed of targets changes several times a second."""
-GOOD_SCORE = 0.6
-"""Score from which farther targets are not considered."""
+GOOD_MARGIN = 0.34
+"""Score below that of an ideal target at which a target is still good.
+
+Farther targets are not considered then."""
 MAX_PROBES = 2
 """Targets probed at a time for one request."""
 MAX_PROBES_REMOTE = 2
@@ -212,16 +214,19 @@
         best: Candidate,
         now: Seconds,
     ) -> bool:
-        """Tell whether a target at a distance could have a better score."""
-        return (
-            1 - transfer_cost(distance, self.estimate(requirements, now))
-            > best.score
-        )
+        """Tell whether to look for a better target from a distance on."""
+        estimate = self.estimate(requirements, now)
+        is_good = self._is_good(best, estimate)
+        return not is_good and ideal_score(distance, estimate) > best.score
 
-    def is_good_enough(self, best: Candidate, now: Seconds) -> bool:
+    def is_good_enough(
+        self, requirements: Requirements, best: Candidate, now: Seconds
+    ) -> bool:
         """Tell whether a target scores well by a fresh load report."""
         is_fresh = best.view.report_age(now) <= FRESH_REPORT_AGE
-        return is_fresh and best.score >= GOOD_SCORE
+        return is_fresh and self._is_good(
+            best, self.estimate(requirements, now)
+        )
 
     def estimate(
         self, requirements: Requirements, now: Seconds
@@ -260,6 +265,10 @@
         soonest = min(delays, default=MAX_RETRY_DELAY)
         return min(max(soonest, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
 
+    def _is_good(self, best: Candidate, estimate: RequestEstimate) -> bool:
+        ideal = ideal_score(Distance.domain, estimate)
+        return best.score >= ideal - GOOD_MARGIN
+
     def _permitted(
         self, requirements: Requirements, distance: Distance
     ) -> Iterator[TargetView]:
--- a/src/turmericmast/balance/scoring.py
+++ b/src/turmericmast/balance/scoring.py
@@ -120,6 +120,16 @@
     return benefit - cost
 
 
+def ideal_score(distance: Distance, estimate: RequestEstimate) -> float:
+    """Return the score of an idle, healthy target that has just reported.
+
+    No target at ``distance`` or farther away has a better one.
+    """
+    latency = ROUND_TRIP_BY_DISTANCE[distance] + estimate.service_time
+    cost = transfer_cost(distance, estimate) + STALENESS_COST * latency
+    return answer_value(latency, estimate) - cost
+
+
 def transfer_cost(distance: Distance, estimate: RequestEstimate) -> float:
     """Return the score lost to traffic between failure domains."""
     return _COST_BY_DISTANCE[distance] * estimate.octets / KILOBYTE
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import final
 
-from turmericmast.balance.pool import GOOD_SCORE, Candidate, Pool, Requirements
+from turmericmast.balance.pool import Candidate, Pool, Requirements
 from turmericmast.balance.scoring import Distance, expected_latency
 from turmericmast.balance.targetview import TargetView
 from turmericmast.web.edgecontext import EdgeContext
@@ -46,7 +46,7 @@
         """Return the best target; probe unless a good one is known."""
         now = self._context.clock.now()
         best = self._pool.best(requirements, Distance.remote, now)
-        if best and self._pool.is_good_enough(best, now):
+        if best and self._pool.is_good_enough(requirements, best, now):
             return best
         best = None
         for distance in Distance:
@@ -60,10 +60,7 @@
     ) -> bool:
         """Tell whether targets at a distance need not be considered."""
         now = self._context.clock.now()
-        is_good = best.score >= GOOD_SCORE
-        return is_good or not self._pool.could_beat(
-            requirements, distance, best, now
-        )
+        return not self._pool.could_beat(requirements, distance, best, now)
 
     async def _search_within(
         self, requirements: Requirements, distance: Distance
@@ -71,7 +68,7 @@
         """Return the best target up to a distance, after probing stale ones."""
         now = self._context.clock.now()
         best = self._pool.best(requirements, distance, now)
-        if best and self._pool.is_good_enough(best, now):
+        if best and self._pool.is_good_enough(requirements, best, now):
             return best
         stale = self._pool.targets_to_probe(requirements, distance, now)
         if not stale:
