Gossip: one datagram for a request in a domain of dozens

Ruled out: digests on demand. Change: from nine others on, news goes to the delegate of the domain, which forwards what it collects within 50 ms; smaller domains send directly as before. No news leave a domain.

--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -48,7 +48,7 @@
     domain: DomainId
     """Failure domain of the sender."""
     hand_on: bool
-    """Whether the receiver forwards it to the other instances of its domain."""
+    """Whether the receiver, the delegate of its domain, forwards it there."""
     loads: tuple[TargetLoad, ...] = ()
     """Load reports of targets."""
     started: tuple[TargetId, ...] = ()
--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -1,6 +1,9 @@
 """Assignment of probes to instances, and gossip of their results."""
 
-from collections.abc import Collection, Iterable
+import collections
+import dataclasses
+import itertools
+from collections.abc import Collection, Iterable, Iterator
 from typing import final
 
 from turmericmast.balance.news import (
@@ -13,33 +16,50 @@
 from turmericmast.balance.targetview import TargetView
 from turmericmast.cluster.records import EdgeRecord, TargetPhase
 from turmericmast.edge.edge import Edge
-from turmericmast.ids import DomainId, Seconds, ServiceId, TargetId
+from turmericmast.ids import Seconds, ServiceId, TargetId
 
 REVERIFY_AFTER = 0.4
 """Age in seconds from which the verification of a target is renewed."""
-DIGEST_INTERVAL = 0.2
-"""Seconds between two digests to other failure domains.
+MAX_DIRECT_PEERS = 8
+"""Other instances of the domain up to which each sends its news to all.
 
-Traffic between domains is billed by volume; within a domain it is not."""
+With more of them, news goes through the delegate of the domain, so that an
+instance sends one datagram for a request, whatever the size of its domain."""
+RELAY_INTERVAL = 0.05
+"""Seconds for which the delegate collects news before it forwards them."""
+MAX_RELAYED_TARGETS = 24
+"""Targets in one forwarded datagram, which then fits into one packet."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parcel:
+    """News and the peer addresses that they are to be sent to."""
+
+    news: LoadNews
+    peers: tuple[str, ...]
 
 
 @final
 class LoadGossip:
     """Divides the probing of targets among instances and spreads the results.
 
-    One instance of a target's failure domain probes it and sends the result
-    to the other instances there at once. One instance of each domain, its
-    delegate, regularly sends a digest to the delegates of the other domains,
-    which forward it within theirs.
+    One instance of a target's failure domain probes it, and the other
+    instances there learn of the result. Traffic between domains is billed by
+    volume, so no news leave a domain: far targets are probed when needed.
     """
 
     def __init__(self, edge: Edge) -> None:
         """Assign roles by the instances and targets that ``edge`` knows."""
         self._edge = edge
-        self._digest_sent_at = float(0)
         self._known_revision = -1
-        self._domain_peers: tuple[str, ...] = ()
-        self._delegate_by_domain: dict[DomainId, EdgeRecord] = {}
+        self._peers: tuple[str, ...] = ()
+        """Peer addresses of the other instances of the domain."""
+        self._delegate: EdgeRecord | None = None
+        self._relay = _NewsRelay()
+        self._forwarded_at = float(0)
+        self._announced: collections.Counter[TargetId] = collections.Counter()
+        """Own requests that the delegate has not forwarded yet."""
 
     def probes_due(self, now: Seconds) -> list[TargetView]:
         """Return the targets that this instance must probe now."""
@@ -56,80 +76,95 @@
             if self._is_due(view, services_to_probe, now)
         ]
 
-    def domain_peers(self) -> tuple[str, ...]:
-        """Return the peer addresses of the other instances of the domain."""
-        self._update_peers()
-        return self._domain_peers
-
-    def delegates(self) -> tuple[str, ...]:
-        """Return the peer addresses of the delegates of the other domains."""
-        self._update_peers()
-        return tuple(
-            edge.peer
-            for domain, edge in self._delegate_by_domain.items()
-            if domain != self._edge.record.domain
-        )
-
-    def digest(self, now: Seconds) -> LoadNews | None:
-        """Return the digest for the other domains if one is due.
-
-        It holds the targets of the own domain that have a report since the
-        previous digest. Only the delegate of a domain sends digests.
-        """
-        self._update_peers()
-        own_record = self._edge.record
-        delegate = self._delegate_by_domain.get(own_record.domain)
-        is_delegate = (
-            delegate is not None and delegate.instance == own_record.instance
-        )
-        if not is_delegate or now - self._digest_sent_at < DIGEST_INTERVAL:
-            return None
-        elapsed = now - self._digest_sent_at
-        self._digest_sent_at = now
-        loads = tuple(
-            describe_load(view, now)
-            for view in self._edge.views()
-            if view.record.domain == own_record.domain
-            and view.report_age(now) < elapsed
-        )
-        return LoadNews(own_record.domain, hand_on=True, loads=loads)
-
-    def load_news(
+    def share_load(
         self,
         view: TargetView,
         now: Seconds,
         *,
         is_lost: bool = False,
-    ) -> LoadNews:
-        """Return a message with the load of a target.
+    ) -> Iterator[Parcel]:
+        """Yield what tells the other instances the load of a target.
 
         With ``is_lost``, it reports the target as lost instead: a probe or
         connection of this instance failed.
         """
         target = view.record.target
-        return LoadNews(
-            self._edge.record.domain,
-            hand_on=False,
+        return self._share(
             loads=() if is_lost else (describe_load(view, now),),
             lost=(target,) if is_lost else (),
         )
 
-    def request_news(self, view: TargetView) -> LoadNews:
-        """Return a message that a request is about to be sent to a target."""
-        return LoadNews(
-            self._edge.record.domain,
-            hand_on=False,
-            started=(view.record.target,),
-        )
+    def announce_request(self, view: TargetView) -> Iterator[Parcel]:
+        """Yield what tells the others that a request is about to be sent."""
+        target = view.record.target
+        return self._share(started=(target,))
 
     def receive(self, news: LoadNews, now: Seconds) -> None:
         """Update the views from a message of another instance."""
         for load in news.loads:
             self._merge_load(load, now)
-        for view in self._known_views(news.started):
+        for view in self._known_views(self._started_by_others(news)):
             view.count_peer_request()
-        for view in self._known_views(news.lost):
-            view.mark_unverified()
+        for lost_view in self._known_views(news.lost):
+            lost_view.mark_unverified()
+        if news.hand_on:
+            self._relay.add(news)
+
+    def forward(self, now: Seconds) -> Iterator[Parcel]:
+        """Yield the collected news for all other instances, if it is time."""
+        if now - self._forwarded_at < RELAY_INTERVAL:
+            return
+        self._forwarded_at = now
+        self._update_peers()
+        for batch in self._relay.take():
+            loads = tuple(
+                describe_load(view, now)
+                for view in self._known_views(batch.loads)
+            )
+            news = LoadNews(
+                self._edge.record.domain,
+                hand_on=False,
+                loads=loads,
+                started=batch.started,
+                lost=batch.lost,
+            )
+            yield Parcel(news, self._peers)
+
+    def _share(
+        self,
+        loads: tuple[TargetLoad, ...] = (),
+        started: tuple[TargetId, ...] = (),
+        lost: tuple[TargetId, ...] = (),
+    ) -> Iterator[Parcel]:
+        self._update_peers()
+        delegate = self._delegate
+        if delegate is None:
+            return
+        own_record = self._edge.record
+        is_relayed = len(self._peers) > MAX_DIRECT_PEERS
+        news = LoadNews(
+            own_record.domain,
+            hand_on=is_relayed,
+            loads=loads,
+            started=started,
+            lost=lost,
+        )
+        if is_relayed and delegate.instance == own_record.instance:
+            self._relay.add(news)
+        elif is_relayed:
+            self._announced.update(started)
+            yield Parcel(news, (delegate.peer,))
+        else:
+            yield Parcel(news, self._peers)
+
+    def _started_by_others(self, news: LoadNews) -> Iterator[TargetId]:
+        """Yield the targets of announced requests, own ones left out."""
+        for target in news.started:
+            is_own = not news.hand_on and self._announced[target] > 0
+            if is_own:
+                self._announced[target] -= 1
+            else:
+                yield target
 
     def _merge_load(self, load: TargetLoad, now: Seconds) -> None:
         view = self._edge.view(load.target)
@@ -162,21 +197,78 @@
         )
 
     def _update_peers(self) -> None:
-        """Recompute peers and delegates after instances have changed."""
-        if self._known_revision == self._edge.membership.revision:
+        """Recompute peers and delegate after instances have changed."""
+        membership = self._edge.membership
+        if self._known_revision == membership.revision:
             return
-        self._known_revision = self._edge.membership.revision
+        self._known_revision = membership.revision
+        self._announced.clear()
         own_record = self._edge.record
-        edges_by_domain = self._edge.membership.assignments.edges_by_domain
-        self._domain_peers = tuple(
+        edge_by_instance = membership.assignments.edges_by_domain.get(
+            own_record.domain, {}
+        )
+        self._peers = tuple(
             edge.peer
-            for edge in edges_by_domain.get(own_record.domain, {}).values()
+            for edge in edge_by_instance.values()
             if edge.instance != own_record.instance
         )
         # The lowest name is the delegate, so that instances with the same
         # view of the membership agree.
-        self._delegate_by_domain = {
-            domain: edge_by_instance[min(edge_by_instance)]
-            for domain, edge_by_instance in edges_by_domain.items()
-            if edge_by_instance
-        }
+        lowest = min(edge_by_instance, default=None)
+        self._delegate = edge_by_instance[lowest] if lowest else None
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Batch:
+    """Targets of collected news that are forwarded in one datagram."""
+
+    loads: tuple[TargetId, ...]
+    started: tuple[TargetId, ...]
+    lost: tuple[TargetId, ...]
+
+
+@final
+class _NewsRelay:
+    """Collects the news of a domain's instances to forward them together.
+
+    Of several load reports of one target, only the newest is forwarded.
+    """
+
+    def __init__(self) -> None:
+        self._loads: dict[TargetId, None] = {}
+        self._started: list[TargetId] = []
+        self._lost: dict[TargetId, None] = {}
+
+    def add(self, news: LoadNews) -> None:
+        """Add the news of one instance."""
+        self._loads.update(
+            dict.fromkeys(load.target for load in news.loads),
+        )
+        self._started.extend(news.started)
+        self._lost.update(dict.fromkeys(news.lost))
+
+    def take(self) -> list[_Batch]:
+        """Return and forget what was collected."""
+        batches = [
+            _Batch(*parts)
+            for parts in itertools.zip_longest(
+                _split(self._loads),
+                _split(self._started),
+                _split(self._lost),
+                fillvalue=(),
+            )
+        ]
+        self._loads.clear()
+        self._started.clear()
+        self._lost.clear()
+        return batches
+
+
+def _split(targets: Iterable[TargetId]) -> Iterator[tuple[TargetId, ...]]:
+    """Yield the targets in tuples that fit into one datagram."""
+    rest = iter(targets)
+    part = tuple(itertools.islice(rest, MAX_RELAYED_TARGETS))
+    while part:
+        yield part
+        part = tuple(itertools.islice(rest, MAX_RELAYED_TARGETS))
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -1,5 +1,6 @@
 """Background probes, and load gossip between instances over UDP."""
 
+from collections.abc import Iterable
 from types import TracebackType
 from typing import Any, Self, final
 
@@ -9,13 +10,13 @@
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
-from turmericmast.edge.gossip import LoadGossip
+from turmericmast.edge.gossip import LoadGossip, Parcel
 from turmericmast.metrics import Metrics
 from turmericmast.web.probing import Prober
 from turmericmast.wire.datagrams import DatagramEndpoint
 
 TICK_INTERVAL_MS = 30
-"""Milliseconds between two checks for due probes and digests.
+"""Milliseconds between two checks for due probes and collected news.
 
 A quarter of the age at which load reports are refreshed.
 """
@@ -64,21 +65,14 @@
         self._ticker.start()
 
     def share_result(self, view: TargetView, *, is_lost: bool = False) -> None:
-        """Send the load of a target, or its loss, to the domain peers."""
-        peers = self._gossip.domain_peers()
-        if peers:
-            news = self._gossip.load_news(
-                view,
-                self._clock.now(),
-                is_lost=is_lost,
-            )
-            self._datagrams.send(news, peers)
+        """Tell the domain the load of a target, or its loss."""
+        self._send(
+            self._gossip.share_load(view, self._clock.now(), is_lost=is_lost)
+        )
 
     def announce_request(self, view: TargetView) -> None:
-        """Tell the domain peers that a request is about to be sent."""
-        peers = self._gossip.domain_peers()
-        if peers:
-            self._datagrams.send(self._gossip.request_news(view), peers)
+        """Tell the domain that a request is about to be sent."""
+        self._send(self._gossip.announce_request(view))
 
     def _tick(self) -> None:
         now = self._clock.now()
@@ -86,17 +80,12 @@
             path = self._edge.health_path(view.record.service)
             if path:
                 self._prober.start(view, path)
-        digest = self._gossip.digest(now)
-        if digest and digest.loads:
-            self._datagrams.send(digest, self._gossip.delegates())
+        self._send(self._gossip.forward(now))
+
+    def _send(self, parcels: Iterable[Parcel]) -> None:
+        for parcel in parcels:
+            self._datagrams.send(parcel.news, parcel.peers)
 
     def _receive(self, message: Any) -> None:
-        if not isinstance(message, LoadNews):
-            return
-        self._gossip.receive(message, self._clock.now())
-        if message.hand_on:
-            # It is a digest for the delegate of the domain to forward there.
-            self._datagrams.send(
-                LoadNews(message.domain, hand_on=False, loads=message.loads),
-                self._gossip.domain_peers(),
-            )
+        if isinstance(message, LoadNews):
+            self._gossip.receive(message, self._clock.now())
