Metrics: bytes by cause

message_bytes by type of message between processes, datagram_bytes, body_bytes by the distance between instance and target, selection_probes by distance: what crosses failure domains is billed, and no metric told its cause.

--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -102,9 +102,18 @@
             view.drop_request()
             return loss
         view.end_request(loss, now)
+        self._count_octets()
         self._record_result(loss, now)
         return loss
 
+    def _count_octets(self) -> None:
+        """Count bodies by the distance that they have crossed."""
+        self._context.metrics.count(
+            'body_bytes',
+            self._sent_octets + self.response.octets,
+            distance=self.candidate.distance.name,
+        )
+
     def _record_result(self, loss: Loss | None, now: Seconds) -> None:
         view = self.candidate.view
         is_lost = loss in {Loss.never_sent, Loss.connection_lost}
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -83,6 +83,9 @@
     ) -> None:
         path = self._context.edge.health_path(self._pool.service)
         if path:
+            self._context.metrics.count(
+                'selection_probes', len(stale), distance=distance.name
+            )
             await self._context.prober.probe(
                 stale,
                 path,
--- a/src/turmericmast/wire/datagrams.py
+++ b/src/turmericmast/wire/datagrams.py
@@ -68,6 +68,7 @@
         """Send a message to each of ``addresses``; nothing before ``open``."""
         octets = encode(message)
         for address in addresses:
+            self._metrics.count('datagram_bytes', len(octets))
             host, _, port = address.rpartition(':')
             if self._transport and host:
                 self._transport.sendto(octets, (host, int(port)))
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -126,6 +126,9 @@
         frame = pack_frame(
             Envelope(request_id, 0, stamp, self._context.name, body),
         )
+        self._context.metrics.count(
+            'message_bytes', len(frame), message=type(body).__name__
+        )
         self._queue.append(frame)
         self._queued_bytes += len(frame)
         while self._is_overfull():
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -105,6 +105,9 @@
             Envelope(0, envelope.id, stamp, self._context.name, answer),
         )
         self._context.metrics.count('bytes_sent', len(frame))
+        self._context.metrics.count(
+            'message_bytes', len(frame), message=type(answer).__name__
+        )
         try:
             await stream.write(frame)
         except StreamClosedError:
