Disk: a mark tells synced records from a torn write

Cause: the end of a log that cannot be read was a torn write unless a valid record followed at the place that the damaged length field names. A damaged length, or zeros, inside records that had been synced passed for a torn write: the entries behind it were cut off silently while vote and incarnation stayed, so the member voted on less than it had acknowledged. The other way round, unsynced writes of which only a later one survived a loss of power passed for damage, and a sound member gave up its disk. Ruled out: searching valid records at all offsets, which takes every hole in unsynced writes for damage. Change: the first write after each sync begins with a record that says so; what cannot be read and stands before one was synced. A truncation is synced before anything is appended, and a log that was loaded is synced before it counts.

--- a/src/turmericmast/disk/records.py
+++ b/src/turmericmast/disk/records.py
@@ -19,6 +19,12 @@
     return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
+SYNC_MARK = frame_record(b'\x00synced\x00')
+"""Record that stands behind bytes that have been synced.
+
+Its payload is no valid message, so that no other record contains it."""
+
+
 def read_records(file_bytes: bytes) -> Iterator[tuple[int, bytes]]:
     """Yield the end offset and the payload of each record.
 
@@ -39,16 +45,13 @@
 
 
 def is_torn_write(tail: bytes) -> bool:
-    """Tell whether the unreadable end of a file is an incomplete write.
+    """Tell whether the unreadable end of a file was never synced.
 
-    A crash truncates the last write or leaves zeros in it. A damaged record
-    with a valid record after it was complete once and corrupted later.
+    A crash may leave any part of the writes since the last sync, or zeros in
+    their place. What stands before a ``SYNC_MARK`` was complete once, so it
+    was corrupted later.
     """
-    if len(tail) < HEADER.size:
-        return True
-    length, _ = HEADER.unpack_from(tail)
-    following_bytes = tail[HEADER.size + length :]
-    return next(read_records(following_bytes), None) is None
+    return SYNC_MARK not in tail
 
 
 def replace_file(path: pathlib.Path, content: bytes) -> None:
--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -9,6 +9,7 @@
 from typing import Any, Self, final
 
 from turmericmast.disk.records import (
+    SYNC_MARK,
     frame_record,
     is_torn_write,
     read_records,
@@ -97,6 +98,7 @@
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries after the last one."""
+        self._mark_synced()
         framed = [frame_record(encode(entry)) for entry in entries]
         sizes = itertools.accumulate(map(len, framed), initial=self._log_size)
         self._entry_ends.extend(itertools.islice(sizes, 1, None))
@@ -104,6 +106,7 @@
 
     def save_commit(self, index: Index) -> None:
         """Append the commit index to the log file."""
+        self._mark_synced()
         self._write(frame_record(encode(CommitMark(index))))
 
     def truncate(self, index: Index) -> None:
@@ -113,7 +116,9 @@
         self._log.flush()
         self._log_size = self._entry_ends[-1] if self._entry_ends else 0
         self._log.truncate(self._log_size)
+        # After a crash, later writes must not stand before removed ones.
         self._has_unsynced_writes = True
+        self.sync()
 
     def save_snapshot(
         self,
@@ -123,11 +128,11 @@
         """Replace the snapshot and the whole log, durably at once."""
         self._replace_record('snapshot', snapshot)
         framed = [frame_record(encode(entry)) for entry in tail]
-        replace_file(self._log_path, b''.join(framed))
+        replace_file(self._log_path, b''.join((*framed, SYNC_MARK)))
         self._log.close()
         self._log = self._log_path.open('ab')
         self._entry_ends = list(itertools.accumulate(map(len, framed)))
-        self._log_size = self._entry_ends[-1] if self._entry_ends else 0
+        self._log_size = sum(map(len, framed)) + len(SYNC_MARK)
         self._first_index = Index(snapshot.index + 1)
 
     def sync(self) -> None:
@@ -138,6 +143,11 @@
             self._has_unsynced_writes = False
             self.sync_count += 1
 
+    def _mark_synced(self) -> None:
+        """Begin the writes after a sync with the mark that tells of it."""
+        if not self._has_unsynced_writes:
+            self._write(SYNC_MARK)
+
     def _write(self, framed: bytes) -> None:
         self._log.write(framed)
         self._log_size += len(framed)
@@ -194,9 +204,14 @@
                     'a record inside the log file is damaged'
                 )
             self._log.truncate(valid_size)
-            os.fsync(self._log.fileno())
+        # Entries that a killed process did not sync may still be in memory.
+        os.fsync(self._log.fileno())
         self._log_size = valid_size
-        decoded = [(end, self._decode(payload)) for end, payload in records]
+        decoded = [
+            (end, self._decode(payload))
+            for end, payload in records
+            if frame_record(payload) != SYNC_MARK
+        ]
         self._entry_ends = [
             end for end, record in decoded if isinstance(record, Entry)
         ]
@@ -225,10 +240,3 @@
         self._entry_ends = []
         self._log_size = 0
         self._first_index = Index(1)
-
-
-def _latest_commit(records: Sequence[Entry | CommitMark]) -> Index:
-    marks = (
-        record.index for record in records if isinstance(record, CommitMark)
-    )
-    return max(marks, default=Index(0))
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -34,6 +34,21 @@
     return file_bytes[:-1] + bytes([file_bytes[-1] ^ 1])
 
 
+def _flip_bit_in_length(file_bytes: bytes) -> bytes:
+    start = file_bytes.index(b'x' * 21) - 20
+    return file_bytes[:start] + b'\x7f' * 8 + file_bytes[start + 8 :]
+
+
+def _lose_first_write(file_bytes: bytes) -> bytes:
+    start = file_bytes.index(b'x' * 21) - 20
+    return file_bytes[:start] + bytes(24) + file_bytes[start + 24 :]
+
+
+def _tear_first_write(file_bytes: bytes) -> bytes:
+    start = file_bytes.index(b'x' * 21)
+    return file_bytes[:start] + bytes(9) + file_bytes[start + 9 :]
+
+
 def _flip_bit_in_first_record(file_bytes: bytes) -> bytes:
     return file_bytes[:12] + bytes([file_bytes[12] ^ 1]) + file_bytes[13:]
 
@@ -89,6 +104,55 @@
             store.append([_entry(expected + 1)])
         self.assertEqual(expected + 1, len(self._load().entries))
 
+    @parameterized.expand(
+        [
+            ('bit', _flip_bit_in_first_record),
+            ('length', _flip_bit_in_length),
+            ('zeros', _lose_first_write),
+            ('torn', _tear_first_write),
+        ]
+    )
+    def test_damage_before_a_sync_is_not_taken_for_a_torn_write(
+        self, _name: str, damage: Callable[[bytes], bytes]
+    ) -> None:
+        with FileStore(self.folder) as store:
+            store.load()
+            store.save_vote(VOTE)
+            for entry in ENTRIES:
+                store.append([entry])
+                store.sync()
+        log = self.folder / 'log'
+        log.write_bytes(damage(log.read_bytes()))
+        self.assertEqual(RecoveredState(Vote(), None, ()), self._load())
+        self.assertTrue((self.folder / 'vote.damaged').exists())
+
+    @parameterized.expand(
+        [
+            ('length', _flip_bit_in_length),
+            ('lost', _lose_first_write),
+            ('torn', _tear_first_write),
+        ]
+    )
+    def test_any_part_of_unsynced_writes_may_survive(
+        self, _name: str, damage: Callable[[bytes], bytes]
+    ) -> None:
+        self._write(5)
+        log = self.folder / 'log'
+        log.write_bytes(damage(log.read_bytes()))
+        recovered = self._load()
+        self.assertEqual((VOTE, ()), (recovered.vote, recovered.entries))
+
+    def test_removed_entries_do_not_stand_behind_new_ones(self) -> None:
+        with FileStore(self.folder) as store:
+            store.load()
+            for entry in ENTRIES:
+                store.append([entry])
+                store.sync()
+            store.truncate(2)
+            store.append([_entry(2)])
+        self.assertEqual(list(self._load().entries), ENTRIES[:2])
+        self.assertEqual(list(self._load().entries), ENTRIES[:2])
+
     @parameterized.expand([('log',), ('vote',), ('snapshot',)])
     def test_damaged_folder_loads_as_empty(self, name: str) -> None:
         self._write(5)
