Feeds: packed once for all readers, and none for a reader ahead

A member that lagged behind a reader sent it the whole state, which the reader refuses as older. Ruled out: digests between domains, 54 KB of heartbeats. Change: a feed is encoded and compressed once for all watchers that know the same index (PackedCluster); an edge that is older gets the plain one. A reader that is ahead gets an empty feed: the row ahead_of_this_member asked for a complete one, which no edge accepts.

--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -56,14 +56,17 @@
         """Return the changes since the index that a reader knows.
 
         The feed is complete when the changes since then can no longer be
-        listed, or when the reader is ahead of this member.
+        listed. It is empty for a reader that is ahead of this member, and
+        that does not accept an older state.
         """
+        if known > self.index:
+            return self._empty_feed()
         oldest = max(
             self.registry.table.complete_since,
             self.edges.complete_since,
             self.suspects.table.complete_since,
         )
-        since = known if oldest <= known <= self.index else Index(0)
+        since = known if oldest <= known else Index(0)
         has_routes = self.route_versions.changed_at > since
         table = self.registry.table
         return ClusterFeed(
@@ -111,6 +114,18 @@
         self.evacuated = set(snapshot.evacuated)
         self.suspects.restore(snapshot.suspects, index)
 
+    def _empty_feed(self) -> ClusterFeed:
+        return ClusterFeed(
+            index=self.index,
+            complete=False,
+            routes=None,
+            evacuated=tuple(sorted(self.evacuated)),
+            targets=(),
+            removed_targets=(),
+            edges=(),
+            removed_edges=(),
+        )
+
     def _change(
         self,
         index: Index,
--- a/src/turmericmast/programs/clusterstate.py
+++ b/src/turmericmast/programs/clusterstate.py
@@ -8,6 +8,7 @@
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.ids import Index
 from turmericmast.programs.groupmember import StateMachine
+from turmericmast.wire.feedpacking import pack_feed
 
 MERGE_INTERVAL = 0.05
 """Shortest time in seconds between two wake-ups of watchers.
@@ -27,6 +28,8 @@
         self._woken_at = -math.inf
         self._wake_timer: asyncio.TimerHandle | None = None
         """Set while a change waits to be sent with later ones."""
+        self._packed_by_known: dict[Index, bytes] = {}
+        """Feeds of the current index, by the index that their readers know."""
 
     def apply(self, index: Index, command: Any) -> Any:
         """Apply a command; return whether it made a change, or an error."""
@@ -55,8 +58,17 @@
                     asyncio.shield(self._next_change), timeout
                 )
 
+    def packed_feed(self, known: Index) -> bytes:
+        """Return the changes since an index, packed once for all readers."""
+        packed = self._packed_by_known.get(known)
+        if packed is None:
+            packed = pack_feed(self.cluster.build_feed(known))
+            self._packed_by_known[known] = packed
+        return packed
+
     def _notify_waiters(self) -> None:
         """Wake the watchers now, or later if they have just been woken."""
+        self._packed_by_known.clear()
         if self._wake_timer:
             return
         loop = self._next_change.get_loop()
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -19,10 +19,12 @@
 from turmericmast.replica.messages import Seat
 from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire.clusterrequests import (
+    PackedCluster,
     TellIndex,
     WatchCluster,
     WatchedCluster,
 )
+from turmericmast.wire.feedpacking import unpack_feed
 from turmericmast.wire.linkpool import LinkPool
 
 if TYPE_CHECKING:
@@ -155,16 +157,28 @@
         to a quorum.
         """
         answer = await self._links.to(member).request(
-            WatchCluster(self._edge.record, self._edge.index),
+            WatchCluster(self._edge.record, self._edge.index, packed=True),
             REQUEST_TIMEOUT,
         )
-        watched = answer.value_or(None)
+        watched = self._unpack(answer.value_or(None))
         is_good = isinstance(watched, WatchedCluster) and self._apply_answer(
             watched
         )
         self._record_contact(member, is_good=is_good)
         return is_good
 
+    def _unpack(self, answer: object) -> object:
+        """Return a packed answer as the plain one; ``None`` if unreadable."""
+        if not isinstance(answer, PackedCluster):
+            return answer
+        feed = unpack_feed(answer.feed)
+        if isinstance(feed, Success):
+            return WatchedCluster(
+                feed.unwrap(), answer.seats, answer.contact_ms
+            )
+        self._events.write('feed_bad', reason=feed.failure().show())
+        return None
+
     def _apply_answer(self, watched: WatchedCluster) -> bool:
         if not self._edge.accepts(watched.feed):
             return False
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -163,10 +163,17 @@
         # Infinite before the first contact, which the message cannot carry;
         # an age of 1000 s is as stale.
         contact_age = min(self._group.contact_age(), MILLIS_PER_SECOND)
+        contact_ms = max(int(contact_age * MILLIS_PER_SECOND), 0)
+        if watch.packed:
+            return clusterrequests.PackedCluster(
+                self._state_machine.packed_feed(watch.known),
+                self._group.seats,
+                contact_ms,
+            )
         return clusterrequests.WatchedCluster(
             self._state_machine.cluster.build_feed(watch.known),
             self._group.seats,
-            max(int(contact_age * MILLIS_PER_SECOND), 0),
+            contact_ms,
         )
 
 
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -63,7 +63,10 @@
             'DropEdges',
             'ReportCrash',
         ),
-        'cluster.records': ('ClusterSnapshot',),
+        'cluster.records': (
+            'ClusterFeed',
+            'ClusterSnapshot',
+        ),
         'balance.news': ('LoadNews',),
         'wire.requests': (
             'Renew',
@@ -79,6 +82,7 @@
             'ChangeCluster',
             'WatchCluster',
             'WatchedCluster',
+            'PackedCluster',
             'Heard',
             'AskIndex',
             'TellIndex',
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -25,6 +25,8 @@
     edge: EdgeRecord
     known: Index
     """Index up to which the edge has all changes."""
+    packed: bool = False
+    """Whether the edge understands ``PackedCluster``, which older ones do not."""
 
 
 @final
@@ -38,6 +40,16 @@
     """Milliseconds since the answering member last had contact to a quorum."""
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class PackedCluster:
+    """Like ``WatchedCluster``, with the feed as ``pack_feed`` returns it."""
+
+    feed: bytes
+    seats: tuple[Seat, ...]
+    contact_ms: int
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -601,6 +601,7 @@
 struct WatchCluster {
   1: EdgeRecord edge
   2: i64 known
+  3: bool packed = false
 }
 
 /** The changes, the core group's members, and the answer's staleness. */
@@ -610,6 +611,13 @@
   3: i64 contact_ms
 }
 
+/** Like ``WatchedCluster``; ``feed`` is a compressed ``ClusterFeed``. */
+struct PackedCluster {
+  1: binary feed
+  2: list<Seat> seats
+  3: i64 contact_ms
+}
+
 /** A member tells the leader who reported to it since its last message. */
 struct Heard {
   1: list<string> targets
@@ -698,6 +706,8 @@
   57: optional CommitMark commit_mark
   58: optional LoadNews load_news
   59: optional ReportCrash report_crash
+  60: optional ClusterFeed cluster_feed
+  61: optional PackedCluster packed_cluster
 }
 
 /** A command for the control group. */
