Registrations: a record of an edge is committed once

Cause: an edge polls every 0.4 s and sends its record each time; while a busy leader had not committed it yet (315 starts within 0.3 s), each poll proposed it again. Ruled out: a longer poll interval at a start, which delays the first routes. Change: PendingRegistrations, a decision of the cluster aggregate, tells whether a record has to be committed.

--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -9,6 +9,7 @@
 
 from turmericmast.cluster import commands
 from turmericmast.cluster.liveness import LivenessTracker
+from turmericmast.cluster.registrations import PendingRegistrations
 from turmericmast.ids import InstanceId, TargetId
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.platform.coreapi import make_application
@@ -71,6 +72,7 @@
             TARGET_TIMEOUT_INTERVALS * bounds.report_interval,
         )
         self._watching_edges: set[InstanceId] = set()
+        self._registrations = PendingRegistrations()
         self._was_leading = False
         self._last_tick = process.clock.now()
 
@@ -150,12 +152,18 @@
     def _start_change(self, command: commands.ClusterCommand) -> None:
         asyncio.ensure_future(self.operations.change(command))
 
-    async def _watch(self, watch: clusterrequests.WatchCluster) -> Any:
+    def _register(self, watch: clusterrequests.WatchCluster) -> None:
         edge = watch.edge
-        self._watching_edges.add(edge.instance)
-        known_record = self._state_machine.cluster.edge(edge.instance)
-        if known_record != edge:
-            self._start_change(commands.SetEdge(edge))
+        known = self._state_machine.cluster.edge(edge.instance)
+        if self._registrations.begin(edge, known):
+            task = asyncio.ensure_future(
+                self.operations.change(commands.SetEdge(edge))
+            )
+            task.add_done_callback(lambda _: self._registrations.end(edge))
+
+    async def _watch(self, watch: clusterrequests.WatchCluster) -> Any:
+        self._watching_edges.add(watch.edge.instance)
+        self._register(watch)
         if self._group.contact_age() < MAX_CONTACT_AGE:
             await self._state_machine.wait_for_change(
                 watch.known, WATCH_TIMEOUT
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -26,7 +26,7 @@
     known: Index
     """Index up to which the edge has all changes."""
     packed: bool = False
-    """Whether the edge understands ``PackedCluster``, which older ones do not."""
+    """Whether the edge understands ``PackedCluster``; older ones do not."""
 
 
 @final
