Edges: at the first start, only the member of the own domain sends changes

Change: NearMemberSearch. An edge that starts later takes the first member that answers, as before, since its callers wait. Tests: tests/test_watching.py, FirstStartTest.

--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -17,7 +17,7 @@
     TurmericmastError,
     WireError,
 )
-from turmericmast.ids import Digest, DomainId, Index, TargetId
+from turmericmast.ids import Digest, DomainId, Index, MemberId, TargetId
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
@@ -212,6 +212,12 @@
             return error_reply(self._group.not_leader_error())
         return self._commit_index_reply()
 
+    def serve_near_member(
+        self, question: clusterrequests.AskMember
+    ) -> clusterrequests.TellMember:
+        """Answer an edge that looks for a member in its failure domain."""
+        return clusterrequests.TellMember(self._member_in(question.domain))
+
     def _commit_index_reply(self) -> clusterrequests.TellIndex:
         return clusterrequests.TellIndex(self._group.replica.state.commit)
 
@@ -268,13 +274,18 @@
         settings = self._process.settings
         if domain == settings.domain:
             return ''
+        host, _, _ = self._member_in(domain).rpartition(':')
+        return f'{host}:{settings.operators_port}' if host else ''
+
+    def _member_in(self, domain: DomainId) -> MemberId:
+        """Return a member in a failure domain, empty if there is none."""
         return next(
             (
-                f'{seat.member.rpartition(":")[0]}:{settings.operators_port}'
+                seat.member
                 for seat in self._group.seats
                 if seat.domain == domain
             ),
-            '',
+            MemberId(''),
         )
 
     def _timeout_error(self, step: str) -> WireError:
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -13,14 +13,17 @@
 from turmericmast.cluster.commands import ReportCrash
 from turmericmast.cluster.records import RoutesRecord
 from turmericmast.edge.edge import Edge
+from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
 from turmericmast.events import EventLog
 from turmericmast.ids import DomainId, MemberId, RegionId
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.replica.messages import Seat
 from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire.clusterrequests import (
+    AskMember,
     PackedCluster,
     TellIndex,
+    TellMember,
     WatchCluster,
     WatchedCluster,
 )
@@ -71,6 +74,10 @@
         self._seats: tuple[Seat, ...] = ()
         self._deprioritized_until_by_member: dict[MemberId, float] = {}
         self._links = links
+        self._near_member_search = NearMemberSearch(
+            process.clock.now(),
+            is_first_start=process.settings.is_first_start,
+        )
         self._task: asyncio.Task[None] | None = None
         self._contacted_member = MemberId('')
 
@@ -106,6 +113,8 @@
         Asks ``member`` if it is still the preferred one, else searches. Returns
         ``None`` if no member gave a good answer.
         """
+        if self._near_member_search.is_on(self._clock.now()):
+            return await self._find_near_member()
         is_preferred = (
             member is not None and member == self._members_by_preference()[0]
         )
@@ -138,6 +147,24 @@
             self._deprioritize(unanswered)
         return good_member
 
+    async def _find_near_member(self) -> MemberId | None:
+        """Watch the member in the own failure domain if it has joined.
+
+        Other members are only asked for it.
+        """
+        asked = self._members_by_preference()[0]
+        answer = await self._links.to(asked).request(
+            AskMember(self._process.settings.domain), REQUEST_TIMEOUT
+        )
+        told = answer.value_or(None)
+        if not isinstance(told, TellMember):
+            self._deprioritize(asked)
+        elif told.member and await self._watch(told.member):
+            self._near_member_search.end()
+            return told.member
+        await asyncio.sleep(ASK_INTERVAL)
+        return None
+
     def _log_failure(self, task: asyncio.Task[None]) -> None:
         error = None if task.cancelled() else task.exception()
         if error:
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -88,6 +88,8 @@
                 return await self.operations.serve_change(body.command)
             case commands.ReportCrash():
                 return await self.operations.serve_crash_report(body)
+            case clusterrequests.AskMember():
+                return self.operations.serve_near_member(body)
             case clusterrequests.AskIndex():
                 return self.operations.serve_commit_index()
             case clusterrequests.Heard():
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -83,6 +83,8 @@
             'WatchCluster',
             'WatchedCluster',
             'PackedCluster',
+            'AskMember',
+            'TellMember',
             'Heard',
             'AskIndex',
             'TellIndex',
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -5,7 +5,7 @@
 
 from turmericmast.cluster.commands import ClusterCommand
 from turmericmast.cluster.records import ClusterFeed, EdgeRecord
-from turmericmast.ids import Index, InstanceId, TargetId
+from turmericmast.ids import DomainId, Index, InstanceId, MemberId, TargetId
 from turmericmast.replica.messages import Seat
 
 
@@ -50,6 +50,23 @@
     contact_ms: int
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskMember:
+    """A starting edge asks which member is in its failure domain."""
+
+    domain: DomainId
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellMember:
+    """The answer to ``AskMember``."""
+
+    member: MemberId
+    """Empty while no member of the group is in that domain."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -618,6 +618,16 @@
   3: i64 contact_ms
 }
 
+/** A starting edge asks which member is in its failure domain. */
+struct AskMember {
+  1: string domain
+}
+
+/** The answer to ``AskMember``; empty while no member is there. */
+struct TellMember {
+  1: string member
+}
+
 /** A member tells the leader who reported to it since its last message. */
 struct Heard {
   1: list<string> targets
@@ -708,6 +718,8 @@
   59: optional ReportCrash report_crash
   60: optional ClusterFeed cluster_feed
   61: optional PackedCluster packed_cluster
+  62: optional AskMember ask_member
+  63: optional TellMember tell_member
 }
 
 /** A command for the control group. */
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -1,4 +1,8 @@
-"""How an edge selects a core member to follow, without a network."""
+"""How an edge selects a core member to follow, without a network.
+
+Pattern of ``FirstStartTest``: the whole system starts for the first time, and
+hundreds of edges are in domains whose members have not joined yet.
+"""
 
 import asyncio
 import math
@@ -13,7 +17,8 @@
 from tests.edge_samples import REGION_BY_DOMAIN, edge, feed, instance
 from turmericmast.clock import SystemClock
 from turmericmast.exceptions import WireError
-from turmericmast.ids import Seconds
+from turmericmast.edge.nearmember import ASK_INTERVAL, PATIENCE
+from turmericmast.ids import MemberId, Seconds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import (
     DEPRIORITIZE_SECONDS,
@@ -21,10 +26,17 @@
     REQUEST_TIMEOUT,
     ClusterWatcher,
 )
-from turmericmast.wire.clusterrequests import WatchedCluster
+from turmericmast.wire.clusterrequests import (
+    AskMember,
+    TellMember,
+    WatchCluster,
+    WatchedCluster,
+)
 
 KNOWN_INDEX = 5
 CONTACTS = ('10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7')
+NEAR = MemberId('10.0.0.4:7')
+"""The member in the domain of the edge, which joins later."""
 NO_ANSWER = math.inf
 """Delay of a member that has no power or is suspended."""
 REFUSES = 'refuses'
@@ -67,15 +79,21 @@
 
     def __init__(self, behaviour: float | str) -> None:
         self._behaviour = behaviour
+        self.near_member = MemberId('')
+        """The member that it names to edges that look for one."""
+        self.received: list[type] = []
 
-    async def request(self, _body: object, timeout: float) -> Result[Any, Any]:
+    async def request(self, body: object, timeout: float) -> Result[Any, Any]:
         """Return an answer or a failure, as the behaviour says."""
+        self.received.append(type(body))
         if self._behaviour == REFUSES:
             return Failure(WireError('refused', step='ask', hint='wait'))
         delay = 0 if isinstance(self._behaviour, str) else self._behaviour
         await asyncio.sleep(min(delay, timeout))
         if delay > timeout:
             return Failure(WireError('no answer', step='ask', hint='wait'))
+        if isinstance(body, AskMember):
+            return Success(TellMember(self.near_member))
         is_lost = self._behaviour == LOST_QUORUM
         return Success(
             WatchedCluster(
@@ -92,17 +110,17 @@
     """Links to all contacts, by address."""
 
     def __init__(self, behaviours: list[float | str]) -> None:
-        self._link_by_member = dict(
+        self.link_by_member = dict(
             zip(CONTACTS, map(_FakeLink, behaviours), strict=True),
         )
 
     def to(self, member: str) -> _FakeLink:
         """Return the link to a member."""
-        return self._link_by_member[member]
+        return self.link_by_member[member]
 
     def set_behaviour(self, member: str, behaviour: float | str) -> None:
         """Change the behaviour of a member."""
-        self._link_by_member[member] = _FakeLink(behaviour)
+        self.link_by_member[member] = _FakeLink(behaviour)
 
     def close_except(self, _members: object) -> None:
         """Keep all links."""
@@ -145,6 +163,60 @@
         self.assertEqual(member, CONTACTS[0])
 
 
+class FirstStartTest(unittest.IsolatedAsyncioTestCase):
+    """Only a member in the own domain sends changes while the group forms."""
+
+    @parameterized.expand(
+        [
+            ('near_member_joined', NEAR, 0.01, 0, NEAR, AskMember),
+            ('not_joined_yet', '', 0.01, 0, None, AskMember),
+            ('near_member_is_silent', NEAR, REFUSES, 0, None, AskMember),
+            ('patience_is_over', '', 0.01, PATIENCE, CONTACTS[0], WatchCluster),
+        ]
+    )
+    async def test_first_question(
+        self,
+        _name: str,
+        named: str,
+        near_behaviour: float | str,
+        waited: float,
+        expected: str | None,
+        asked_of_contact: type,
+    ) -> None:
+        watcher, links, clock = _make_watcher([0.01] * 3, is_first_start=True)
+        links.link_by_member[NEAR] = _FakeLink(near_behaviour)
+        for contact in CONTACTS:
+            links.link_by_member[contact].near_member = MemberId(named)
+        clock.offset = waited
+        self.assertEqual(await watcher.watch_next(None), expected)
+        self.assertEqual(
+            links.link_by_member[CONTACTS[0]].received, [asked_of_contact]
+        )
+
+    async def test_silent_contact_is_asked_last(self) -> None:
+        watcher, links, _ = _make_watcher(
+            [REFUSES, 0.01, 0.01], is_first_start=True
+        )
+        links.link_by_member[NEAR] = _FakeLink(0.01)
+        links.link_by_member[CONTACTS[1]].near_member = NEAR
+        self.assertIsNone(await watcher.watch_next(None))
+        self.assertEqual(await watcher.watch_next(None), NEAR)
+
+    async def test_questions_are_few(self) -> None:
+        watcher, links, clock = _make_watcher([0.01] * 3, is_first_start=True)
+        began_at = clock.now()
+        for _ in range(3):
+            await watcher.watch_next(None)
+        self.assertGreaterEqual(clock.now() - began_at, 3 * ASK_INTERVAL)
+
+    async def test_restarted_edge_takes_any_member(self) -> None:
+        watcher, links, _ = _make_watcher([0.01] * 3)
+        self.assertEqual(await watcher.watch_next(None), CONTACTS[0])
+        self.assertEqual(
+            links.link_by_member[CONTACTS[0]].received, [WatchCluster]
+        )
+
+
 class _SkewedClock(SystemClock):
     """The system clock with an offset in seconds."""
 
@@ -157,6 +229,8 @@
 
 def _make_watcher(
     behaviours: list[float | str],
+    *,
+    is_first_start: bool = False,
 ) -> tuple[ClusterWatcher, _FakeLinkPool, _SkewedClock]:
     clock = _SkewedClock()
     process: Any = types.SimpleNamespace(
@@ -164,6 +238,7 @@
         events=_NullEvents(),
         settings=types.SimpleNamespace(
             contacts=CONTACTS,
+            is_first_start=is_first_start,
             domain='wien-a',
             region='wien',
             region_by_domain=REGION_BY_DOMAIN,
