Edges: requests that arrive before the routes are read and wait for them

Ruled out: shorter attempts to connect, which would never succeed over a link that is full. An edge asks the member on its own host first.

--- a/src/turmericmast/instancesettings.py
+++ b/src/turmericmast/instancesettings.py
@@ -66,6 +66,10 @@
     """Peer addresses of core members to start from; some may be out of date."""
     region_by_domain: Mapping[DomainId, RegionId]
     bounds: Bounds = Bounds()
+    local_contact: str = ''
+    """Peer address of the core member on the same host.
+
+    Empty on a host without a disk, where none runs."""
     data: pathlib.Path | None = None
     """Data folder of a core member."""
     is_first_start: bool = False
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -133,6 +133,9 @@
             for domain, region in tree['zones'].items()
         },
         bounds=_build_bounds(tree),
+        local_contact=(
+            f'{tree.get("ip", "")}:{peer_port}' if tree.get('data_dir') else ''
+        ),
         data=pathlib.Path(tree['data_dir']) if tree.get('data_dir') else None,
         is_first_start=tree.get('bootstrap') is True,
         operators_port=int(control.rpartition(':')[-1]),
--- a/src/turmericmast/programs/callerport.py
+++ b/src/turmericmast/programs/callerport.py
@@ -1,6 +1,5 @@
 """The port on which an edge accepts callers."""
 
-import asyncio
 import socket
 from types import TracebackType
 from typing import TYPE_CHECKING, Self, final
@@ -22,13 +21,6 @@
 Exceeds the limits of all routes, which are checked separately."""
 BODY_TIMEOUT = 60.0
 """Seconds within which a request body must arrive."""
-ROUTES_TIMEOUT = 0.25
-"""Seconds that callers wait at most for the routes after a start.
-
-A third of the shortest timeout that a caller is known to have. A caller that
-times out sends its request elsewhere."""
-ROUTES_POLL_INTERVAL = 0.01
-"""Seconds between two checks whether the routes are known."""
 
 
 @final
@@ -68,19 +60,7 @@
         """Stop accepting connections."""
         self.server.stop()
 
-    async def serve(self) -> None:
-        """Wait up to ``ROUTES_TIMEOUT`` for the routes, then serve callers.
-
-        A short wait is better for callers than a refusal: if a core member
-        runs at all, the routes arrive after a few round trips.
-        """
-        clock = self._process.clock
-        ends_at = clock.now() + ROUTES_TIMEOUT
-        while not self._edge.is_ready and clock.now() < ends_at:
-            await asyncio.sleep(ROUTES_POLL_INTERVAL)
+    def serve(self) -> None:
+        """Serve the connections, those in the queue first."""
         self.server.add_sockets(self._sockets)
-        self._process.events.write(
-            'serving',
-            domain=self._edge.record.domain,
-            has_routes=self._edge.is_ready,
-        )
+        self._process.events.write('serving', domain=self._edge.record.domain)
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import TYPE_CHECKING, Self, final
 
@@ -66,6 +66,8 @@
         links: LinkPool,
     ) -> None:
         """Begin with the contacts in the settings as the only known members."""
+        self.on_routes: Callable[[], None] = _do_nothing
+        """Called when routes were applied."""
         self._clock: Clock = process.clock
         self._events: EventLog = process.events
         self._process = process
@@ -210,9 +212,10 @@
         if not self._edge.accepts(watched.feed):
             return False
         routes = watched.feed.routes
-        self._edge.apply(
-            watched.feed, self._parse_routes(routes) if routes else None
-        )
+        document = self._parse_routes(routes) if routes else None
+        self._edge.apply(watched.feed, document)
+        if document:
+            self.on_routes()
         if watched.seats:
             self._seats = watched.seats
             members = {seat.member for seat in watched.seats}
@@ -264,15 +267,24 @@
         )
 
     def _known_members(self) -> Iterable[MemberId]:
-        """Return the members, plus the contacts if none of them works."""
+        """Return the members, plus the contacts if none of them works.
+
+        The member on the same host is among them: after a loss of power it is
+        often back before the contacts of the settings.
+        """
+        settings = self._process.settings
         seats = [seat.member for seat in self._seats]
         deprioritized_until = self._deprioritized_until_by_member
         now = self._clock.now()
         is_unreachable = all(
             deprioritized_until.get(member, 0) > now for member in seats
         )
-        contacts = self._process.settings.contacts if is_unreachable else ()
-        return dict.fromkeys((*seats, *map(MemberId, contacts)))
+        contacts = (
+            (settings.local_contact, *settings.contacts)
+            if is_unreachable
+            else ()
+        )
+        return filter(None, dict.fromkeys((*seats, *map(MemberId, contacts))))
 
     def _distance(self, member: MemberId) -> int:
         """Return 0 in the own domain or host, 1 in the own region, else 2."""
@@ -308,3 +320,7 @@
 
 def _host(address: str) -> str:
     return address.rpartition(':')[0]
+
+
+def _do_nothing() -> None:
+    """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -62,13 +62,14 @@
         process, edge, DocumentFormat(), LinkPool(process.context)
     )
     context = _make_context(process, stack, edge, watcher.report_crash)
+    watcher.on_routes = context.first_routes.announce
     frontend = EdgeFrontend(context)
     port = stack.enter_context(CallerPort(process, edge, frontend))
     _serve_http(process, stack, edge, frontend)
     stack.enter_context(watcher)
     stack.enter_context(SettingsReloader(process, _apply_nothing))
     await context.load_sharing.open(settings.listening.peers)
-    await port.serve()
+    port.serve()
     await process.stop.wait()
     await GracefulShutdown(process, context, frontend).run(port.server)
 
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -9,6 +9,7 @@
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.firstroutes import FirstRoutes
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
@@ -28,6 +29,7 @@
     crash_detector: CrashDetector
     metrics: Metrics
     events: EventLog
+    first_routes: FirstRoutes = dataclasses.field(default_factory=FirstRoutes)
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -2,6 +2,7 @@
 
 import itertools
 import secrets
+from collections.abc import Awaitable
 from typing import Any, final
 
 from returns.result import Failure, Result, Success
@@ -23,6 +24,8 @@
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.edgerequest import EdgeRequest
+from turmericmast.web.firstroutes import routes_wait
+from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.idle import IdleConnections
 from turmericmast.web.problem import Problem, refuse_request
 
@@ -72,21 +75,22 @@
         self._server_conn = server_conn
         self._connection = connection
         self._exchange: EdgeExchange | None = None
+        self._is_closed = False
+        """Whether the caller has disconnected."""
 
-    def headers_received(self, start_line: Any, headers: HTTPHeaders) -> None:
-        """Start the exchange or refuse, before the body is read."""
+    def headers_received(
+        self, start_line: Any, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Start the exchange or refuse, before the body is read.
+
+        The body is read once the returned task has ended, if there is one.
+        """
         self._idle_connections.mark_active(self._server_conn)
-        parsed = _read_request(self._context, start_line, headers)
-        if not isinstance(parsed, Success):
-            self._refuse(parsed.failure(), start_line, headers)
-            return
-        exchange = EdgeExchange(
-            self._context, self._connection, parsed.unwrap()
-        )
-        self._exchange = exchange
-        if isinstance(self._connection, HTTP1Connection):
-            # Tornado calls on_connection_close() only while it reads the body.
-            self._connection.set_close_callback(exchange.on_connection_close)
+        now = self._context.clock.now()
+        if self._context.edge.route_table is None:
+            return self._start_with_routes(start_line, headers, now)
+        self._start(start_line, headers, now)
+        return None
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass a part of the body to the exchange."""
@@ -99,9 +103,39 @@
 
     def on_connection_close(self) -> None:
         """Tell the exchange that the caller has disconnected."""
+        self._is_closed = True
         if self._exchange:
             self._exchange.on_connection_close()
 
+    async def _start_with_routes(
+        self, start_line: Any, headers: HTTPHeaders, received_at: Seconds
+    ) -> None:
+        """Start the exchange once the first routes are known, or refuse."""
+        metadata = self._context.header_format.read_request(headers)
+        if isinstance(self._connection, HTTP1Connection):
+            # Tornado watches the connection only after this method.
+            self._connection.stream.set_close_callback(self.on_connection_close)
+        await self._context.first_routes.wait(
+            routes_wait(metadata.caller_timeout)
+        )
+        if not self._is_closed:
+            self._start(start_line, headers, received_at)
+
+    def _start(
+        self, start_line: Any, headers: HTTPHeaders, received_at: Seconds
+    ) -> None:
+        parsed = _read_request(self._context, start_line, headers, received_at)
+        if not isinstance(parsed, Success):
+            self._refuse(parsed.failure(), start_line, headers)
+            return
+        exchange = EdgeExchange(
+            self._context, self._connection, parsed.unwrap()
+        )
+        self._exchange = exchange
+        if isinstance(self._connection, HTTP1Connection):
+            # Tornado calls on_connection_close() only while it reads the body.
+            self._connection.set_close_callback(exchange.on_connection_close)
+
     def _refuse(
         self,
         problem: Problem,
@@ -124,8 +158,12 @@
     context: EdgeContext,
     start: RequestStartLine,
     headers: HTTPHeaders,
+    received_at: Seconds,
 ) -> Result[EdgeRequest, Problem]:
-    """Return the request with its route and pool, or why it is refused."""
+    """Return the request with its route and pool, or why it is refused.
+
+    ``received_at`` is when its headers arrived.
+    """
     edge = context.edge
     if edge.route_table is None:
         return Failure(edgerefusals.no_routes())
@@ -137,7 +175,9 @@
     pool = edge.pick_pool(route) if route else None
     if route is None or pool is None:
         return Failure(edgerefusals.no_route(host))
-    request = _make_request(context, start, headers, route, pool)
+    request = _make_request(
+        context.header_format, start, headers, route, pool, received_at
+    )
     if not edge.can_finish(request.call.deadline, request.began_at):
         return Failure(edgerefusals.leaving())
     return Success(request)
@@ -157,14 +197,14 @@
 
 
 def _make_request(
-    context: EdgeContext,
+    header_format: HeaderFormat,
     start: RequestStartLine,
     headers: HTTPHeaders,
     route: Route,
     pool: Pool,
+    received_at: Seconds,
 ) -> EdgeRequest:
-    now = context.clock.now()
-    metadata = context.header_format.read_request(headers)
+    metadata = header_format.read_request(headers)
     caller_timeout = (
         route.timeout
         if metadata.caller_timeout is None
@@ -182,11 +222,11 @@
             path=start.path,
             tenant=TenantId(''),
             key=RequestKey(''),
-            deadline=Seconds(now + min(caller_timeout, route.timeout)),
+            deadline=Seconds(received_at + min(caller_timeout, route.timeout)),
             home_regions=tuple(route.home_regions),
             repeatable=route.kind.is_repeatable,
             max_attempts=route.max_attempts,
         ),
         request_id=metadata.request_id,
-        began_at=now,
+        began_at=received_at,
     )
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -295,4 +295,5 @@
         context,
         RequestStartLine('GET', path, 'HTTP/1.1'),
         HTTPHeaders({**own, **(headers or {})}),
+        NOW,
     )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -192,6 +192,15 @@
         self.assertIsNone(settings.data)
         self.assertTrue(settings.is_first_start)
 
+    @parameterized.expand(
+        [('with_a_disk', '/data/edge', '10.1.0.34:7540'), ('without', '', '')]
+    )
+    def test_core_member_on_the_same_host(
+        self, _name: str, folder: str, expected: str
+    ) -> None:
+        settings = parse_instance_settings({**SETTINGS, 'data_dir': folder})
+        self.assertEqual(settings.unwrap().local_contact, expected)
+
 
 class HeadersTest(unittest.TestCase):
     """Headers are parsed, and written for a target."""
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -16,8 +16,8 @@
 
 from tests.edge_samples import REGION_BY_DOMAIN, edge, feed, instance
 from turmericmast.clock import SystemClock
-from turmericmast.exceptions import WireError
 from turmericmast.edge.nearmember import ASK_INTERVAL, PATIENCE
+from turmericmast.exceptions import WireError
 from turmericmast.ids import MemberId, Seconds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import (
@@ -37,6 +37,8 @@
 CONTACTS = ('10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7')
 NEAR = MemberId('10.0.0.4:7')
 """The member in the domain of the edge, which joins later."""
+LOCAL = MemberId('10.0.0.9:7')
+"""The member on the host of the edge."""
 NO_ANSWER = math.inf
 """Delay of a member that has no power or is suspended."""
 REFUSES = 'refuses'
@@ -151,6 +153,22 @@
             time.monotonic() - began_at, within + REQUEST_TIMEOUT / 4
         )
 
+    @parameterized.expand(
+        [
+            ('runs', 0.01, LOCAL),
+            ('not_started_yet', REFUSES, CONTACTS[0]),
+            ('is_silent', NO_ANSWER, CONTACTS[0]),
+        ]
+    )
+    async def test_member_on_the_same_host_is_asked_first(
+        self, _name: str, behaviour: float | str, expected: str
+    ) -> None:
+        watcher, links, _ = _make_watcher([0.01] * 3, local_contact=LOCAL)
+        links.link_by_member[LOCAL] = _FakeLink(behaviour)
+        began_at = time.monotonic()
+        self.assertEqual(await watcher.find_member(), expected)
+        self.assertLess(time.monotonic() - began_at, 3 * HEDGE_DELAY)
+
     async def test_edge_returns_to_nearest_member(self) -> None:
         watcher, links, clock = _make_watcher([NO_ANSWER, 0.01, 0.01])
         member = await watcher.watch_next(None)
@@ -231,6 +249,7 @@
     behaviours: list[float | str],
     *,
     is_first_start: bool = False,
+    local_contact: str = '',
 ) -> tuple[ClusterWatcher, _FakeLinkPool, _SkewedClock]:
     clock = _SkewedClock()
     process: Any = types.SimpleNamespace(
@@ -239,6 +258,7 @@
         settings=types.SimpleNamespace(
             contacts=CONTACTS,
             is_first_start=is_first_start,
+            local_contact=local_contact,
             domain='wien-a',
             region='wien',
             region_by_domain=REGION_BY_DOMAIN,
