Retry budget: the slack serves in every window, not once

Change: a spent token is a debt that ends 1.1 windows later or when requests have repaid it. What the share gains when other instances are lost is usable a window later, since those may just have spent it.

--- a/src/turmericmast/balance/retrybudget.py
+++ b/src/turmericmast/balance/retrybudget.py
@@ -1,5 +1,7 @@
 """One instance's part of the retry budget that all instances share."""
 
+import collections
+import dataclasses
 from typing import final
 
 from turmericmast.clock import LONG_AGO
@@ -11,15 +13,33 @@
 The rest allows for differences in how requests are counted."""
 SLACK_SHARE = 0.7
 """Fraction of the permitted slack that all instances together may use."""
+RETURN_AFTER = 1.1
+"""Windows after which a spent token is usable again.
+
+A retry arrives at its target some time after its token was spent."""
+DEFAULT_WINDOW = Seconds(10)
+"""Time in seconds over which the users count retries."""
+FULL_TOKEN = 0.999
+"""Fraction of a token that suffices for a retry, as sums are rounded."""
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Debt:
+    """Tokens that are not usable until a time, unless requests repay them."""
+
+    ends_at: float
+    tokens: float
 
 
 @final
 class SharedRetryBudget:
-    """A token bucket that requests fill, and that retries and hedges drain.
+    """The tokens of one instance, each of which permits a retry or a hedge.
 
-    In any window an instance spends at most its capacity plus what the
-    requests of that window deposited. So all instances together stay within
-    the ratio and the slack without coordination.
+    A spent token is usable again after a window, or earlier if requests repay
+    it. In any window an instance so spends at most its share of the slack plus
+    what the requests of that window repaid, and all instances together stay
+    within the ratio and the slack without coordination.
     """
 
     def __init__(
@@ -27,52 +47,68 @@
         ratio: float,
         rank: float = 0,
         usable_from: Seconds = LONG_AGO,
+        window: Seconds = DEFAULT_WINDOW,
     ) -> None:
-        """Begin empty; ``ratio`` is the permitted retries for each request.
+        """Begin with no share; ``ratio`` is the retries for each request.
 
         ``rank``, from 0 to 1, is different at each instance. Before
-        ``usable_from`` only deposits are spent: the process that ran here
-        before may just have spent this instance's part of the slack.
+        ``usable_from`` only what requests repay is spent: the process that
+        ran here before may just have spent this instance's share.
         """
         self._tokens_per_request = ratio * RATIO_SHARE
         self._rank = rank
         self._usable_from = usable_from
-        self._capacity = float(0)
-        self._tokens = float(0)
-        self._is_filled = False
-        """Whether the part of the slack was added to the tokens."""
+        self._return_after = window * RETURN_AFTER
+        self._share = float(0)
+        self._growth = float(0)
+        """Tokens that the share has gained since the last use."""
+        self._debts: collections.deque[_Debt] = collections.deque()
+        """Unusable tokens; those that are usable first come first."""
 
-    def set_share(self, slack: float, instances: int) -> None:
-        """Set the capacity to this instance's part of the slack.
+    def share_slack(self, slack: float, instances: int) -> None:
+        """Set this instance's share of the slack.
 
         ``slack`` is the number of retries beyond the ratio that ``instances``
         instances together may make in one window. Where it does not suffice
-        for a whole token each, those of the lowest ranks get one. When other
-        instances are lost, the tokens of this one grow by deposits only.
+        for a whole token each, those of the lowest ranks get one. Tokens that
+        are gained when other instances are lost are usable a window later:
+        those instances may just have spent them.
         """
         share = slack * SLACK_SHARE / max(instances, 1)
         if share < 1:
             share = 1 if self._rank < share else 0
-        self._capacity = share
-        self._tokens = min(self._tokens, share)
+        self._growth = max(self._growth + share - self._share, 0)
+        self._share = share
 
     def deposit(self, now: Seconds) -> None:
-        """Add a fraction of a token for a request of a caller."""
-        self._fill(now)
-        self._tokens = min(
-            self._tokens + self._tokens_per_request, self._capacity
-        )
+        """Repay a fraction of a token for a request of a caller."""
+        self._settle(now)
+        rest = self._tokens_per_request
+        while self._debts and rest > 0:
+            debt = self._debts[0]
+            repaid = min(debt.tokens, rest)
+            debt.tokens -= repaid
+            rest -= repaid
+            if debt.tokens <= 0:
+                self._debts.popleft()
 
     def try_withdraw(self, now: Seconds) -> bool:
         """Take a token for a retry or hedge; return whether there was one."""
-        self._fill(now)
-        if self._tokens < 1:
+        self._settle(now)
+        owed = sum(debt.tokens for debt in self._debts)
+        if self._share - owed < FULL_TOKEN:
             return False
-        self._tokens -= 1
+        self._debts.append(_Debt(now + self._return_after, 1))
         return True
 
-    def _fill(self, now: Seconds) -> None:
-        is_fillable = self._capacity and now >= self._usable_from
-        if is_fillable and not self._is_filled:
-            self._is_filled = True
-            self._tokens = self._capacity
+    def _settle(self, now: Seconds) -> None:
+        """Forget debts that have ended, and owe what the share has gained."""
+        if self._growth:
+            self._debts.append(_Debt(self._growth_usable_at(now), self._growth))
+            self._growth = 0
+        while self._debts and self._debts[0].ends_at <= now:
+            self._debts.popleft()
+
+    def _growth_usable_at(self, now: Seconds) -> float:
+        is_first_share = self._growth == self._share
+        return self._usable_from if is_first_share else now + self._return_after
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -256,6 +256,7 @@
             self.bounds.retry_ratio,
             affinity(service, self.record.instance),
             Seconds(self._started_at + self.bounds.retry_window),
+            self.bounds.retry_window,
         )
 
     def _update_shares(self) -> None:
@@ -273,7 +274,7 @@
                 FRESH_REPORT_AGE,
                 pool.near_instances / probe_rate,
             )
-            pool.retry_budget.set_share(
+            pool.retry_budget.share_slack(
                 self.bounds.retry_slack, len(self.membership.edge_by_instance)
             )
             config = self._config(service)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,7 +1,8 @@
 """The retry budget that up to hundreds of instances share.
 
-Pattern: connections of a tenth of the instances are reset at once, while
-instances are killed, cut off and started again.
+Patterns: connections of a tenth of the instances are reset at once, while
+instances are killed, cut off and started again; all targets of a service
+reject a part of their requests for a minute.
 """
 
 import collections
@@ -39,7 +40,7 @@
     def see(self, instances: int) -> None:
         """Learn of the number of instances."""
         self.instances = instances
-        self.budget.set_share(self.slack, instances)
+        self.budget.share_slack(self.slack, instances)
 
 
 def start_all(instances: int, slack: float) -> list[Instance]:
@@ -53,6 +54,11 @@
     return cluster
 
 
+def spend_all(budget: SharedRetryBudget, now: float) -> int:
+    """Spend the tokens that are usable, and return their number."""
+    return sum(iter(lambda: budget.try_withdraw(now), False))
+
+
 class RetryBudgetTest(unittest.TestCase):
     """Instances stay within the budget together, and can use it."""
 
@@ -75,6 +81,45 @@
         retried = sum(instance.budget.try_withdraw(0) for instance in reset)
         self.assertGreaterEqual(retried, 0.9 * len(reset))
 
+    @parameterized.expand(SIZES)
+    def test_targets_reject_for_a_minute(
+        self, instances: int, slack: float
+    ) -> None:
+        cluster = start_all(instances, slack)
+        spent_by_window = [
+            sum(
+                spend_all(instance.budget, window * 1.2 * WINDOW)
+                for instance in cluster
+            )
+            for window in range(5)
+        ]
+        self.assertEqual(len(set(spent_by_window)), 1)
+        self.assertGreaterEqual(spent_by_window[0], slack / 2)
+        self.assertLessEqual(spent_by_window[0], slack)
+
+    @parameterized.expand(
+        [
+            ('usable_at_once', -100, 0, 3),
+            ('used_by_the_process_before', 0, 0, 0),
+            ('window_is_over', 0, WINDOW, 3),
+        ]
+    )
+    def test_share_after_a_start(
+        self, _name: str, started_at: float, now: float, expected: int
+    ) -> None:
+        budget = SharedRetryBudget(RATIO, 0, started_at + WINDOW)
+        budget.share_slack(60, 14)
+        self.assertEqual(spend_all(budget, now), expected)
+
+    def test_share_of_lost_instances_is_usable_later(self) -> None:
+        budget = SharedRetryBudget(RATIO)
+        budget.share_slack(60, 14)
+        self.assertEqual(spend_all(budget, 0), 3)
+        budget.share_slack(60, 7)
+        self.assertFalse(budget.try_withdraw(1))
+        later = 1 + 1.2 * WINDOW
+        self.assertEqual(spend_all(budget, later), 6)
+
     @parameterized.expand(SIZES)
     def test_every_window_of_a_random_history(
         self, instances: int, slack: float
