Refusals: tell that targets rejected a request, not that none was in time

Change: detail and step name the last loss and the attempts; status 503 and Retry-After stay. Test: FailedAttemptsTest.

--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -101,16 +101,20 @@
     passed, else 502.
     """
     last = call.losses[-1]
+    title = 'No answer from a target'
+    detail = f'{last.value} after {call.attempts} attempts'
+    step = 'send to target'
+    service = call.request.service
     if call.ran is Ran.no:
-        return no_target(call.request.service, retry_delay)
+        return _unavailable(title, detail, step, retry_delay, peer=service)
     is_late = last is Loss.timed_out or now >= call.request.deadline
     return Problem(
         HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY,
-        'No answer from a target',
-        f'{last.value} after {call.attempts} attempts',
-        'send to target',
+        title,
+        detail,
+        step,
         Ran.unknown,
-        peer=call.request.service,
+        peer=service,
     )
 
 
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -10,11 +10,12 @@
 
 from tests.edge_samples import NOW, edge, feed, instance, target
 from turmericmast.balance.load import LoadReport
-from turmericmast.call.call import Loss
+from turmericmast.call.call import Call, Loss, Ran
 from turmericmast.cluster.records import SuspectRecord
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.web import edgerefusals
 from turmericmast.web.body import RequestBody
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeexchange import EdgeExchange
@@ -147,6 +148,30 @@
             self.assertEqual(problem.headers()['Retry-After'], '0.01')
 
 
+class FailedAttemptsTest(unittest.TestCase):
+    """A refusal tells whether the request ran, and what became of it."""
+
+    @parameterized.expand(
+        [
+            ('rejected', (Loss.shed,), 503, Ran.no),
+            ('not_reached', (Loss.never_sent, Loss.shed), 503, Ran.no),
+            ('lost', (Loss.shed, Loss.connection_lost), 502, Ran.unknown),
+            ('too_slow', (Loss.timed_out,), 504, Ran.unknown),
+        ]
+    )
+    def test_problem(
+        self, _name: str, losses: tuple[Loss, ...], status: int, ran: Ran
+    ) -> None:
+        call = Call(_read(_context()).unwrap().call)
+        for loss in losses:
+            call.start_attempt()
+            call.record_failure(loss)
+        problem = edgerefusals.attempts_failed(call, NOW, 0.05)
+        self.assertEqual((problem.status, problem.ran), (status, ran))
+        self.assertIn(f'{losses[-1].value} after {len(losses)}', problem.detail)
+        self.assertEqual('Retry-After' in problem.headers(), ran is Ran.no)
+
+
 FORWARDED_REQUESTS = [
     ('plain', '/stock/1', {}, [], []),
     ('query', '/stock/1?size=2&size=3', {}, [], []),
