Edges: a restarted member's state waits for a current one; errors do not end it

And an answer that raised an unexpected error ended the task that watches the cluster; the edge went on with what it knew, for good. Ruled out: states from before an election being refused altogether; after a loss of power everywhere they are all there is, and callers wait for them. Change: an edge without a view keeps such an answer for 0.06 s, asks the other members 0.02 s apart, and uses the newest stale state only if no current one came. An unexpected error is logged (watch_failed) and the watching goes on. Tests failed first: three of StaleAnswerTest and the one on errors.

--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -50,6 +50,14 @@
 power does not refuse connections, and must not delay a start by a whole
 timeout."""
 
+STALE_PATIENCE = 0.06
+"""Seconds for which an edge without a view waits for a current answer.
+
+Three round trips between regions. A member that has just restarted does not
+know its last commits, such as targets that left."""
+STALE_HEDGE_DELAY = 0.02
+"""Like ``HEDGE_DELAY``, in seconds, once a member gave a stale answer."""
+
 
 @final
 class ClusterWatcher:
@@ -82,6 +90,9 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._contacted_member = MemberId('')
+        self._stale: WatchedCluster | None = None
+        """The newest stale answer, which waits for a current one."""
+        self._stale_timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
         """Begin to watch the cluster."""
@@ -99,6 +110,8 @@
         if self._task:
             self._task.cancel()
             self._task = None
+        if self._stale_timer:
+            self._stale_timer.cancel()
         self._links.close_except(())
 
     async def report_crash(self, crash: ReportCrash) -> bool:
@@ -139,7 +152,8 @@
                 stack.callback(task.cancel)
                 member_by_task[task] = member
                 good_member = await _first_good_answer(
-                    member_by_task, HEDGE_DELAY
+                    member_by_task,
+                    STALE_HEDGE_DELAY if self._stale else HEDGE_DELAY,
                 )
                 if good_member:
                     break
@@ -175,10 +189,21 @@
     async def _run(self) -> None:
         member: MemberId | None = None
         while True:
-            member = await self.watch_next(member)
+            member = await self._watch_safely(member)
             if member is None:
                 await asyncio.sleep(RETRY_INTERVAL)
 
+    async def _watch_safely(self, member: MemberId | None) -> MemberId | None:
+        """Do what ``watch_next`` does; ``None`` after an unexpected error.
+
+        One answer that cannot be handled must not end the watching.
+        """
+        try:
+            return await self.watch_next(member)
+        except Exception as error:
+            self._events.write('watch_failed', error=repr(error), member=member)
+            return None
+
     async def _watch(self, member: MemberId) -> bool:
         """Send a watch request; return whether the answer was good.
 
@@ -211,6 +236,30 @@
     def _apply_answer(self, watched: WatchedCluster) -> bool:
         if not self._edge.accepts(watched.feed):
             return False
+        is_current = watched.contact_ms < MAX_CONTACT_AGE_MS
+        if is_current or self._edge.index > 0:
+            self._apply(watched)
+        else:
+            self._keep_stale(watched)
+        return is_current
+
+    def _keep_stale(self, watched: WatchedCluster) -> None:
+        if self._stale is None:
+            self._stale_timer = asyncio.get_running_loop().call_later(
+                STALE_PATIENCE, self._apply_stale
+            )
+            self._stale = watched
+        elif watched.feed.index > self._stale.feed.index:
+            self._stale = watched
+
+    def _apply_stale(self) -> None:
+        """Use the newest stale answer, unless a current one has come."""
+        stale = self._stale
+        self._stale = None
+        if stale and self._edge.index == 0:
+            self._apply(stale)
+
+    def _apply(self, watched: WatchedCluster) -> None:
         routes = watched.feed.routes
         document = self._parse_routes(routes) if routes else None
         self._edge.apply(watched.feed, document)
@@ -220,7 +269,6 @@
             self._seats = watched.seats
             members = {seat.member for seat in watched.seats}
             self._links.close_except(members)
-        return watched.contact_ms < MAX_CONTACT_AGE_MS
 
     def _parse_routes(self, routes: RoutesRecord) -> RouteDocument | None:
         if not routes.source:
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -8,7 +8,7 @@
 import math
 import time
 import types
-import unittest
+import unittest.mock
 from typing import Any
 
 from parameterized import parameterized
@@ -16,14 +16,18 @@
 
 from tests.edge_samples import REGION_BY_DOMAIN, edge, feed, instance
 from turmericmast.clock import SystemClock
+from turmericmast.edge.edge import Edge
 from turmericmast.edge.nearmember import ASK_INTERVAL, PATIENCE
 from turmericmast.exceptions import WireError
 from turmericmast.ids import MemberId, Seconds
+from turmericmast.instancesettings import Bounds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import (
     DEPRIORITIZE_SECONDS,
     HEDGE_DELAY,
     REQUEST_TIMEOUT,
+    RETRY_INTERVAL,
+    STALE_PATIENCE,
     ClusterWatcher,
 )
 from turmericmast.wire.clusterrequests import (
@@ -47,6 +51,10 @@
 """The member has an older index than the edge."""
 LOST_QUORUM = 'lost quorum'
 """The member is cut off from the others of its group."""
+RESTARTED = 'restarted'
+"""The member has no contact to a quorum yet, and lacks the last commits."""
+BREAKS = 'breaks'
+"""The answer of the member raises an unexpected error."""
 
 FIRST_CONTACTS = [
     ('all_answer', [0.01, 0.01, 0.01], 0, HEDGE_DELAY),
@@ -96,12 +104,13 @@
             return Failure(WireError('no answer', step='ask', hint='wait'))
         if isinstance(body, AskMember):
             return Success(TellMember(self.near_member))
-        is_lost = self._behaviour == LOST_QUORUM
+        if self._behaviour == BREAKS:
+            raise ValueError('an answer that cannot be handled')
+        is_lost = self._behaviour in {LOST_QUORUM, RESTARTED}
+        is_behind = self._behaviour in {LAGS, RESTARTED}
         return Success(
             WatchedCluster(
-                feed(
-                    instance('a'), index=KNOWN_INDEX - (self._behaviour == LAGS)
-                ),
+                feed(instance('a'), index=KNOWN_INDEX - is_behind),
                 (),
                 9000 if is_lost else 0,
             ),
@@ -181,6 +190,42 @@
         self.assertEqual(member, CONTACTS[0])
 
 
+class StaleAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """An edge that starts beside a restarted member gets the newest state.
+
+    Otherwise it would use targets that have left meanwhile.
+    """
+
+    @parameterized.expand(
+        [
+            ('current_one_follows', [RESTARTED, 0.01, 0.01], KNOWN_INDEX),
+            ('others_are_silent', [RESTARTED, NO_ANSWER, 0.01], KNOWN_INDEX),
+            ('core_lost_power', [RESTARTED] * 3, KNOWN_INDEX - 1),
+            ('newest_of_all', [RESTARTED, LOST_QUORUM, REFUSES], KNOWN_INDEX),
+        ]
+    )
+    async def test_first_view(
+        self, _name: str, behaviours: list[float | str], expected: int
+    ) -> None:
+        watcher, _, _ = _make_watcher(behaviours, has_view=False)
+        with unittest.mock.patch.object(
+            watcher._edge, 'apply', wraps=watcher._edge.apply
+        ) as apply:
+            await watcher.find_member()
+            await asyncio.sleep(1.5 * STALE_PATIENCE)
+        applied = [call.args[0].index for call in apply.call_args_list]
+        self.assertEqual(applied, [expected])
+
+    async def test_unexpected_error_does_not_end_the_watching(self) -> None:
+        watcher, links, _ = _make_watcher([BREAKS] * 3)
+        with watcher:
+            await asyncio.sleep(0.05)
+            for contact in CONTACTS:
+                links.set_behaviour(contact, 0.01)
+            await asyncio.sleep(2 * RETRY_INTERVAL)
+            self.assertEqual(watcher._contacted_member, CONTACTS[0])
+
+
 class FirstStartTest(unittest.IsolatedAsyncioTestCase):
     """Only a member in the own domain sends changes while the group forms."""
 
@@ -249,6 +294,7 @@
     behaviours: list[float | str],
     *,
     is_first_start: bool = False,
+    has_view: bool = True,
     local_contact: str = '',
 ) -> tuple[ClusterWatcher, _FakeLinkPool, _SkewedClock]:
     clock = _SkewedClock()
@@ -266,6 +312,10 @@
         ),
     )
     links: Any = _FakeLinkPool(behaviours)
-    watching_edge = edge(instance('a'), feed(instance('a'), index=KNOWN_INDEX))
+    watching_edge = (
+        edge(instance('a'), feed(instance('a'), index=KNOWN_INDEX))
+        if has_view
+        else Edge(instance('a'), REGION_BY_DOMAIN, Bounds())
+    )
     watcher = ClusterWatcher(process, watching_edge, DocumentFormat(), links)
     return watcher, links, clock
