Disk: a full disk delays a member's answers and damages nothing

Cause: a write that the disk refuses raised in the middle of a change. A vote was in memory but not on the disk, so the member gave it when it was asked again, and could have voted for another one after a restart; a log write that failed left offsets that no longer matched the file; each tick wrote a traceback. Ruled out: ending the process, which would leave targets and edges of the domain without their member for as long as the disk is full. While the disk refuses, a member goes on applying what others committed, but sends no message: it gives no vote and no acknowledgement, and a leader is replaced. One line says so (disk_refuses, disk_accepts).

--- a/src/turmericmast/disk/records.py
+++ b/src/turmericmast/disk/records.py
@@ -1,6 +1,7 @@
 """Files of records with checksums, and atomic replacement of files."""
 
 import contextlib
+import io
 import os
 import pathlib
 import struct
@@ -54,6 +55,16 @@
     return SYNC_MARK not in tail
 
 
+def write_all(stream: io.FileIO, content: bytes) -> None:
+    """Append bytes to an unbuffered file, in as many writes as it takes.
+
+    After an ``OSError``, a part of them may have been written.
+    """
+    rest = memoryview(content)
+    while rest:
+        rest = rest[stream.write(rest) :]
+
+
 def replace_file(path: pathlib.Path, content: bytes) -> None:
     """Replace a file durably; a crash leaves either the old or the new."""
     temporary = path.with_suffix('.new')
--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -1,13 +1,14 @@
 """Durable storage of a replica in the files of one folder."""
 
+import contextlib
 import fcntl
 import itertools
-import os
 import pathlib
 from collections.abc import Sequence
 from types import TracebackType
 from typing import Any, Self, final
 
+from turmericmast.disk.logfile import LogFile
 from turmericmast.disk.records import (
     SYNC_MARK,
     frame_record,
@@ -31,25 +32,27 @@
 class FileStore(Store):
     """Keeps the files ``vote``, ``snapshot`` and ``log`` in a locked folder.
 
-    Use it as a context manager. If a file is damaged, all of them are renamed
-    to ``*.damaged`` and the store starts empty: the replica comes back under a
-    new incarnation and is brought up to date by its group, as after the loss
-    of the disk.
+    Use it as a context manager. Changes wait in memory until ``sync`` writes
+    them. A disk that is full or fails makes ``sync`` raise ``DiskError``; the
+    changes are kept, and the next ``sync`` tries again.
+
+    If a file is damaged, all of them are renamed to ``*.damaged`` and the store
+    starts empty: the replica comes back under a new incarnation and is brought
+    up to date by its group, as after the loss of the disk.
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
         """Use a folder; it is created on entry if it does not exist."""
         self._folder = folder
-        self._log_path = folder / 'log'
+        self._log = LogFile(folder / 'log')
         self._entry_ends: list[int] = []
-        """End offset of each entry in the log file."""
-        self._log_size = 0
-        """Size of the log file in bytes, with buffered writes."""
+        """End offset of each entry in the log, with unwritten ones."""
         self._first_index = Index(1)
         """Index of the first entry in the log file."""
-        self._has_unsynced_writes = False
-        self.sync_count = 0
-        """Number of syncs and replaced files so far."""
+        self._unwritten_vote: Vote | None = None
+        self._unwritten_snapshot: Snapshot | None = None
+        self._replaced_count = 0
+        """Number of replaced files so far."""
 
     def __enter__(self) -> Self:
         """Open and lock the folder.
@@ -67,7 +70,7 @@
                 step='open data folder',
                 hint='stop that process or give this one its own folder',
             ) from error
-        self._log = self._log_path.open('ab')
+        self._log.__enter__()
         return self
 
     def __exit__(
@@ -76,10 +79,12 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Sync and close the files, and release the lock."""
-        self.sync()
-        self._log.close()
-        self._lock.close()
+        """Sync if the disk permits, close the files and release the lock."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._lock.close)
+            stack.push(self._log)
+            stack.enter_context(contextlib.suppress(DiskError))
+            self.sync()
 
     def load(self) -> RecoveredState:
         """Return the stored state, without an incomplete last write.
@@ -93,69 +98,70 @@
             return RecoveredState(Vote(), None, ())
 
     def save_vote(self, vote: Vote) -> None:
-        """Replace the stored term and vote; durable at once."""
-        self._replace_record('vote', vote)
+        """Replace the stored term and vote."""
+        self._unwritten_vote = vote
 
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries after the last one."""
-        self._mark_synced()
-        framed = [frame_record(encode(entry)) for entry in entries]
-        sizes = itertools.accumulate(map(len, framed), initial=self._log_size)
-        self._entry_ends.extend(itertools.islice(sizes, 1, None))
-        self._write(b''.join(framed))
+        for entry in entries:
+            self._log.append(frame_record(encode(entry)))
+            self._entry_ends.append(self._log.size)
 
     def save_commit(self, index: Index) -> None:
         """Append the commit index to the log file."""
-        self._mark_synced()
-        self._write(frame_record(encode(CommitMark(index))))
+        self._log.append(frame_record(encode(CommitMark(index))))
 
     def truncate(self, index: Index) -> None:
         """Remove the entry at ``index`` and all later ones."""
         remaining_count = max(index - self._first_index, 0)
         self._entry_ends = self._entry_ends[:remaining_count]
-        self._log.flush()
-        self._log_size = self._entry_ends[-1] if self._entry_ends else 0
-        self._log.truncate(self._log_size)
-        # After a crash, later writes must not stand before removed ones.
-        self._has_unsynced_writes = True
-        self.sync()
+        self._log.cut(self._entry_ends[-1] if self._entry_ends else 0)
 
     def save_snapshot(
         self,
         snapshot: Snapshot,
         tail: Sequence[Entry],
     ) -> None:
-        """Replace the snapshot and the whole log, durably at once."""
-        self._replace_record('snapshot', snapshot)
+        """Replace the snapshot and the whole log."""
         framed = [frame_record(encode(entry)) for entry in tail]
-        replace_file(self._log_path, b''.join((*framed, SYNC_MARK)))
-        self._log.close()
-        self._log = self._log_path.open('ab')
+        self._unwritten_snapshot = snapshot
+        self._log.replace(b''.join(framed))
         self._entry_ends = list(itertools.accumulate(map(len, framed)))
-        self._log_size = sum(map(len, framed)) + len(SYNC_MARK)
         self._first_index = Index(snapshot.index + 1)
 
     def sync(self) -> None:
-        """Make all earlier writes durable."""
-        if self._has_unsynced_writes:
-            self._log.flush()
-            os.fdatasync(self._log.fileno())
-            self._has_unsynced_writes = False
-            self.sync_count += 1
-
-    def _mark_synced(self) -> None:
-        """Begin the writes after a sync with the mark that tells of it."""
-        if not self._has_unsynced_writes:
-            self._write(SYNC_MARK)
-
-    def _write(self, framed: bytes) -> None:
-        self._log.write(framed)
-        self._log_size += len(framed)
-        self._has_unsynced_writes = True
+        """Write all earlier changes durably.
+
+        Raises ``DiskError`` if the disk refuses; nothing is lost then.
+        """
+        try:
+            self._write_changes()
+        except OSError as error:
+            raise DiskError(
+                str(error),
+                step='write data folder',
+                peer=str(self._folder),
+                hint='check that the disk works and has room',
+            ) from error
+
+    @property
+    def sync_count(self) -> int:
+        """Return the number of syncs and replaced files so far."""
+        return self._log.sync_count + self._replaced_count
+
+    def _write_changes(self) -> None:
+        if self._unwritten_vote:
+            self._replace_record('vote', self._unwritten_vote)
+            self._unwritten_vote = None
+        if self._unwritten_snapshot:
+            # The log behind a snapshot replaces the earlier one after it.
+            self._replace_record('snapshot', self._unwritten_snapshot)
+            self._unwritten_snapshot = None
+        self._log.sync()
 
     def _replace_record(self, name: str, record: Vote | Snapshot) -> None:
         replace_file(self._folder / name, frame_record(encode(record)))
-        self.sync_count += 1
+        self._replaced_count += 1
 
     def _load(self) -> RecoveredState:
         vote = self._read_single_record('vote') or Vote()
@@ -195,7 +201,7 @@
         return self._decode(records[0][1])
 
     def _read_log(self) -> list[Entry | CommitMark]:
-        file_bytes = self._log_path.read_bytes()
+        file_bytes = self._log.read()
         records = list(read_records(file_bytes))
         valid_size = records[-1][0] if records else 0
         if valid_size < len(file_bytes):
@@ -203,10 +209,7 @@
                 raise self._damage_error(
                     'a record inside the log file is damaged'
                 )
-            self._log.truncate(valid_size)
-        # Entries that a killed process did not sync may still be in memory.
-        os.fsync(self._log.fileno())
-        self._log_size = valid_size
+        self._log.begin(valid_size)
         decoded = [
             (end, self._decode(payload))
             for end, payload in records
@@ -231,12 +234,10 @@
         )
 
     def _move_aside(self) -> None:
-        self._log.close()
         for name in ('vote', 'snapshot', 'log'):
             path = self._folder / name
             if path.exists():
                 path.replace(self._folder / f'{name}.damaged')
-        self._log = self._log_path.open('ab')
+        self._log.begin_empty()
         self._entry_ends = []
-        self._log_size = 0
         self._first_index = Index(1)
--- a/src/turmericmast/programs/groupmember.py
+++ b/src/turmericmast/programs/groupmember.py
@@ -18,6 +18,7 @@
     WireError,
 )
 from turmericmast.ids import Incarnation, Index, MemberId, Term
+from turmericmast.programs.disksync import DiskSync
 from turmericmast.replica.messages import (
     Entry,
     EntryKind,
@@ -78,7 +79,7 @@
         self.config = config
         self.applied_index = Index(0)
         self._context = context
-        self._store = store
+        self._disk_sync = DiskSync(store, context.metrics, events)
         self._clock = clock
         self._events = events
         self.links = LinkPool(context)
@@ -218,16 +219,20 @@
         # only after its own sync.
         for member, message in self.replica.take_appends():
             self.links.to(member).send(message)
-        self._store.sync()
-        self.replica.on_synced(self._clock.now())
+        is_synced = self._disk_sync.run()
+        if is_synced:
+            self.replica.on_synced(self._clock.now())
         # ``on_synced`` may have committed entries, but appended none that would
         # need another sync.
-        self._carry_out_effects()
+        self._carry_out_effects(is_synced=is_synced)
         self._log_role_change()
 
-    def _carry_out_effects(self) -> None:
+    def _carry_out_effects(self, *, is_synced: bool = True) -> None:
         effects = self.replica.take_effects()
-        for member, message in effects.messages:
+        # Votes and acknowledgements that rest on unsynced changes are dropped,
+        # as if they were lost on the network. A leader that sends no
+        # heartbeats is replaced.
+        for member, message in effects.messages if is_synced else ():
             self.links.to(member).send(message)
         if effects.restored:
             self._restore(effects.restored)
--- a/src/turmericmast/replica/store.py
+++ b/src/turmericmast/replica/store.py
@@ -42,7 +42,7 @@
 class Store(abc.ABC):
     """Durable storage of one replica.
 
-    Writes may be buffered; they are durable only once ``sync`` returns.
+    Changes may be buffered; they are durable only once ``sync`` returns.
     """
 
     @abc.abstractmethod
@@ -75,4 +75,8 @@
 
     @abc.abstractmethod
     def sync(self) -> None:
-        """Make all earlier writes durable."""
+        """Make all earlier changes durable.
+
+        Raises ``DiskError`` if the disk refuses. The changes are kept then, and
+        the next call tries again.
+        """
