--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -125,10 +125,6 @@
         """Attempts started so far."""
         self.losses: list[Loss] = []
         """Failures of the attempts, oldest first."""
-        self.crashes = 0
-        """Attempts in which the connection broke, as in a crash of a target."""
-        self.has_answered = False
-        """Whether any byte of an answer was sent to the caller."""
 
     @property
     def ran(self) -> Ran:
@@ -143,8 +139,6 @@
     def record_failure(self, loss: Loss) -> None:
         """Record how the newest attempt failed."""
         self.losses.append(loss)
-        if loss in {Loss.connection_lost, Loss.cut_short}:
-            self.crashes += 1
 
     def next_step(self, now: Seconds, *, can_replay: bool) -> NextStep:
         """Decide whether to retry; the caller also checks its retry budget.
@@ -155,7 +149,7 @@
         ``max_attempts``. ``can_replay`` says whether the request body is
         still available.
         """
-        if now >= self.request.deadline or self.has_answered:
+        if now >= self.request.deadline:
             return NextStep.fail
         if not can_replay:
             return NextStep.fail
--- a/src/turmericmast/ids.py
+++ b/src/turmericmast/ids.py
@@ -26,7 +26,6 @@
 Digest = NewType('Digest', str)
 """Hash of a document."""
 
-GroupId = NewType('GroupId', str)
 MemberId = NewType('MemberId', str)
 Incarnation = NewType('Incarnation', str)
 """Distinguishes the starts of a process, or of a target, with one id.
--- a/src/turmericmast/instancesettings.py
+++ b/src/turmericmast/instancesettings.py
@@ -32,8 +32,6 @@
 
     grace: Seconds = Seconds(6)
     """Time from the signal to stop until the process is killed."""
-    contact_window: Seconds = Seconds(3)
-    """Time after a fault within which contact with the core is regained."""
     drain: Seconds = Seconds(2)
     """Time from acknowledging that a target leaves to its last request."""
     directory_ttl: Seconds = Seconds(5)
@@ -44,8 +42,6 @@
     """Time over which retries and requests are counted."""
     retry_slack: float = 60.0
     """Retries in a window beyond the ratio, over all instances."""
-    cold_slack: float = 5.0
-    """Requests in a second that a cold target accepts beyond its rate."""
     probe_rate: float = 60.0
     """Health probes in a second that a target accepts from all instances."""
     report_interval: Seconds = Seconds(2)
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -22,13 +22,11 @@
 """Keys that need a non-empty string."""
 _KEY_BY_BOUND = (
     ('grace', 'grace_s'),
-    ('contact_window', 'contact_window_s'),
     ('drain', 'drain_s'),
     ('directory_ttl', 'ttl_max_s'),
     ('retry_ratio', 'retry_budget_ratio'),
     ('retry_window', 'budget_window_s'),
     ('retry_slack', 'budget_slack'),
-    ('cold_slack', 'warmup_slack'),
     ('probe_rate', 'probe_per_s'),
 )
 """Fields of ``Bounds`` with their keys in the platform's ``bounds``."""
--- a/src/turmericmast/service/backlog.py
+++ b/src/turmericmast/service/backlog.py
@@ -80,15 +80,6 @@
             self._queue_by_tenant.pop(tenant)
         return queued_call
 
-    def expired(self, now: Seconds) -> list[CallId]:
-        """Return the queued calls whose deadline has passed."""
-        return [
-            queued_call.call
-            for queue in self._queue_by_tenant.values()
-            for queued_call in queue.values()
-            if queued_call.deadline <= now
-        ]
-
     def calls(self) -> list[CallId]:
         """Return the ids of all queued calls."""
         return list(self._tenant_by_call)
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -103,7 +103,7 @@
         if self._is_closed:
             # The process is stopping, so it is too late for this transfer: it
             # fails as never sent.
-            transfer.finish(pycurl.E_ABORTED_BY_CALLBACK, 'client is closed')
+            transfer.finish(pycurl.E_ABORTED_BY_CALLBACK)
             return
         self._transfer_by_handle[transfer.handle] = transfer
         self._multi.add_handle(transfer.handle)
@@ -200,15 +200,15 @@
             messages_left, succeeded, failed = self._multi.info_read()
             more = messages_left > 0
             for handle in succeeded:
-                self._finish(handle, pycurl.E_OK, '')
-            for handle, code, message in failed:
-                self._finish(handle, code, message)
+                self._finish(handle, pycurl.E_OK)
+            for handle, code, _ in failed:
+                self._finish(handle, code)
 
-    def _finish(self, handle: Any, code: int, message: str) -> None:
+    def _finish(self, handle: Any, code: int) -> None:
         transfer = self._transfer_by_handle.get(handle)
         if transfer:
             self.remove(transfer)
-            transfer.finish(code, message)
+            transfer.finish(code)
 
 
 def _set_socket_options(descriptor: int, purpose: int) -> int:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -104,8 +104,6 @@
         """
         self.handle = curl.acquire_handle()
         self.progress = Progress.new
-        self.message = ''
-        """Error message of curl; empty if there was no error."""
         self._curl = curl
         self._request = request
         self._sink = sink
@@ -134,9 +132,8 @@
             self._is_paused = False
             self._curl.resume(self)
 
-    def finish(self, code: int, message: str) -> None:
-        """Receive the result code of curl and its error message."""
-        self.message = message
+    def finish(self, code: int) -> None:
+        """Receive the result code of curl."""
         if code == pycurl.E_OK:
             self.progress = Progress.whole
             self._settle(None)
