Targets: right after a start, a request waits for the first probe

All instances lost power at 32 s; from 34.3 to 34.9 s, when they had routes, 35 requests were refused at 'choose target' with target=null, waited_ms 115 and left_ms 412: no target was verified yet, and each round of probes was waited for 0.015 to 0.06 s only. Ruled out: longer rounds for all requests; where a target is known, its report is worth more than a late one. Change: a request that knows no verified target waits for the first of the probes that are running, a quarter of its time left at most.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -184,6 +184,17 @@
             if now - view.probed_at >= self.probe_interval
         ]
 
+    def unverified_targets(
+        self, requirements: Requirements, now: Seconds
+    ) -> list[TargetView]:
+        """Return the targets that may serve a request once they are probed."""
+        return [
+            view
+            for distance in Distance
+            for view in self._permitted(requirements, distance)
+            if view.eligibility(now) is Eligibility.unverified
+        ]
+
     def needs_background_probes(self, now: Seconds) -> bool:
         """Tell whether to probe near targets before requests arrive.
 
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -71,6 +71,25 @@
         tasks = [self.start(view, path) for view in views]
         await asyncio.wait(tasks, timeout=timeout)
 
+    async def wait_for_any(
+        self, views: Sequence[TargetView], timeout: float
+    ) -> bool:
+        """Wait for the first result of the probes of targets that are running.
+
+        Waits ``timeout`` seconds at most. Return whether there was one.
+        """
+        tasks = [
+            task
+            for view in views
+            if (task := self._probe_by_target.get(view.record.target))
+        ]
+        if not tasks:
+            return False
+        done, _ = await asyncio.wait(
+            tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        return bool(done)
+
     def start(self, view: TargetView, path: str) -> asyncio.Task[bool]:
         """Return the task of a probe, a new one unless one is running.
 
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -6,12 +6,18 @@
 from turmericmast.balance.pool import Candidate, Pool, Requirements
 from turmericmast.balance.scoring import Distance, expected_latency
 from turmericmast.balance.targetview import TargetView
+from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
 """Seconds to wait for probes in the own domain, the region and beyond.
 
 Each is a few round trips at that distance."""
+FIRST_PROBE_SHARE = 0.25
+"""Fraction of the time left for which a request waits for a first target.
+
+Right after a start no target is verified yet. The probes that are running tell
+more than a refusal at once would."""
 
 
 @final
@@ -53,6 +59,25 @@
             if best and self._can_stop_before(requirements, distance, best):
                 break
             best = await self._search_within(requirements, distance)
+        return best or await self._wait_for_first(requirements)
+
+    async def _wait_for_first(
+        self, requirements: Requirements
+    ) -> Candidate | None:
+        """Return the first target whose running probe succeeds, if any does."""
+        clock = self._context.clock
+        began_at = clock.now()
+        ends_at = Seconds(
+            began_at + FIRST_PROBE_SHARE * (requirements.deadline - began_at)
+        )
+        best: Candidate | None = None
+        has_probes = True
+        while best is None and has_probes and clock.now() < ends_at:
+            now = clock.now()
+            has_probes = await self._context.prober.wait_for_any(
+                self._pool.unverified_targets(requirements, now), ends_at - now
+            )
+            best = self._pool.best(requirements, Distance.remote, clock.now())
         return best
 
     def _can_stop_before(
--- /dev/null
+++ b/tests/test_first_probes.py
@@ -0,0 +1,102 @@
+"""Requests that arrive before any target has been probed.
+
+Pattern: after a loss of power everywhere, all instances probe all targets at
+once, and the first results come late.
+"""
+
+import asyncio
+import unittest.mock
+
+from parameterized import parameterized
+
+from tests.edge_samples import NOW, pool, requirements, target_view
+from turmericmast.balance.targetview import TargetView
+from turmericmast.call.call import Loss
+from turmericmast.clock import SystemClock
+from turmericmast.ids import Seconds
+from turmericmast.metrics import Metrics
+from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.web.probing import Prober
+from turmericmast.web.targetselection import TargetSelector
+
+LONG_AGO = NOW - 60
+
+
+class FirstProbeTest(unittest.IsolatedAsyncioTestCase):
+    """A request waits for the first probe, not for all and not for long."""
+
+    @parameterized.expand(
+        [
+            ('answers_at_once', (0.0, 0.0), '1', 0.1),
+            ('answers_late', (0.1, 9.0), '1', 0.2),
+            ('second_answers', (9.0, 0.1), '2', 0.2),
+            ('first_is_lost', (-0.05, 0.1), '2', 0.2),
+            ('both_are_lost', (-0.05, -0.05), None, 0.2),
+            ('none_answers', (9.0, 9.0), None, 0.45),
+        ]
+    )
+    async def test_selection(
+        self,
+        _name: str,
+        delays: tuple[float, float],
+        expected: str | None,
+        within: float,
+    ) -> None:
+        views = [target_view(name, verified_at=LONG_AGO) for name in '12']
+        clock = _SkewedClock()
+        clock.offset = NOW - clock.now()
+        prober = _SlowProber(clock, dict(zip('12', delays, strict=True)))
+        context = unittest.mock.Mock(
+            clock=clock, prober=prober.prober, metrics=Metrics()
+        )
+        began_at = clock.now()
+        selector = TargetSelector(context, pool(*views))
+        with prober:
+            chosen = await selector.select(requirements())
+        self.assertEqual(chosen and chosen.view.record.target, expected)
+        self.assertLess(clock.now() - began_at, within)
+
+
+class _SkewedClock(SystemClock):
+    """The system clock with an offset in seconds."""
+
+    offset = 0.0
+
+    def now(self) -> Seconds:
+        """Return the time with the offset added."""
+        return Seconds(super().now() + self.offset)
+
+
+class _SlowProber:
+    """A prober whose probes take as long as is told; below 0 they are lost."""
+
+    def __init__(
+        self, clock: _SkewedClock, delay_by_target: dict[str, float]
+    ) -> None:
+        self._clock = clock
+        self._delay_by_target = delay_by_target
+        self.prober = Prober(
+            unittest.mock.Mock(),
+            PlatformHeaders(),
+            clock,
+            Metrics(),
+            unittest.mock.Mock(),
+        )
+        self._patch = unittest.mock.patch.object(
+            self.prober, '_run_probe', self._run_probe
+        )
+
+    def __enter__(self) -> None:
+        self._patch.start()
+
+    def __exit__(self, *_: object) -> None:
+        self._patch.stop()
+
+    async def _run_probe(self, view: TargetView, _path: str) -> bool:
+        delay = self._delay_by_target[view.record.target]
+        await asyncio.sleep(abs(delay))
+        if delay < 0:
+            view.end_request(Loss.never_sent, self._clock.now())
+        else:
+            view.verify(0, self._clock.now())
+        return delay >= 0
