--- a/src/turmericmast/disk/store.py
+++ b/src/turmericmast/disk/store.py
@@ -168,6 +168,10 @@
         snapshot = self._read_single_record('snapshot')
         records = self._read_log()
         entries = [record for record in records if isinstance(record, Entry)]
+        if snapshot and _is_superseded(entries, snapshot):
+            self._log.replace(b'')
+            self._entry_ends = []
+            entries = []
         snapshot_index = snapshot.index if snapshot else 0
         later_entries = tuple(
             entry for entry in entries if entry.index > snapshot_index
@@ -241,3 +245,15 @@
         self._log.begin_empty()
         self._entry_ends = []
         self._first_index = Index(1)
+
+
+def _is_superseded(entries: Sequence[Entry], snapshot: Snapshot) -> bool:
+    """Tell whether a log is not the one that a snapshot was made of.
+
+    The snapshot of a leader replaces entries that were never committed. A
+    crash before the log was replaced, too, leaves them in the file.
+    """
+    return any(
+        entry.index == snapshot.index and entry.term != snapshot.term
+        for entry in entries
+    )
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -223,6 +223,28 @@
             store.truncate(Index(5))
         self.assertEqual([4], [entry.index for entry in self._load().entries])
 
+    @parameterized.expand([('same_log', 1, [4, 5]), ('another_log', 2, [])])
+    def test_entries_behind_a_snapshot_of_another_log_are_dropped(
+        self, _name: str, term: int, expected: list[int]
+    ) -> None:
+        self._write(5)
+        log = (self.folder / 'log').read_bytes()
+        snapshot = Snapshot(Index(3), Term(term), SEATS, b'state')
+        with FileStore(self.folder) as store:
+            store.load()
+            store.save_snapshot(snapshot, [])
+        (self.folder / 'log').write_bytes(log)
+        with FileStore(self.folder) as store:
+            recovered = store.load()
+            self.assertEqual(
+                [entry.index for entry in recovered.entries], expected
+            )
+            store.truncate(Index(4))
+            store.append([_entry(4)])
+        recovered = self._load()
+        self.assertEqual(recovered.snapshot, snapshot)
+        self.assertEqual(recovered.entries, (_entry(4),))
+
     def test_two_processes_cannot_share_a_folder(self) -> None:
         with FileStore(self.folder):
             with self.assertRaises(DiskError) as caught:
