--- a/tests/edge_samples.py
+++ b/tests/edge_samples.py
@@ -5,6 +5,7 @@
 from turmericmast.balance.pool import Locality, Pool, Requirements
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
+from turmericmast.clock import SystemClock
 from turmericmast.cluster.records import (
     ClusterFeed,
     EdgePhase,
@@ -13,6 +14,7 @@
     TargetRecord,
 )
 from turmericmast.edge.edge import Edge
+from turmericmast.ids import Seconds
 from turmericmast.instancesettings import Bounds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.route.document import RouteDocument
@@ -107,3 +109,13 @@
 def requirements(*avoid: str, homes: tuple[str, ...] = ()) -> Requirements:
     """Return the requirements of a look-up: goal 250 ms, deadline 1.2 s."""
     return Requirements('look', NOW + 0.25, NOW + 1.2, homes, avoid)
+
+
+class SkewedClock(SystemClock):
+    """The system clock with an offset in seconds."""
+
+    offset = 0.0
+
+    def now(self) -> Seconds:
+        """Return the time with the offset added."""
+        return Seconds(super().now() + self.offset)
--- a/tests/test_first_probes.py
+++ b/tests/test_first_probes.py
@@ -9,11 +9,15 @@
 
 from parameterized import parameterized
 
-from tests.edge_samples import NOW, pool, requirements, target_view
+from tests.edge_samples import (
+    NOW,
+    SkewedClock,
+    pool,
+    requirements,
+    target_view,
+)
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Loss
-from turmericmast.clock import SystemClock
-from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.web.probing import Prober
@@ -43,7 +47,7 @@
         within: float,
     ) -> None:
         views = [target_view(name, verified_at=LONG_AGO) for name in '12']
-        clock = _SkewedClock()
+        clock = SkewedClock()
         clock.offset = NOW - clock.now()
         prober = _SlowProber(clock, dict(zip('12', delays, strict=True)))
         context = unittest.mock.Mock(
@@ -57,21 +61,11 @@
         self.assertLess(clock.now() - began_at, within)
 
 
-class _SkewedClock(SystemClock):
-    """The system clock with an offset in seconds."""
-
-    offset = 0.0
-
-    def now(self) -> Seconds:
-        """Return the time with the offset added."""
-        return Seconds(super().now() + self.offset)
-
-
 class _SlowProber:
     """A prober whose probes take as long as is told; below 0 they are lost."""
 
     def __init__(
-        self, clock: _SkewedClock, delay_by_target: dict[str, float]
+        self, clock: SkewedClock, delay_by_target: dict[str, float]
     ) -> None:
         self._clock = clock
         self._delay_by_target = delay_by_target
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -14,12 +14,17 @@
 from parameterized import parameterized
 from returns.result import Failure, Result, Success
 
-from tests.edge_samples import REGION_BY_DOMAIN, edge, feed, instance
-from turmericmast.clock import SystemClock
+from tests.edge_samples import (
+    REGION_BY_DOMAIN,
+    SkewedClock,
+    edge,
+    feed,
+    instance,
+)
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.nearmember import ASK_INTERVAL, PATIENCE
 from turmericmast.exceptions import WireError
-from turmericmast.ids import MemberId, Seconds
+from turmericmast.ids import MemberId
 from turmericmast.instancesettings import Bounds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import (
@@ -280,24 +285,14 @@
         )
 
 
-class _SkewedClock(SystemClock):
-    """The system clock with an offset in seconds."""
-
-    offset = 0.0
-
-    def now(self) -> Seconds:
-        """Return the time with the offset added."""
-        return Seconds(super().now() + self.offset)
-
-
 def _make_watcher(
     behaviours: list[float | str],
     *,
     is_first_start: bool = False,
     has_view: bool = True,
     local_contact: str = '',
-) -> tuple[ClusterWatcher, _FakeLinkPool, _SkewedClock]:
-    clock = _SkewedClock()
+) -> tuple[ClusterWatcher, _FakeLinkPool, SkewedClock]:
+    clock = SkewedClock()
     process: Any = types.SimpleNamespace(
         clock=clock,
         events=_NullEvents(),
