Routes: a few answers tell their service time and size

Cause: the estimated service time began at 0.1 s and moved by 3% an answer, the size by 5%. Ruled out: a larger step alone, which follows targets that slow down. Change: the service time is the median of the newest 25 answers, the size a mean that the first answers fill. Test of the load: FEW_ANSWERS in tests/test_balance.py, 5 rows failed before.

--- a/src/turmericmast/balance/profile.py
+++ b/src/turmericmast/balance/profile.py
@@ -1,5 +1,7 @@
 """Typical service time and size of a route's requests."""
 
+import collections
+import statistics
 from typing import final
 
 INITIAL_SERVICE_TIME = 0.1
@@ -7,9 +9,9 @@
 INITIAL_OCTETS = 1000.0
 """Size in bytes that is assumed before the first answer."""
 SIZE_WEIGHT = 0.05
-"""Weight of the newest answer in the moving average of the size."""
-SERVICE_TIME_STEP = 0.03
-"""Fraction by which one answer moves the estimated median service time."""
+"""Least weight of the newest answer in the average of the size."""
+MEDIAN_WINDOW = 25
+"""Newest answers whose median is the service time."""
 
 
 @final
@@ -17,7 +19,8 @@
     """Estimates of the requests of one route to one service.
 
     Routes are kept apart, since routes that share the targets of a service
-    may differ in both estimates, such as orders and downloads.
+    may differ in both estimates, such as orders and downloads. An instance of
+    a large fleet gets few requests of each, so a few answers must suffice.
     """
 
     def __init__(self) -> None:
@@ -26,6 +29,10 @@
         """Median seconds that a target takes when it is not slowed down."""
         self.octets = INITIAL_OCTETS
         """Mean size of the bodies of a request and its answer, in bytes."""
+        self._answers = 0
+        self._service_times: collections.deque[float] = collections.deque(
+            maxlen=MEDIAN_WINDOW
+        )
 
     def learn(self, latency: float, slowness: float, octets: int) -> None:
         """Update the estimates from an answer after ``latency`` seconds.
@@ -34,8 +41,8 @@
         median is estimated, not the mean: an answer whose target slowed down
         in between takes many times as long, and would distort a mean.
         """
-        is_longer = latency / max(slowness, 1) > self.service_time
-        self.service_time *= (
-            1 + SERVICE_TIME_STEP if is_longer else 1 - SERVICE_TIME_STEP
-        )
-        self.octets += SIZE_WEIGHT * (octets - self.octets)
+        self._answers += 1
+        self._service_times.append(latency / max(slowness, 1))
+        self.service_time = statistics.median_low(self._service_times)
+        weight = max(SIZE_WEIGHT, 1 / self._answers)
+        self.octets += weight * (octets - self.octets)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -132,6 +132,19 @@
     ('one_in_ten_refused_at_once', [0.1] * 9 + [0.001], 0.1),
 ]
 
+FEW_ANSWERS = [
+    ('the_first_answer', [0.59], 0.59),
+    ('orders_of_a_large_fleet', [0.7, 0.85, 0.6, 0.9, 0.75], 0.76),
+    ('the_first_target_slowed_down', [3.5, 0.59, 0.62, 0.55, 0.6], 0.6),
+    ('the_first_answer_was_short', [0.2, 0.59, 0.62, 0.7, 0.6], 0.6),
+    ('downloads_on_a_small_link', [0.8, 1.1, 0.9], 0.9),
+]
+"""Latencies of the first answers, and their median.
+
+Pattern: hundreds of instances, of which each gets a request of a route every
+few seconds.
+"""
+
 ON_SCHEDULE = [
     ('normal_speed', 1, 0.07, True),
     ('slowed_down_with_time_left_for_a_hedge', 7, 0.07, False),
@@ -491,6 +504,19 @@
             profile.learn(latency, 1, 1000)
         self.assertLess(abs(profile.service_time / expected - 1), 0.1)
 
+    @parameterized.expand(FEW_ANSWERS)
+    def test_few_answers_suffice(
+        self,
+        _name: str,
+        latencies: list[float],
+        expected: float,
+    ) -> None:
+        profile = RouteProfile()
+        for latency in latencies:
+            profile.learn(latency, 1, 90_000)
+        self.assertLess(abs(profile.service_time / expected - 1), 0.35)
+        self.assertAlmostEqual(profile.octets, 90_000)
+
 
 class HedgeTest(unittest.TestCase):
     """A hedge is sent only if the report of the first target justifies it."""
