Entries: an earlier response written once more is recognised

Cause: targets of the regional product sent no id back. On a kept connection an earlier refusal, written once more, passed for that of the next request: an order ran at one target and was sent to a second one; an earlier answer reached the next caller. Change: entries send Turmericmast-Call; a target that sends it back is held to it, any other gets a new connection for each request.

--- a/bench/standin.py
+++ b/bench/standin.py
@@ -161,6 +161,8 @@
         self._emulator = emulator
         self._buffer = b''
         self._transport: asyncio.Transport | None = None
+        self._call_header = ''
+        """Header line that repeats the id of the newest attempt."""
         self._request: dict[str, Any] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -189,6 +191,8 @@
         if len(rest) >= length:
             self._buffer = rest[length:]
             method, target, _ = lines[0].split(' ')
+            attempt = headers.get('turmericmast-call', '')
+            self._call_header = f'Turmericmast-Call: {attempt}\r\n'
             self._start_request(method, target, headers)
 
     def _start_request(
@@ -270,7 +274,7 @@
     ) -> None:
         if self._transport:
             head = (
-                f'HTTP/1.1 {status} X\r\n{extra_headers}'
+                f'HTTP/1.1 {status} X\r\n{extra_headers}{self._call_header}'
                 f'Content-Length: {len(body)}\r\n\r\n'
             )
             self._transport.write(head.encode() + body)
--- a/examples/target.py
+++ b/examples/target.py
@@ -126,6 +126,11 @@
     async def prepare(self) -> None:
         """Run a request of any method, or refuse it if all slots are taken."""
         target = self.target
+        # Entries recognise by it a response that is sent once more.
+        self.set_header(
+            'Turmericmast-Call',
+            self.request.headers.get('Turmericmast-Call', ''),
+        )
         if target.in_flight >= SLOTS.value:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
             self.set_header('Turmericmast-Ran', 'no')
--- a/src/turmericmast/ids.py
+++ b/src/turmericmast/ids.py
@@ -19,6 +19,8 @@
 """A change by operators; a resend of the change has the same id."""
 CallId = NewType('CallId', str)
 """Random id that an entry or an edge gives to a call."""
+AttemptId = NewType('AttemptId', str)
+"""Id of one attempt of a call, which the target sends back."""
 RequestKey = NewType('RequestKey', str)
 """The idempotency key of a request."""
 Fingerprint = NewType('Fingerprint', str)
--- a/src/turmericmast/web/entrycontext.py
+++ b/src/turmericmast/web/entrycontext.py
@@ -28,6 +28,7 @@
 from turmericmast.region.records import Suspicion
 from turmericmast.service.service import Dispatch
 from turmericmast.target.target import Ending
+from turmericmast.web.callecho import EchoingTargets
 from turmericmast.web.curl import CurlClient
 from turmericmast.wire.client import Group
 from turmericmast.wire.requests import Changed, ChangeLedger, ChangeRegion
@@ -72,6 +73,7 @@
         self.events = events
         self.on_releasable: Callable[[], None] = _do_nothing
         """Called when a target that moves to another owner may be idle now."""
+        self.echoing_targets = EchoingTargets()
         self.running = 0
         """Number of calls that were accepted and have not ended."""
         self._timer_by_service: dict[ServiceId, object] = {}
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -35,6 +35,8 @@
 """Number of calls that the call is nested in."""
 CLOCK_HEADER = 'Turmericmast-Clock'
 """Packed hybrid clock timestamp of the sender."""
+CALL_HEADER = 'Turmericmast-Call'
+"""Id of an attempt, which targets send back with every response."""
 KEY_HEADER = 'Idempotency-Key'
 """Key by which the ledger recognises resends of a request."""
 
@@ -66,6 +68,7 @@
         RETRIED_HEADER.lower(),
         DEPTH_HEADER.lower(),
         CLOCK_HEADER.lower(),
+        CALL_HEADER.lower(),
     ),
 )
 """Lower-case names of headers that are not passed on.
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -7,12 +7,18 @@
 
 from turmericmast.call.call import CallRequest, Loss
 from turmericmast.fleet.values import Values
-from turmericmast.ids import TargetId
+from turmericmast.ids import AttemptId, TargetId
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
+from turmericmast.web.callecho import OwnResponse
 from turmericmast.web.entrycontext import EntryContext
-from turmericmast.web.parse import entry_request_headers
+from turmericmast.web.parse import CALL_HEADER, entry_request_headers
 from turmericmast.web.relay import Relay
-from turmericmast.web.transfer import Progress, Transfer, TransferRequest
+from turmericmast.web.transfer import (
+    Progress,
+    ResponseSink,
+    Transfer,
+    TransferRequest,
+)
 
 
 @final
@@ -57,19 +63,23 @@
         self._body = body
         self._relay = relay
         self._transfer: Transfer | None = None
+        self._attempts = 0
         self._is_cancelled = False
 
     async def send(self, destination: Destination) -> Loss | None:
         """Make one attempt; return how it failed, ``None`` on success."""
-        transfer = Transfer(
-            self._context.curl,
-            self._transfer_request(destination),
-            self._relay,
-            lambda: self._may_send(destination.target),
+        self._attempts += 1
+        if destination.target is None:
+            return await self._transfer_to(destination, self._relay)
+        attempt = AttemptId(f'{self._incoming.request.call}-{self._attempts}')
+        marked = dataclasses.replace(
+            destination,
+            extra_headers=(
+                *destination.extra_headers,
+                (CALL_HEADER, attempt),
+            ),
         )
-        self._transfer = transfer
-        self._relay.resume = transfer.resume
-        return await transfer.run()
+        return await self._send_to_target(marked, attempt)
 
     @property
     def was_vetoed(self) -> bool:
@@ -88,6 +98,42 @@
         if self._transfer:
             self._transfer.cancel()
 
+    async def _send_to_target(
+        self, destination: Destination, attempt: AttemptId
+    ) -> Loss | None:
+        """Send to a target, and ignore a response to an earlier request."""
+        echoing = self._context.echoing_targets
+        must_echo = echoing.includes(destination.address)
+        response = OwnResponse(self._relay, attempt, must_echo=must_echo)
+        loss = await self._transfer_to(
+            destination, response, uses_kept_connection=must_echo
+        )
+        if response.is_foreign:
+            self._context.metrics.count('responses_rejected')
+        if loss is None or response.is_foreign:
+            echoing.record(destination.address, has_echoed=response.has_echoed)
+        return loss
+
+    async def _transfer_to(
+        self,
+        destination: Destination,
+        sink: ResponseSink,
+        *,
+        uses_kept_connection: bool = True,
+    ) -> Loss | None:
+        transfer = Transfer(
+            self._context.curl,
+            dataclasses.replace(
+                self._transfer_request(destination),
+                uses_kept_connection=uses_kept_connection,
+            ),
+            sink,
+            lambda: self._may_send(destination.target),
+        )
+        self._transfer = transfer
+        self._relay.resume = transfer.resume
+        return await transfer.run()
+
     def _transfer_request(self, destination: Destination) -> TransferRequest:
         request = self._incoming.request
         now = self._context.clock.now()
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -43,6 +43,9 @@
     body: BodyReader | None
     body_size: int
     """Length of the body in bytes, -1 if it is not known beforehand."""
+    uses_kept_connection: bool = True
+    """Whether the connection may have served an earlier request, and may be
+    kept for a later one."""
 
 
 class ResponseSink(abc.ABC):
@@ -115,6 +118,7 @@
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
         self._prepare()
+        self._set_connection_use()
         self._curl.start(self)
         return await self._done
 
@@ -168,6 +172,11 @@
         handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         self._set_callbacks()
 
+    def _set_connection_use(self) -> None:
+        is_single_use = int(not self._request.uses_kept_connection)
+        self.handle.setopt(pycurl.FRESH_CONNECT, is_single_use)
+        self.handle.setopt(pycurl.FORBID_REUSE, is_single_use)
+
     def _set_callbacks(self) -> None:
         handle = self.handle
         handle.setopt(pycurl.NOBODY, int(self._request.method == 'HEAD'))
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -117,6 +117,10 @@
         """Slow requests whose connection the entry closed."""
         self.crashes = True
         """Whether requests to ``/crash`` close the connection unanswered."""
+        self.echoes = True
+        """Whether responses bear the id of the attempt."""
+        self.repeats = False
+        """Whether each connection starts a response with the one before."""
         bound = bind_unused_port()
         self._sock = bound[0]
         self.port = bound[1]
@@ -144,15 +148,20 @@
                 ConnectionError,
                 asyncio.IncompleteReadError,
             ):
-                while await self._serve_one(reader, writer):
+                earlier = b''
+                keeps_open = True
+                while keeps_open:
+                    answer, keeps_open = await self._serve_one(reader, writer)
+                    writer.write(earlier * self.repeats + answer)
                     await writer.drain()
+                    earlier = answer
 
     async def _serve_one(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Answer one request; return whether to keep the connection open."""
+    ) -> tuple[bytes, bool]:
+        """Return the answer to one request, and whether to go on."""
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
         lines = head.split('\r\n')
         method, path, _ = lines[0].split(' ')
@@ -162,7 +171,7 @@
         }
         body = await _read_body(reader, headers)
         self.runs.append((method, path, body))
-        return await self._answer(method, path, headers, body, reader, writer)
+        return await self._answer(method, path, headers, body, reader)
 
     async def _answer(
         self,
@@ -171,16 +180,16 @@
         headers: dict[str, str],
         body: bytes,
         reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
+    ) -> tuple[bytes, bool]:
         kind = path.strip('/').partition('?')[0]
         if kind == 'crash' and self.crashes:
-            return False
+            return b'', False
         if kind == 'slow':
             await self._hold_open(reader)
-            return False
-        writer.write(self._response(kind, method, headers, body))
-        return kind not in {'cut', 'cut-big', 'cut-weak', 'undelimited'}
+            return b'', False
+        response = self._response(kind, method, headers, body)
+        is_cut = kind in {'cut', 'cut-big', 'cut-weak', 'undelimited'}
+        return response, not is_cut
 
     async def _hold_open(self, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(TimeoutError):
@@ -195,7 +204,7 @@
         body: bytes,
     ) -> bytes:
         digest = hashlib.sha256(body).hexdigest()
-        own = f'X-Target: {self.name}\r\n'
+        own = self._own_headers(headers)
         if kind == 'shed':
             return _head(503, 0, f'{own}Turmericmast-Ran: no\r\n')
         if kind == 'busy':
@@ -219,9 +228,14 @@
         status = 201 if method == 'POST' else 200
         return _head(status, len(answer), own) + answer
 
+    def _own_headers(self, headers: dict[str, str]) -> str:
+        attempt = headers.get('turmericmast-call', '')
+        echo = f'Turmericmast-Call: {attempt}\r\n' if self.echoes else ''
+        return f'X-Target: {self.name}\r\n{echo}'
+
     def _big(self, kind: str, headers: dict[str, str]) -> bytes:
         tag = 'W/"v1"' if kind == 'cut-weak' else '"v1"'
-        extra = f'X-Target: {self.name}\r\nETag: {tag}\r\n'
+        extra = f'{self._own_headers(headers)}ETag: {tag}\r\n'
         if 'range' in headers and headers.get('if-range') == '"v1"':
             start = int(headers['range'].removeprefix('bytes=').rstrip('-'))
             where = f'bytes {start}-{len(BIG) - 1}/{len(BIG)}'
