Targets: after a restart, requests that waited spread over the probed targets

The service time began at 0.1 s again at each start, below the usual 0.16 to 0.76. Ruled out: the time to start (routes 0.45 s after power). Change: such a request waits 0.06 s more while an idle target would answer earlier by more than that and probes are running; the service time begins at 0.4 of the latency goal of the route. Test of the load: tests/test_first_probes.py (12 waiting requests, 3 targets; 12 to one before, 6 at most now), tests/test_balance.py.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -79,6 +79,8 @@
     """Constraints on the target of a request."""
 
     route: RouteName
+    latency_goal: Seconds
+    """Latency goal of the route, counted from the arrival of a request."""
     goal_at: Seconds
     """When the latency goal of the route is missed."""
     deadline: Seconds
@@ -165,7 +167,7 @@
         max_probes = (
             MAX_PROBES_REMOTE if distance is Distance.remote else MAX_PROBES
         )
-        service_time = self.profile(requirements.route).service_time
+        service_time = self._profile(requirements).service_time
         promising = sorted(
             reachable,
             key=lambda view: (
@@ -230,6 +232,16 @@
         is_good = self._is_good(best, estimate)
         return not is_good and ideal_score(distance, estimate) > best.score
 
+    def excess_latency(
+        self, requirements: Requirements, candidate: Candidate, now: Seconds
+    ) -> float:
+        """Return the seconds by which an idle target would respond earlier."""
+        service_time = self.estimate(requirements, now).service_time
+        latency = expected_latency(
+            candidate.view, candidate.distance, service_time
+        )
+        return latency - service_time
+
     def is_good_enough(
         self, requirements: Requirements, best: Candidate, now: Seconds
     ) -> bool:
@@ -243,7 +255,7 @@
         self, requirements: Requirements, now: Seconds
     ) -> RequestEstimate:
         """Return the limits and the expected service time of a request."""
-        profile = self.profile(requirements.route)
+        profile = self._profile(requirements)
         return RequestEstimate(
             goal_left=requirements.goal_at - now,
             time_left=requirements.deadline - now,
@@ -258,9 +270,13 @@
         if view.eligibility(now) is Eligibility.cold:
             self._cold_limiter(view).record_send(self.cold_rate, now)
 
-    def profile(self, route: RouteName) -> RouteProfile:
+    def profile(self, route: RouteName, latency_goal: Seconds) -> RouteProfile:
         """Return the estimates of a route's requests to this service."""
-        return self._profile_by_route.setdefault(route, RouteProfile())
+        known = self._profile_by_route.get(route)
+        if known is None:
+            known = RouteProfile(latency_goal)
+            self._profile_by_route[route] = known
+        return known
 
     def retry_delay(self, requirements: Requirements, now: Seconds) -> float:
         """Return the seconds after which a refused caller should retry.
@@ -276,6 +292,9 @@
         soonest = min(delays, default=MAX_RETRY_DELAY)
         return min(max(soonest, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
 
+    def _profile(self, requirements: Requirements) -> RouteProfile:
+        return self.profile(requirements.route, requirements.latency_goal)
+
     def _is_good(self, best: Candidate, estimate: RequestEstimate) -> bool:
         ideal = ideal_score(Distance.domain, estimate)
         return best.score >= ideal - GOOD_MARGIN
--- a/src/turmericmast/balance/profile.py
+++ b/src/turmericmast/balance/profile.py
@@ -4,8 +4,10 @@
 import statistics
 from typing import final
 
-INITIAL_SERVICE_TIME = 0.1
-"""Service time in seconds that is assumed before the first answer."""
+INITIAL_GOAL_SHARE = 0.4
+"""Service time before the first answer, as a fraction of the latency goal.
+
+It matters after a restart, when callers that waited come back all at once."""
 INITIAL_OCTETS = 1000.0
 """Size in bytes that is assumed before the first answer."""
 SIZE_WEIGHT = 0.05
@@ -23,9 +25,9 @@
     a large fleet gets few requests of each, so a few answers must suffice.
     """
 
-    def __init__(self) -> None:
-        """Begin with default estimates."""
-        self.service_time = INITIAL_SERVICE_TIME
+    def __init__(self, latency_goal: float) -> None:
+        """Begin with what a latency goal in seconds suggests."""
+        self.service_time = INITIAL_GOAL_SHARE * latency_goal
         """Median seconds that a target takes when it is not slowed down."""
         self.octets = INITIAL_OCTETS
         """Mean size of the bodies of a request and its answer, in bytes."""
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -35,6 +35,7 @@
         """Return the constraints on the target; ``avoid`` is excluded."""
         return Requirements(
             route=self.route.name,
+            latency_goal=self.route.latency_goal,
             goal_at=Seconds(self.began_at + self.route.latency_goal),
             deadline=self.call.deadline,
             home_regions=self.route.home_regions,
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -6,7 +6,6 @@
 from turmericmast.balance.pool import Candidate, Pool, Requirements
 from turmericmast.balance.scoring import Distance, expected_latency
 from turmericmast.balance.targetview import TargetView
-from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -18,6 +17,11 @@
 
 Right after a start no target is verified yet. The probes that are running tell
 more than a refusal at once would."""
+BETTER_PROBE_WAIT = 0.06
+"""Seconds for which a request waits for a better target than a busy one.
+
+Right after a start, the requests that waited would all go to the one target
+whose probe was answered first."""
 
 
 @final
@@ -59,27 +63,41 @@
             if best and self._can_stop_before(requirements, distance, best):
                 break
             best = await self._search_within(requirements, distance)
-        return best or await self._wait_for_first(requirements)
+        return await self._wait_for_probes(requirements, best)
 
-    async def _wait_for_first(
-        self, requirements: Requirements
+    async def _wait_for_probes(
+        self, requirements: Requirements, best: Candidate | None
     ) -> Candidate | None:
-        """Return the first target whose running probe succeeds, if any does."""
+        """Return the best target, once running probes have ended if need be.
+
+        Waits while there is no verified target, or only busy ones.
+        """
         clock = self._context.clock
         began_at = clock.now()
-        ends_at = Seconds(
-            began_at + FIRST_PROBE_SHARE * (requirements.deadline - began_at)
-        )
-        best: Candidate | None = None
         has_probes = True
-        while best is None and has_probes and clock.now() < ends_at:
+        while has_probes and not self._is_idle_enough(requirements, best):
             now = clock.now()
-            has_probes = await self._context.prober.wait_for_any(
-                self._pool.unverified_targets(requirements, now), ends_at - now
+            time_left = _longest_wait(requirements, best, began_at) + (
+                began_at - now
+            )
+            has_probes = time_left > 0 and (
+                await self._context.prober.wait_for_any(
+                    self._pool.unverified_targets(requirements, now), time_left
+                )
             )
             best = self._pool.best(requirements, Distance.remote, clock.now())
         return best
 
+    def _is_idle_enough(
+        self, requirements: Requirements, best: Candidate | None
+    ) -> bool:
+        """Tell whether waiting for a better target cannot pay off."""
+        if best is None:
+            return False
+        now = self._context.clock.now()
+        excess = self._pool.excess_latency(requirements, best, now)
+        return excess <= BETTER_PROBE_WAIT
+
     def _can_stop_before(
         self, requirements: Requirements, distance: Distance, best: Candidate
     ) -> bool:
@@ -125,3 +143,12 @@
             candidate.view, candidate.distance, estimate.service_time
         )
         return latency < estimate.time_left
+
+
+def _longest_wait(
+    requirements: Requirements, best: Candidate | None, began_at: float
+) -> float:
+    """Return the seconds for which a request waits from ``began_at`` on."""
+    if best:
+        return BETTER_PROBE_WAIT
+    return FIRST_PROBE_SHARE * (requirements.deadline - began_at)
--- a/tests/edge_samples.py
+++ b/tests/edge_samples.py
@@ -108,7 +108,7 @@
 
 def requirements(*avoid: str, homes: tuple[str, ...] = ()) -> Requirements:
     """Return the requirements of a look-up: goal 250 ms, deadline 1.2 s."""
-    return Requirements('look', NOW + 0.25, NOW + 1.2, homes, avoid)
+    return Requirements('look', 0.25, NOW + 0.25, NOW + 1.2, homes, avoid)
 
 
 class SkewedClock(SystemClock):
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -180,7 +180,7 @@
             target_view('1', slowness=3), target_view('2', 'tirol-b')
         )
         for _ in range(200):
-            stock_pool.profile('plans').learn(0.1, 1, 90_000)
+            stock_pool.profile('plans', 0.25).learn(0.1, 1, 90_000)
         plans = dataclasses.replace(requirements(), route='plans')
         best = stock_pool.best(plans, Distance.remote, NOW)
         self.assertEqual(best and best.view.record.target, '1')
@@ -204,7 +204,7 @@
             target_view('1', slowness=slowness), target_view('2', 'tirol-b')
         )
         for _ in range(200):
-            stock_pool.profile('look').learn(0.1, 1, octets)
+            stock_pool.profile('look', 0.25).learn(0.1, 1, octets)
         best = stock_pool.best(requirements(), Distance.domain, NOW)
         assert best is not None
         could_beat = stock_pool.could_beat(
@@ -217,8 +217,8 @@
             target_view('1', slowness=3), target_view('2', 'tirol-b')
         )
         for _ in range(200):
-            stock_pool.profile('plans').learn(0.07, 1, 90_000)
-            stock_pool.profile('orders').learn(0.12, 1, 400)
+            stock_pool.profile('plans', 0.25).learn(0.07, 1, 90_000)
+            stock_pool.profile('orders', 0.25).learn(0.12, 1, 400)
         candidates = [
             stock_pool.best(
                 dataclasses.replace(requirements(), route=route),
@@ -499,11 +499,25 @@
         latencies: list[float],
         expected: float,
     ) -> None:
-        profile = RouteProfile()
+        profile = RouteProfile(0.25)
         for latency in itertools.islice(itertools.cycle(latencies), 400):
             profile.learn(latency, 1, 1000)
         self.assertLess(abs(profile.service_time / expected - 1), 0.1)
 
+    @parameterized.expand(
+        [
+            ('look_up', 0.25, 0.09),
+            ('booking', 0.5, 0.21),
+            ('look_up_on_slow_hosts', 1.5, 0.59),
+            ('order_on_slow_hosts', 2.012, 0.764),
+        ]
+    )
+    def test_latency_goal_tells_the_first_estimate(
+        self, _name: str, latency_goal: float, expected: float
+    ) -> None:
+        profile = RouteProfile(latency_goal)
+        self.assertLess(abs(profile.service_time / expected - 1), 0.35)
+
     @parameterized.expand(FEW_ANSWERS)
     def test_few_answers_suffice(
         self,
@@ -511,7 +525,7 @@
         latencies: list[float],
         expected: float,
     ) -> None:
-        profile = RouteProfile()
+        profile = RouteProfile(0.25)
         for latency in latencies:
             profile.learn(latency, 1, 90_000)
         self.assertLess(abs(profile.service_time / expected - 1), 0.35)
--- a/tests/test_first_probes.py
+++ b/tests/test_first_probes.py
@@ -60,6 +60,43 @@
         self.assertEqual(chosen and chosen.view.record.target, expected)
         self.assertLess(clock.now() - began_at, within)
 
+    @parameterized.expand(
+        [
+            ('one_after_the_other', (0.01, 0.03, 0.05), 12, 6),
+            ('one_answers', (0.01, 9.0, 9.0), 12, 12),
+            ('few_requests', (0.01, 0.03, 0.05), 3, 3),
+        ]
+    )
+    async def test_waiting_requests_do_not_all_take_the_first_target(
+        self,
+        _name: str,
+        delays: tuple[float, ...],
+        requests: int,
+        most: int,
+    ) -> None:
+        views = [target_view(name, verified_at=LONG_AGO) for name in '123']
+        clock = SkewedClock()
+        clock.offset = NOW - clock.now()
+        prober = _SlowProber(clock, dict(zip('123', delays, strict=True)))
+        context = unittest.mock.Mock(
+            clock=clock, prober=prober.prober, metrics=Metrics()
+        )
+        stock_pool = pool(*views)
+
+        async def send() -> None:
+            selector = TargetSelector(context, stock_pool)
+            chosen = await selector.select(requirements())
+            if chosen:
+                stock_pool.begin_request(chosen.view, clock.now())
+
+        with prober:
+            for view in views:
+                prober.prober.start(view, '/health')
+            await asyncio.gather(*(send() for _ in range(requests)))
+        sent = [view.in_flight for view in views]
+        self.assertEqual(sum(sent), requests)
+        self.assertLessEqual(max(sent), most)
+
 
 class _SlowProber:
     """A prober whose probes take as long as is told; below 0 they are lost."""
--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -44,7 +44,9 @@
         context = unittest.mock.Mock()
         context.clock.now.return_value = NOW
         context.prober.probe = unittest.mock.AsyncMock()
-        requirements = Requirements('look', NOW + goal, NOW + 4 * goal, ())
+        requirements = Requirements(
+            'look', goal, NOW + goal, NOW + 4 * goal, ()
+        )
         chosen = await TargetSelector(context, pool).select(requirements)
         self.assertIsNotNone(chosen)
         probed = {
@@ -65,5 +67,5 @@
     pool = Pool('stock', Locality('tirol-a', 'tirol'), SharedRetryBudget(0.2))
     for view in (*near, *far):
         pool.add(view)
-    pool.profile('look').service_time = service_time
+    pool.profile('look', 0.25).service_time = service_time
     return pool
--- a/tests/test_silent_target.py
+++ b/tests/test_silent_target.py
@@ -71,7 +71,7 @@
             edge.pool_by_service[ServiceId('stock')],
             Candidate(view, Distance.domain, 1),
             response,
-            RouteProfile(),
+            RouteProfile(0.25),
         )
         answered = asyncio.Event()
         with unittest.mock.patch(
