Edges: wake up a third as often where no requests come

Cause: every edge looked every 30 ms for due probes and collected news. 315 edges with 1.5 requests a second each have one target to verify every 0.4 s and nothing to forward, unless one is the delegate of its domain. Change: 0.1 s between two checks where no service needs background probes and no news are forwarded; the first routes are followed by a check at once. Test: CheckIntervalTest in tests/test_gossip.py, which had nothing to call before.

--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -27,6 +27,15 @@
 instance sends one datagram for a request, whatever the size of its domain."""
 RELAY_INTERVAL = 0.05
 """Seconds for which the delegate collects news before it forwards them."""
+BUSY_CHECK_INTERVAL = 0.03
+"""Seconds between two checks for due probes and collected news.
+
+A quarter of the age at which load reports are refreshed."""
+IDLE_CHECK_INTERVAL = 0.1
+"""The same, in seconds, where only verifications are renewed.
+
+An instance of a large fleet is idle most of the time, and waking up is the most
+that it does then."""
 MAX_RELAYED_TARGETS = 24
 """Targets in one forwarded datagram, which then fits into one packet."""
 
@@ -61,6 +70,18 @@
         self._announced: collections.Counter[TargetId] = collections.Counter()
         """Own requests that the delegate has not forwarded yet."""
 
+    def check_interval(self, now: Seconds) -> float:
+        """Return the seconds until ``probes_due`` and ``forward`` are due."""
+        self._update_peers()
+        delegate = self._delegate
+        own_instance = self._edge.record.instance
+        is_relay = delegate is not None and delegate.instance == own_instance
+        is_busy = is_relay or any(
+            pool.needs_background_probes(now)
+            for pool in self._edge.pool_by_service.values()
+        )
+        return BUSY_CHECK_INTERVAL if is_busy else IDLE_CHECK_INTERVAL
+
     def probes_due(self, now: Seconds) -> list[TargetView]:
         """Return the targets that this instance must probe now."""
         services_to_probe = {
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -62,7 +62,7 @@
         process, edge, DocumentFormat(), LinkPool(process.context)
     )
     context = _make_context(process, stack, edge, watcher.report_crash)
-    watcher.on_routes = context.first_routes.announce
+    watcher.on_routes = lambda: _use_routes(context)
     frontend = EdgeFrontend(context)
     port = stack.enter_context(CallerPort(process, edge, frontend))
     _serve_http(process, stack, edge, frontend)
@@ -74,6 +74,11 @@
     await GracefulShutdown(process, context, frontend).run(port.server)
 
 
+def _use_routes(context: EdgeContext) -> None:
+    context.first_routes.announce()
+    context.load_sharing.check_now()
+
+
 def _serve_http(
     process: Process[InstanceSettings],
     stack: contextlib.ExitStack,
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -1,26 +1,19 @@
 """Background probes, and load gossip between instances over UDP."""
 
+import asyncio
 from collections.abc import Iterable
 from types import TracebackType
 from typing import Any, Self, final
 
-from tornado.ioloop import PeriodicCallback
-
 from turmericmast.balance.news import LoadNews
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
-from turmericmast.edge.gossip import LoadGossip, Parcel
+from turmericmast.edge.gossip import BUSY_CHECK_INTERVAL, LoadGossip, Parcel
 from turmericmast.metrics import Metrics
 from turmericmast.web.probing import Prober
 from turmericmast.wire.datagrams import DatagramEndpoint
 
-TICK_INTERVAL_MS = 30
-"""Milliseconds between two checks for due probes and collected news.
-
-A quarter of the age at which load reports are refreshed.
-"""
-
 
 @final
 class LoadSharing:
@@ -42,7 +35,7 @@
         self._prober = prober
         self._clock = clock
         self._datagrams = DatagramEndpoint(metrics, self._receive)
-        self._ticker = PeriodicCallback(self._tick, TICK_INTERVAL_MS)
+        self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
         """Return the object itself; leaving the context stops it."""
@@ -56,13 +49,19 @@
     ) -> None:
         """Stop probing and close the socket."""
         with self._datagrams:
-            self._ticker.stop()
+            self._cancel_timer()
 
     async def open(self, address: str) -> None:
         """Listen on ``address`` and start to probe."""
         self._prober.on_result = self.share_result
         await self._datagrams.open(address)
-        self._ticker.start()
+        self._schedule(BUSY_CHECK_INTERVAL)
+
+    def check_now(self) -> None:
+        """Probe what is due now, since routes or targets have changed."""
+        if self._timer:
+            self._cancel_timer()
+            self._check()
 
     def share_result(self, view: TargetView, *, is_lost: bool = False) -> None:
         """Tell the domain the load of a target, or its loss."""
@@ -74,8 +73,18 @@
         """Tell the domain that a request is about to be sent."""
         self._send(self._gossip.announce_request(view))
 
-    def _tick(self) -> None:
+    def _schedule(self, delay: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._check)
+
+    def _cancel_timer(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
         now = self._clock.now()
+        self._schedule(self._gossip.check_interval(now))
         for view in self._gossip.probes_due(now):
             path = self._edge.health_path(view.record.service)
             if path:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -21,6 +21,7 @@
     LoadGossip,
     Parcel,
 )
+from turmericmast.ids import ServiceId
 
 TICK = 0.03
 SIZES = [('single', 1), ('few', 3), ('direct', 9), ('dozens', 35), ('100', 97)]
@@ -166,6 +167,29 @@
         self.assertEqual(domain.view(1, '0').report.slowness, 7)
 
 
+class CheckIntervalTest(unittest.TestCase):
+    """An instance without requests wakes up seldom, the delegate often."""
+
+    @parameterized.expand(
+        [
+            ('idle', 5, 0, 0.1),
+            ('busy', 5, 60, 0.03),
+            ('delegate', 0, 0, 0.03),
+            ('burst_is_over', 5, 60, 0.1),
+        ]
+    )
+    def test_interval(
+        self, name: str, number: int, requests: int, interval: float
+    ) -> None:
+        domain = Domain(35)
+        edge_pool = domain.edges[number].pool_by_service[ServiceId('stock')]
+        for _ in range(requests):
+            edge_pool.request_rate.record(NOW)
+        now = NOW + 30 if name == 'burst_is_over' else NOW
+        gossip = domain.gossip(number)
+        self.assertEqual(gossip.check_interval(now), interval)
+
+
 class DatagramCountTest(unittest.TestCase):
     """The datagrams for one request do not grow with the domain."""
 
