Pages: requests without end are cut off at all ports

Cause: the servers of directory, readiness, metrics and operators had the defaults of tornado: 100 MB of a body in memory, an hour for the next head, no limit for a body in chunks. On a machine of 200 MB two such bodies end the process. Change: web/pageserver.py makes all of them, with limits of bytes and time. Also one listen() in place of four copies.

--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -4,7 +4,6 @@
 import contextlib
 from typing import Any, final
 
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.cluster import commands
@@ -27,6 +26,7 @@
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.replica import messages
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.pageserver import listen, make_page_server
 from turmericmast.wire import clusterrequests, replies
 from turmericmast.wire.server import Handler, PeerServer
 
@@ -223,12 +223,11 @@
     peer_server.listen(int(port), host)
     serve_metrics(process, stack, host)
     stack.callback(peer_server.close_all)
-    operator_server = HTTPServer(
+    operator_server = make_page_server(
         make_application(core.operations, process.metrics),
-        max_body_size=MAX_OPERATOR_BODY_BYTES,
+        MAX_OPERATOR_BODY_BYTES,
     )
-    host, _, port = listening.operators.rpartition(':')
-    operator_server.listen(int(port), host)
+    listen(operator_server, listening.operators)
     stack.callback(operator_server.stop)
 
 
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -3,7 +3,6 @@
 import contextlib
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.clock import LONG_AGO
@@ -24,6 +23,7 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 from turmericmast.web.loadsharing import LoadSharing
+from turmericmast.web.pageserver import listen, make_page_server
 from turmericmast.web.probing import Prober
 from turmericmast.wire.linkpool import LinkPool
 
@@ -88,7 +88,7 @@
     listening = process.settings.listening
     application = make_application(edge, process.metrics)
     for address in (listening.directory, listening.readiness):
-        stack.callback(_listen(HTTPServer(application), address).stop)
+        stack.callback(listen(make_page_server(application), address).stop)
     serve_metrics(process, stack, listening.peers.rpartition(':')[0])
     ticker = PeriodicCallback(frontend.close_idle, IDLE_SWEEP_INTERVAL_MS)
     ticker.start()
@@ -129,12 +129,6 @@
     return context
 
 
-def _listen(server: HTTPServer, address: str) -> HTTPServer:
-    host, _, port = address.rpartition(':')
-    server.listen(int(port), host)
-    return server
-
-
 def _apply_nothing(settings: Any) -> None:
     """Do nothing: users of settings that may change read them each time."""
 
--- a/src/turmericmast/programs/groupsetup.py
+++ b/src/turmericmast/programs/groupsetup.py
@@ -7,7 +7,6 @@
 from typing import Any, TypeAlias
 
 from returns.result import Success
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from turmericmast.disk.store import FileStore
@@ -22,6 +21,7 @@
 from turmericmast.programs.runner import Process
 from turmericmast.replica.state import ReplicaConfig
 from turmericmast.settings import GroupKind, MemberSettings
+from turmericmast.web.pageserver import listen, make_page_server
 from turmericmast.wire.replies import NotNow, Refusal
 from turmericmast.wire.server import Handler, PeerServer
 
@@ -102,11 +102,8 @@
     host, _, port = settings.peer.rpartition(':')
     peer_server.listen(int(port), host.strip('[]'))
     stack.callback(peer_server.close_all)
-    operator_server = HTTPServer(
-        application, max_body_size=MAX_OPERATOR_BODY_BYTES
-    )
-    host, _, port = settings.http.rpartition(':')
-    operator_server.listen(int(port), host.strip('[]'))
+    operator_server = make_page_server(application, MAX_OPERATOR_BODY_BYTES)
+    listen(operator_server, settings.http)
     stack.callback(operator_server.stop)
 
 
--- a/src/turmericmast/web/metricspage.py
+++ b/src/turmericmast/web/metricspage.py
@@ -6,6 +6,7 @@
 from tornado.web import Application, RequestHandler
 
 from turmericmast.metrics import Metrics
+from turmericmast.web.pageserver import make_page_server
 
 METRICS_PATH = '/metrics'
 """Path of the metrics page of edges, core members and ``--metrics_port``."""
@@ -27,7 +28,7 @@
 
 def make_metrics_server(metrics: Metrics) -> HTTPServer:
     """Return a server of the metrics page, which does not listen yet."""
-    return HTTPServer(
+    return make_page_server(
         Application(
             [(METRICS_PATH, MetricsPage, {'metrics': metrics})],
             log_function=skip_request_log,
