Admission: a request that would wait and be late is refused at once

Cause: a request was sent as long as its deadline could be met. With arrivals over the capacity for some seconds all queues grew to the deadline and every answer was late; callers that were refused came back after 0.05 s, into the same queues. Besides, a latency in a queue counted as service time, so that estimates grew with the queues (0.28 s of 0.16 s) and requests were refused that could be served. Change: Pool.admits() refuses a first attempt that would wait for a slot and then miss its latency goal; Retry-After is the time until the best target has room, spread between callers; only answers whose request had a free slot tell a service time; a queue slows a target no more than its first two requests do.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -1,6 +1,7 @@
 """Selection among the targets of one service at one instance."""
 
 import dataclasses
+import math
 from collections.abc import Collection, Iterator
 from typing import final
 
@@ -51,6 +52,10 @@
 """Shortest time in seconds after which a refused caller may retry."""
 MAX_RETRY_DELAY = 1.0
 """Longest time in seconds after which a refused caller may retry."""
+MIN_RETRY_SPREAD = 0.5
+"""Shortest retry delay, as a fraction of the time until there is room."""
+GOLDEN_RATIO = 0.618
+"""Step between the delays of two callers, so that any few are spread evenly."""
 LATENCY_DIGITS = 2
 """Decimal places of seconds; smaller differences in latency are ignored."""
 SCORE_DIGITS = 2
@@ -137,6 +142,8 @@
         }
         self._profile_by_route: dict[RouteName, RouteProfile] = {}
         self._cold_limiter_by_target: dict[TargetId, ColdRateLimiter] = {}
+        self._refused = 0
+        """Callers that were told when a busy target has room."""
 
     def add(self, view: TargetView) -> None:
         """Add a target, or replace its view."""
@@ -232,6 +239,24 @@
         is_good = self._is_good(best, estimate)
         return not is_good and ideal_score(distance, estimate) > best.score
 
+    def admits(
+        self, requirements: Requirements, candidate: Candidate, now: Seconds
+    ) -> bool:
+        """Tell whether to send a request to its best target, or to refuse it.
+
+        It is refused if it cannot be answered before its deadline, or if it
+        would wait for a slot and then miss its latency goal: it would make
+        all behind it late as well. One that was sent before is not given up.
+        """
+        estimate = self.estimate(requirements, now)
+        view = candidate.view
+        latency = expected_latency(
+            view, candidate.distance, estimate.service_time
+        )
+        may_queue = bool(requirements.avoid) or latency < estimate.goal_left
+        is_useful = view.has_free_slot() or may_queue
+        return is_useful and latency < estimate.time_left
+
     def excess_latency(
         self, requirements: Requirements, candidate: Candidate, now: Seconds
     ) -> float:
@@ -278,18 +303,34 @@
             self._profile_by_route[route] = known
         return known
 
-    def retry_delay(self, requirements: Requirements, now: Seconds) -> float:
+    def retry_delay(
+        self,
+        requirements: Requirements,
+        now: Seconds,
+        best: Candidate | None = None,
+    ) -> float:
         """Return the seconds after which a refused caller should retry.
 
-        It is the time until the first permitted target is no longer ejected,
+        It is about the time until ``best``, the best target, has room, and
+        until the first permitted target is no longer ejected without one. The
+        callers of a burst come back spread over that time. The delay is
         between ``MIN_RETRY_DELAY`` and ``MAX_RETRY_DELAY``.
         """
-        delays = (
-            view.ejected_until() - now
-            for distance in Distance
-            for view in self._permitted(requirements, distance)
-        )
-        soonest = min(delays, default=MAX_RETRY_DELAY)
+        if best:
+            self._refused += 1
+            spread, _ = math.modf(self._refused * GOLDEN_RATIO)
+            soonest = self.excess_latency(requirements, best, now) * (
+                MIN_RETRY_SPREAD + spread
+            )
+        else:
+            soonest = min(
+                (
+                    view.ejected_until() - now
+                    for distance in Distance
+                    for view in self._permitted(requirements, distance)
+                ),
+                default=MAX_RETRY_DELAY,
+            )
         return min(max(soonest, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
 
     def _profile(self, requirements: Requirements) -> RouteProfile:
--- a/src/turmericmast/balance/profile.py
+++ b/src/turmericmast/balance/profile.py
@@ -43,8 +43,16 @@
         median is estimated, not the mean: an answer whose target slowed down
         in between takes many times as long, and would distort a mean.
         """
-        self._answers += 1
         self._service_times.append(latency / max(slowness, 1))
         self.service_time = statistics.median_low(self._service_times)
+        self.learn_size(octets)
+
+    def learn_size(self, octets: int) -> None:
+        """Update the size from the bodies of a request and its answer.
+
+        That is all that an answer tells whose request waited for a slot: in an
+        overload, the service time would grow with the queues.
+        """
+        self._answers += 1
         weight = max(SIZE_WEIGHT, 1 / self._answers)
         self.octets += weight * (octets - self.octets)
--- a/src/turmericmast/balance/scoring.py
+++ b/src/turmericmast/balance/scoring.py
@@ -26,9 +26,12 @@
 
 Requests are spread over targets before any of them fills up."""
 NEAR_FULL_SLOWDOWN = 0.2
-"""Fraction by which each request from the last free slot on slows a target.
+"""Fraction by which a request slows a target whose last slot it takes.
 
-Some targets slow down when they are nearly full."""
+Some targets slow down when they are nearly full. A first request that waits
+counts as much again, further ones do not."""
+MAX_SLOWING_REQUESTS = 2
+"""Requests from the last free slot on that slow a target."""
 SPREAD_COST = 0.1
 """Score by which instances rank equal targets differently.
 
@@ -96,7 +99,8 @@
     slots = max(report.slots, 1)
     requests = view.outstanding() + 1
     rounds = 1 + max(requests - slots, 0) / slots
-    slowdown = 1 + NEAR_FULL_SLOWDOWN * max(requests - slots + 1, 0)
+    slowing = min(max(requests - slots + 1, 0), MAX_SLOWING_REQUESTS)
+    slowdown = 1 + NEAR_FULL_SLOWDOWN * slowing
     latency = service_time * report.slowness * rounds * slowdown
     return ROUND_TRIP_BY_DISTANCE[distance] + latency
 
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -108,6 +108,10 @@
         reported = self.report.running + self.report.waiting
         return max(reported + self._unreported, self.in_flight)
 
+    def has_free_slot(self) -> bool:
+        """Tell whether a request would run at once, as far as is known."""
+        return self.outstanding() < max(self.report.slots, 1)
+
     def failure_share(self, now: Seconds) -> float:
         """Return the recent share of failed answers, from 0 to 1."""
         age = now - self._failure_share_at
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -43,6 +43,7 @@
         self._profile = profile
         self._sent_octets = 0
         self._slowness = candidate.view.report.slowness
+        self._had_free_slot = candidate.view.has_free_slot()
         self._is_cancelled = False
         self._transfer: Transfer | None = None
         self._task: asyncio.Task[Loss | None] | None = None
@@ -125,11 +126,14 @@
                 'responses_rejected', reason=self.response.rejection.value
             )
         if loss is None:
-            self._profile.learn(
-                now - self.began_at,
-                self._slowness,
-                self._sent_octets + self.response.octets,
-            )
+            self._learn(Seconds(now - self.began_at))
+
+    def _learn(self, latency: Seconds) -> None:
+        octets = self._sent_octets + self.response.octets
+        if self._had_free_slot:
+            self._profile.learn(latency, self._slowness, octets)
+        else:
+            self._profile.learn_size(octets)
 
     def _may_send(self) -> bool:
         may_send = self._context.edge.may_send(self.candidate.view)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -309,9 +309,10 @@
         if self._call.losses:
             self._fail()
             return
-        now = self._context.clock.now()
         retry_delay = self._pool.retry_delay(
-            self._incoming.requirements(self._tried), now
+            self._incoming.requirements(self._tried),
+            self._context.clock.now(),
+            self._selector.last_best,
         )
         self._refuse(edgerefusals.no_target(self._pool.service, retry_delay))
 
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from turmericmast.balance.pool import Candidate, Pool, Requirements
-from turmericmast.balance.scoring import Distance, expected_latency
+from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
 from turmericmast.web.edgecontext import EdgeContext
 
@@ -41,10 +41,12 @@
         """The best target at the last selection, also if it was too slow."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
-        """Return the best target, ``None`` if none can respond in time."""
+        """Return the best target, ``None`` if the request is to be refused."""
         best = await self._search(requirements)
         self.last_best = best
-        return best if best and self._is_in_time(requirements, best) else None
+        now = self._context.clock.now()
+        is_admitted = best and self._pool.admits(requirements, best, now)
+        return best if is_admitted else None
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
@@ -135,15 +137,6 @@
                 PROBE_TIMEOUT_BY_DISTANCE[distance],
             )
 
-    def _is_in_time(
-        self, requirements: Requirements, candidate: Candidate
-    ) -> bool:
-        estimate = self._pool.estimate(requirements, self._context.clock.now())
-        latency = expected_latency(
-            candidate.view, candidate.distance, estimate.service_time
-        )
-        return latency < estimate.time_left
-
 
 def _longest_wait(
     requirements: Requirements, best: Candidate | None, began_at: float
