--- a/src/turmericmast/balance/profile.py
+++ b/src/turmericmast/balance/profile.py
@@ -1,7 +1,6 @@
 """Typical service time and size of a route's requests."""
 
 import collections
-import statistics
 from typing import final
 
 INITIAL_GOAL_SHARE = 0.4
@@ -44,7 +43,8 @@
         in between takes many times as long, and would distort a mean.
         """
         self._service_times.append(latency / max(slowness, 1))
-        self.service_time = statistics.median_low(self._service_times)
+        ordered = sorted(self._service_times)
+        self.service_time = ordered[(len(ordered) - 1) // 2]
         self.learn_size(octets)
 
     def learn_size(self, octets: int) -> None:
