Entries: a forwarded call that was refused goes to the next entry

Cause: while an entry leaves, a call that another entry forwarded to it can find no target there any more. Its refusal (503, not run) was relayed to the caller although other entries owned targets; only lost connections led to the next address.

--- a/src/turmericmast/web/forwarding.py
+++ b/src/turmericmast/web/forwarding.py
@@ -36,16 +36,25 @@
         """Try addresses in turn; tell whether one responded completely.
 
         The next address is tried only if the request did not reach the last
-        one and its body can be sent again.
+        one, or was refused there because it has no target any more, and if its
+        body can be sent again. The last refusal is the response then.
         """
-        for address in addresses[:MAX_FORWARD_ATTEMPTS]:
+        candidates = addresses[:MAX_FORWARD_ATTEMPTS]
+        loss: Loss | None = Loss.never_sent
+        for number, address in enumerate(candidates, start=1):
             loss = await self._forward_to(call, address)
-            if loss is None:
-                return True
-            call.record_failure(loss)
-            if loss is not Loss.never_sent or not self._body.can_replay:
+            has_next = number < len(candidates) and self._body.can_replay
+            if not (has_next and self._has_not_run(loss)):
                 break
-        return False
+            call.record_failure(loss or Loss.shed)
+        if loss:
+            call.record_failure(loss)
+        return loss is None
+
+    def _has_not_run(self, loss: Loss | None) -> bool:
+        """Tell whether the request certainly did not run at an entry."""
+        is_refused = loss is None and self._relay.loss is Loss.shed
+        return is_refused or loss is Loss.never_sent
 
     async def _forward_to(self, call: Call, address: str) -> Loss | None:
         self._relay.discard()
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -119,6 +119,8 @@
         """Whether requests to ``/crash`` close the connection unanswered."""
         self.echoes = True
         """Whether responses bear the id of the attempt."""
+        self.always = ''
+        """Kind of response to every request, if not that of its path."""
         self.repeats = False
         """Whether each connection starts a response with the one before."""
         bound = bind_unused_port()
@@ -181,7 +183,7 @@
         body: bytes,
         reader: asyncio.StreamReader,
     ) -> tuple[bytes, bool]:
-        kind = path.strip('/').partition('?')[0]
+        kind = self.always or path.strip('/').partition('?')[0]
         if kind == 'crash' and self.crashes:
             return b'', False
         if kind == 'slow':
