--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -346,15 +346,17 @@
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
         now = self._context.clock.now()
+        requirements = self._incoming.requirements(self._tried)
         return {
             'tried': ','.join(sorted(self._tried)),
             'losses': ','.join(loss.value for loss in self._call.losses),
             'waited_ms': int(
                 (now - self._incoming.began_at) * MILLIS_PER_SECOND
             ),
-            'left_ms': int(
-                (self._incoming.call.deadline - now) * MILLIS_PER_SECOND
+            'goal_left_ms': int(
+                (requirements.goal_at - now) * MILLIS_PER_SECOND
             ),
+            'left_ms': int((requirements.deadline - now) * MILLIS_PER_SECOND),
             'cluster_index': self._context.edge.index,
         }
 
