Numbers from outside: bounded, so that none raises an exception

Cause: Python refuses to convert more than 4,300 digits, so a Content-Length or port of 5,000 digits raised ValueError; a load figure of 400 digits became infinite and raised OverflowError in the callback of curl; leading zeros hid the value of a header behind its first 12 digits. Change: numerals.parse_whole() for all of them, 15 digits at most.

--- /dev/null
+++ b/src/turmericmast/numerals.py
@@ -0,0 +1,18 @@
+"""Whole numbers in texts from outside, such as headers and addresses."""
+
+MAX_DIGITS = 15
+"""Most digits of a number; Python refuses to convert more than 4,300."""
+
+
+def parse_whole(text: str) -> int | None:
+    """Return the whole number that ``text`` holds, ``None`` if it has none.
+
+    Signs, spaces and more than ``MAX_DIGITS`` digits are no number.
+    """
+    return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
+
+
+def is_whole_within(text: str, low: int, high: int) -> bool:
+    """Tell whether ``text`` holds a whole number from ``low`` to ``high``."""
+    number = parse_whole(text)
+    return number is not None and low <= number <= high
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -6,6 +6,7 @@
 
 from turmericmast.balance.load import LoadReport
 from turmericmast.ids import Seconds, TargetId
+from turmericmast.numerals import parse_whole
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.headerformat import (
     HeaderFormat,
@@ -111,4 +112,4 @@
 
 
 def _is_number(text: str) -> bool:
-    return text.strip().replace('.', '', 1).isdecimal()
+    return parse_whole(text.strip().replace('.', '', 1)) is not None
--- a/src/turmericmast/programs/operatorapi.py
+++ b/src/turmericmast/programs/operatorapi.py
@@ -11,6 +11,7 @@
 from turmericmast.fleet.explanation import explain
 from turmericmast.fleet.fleet import FleetVersion
 from turmericmast.ids import TargetId
+from turmericmast.numerals import parse_whole
 from turmericmast.programs.operatordocuments import (
     members_document,
     placement_document,
@@ -107,7 +108,7 @@
         """
         region = self.control.region
         argument = self.get_query_argument('version', '')
-        version = int(argument) if argument.isdecimal() else 0
+        version = parse_whole(argument)
         self.finish(
             version_document(self.control, version or None)
             | {'document': json.loads(region.fleet.current.document)},
--- a/src/turmericmast/target/announcement.py
+++ b/src/turmericmast/target/announcement.py
@@ -17,6 +17,7 @@
     ServiceId,
     TargetId,
 )
+from turmericmast.numerals import is_whole_within
 
 MAX_SLOTS = 10_000
 """Concurrent requests that a target may announce."""
@@ -129,7 +130,7 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return 'write an IP address and a port, such as 127.0.0.1:8080'
-    is_port = port.isdecimal() and 0 < int(port) <= MAX_PORT
+    is_port = is_whole_within(port, 1, MAX_PORT)
     return '' if is_port else 'write a port between 1 and 65535'
 
 
--- a/src/turmericmast/validation.py
+++ b/src/turmericmast/validation.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeAlias
 
+from turmericmast.numerals import is_whole_within
+
 Fault: TypeAlias = tuple[str, str, str]
 """Path in the document, what was found there, what to write instead."""
 
@@ -199,7 +201,7 @@
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return False
-    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+    return is_whole_within(port, 1, MAX_PORT)
 
 
 def _join_path(path: str, key: str) -> str:
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -18,6 +18,7 @@
 from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
 from turmericmast.ids import CallId, RequestKey, Seconds, TenantId
+from turmericmast.numerals import parse_whole
 from turmericmast.route.document import Route, RouteLimits
 from turmericmast.web import edgerefusals
 from turmericmast.web.edgecontext import EdgeContext
@@ -29,6 +30,9 @@
 from turmericmast.web.idle import IdleConnections
 from turmericmast.web.problem import Problem, refuse_request
 
+MAX_SHOWN_LENGTH = 20
+"""Characters of a malformed Content-Length that a refusal repeats."""
+
 
 @final
 class EdgeFrontend(HTTPServerConnectionDelegate):
@@ -188,10 +192,11 @@
     size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
     if size > limits.header_bytes:
         return edgerefusals.headers_too_large(limits.header_bytes)
-    length = headers.get('Content-Length', '0')
-    if not length.isdecimal():
-        return edgerefusals.bad_content_length(length)
-    if int(length) > limits.body_bytes:
+    text = headers.get('Content-Length', '0')
+    length = parse_whole(text)
+    if length is None:
+        return edgerefusals.bad_content_length(text[:MAX_SHOWN_LENGTH])
+    if length > limits.body_bytes:
         return edgerefusals.body_too_large(limits.body_bytes)
     return None
 
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -18,6 +18,7 @@
     ServiceId,
     TenantId,
 )
+from turmericmast.numerals import is_whole_within, parse_whole
 from turmericmast.web.problem import RAN_HEADER, Problem
 
 if TYPE_CHECKING:
@@ -46,8 +47,6 @@
 """HTTP methods that a call may have."""
 MAX_KEY_LENGTH = 255
 """Characters of an idempotency key."""
-MAX_DIGITS = 12
-"""Digits compared of a numeric header; every upper limit has fewer."""
 
 _STRIPPED_HEADERS = frozenset(
     (
@@ -239,11 +238,11 @@
         (DEPTH_HEADER, 0, MAX_DEPTH),
     ):
         text = headers.get(name, str(low))
-        if not text.isdecimal() or not low <= int(text[:MAX_DIGITS]) <= high:
+        if not is_whole_within(text, low, high):
             yield (name, f'write a whole number from {low} to {high}')
     key = headers.get(KEY_HEADER)
     if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
         yield (KEY_HEADER, f'write 1 to {MAX_KEY_LENGTH} characters')
     length = headers.get('Content-Length', '0')
-    if not length.isdecimal():
+    if parse_whole(length) is None:
         yield ('Content-Length', 'write a whole number')
