--- a/src/turmericmast/balance/retrybudget.py
+++ b/src/turmericmast/balance/retrybudget.py
@@ -86,6 +86,16 @@
             self._debts.append(_Debt(self._usable_from, share))
         self._share = share
 
+    @property
+    def share(self) -> float:
+        """Return the tokens of this instance that serve in each window."""
+        return self._share
+
+    def usable(self, now: Seconds) -> float:
+        """Return the tokens that are usable now."""
+        self._settle(now)
+        return self._share - sum(debt.tokens for debt in self._debts)
+
     def deposit(self, now: Seconds) -> None:
         """Repay a fraction of a token for a request of a caller."""
         self._settle(now)
@@ -100,9 +110,7 @@
 
     def try_withdraw(self, now: Seconds) -> bool:
         """Take a token for a retry or hedge; return whether there was one."""
-        self._settle(now)
-        owed = sum(debt.tokens for debt in self._debts)
-        if self._share - owed < FULL_TOKEN:
+        if self.usable(now) < FULL_TOKEN:
             return False
         self._debts.append(_Debt(now + self._return_after, 1))
         return True
--- a/src/turmericmast/programs/controlclient.py
+++ b/src/turmericmast/programs/controlclient.py
@@ -28,6 +28,14 @@
 POLL_INTERVAL = 0.3
 """Seconds between two rounds of requests, and between two polls."""
 
+ASK_STEP = 'ask control'
+"""Step of an error that a request to a process met."""
+NO_ANSWER_HINT = (
+    'check that most control members of the region are running, '
+    'then send the same change again with --change'
+)
+"""What to do if no member of a control group answers."""
+
 OperationResult: TypeAlias = Result[dict[str, Any], TurmericmastError]
 """The JSON document that answers a request, or an error."""
 
@@ -61,10 +69,19 @@
             ].control
             if not member_settings.witness
         ]
-        answer: OperationResult = Failure(self._no_answer_error(''))
+        answer: OperationResult = Failure(
+            WireError(
+                'no answer',
+                step=ASK_STEP,
+                peer=self.region,
+                hint=NO_ANSWER_HINT,
+            )
+        )
         while time.monotonic() < deadline:
             for address in addresses:
-                answer = self._request_member(address, method, path, document)
+                answer = request_document(
+                    address, method, path, document, hint=NO_ANSWER_HINT
+                )
                 is_final = isinstance(answer, Success) or isinstance(
                     answer.failure(),
                     RefusedError,
@@ -74,40 +91,37 @@
             time.sleep(POLL_INTERVAL)
         return answer
 
-    def _request_member(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        document: Mapping[str, Any] | None,
-    ) -> OperationResult:
-        body = BytesIO()
-        handle = pycurl.Curl()
-        handle.setopt(pycurl.URL, f'http://{address}{path}')
-        handle.setopt(pycurl.CUSTOMREQUEST, method)
-        handle.setopt(pycurl.PROXY, '')
-        handle.setopt(pycurl.TIMEOUT_MS, REQUEST_TIMEOUT_MS)
-        handle.setopt(pycurl.WRITEDATA, body)
-        if document is not None:
-            handle.setopt(pycurl.POSTFIELDS, json.dumps(document))
-        try:
-            handle.perform()
-        except pycurl.error as error:
-            return Failure(self._no_answer_error(address, error.args[1]))
-        status = handle.getinfo(pycurl.RESPONSE_CODE)
-        handle.close()
-        return _parse_answer(address, status, body.getvalue())
-
-    def _no_answer_error(
-        self, address: str, message: str = 'no answer'
-    ) -> WireError:
-        return WireError(
-            message,
-            step='ask control',
-            peer=address or self.region,
-            hint='check that most control members of the region are running, '
-            'then send the same change again with --change',
+
+def request_document(
+    address: str,
+    method: str,
+    path: str,
+    document: Mapping[str, Any] | None = None,
+    *,
+    hint: str,
+) -> OperationResult:
+    """Send one request to ``address``; return the JSON document it answers.
+
+    ``hint`` tells the operator what to do if there is no answer.
+    """
+    body = BytesIO()
+    handle = pycurl.Curl()
+    handle.setopt(pycurl.URL, f'http://{address}{path}')
+    handle.setopt(pycurl.CUSTOMREQUEST, method)
+    handle.setopt(pycurl.PROXY, '')
+    handle.setopt(pycurl.TIMEOUT_MS, REQUEST_TIMEOUT_MS)
+    handle.setopt(pycurl.WRITEDATA, body)
+    if document is not None:
+        handle.setopt(pycurl.POSTFIELDS, json.dumps(document))
+    try:
+        handle.perform()
+    except pycurl.error as error:
+        return Failure(
+            WireError(error.args[1], step=ASK_STEP, peer=address, hint=hint)
         )
+    status = handle.getinfo(pycurl.RESPONSE_CODE)
+    handle.close()
+    return _parse_answer(address, status, body.getvalue())
 
 
 def _parse_answer(address: str, status: int, body: bytes) -> OperationResult:
@@ -125,7 +139,7 @@
     return Failure(
         error_class(
             document.get('error', f'status {status}'),
-            step=document.get('step') or 'ask control',
+            step=document.get('step') or ASK_STEP,
             peer=address,
             hint=document.get('hint', ''),
         ),
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -22,11 +22,16 @@
     LEADERSHIP_TRANSFER_TIMEOUT,
     MAX_OPERATOR_BODY_BYTES,
 )
-from turmericmast.programs.runner import Process, run_program, serve_metrics
+from turmericmast.programs.runner import (
+    Process,
+    run_program,
+    serve_metrics,
+    serve_pages,
+)
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.replica import messages
 from turmericmast.units import MILLIS_PER_SECOND
-from turmericmast.web.pageserver import listen, make_page_server
+from turmericmast.web.fleetpages import Page, core_pages
 from turmericmast.wire import clusterrequests, replies
 from turmericmast.wire.server import Handler, PeerServer
 
@@ -98,6 +103,10 @@
             'handle', f'message of unexpected type {type(body)}', ''
         )
 
+    def pages(self) -> tuple[Page, ...]:
+        """Return the pages that show operators the cluster."""
+        return core_pages(self._state_machine.cluster)
+
     def tick(self) -> None:
         """Run failure detection: the leader removes silent edges and targets.
 
@@ -221,14 +230,14 @@
     peer_server = PeerServer(process.context, core)
     host, _, port = listening.peers.rpartition(':')
     peer_server.listen(int(port), host)
-    serve_metrics(process, stack, host)
+    serve_metrics(process, stack, host, core.pages())
     stack.callback(peer_server.close_all)
-    operator_server = make_page_server(
+    serve_pages(
+        stack,
         make_application(core.operations, process.metrics),
+        listening.operators,
         MAX_OPERATOR_BODY_BYTES,
     )
-    listen(operator_server, listening.operators)
-    stack.callback(operator_server.stop)
 
 
 def main() -> None:
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -16,14 +16,19 @@
 from turmericmast.programs.callerport import CallerPort
 from turmericmast.programs.clusterwatcher import ClusterWatcher
 from turmericmast.programs.gracefulshutdown import GracefulShutdown
-from turmericmast.programs.runner import Process, run_program, serve_metrics
+from turmericmast.programs.runner import (
+    Process,
+    run_program,
+    serve_metrics,
+    serve_pages,
+)
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.web.crashdetection import CrashDetector, ReportToCore
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
+from turmericmast.web.fleetpages import edge_pages
 from turmericmast.web.loadsharing import LoadSharing
-from turmericmast.web.pageserver import listen, make_page_server
 from turmericmast.web.probing import Prober
 from turmericmast.wire.linkpool import LinkPool
 
@@ -88,8 +93,9 @@
     listening = process.settings.listening
     application = make_application(edge, process.metrics)
     for address in (listening.directory, listening.readiness):
-        stack.callback(listen(make_page_server(application), address).stop)
-    serve_metrics(process, stack, listening.peers.rpartition(':')[0])
+        serve_pages(stack, application, address)
+    host = listening.peers.rpartition(':')[0]
+    serve_metrics(process, stack, host, edge_pages(edge, process.clock))
     ticker = PeriodicCallback(frontend.close_idle, IDLE_SWEEP_INTERVAL_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/programs/textoutput.py
+++ b/src/turmericmast/programs/textoutput.py
@@ -38,7 +38,7 @@
     )
     return (
         f'{heading}\n'
-        f'{_format_table(("VALUE", "IS", "DECIDED BY", "REASON"), rows)}'
+        f'{format_table(("VALUE", "IS", "DECIDED BY", "REASON"), rows)}'
     )
 
 
@@ -83,15 +83,15 @@
         (
             f'region {document["region"]}, led by {document["leader"]}; '
             f'members {members}\nfleet {format_version(document["fleet"])}',
-            _format_table(
+            format_table(
                 ('ENTRY', 'DOMAIN', 'HTTP', 'PHASE', 'TARGETS'), entries
             ),
-            _format_table(
+            format_table(
                 ('TARGET', 'SERVICE', 'DOMAIN', 'ADDRESS', 'OWNER', 'STATE'),
                 targets,
             ),
-            _format_table(('TAKEN OUT', 'NAME', 'REASON'), outages),
-            _format_table(('QUARANTINED', 'CRASHES'), quarantined),
+            format_table(('TAKEN OUT', 'NAME', 'REASON'), outages),
+            format_table(('QUARANTINED', 'CRASHES'), quarantined),
         ),
     )
 
@@ -112,9 +112,8 @@
     )
 
 
-def _format_table(
-    headings: Sequence[str], rows: Iterable[Sequence[str]]
-) -> str:
+def format_table(headings: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Return aligned columns under headings, with the rows in order."""
     lines = [tuple(headings), *sorted(map(tuple, rows))]
     widths = [
         max(len(line[column]) for line in lines)
--- a/src/turmericmast/web/metricspage.py
+++ b/src/turmericmast/web/metricspage.py
@@ -1,6 +1,7 @@
 """Serve the metrics of a process over HTTP."""
 
-from typing import final
+from collections.abc import Iterable
+from typing import Any, final
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
@@ -26,11 +27,14 @@
         self.finish(self.metrics.render())
 
 
-def make_metrics_server(metrics: Metrics) -> HTTPServer:
-    """Return a server of the metrics page, which does not listen yet."""
+def make_metrics_server(metrics: Metrics, pages: Iterable[Any]) -> HTTPServer:
+    """Return a server of the metrics page, which does not listen yet.
+
+    ``pages`` are further paths with their handlers and options.
+    """
     return make_page_server(
         Application(
-            [(METRICS_PATH, MetricsPage, {'metrics': metrics})],
+            [(METRICS_PATH, MetricsPage, {'metrics': metrics}), *pages],
             log_function=skip_request_log,
         ),
     )
