--- a/src/turmericmast/balance/hedge.py
+++ b/src/turmericmast/balance/hedge.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from turmericmast.balance.pool import Candidate
+from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.scoring import (
     ROUND_TRIP_BY_DISTANCE,
     RequestEstimate,
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -1,10 +1,16 @@
 """Selection among the targets of one service at one instance."""
 
-import dataclasses
-import math
 from collections.abc import Collection, Iterator
 from typing import final
 
+from turmericmast.balance.admission import (
+    MAX_DELAY,
+    RetryDelays,
+    excess_latency,
+    is_admitted,
+    limited_delay,
+)
+from turmericmast.balance.candidate import Candidate, Locality, Requirements
 from turmericmast.balance.coldlimit import ColdRateLimiter
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.requestrate import RequestRate
@@ -20,7 +26,6 @@
 from turmericmast.cluster.records import TargetPhase
 from turmericmast.ids import (
     DomainId,
-    RegionId,
     RouteName,
     Seconds,
     ServiceId,
@@ -48,64 +53,12 @@
 """Targets probed at a time for one request."""
 MAX_PROBES_REMOTE = 2
 """Targets in other regions probed at a time for one request."""
-MIN_RETRY_DELAY = 0.05
-"""Shortest time in seconds after which a refused caller may retry."""
-MAX_RETRY_DELAY = 1.0
-"""Longest time in seconds after which a refused caller may retry."""
-MIN_RETRY_SPREAD = 0.5
-"""Shortest retry delay, as a fraction of the time until there is room."""
-GOLDEN_RATIO = 0.618
-"""Step between the delays of two callers, so that any few are spread evenly."""
 LATENCY_DIGITS = 2
 """Decimal places of seconds; smaller differences in latency are ignored."""
 SCORE_DIGITS = 2
 """Decimal places of scores; smaller differences are ignored."""
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Locality:
-    """The failure domain and region of this instance."""
-
-    domain: DomainId
-    region: RegionId
-
-    def distance(self, view: TargetView) -> Distance:
-        """Return the network distance to a target."""
-        if view.record.domain == self.domain:
-            return Distance.domain
-        is_near = view.region == self.region
-        return Distance.region if is_near else Distance.remote
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Requirements:
-    """Constraints on the target of a request."""
-
-    route: RouteName
-    latency_goal: Seconds
-    """Latency goal of the route, counted from the arrival of a request."""
-    goal_at: Seconds
-    """When the latency goal of the route is missed."""
-    deadline: Seconds
-    """When the caller gives up."""
-    home_regions: Collection[RegionId]
-    """Regions that may serve the request; any region when empty."""
-    avoid: Collection[TargetId] = ()
-    """Targets that were already tried."""
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """A target that a request may be sent to, with its score."""
-
-    view: TargetView
-    distance: Distance
-    score: float
-
-
 @final
 class Pool:
     """Holds the targets of a service and chooses among them."""
@@ -142,8 +95,7 @@
         }
         self._profile_by_route: dict[RouteName, RouteProfile] = {}
         self._cold_limiter_by_target: dict[TargetId, ColdRateLimiter] = {}
-        self._refused = 0
-        """Callers that were told when a busy target has room."""
+        self._retry_delays = RetryDelays()
 
     def add(self, view: TargetView) -> None:
         """Add a target, or replace its view."""
@@ -240,32 +192,20 @@
         return not is_good and ideal_score(distance, estimate) > best.score
 
     def admits(
-        self, requirements: Requirements, candidate: Candidate, now: Seconds
+        self, requirements: Requirements, best: Candidate, now: Seconds
     ) -> bool:
         """Tell whether to send a request to its best target, or to refuse it.
 
-        It is refused if it cannot be answered before its deadline, or if it
-        would wait for a slot and then miss its latency goal: it would make
-        all behind it late as well. One that was sent before is not given up.
+        The rule is that of ``admission.is_admitted``.
         """
         estimate = self.estimate(requirements, now)
-        view = candidate.view
-        latency = expected_latency(
-            view, candidate.distance, estimate.service_time
-        )
-        may_queue = bool(requirements.avoid) or latency < estimate.goal_left
-        is_useful = view.has_free_slot() or may_queue
-        return is_useful and latency < estimate.time_left
+        return is_admitted(best, estimate, was_sent=bool(requirements.avoid))
 
     def excess_latency(
         self, requirements: Requirements, candidate: Candidate, now: Seconds
     ) -> float:
         """Return the seconds by which an idle target would respond earlier."""
-        service_time = self.estimate(requirements, now).service_time
-        latency = expected_latency(
-            candidate.view, candidate.distance, service_time
-        )
-        return latency - service_time
+        return excess_latency(candidate, self.estimate(requirements, now))
 
     def is_good_enough(
         self, requirements: Requirements, best: Candidate, now: Seconds
@@ -312,26 +252,17 @@
         """Return the seconds after which a refused caller should retry.
 
         It is about the time until ``best``, the best target, has room, and
-        until the first permitted target is no longer ejected without one. The
-        callers of a burst come back spread over that time. The delay is
-        between ``MIN_RETRY_DELAY`` and ``MAX_RETRY_DELAY``.
+        until the first permitted target is no longer ejected without one.
         """
         if best:
-            self._refused += 1
-            spread, _ = math.modf(self._refused * GOLDEN_RATIO)
-            soonest = self.excess_latency(requirements, best, now) * (
-                MIN_RETRY_SPREAD + spread
-            )
-        else:
-            soonest = min(
-                (
-                    view.ejected_until() - now
-                    for distance in Distance
-                    for view in self._permitted(requirements, distance)
-                ),
-                default=MAX_RETRY_DELAY,
-            )
-        return min(max(soonest, MIN_RETRY_DELAY), MAX_RETRY_DELAY)
+            until_room = self.excess_latency(requirements, best, now)
+            return self._retry_delays.next_delay(until_room)
+        ejections = (
+            view.ejected_until() - now
+            for distance in Distance
+            for view in self._permitted(requirements, distance)
+        )
+        return limited_delay(min(ejections, default=MAX_DELAY))
 
     def _profile(self, requirements: Requirements) -> RouteProfile:
         return self.profile(requirements.route, requirements.latency_goal)
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -6,7 +6,8 @@
 from typing import final
 
 from turmericmast.balance.affinity import affinity
-from turmericmast.balance.pool import FRESH_REPORT_AGE, Locality, Pool
+from turmericmast.balance.candidate import Locality
+from turmericmast.balance.pool import FRESH_REPORT_AGE, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import LONG_AGO
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from typing import final
 
+from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.hedge import Hedge
-from turmericmast.balance.pool import Candidate, Pool
+from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.call.call import Loss
 from turmericmast.ids import Seconds
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -3,7 +3,7 @@
 import enum
 from typing import final
 
-from turmericmast.balance.pool import Candidate
+from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.targetview import TargetView
 from turmericmast.events import EventLog, Field
 from turmericmast.ids import Seconds
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -9,7 +9,7 @@
     HTTPMessageDelegate,
 )
 
-from turmericmast.balance.pool import Candidate
+from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.scoring import Distance
 from turmericmast.call.call import Call, Loss, NextStep, Ran
 from turmericmast.events import Field
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -6,7 +6,8 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from turmericmast.balance.pool import Pool, Requirements
+from turmericmast.balance.candidate import Requirements
+from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.ids import Seconds, TargetId
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 from typing import final
 
-from turmericmast.balance.pool import Candidate, Pool, Requirements
+from turmericmast.balance.candidate import Candidate, Requirements
+from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
 from turmericmast.web.edgecontext import EdgeContext
--- a/tests/edge_samples.py
+++ b/tests/edge_samples.py
@@ -1,8 +1,9 @@
 """Sample targets, instances and edges for tests without a network."""
 
 from tests.platform_samples import ROUTES, encoded
+from turmericmast.balance.candidate import Locality, Requirements
 from turmericmast.balance.load import LoadReport
-from turmericmast.balance.pool import Locality, Pool, Requirements
+from turmericmast.balance.pool import Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import SystemClock
--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -9,7 +9,8 @@
 from parameterized import parameterized
 
 from tests.edge_samples import NOW, target_view
-from turmericmast.balance.pool import Locality, Pool, Requirements
+from turmericmast.balance.candidate import Locality, Requirements
+from turmericmast.balance.pool import Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
 from turmericmast.web.targetselection import TargetSelector
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,8 +12,9 @@
 from parameterized import parameterized
 
 from tests.edge_samples import NOW, pool, target_view
+from turmericmast.balance.candidate import Candidate, Requirements
 from turmericmast.balance.load import LoadReport
-from turmericmast.balance.pool import Candidate, Pool, Requirements
+from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.scoring import Distance
 from turmericmast.metrics import Metrics
--- a/tests/test_silent_target.py
+++ b/tests/test_silent_target.py
@@ -17,7 +17,7 @@
     instance,
     target,
 )
-from turmericmast.balance.pool import Candidate
+from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.scoring import Distance
 from turmericmast.edge.edge import Edge
