Edges: load only the messages that an edge sends and gets

Cause: an edge loaded the commands and requests of core members at its start, 9 data classes of about 1 ms each of 280 ms; after a loss of power everywhere 315 start at once, and callers wait for them. Change: wire/watchrequests.py and cluster/crashes.py apart from what only core members use; the messages themselves are the same on the wire (tests/test_wire.py).

--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -6,6 +6,7 @@
 
 from turmericmast.cluster import commands
 from turmericmast.cluster.changetable import ChangeTable
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import (
     ClusterFeed,
     ClusterSnapshot,
@@ -145,7 +146,7 @@
                 return Success(self._evacuate(domain, evacuated=evacuated))
             case commands.SetEdge(edge=edge):
                 return Success(self._set_edge(edge, index))
-            case commands.ReportCrash():
+            case ReportCrash():
                 return Success(self.suspects.report(command, index))
         dropped = [
             self.edges.remove(instance, index) for instance in command.instances
--- a/src/turmericmast/cluster/commands.py
+++ b/src/turmericmast/cluster/commands.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import TypeAlias, final
 
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import (
     EdgeRecord,
     RoutesRecord,
@@ -10,9 +11,7 @@
 )
 from turmericmast.ids import (
     DomainId,
-    Fingerprint,
     InstanceId,
-    Millis,
     TargetId,
     Version,
 )
@@ -71,17 +70,6 @@
     instances: tuple[InstanceId, ...]
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportCrash:
-    """Count a crash of a target while it ran a request."""
-
-    fingerprint: Fingerprint
-    """Identifies the request."""
-    at_ms: Millis
-    """Wall clock of the instance that reports the crash."""
-
-
 ClusterCommand: TypeAlias = (
     ReportTarget
     | RemoveTargets
--- a/src/turmericmast/cluster/suspects.py
+++ b/src/turmericmast/cluster/suspects.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from turmericmast.cluster.changetable import ChangeTable
-from turmericmast.cluster.commands import ReportCrash
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import SuspectRecord
 from turmericmast.ids import Fingerprint, Index, Millis
 
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from turmericmast.cluster import commands
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import RoutesRecord, TargetRecord
 from turmericmast.exceptions import (
     ConflictError,
@@ -24,7 +25,7 @@
 from turmericmast.programs.groupsetup import error_reply, flatten_result
 from turmericmast.programs.runner import Process
 from turmericmast.route.document import RouteFormat
-from turmericmast.wire import clusterrequests, replies
+from turmericmast.wire import clusterrequests, replies, watchrequests
 
 CHANGE_TIMEOUT = 0.9
 """Seconds for a change or a read.
@@ -185,7 +186,7 @@
                 return outcome
             await asyncio.sleep(RETRY_INTERVAL)
 
-    async def serve_crash_report(self, crash: commands.ReportCrash) -> Any:
+    async def serve_crash_report(self, crash: ReportCrash) -> Any:
         """Answer an edge that reports a request whose target crashed."""
         recorded = await self.change(crash)
         if isinstance(recorded, Success):
@@ -213,13 +214,13 @@
         return self._commit_index_reply()
 
     def serve_near_member(
-        self, question: clusterrequests.AskMember
-    ) -> clusterrequests.TellMember:
+        self, question: watchrequests.AskMember
+    ) -> watchrequests.TellMember:
         """Answer an edge that looks for a member in its failure domain."""
-        return clusterrequests.TellMember(self._member_in(question.domain))
+        return watchrequests.TellMember(self._member_in(question.domain))
 
-    def _commit_index_reply(self) -> clusterrequests.TellIndex:
-        return clusterrequests.TellIndex(self._group.replica.state.commit)
+    def _commit_index_reply(self) -> watchrequests.TellIndex:
+        return watchrequests.TellIndex(self._group.replica.state.commit)
 
     async def _change_once(
         self,
@@ -298,7 +299,7 @@
 
 def _parse_change_reply(answer: Any) -> Result[bool, TurmericmastError]:
     match answer:
-        case clusterrequests.TellIndex():
+        case watchrequests.TellIndex():
             return Success(True)
         case replies.Conflict(step=step, message=message, hint=hint):
             return Failure(ConflictError(message, step=step, hint=hint))
@@ -308,7 +309,7 @@
 
 
 def _parse_index_reply(answer: Any) -> Result[Index, TurmericmastError]:
-    if isinstance(answer, clusterrequests.TellIndex):
+    if isinstance(answer, watchrequests.TellIndex):
         return Success(answer.index)
     return Failure(_not_leader_error(answer))
 
--- a/src/turmericmast/programs/clusterstate.py
+++ b/src/turmericmast/programs/clusterstate.py
@@ -8,6 +8,7 @@
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.ids import Index
 from turmericmast.programs.groupmember import StateMachine
+from turmericmast.web.fleetpages import Page, core_pages
 from turmericmast.wire.feedpacking import pack_feed
 
 MERGE_INTERVAL = 0.05
@@ -47,6 +48,10 @@
         self.cluster.restore(state)
         self._notify_waiters()
 
+    def pages(self) -> tuple[Page, ...]:
+        """Return the pages that show operators the cluster."""
+        return core_pages(self.cluster)
+
     async def wait_for_change(self, known_index: Index, timeout: float) -> None:
         """Wait until the cluster is newer than an index.
 
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from turmericmast.clock import Clock
-from turmericmast.cluster.commands import ReportCrash
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import RoutesRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
@@ -19,7 +19,9 @@
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.replica.seat import Seat
 from turmericmast.route.document import RouteDocument, RouteFormat
-from turmericmast.wire.clusterrequests import (
+from turmericmast.wire.feedpacking import unpack_feed
+from turmericmast.wire.linkpool import LinkPool
+from turmericmast.wire.watchrequests import (
     AskMember,
     PackedCluster,
     TellIndex,
@@ -27,8 +29,6 @@
     WatchCluster,
     WatchedCluster,
 )
-from turmericmast.wire.feedpacking import unpack_feed
-from turmericmast.wire.linkpool import LinkPool
 
 if TYPE_CHECKING:
     from turmericmast.programs.runner import Process
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -7,6 +7,7 @@
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.cluster import commands
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.liveness import LivenessTracker
 from turmericmast.cluster.registrations import PendingRegistrations
 from turmericmast.ids import InstanceId, TargetId
@@ -31,8 +32,7 @@
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.replica import messages
 from turmericmast.units import MILLIS_PER_SECOND
-from turmericmast.web.fleetpages import Page, core_pages
-from turmericmast.wire import clusterrequests, replies
+from turmericmast.wire import clusterrequests, replies, watchrequests
 from turmericmast.wire.server import Handler, PeerServer
 
 WATCH_TIMEOUT = 0.4
@@ -87,13 +87,13 @@
             self._group.receive(body)
             return None
         match body:
-            case clusterrequests.WatchCluster():
+            case watchrequests.WatchCluster():
                 return await self._watch(body)
             case clusterrequests.ChangeCluster():
                 return await self.operations.serve_change(body.command)
-            case commands.ReportCrash():
+            case ReportCrash():
                 return await self.operations.serve_crash_report(body)
-            case clusterrequests.AskMember():
+            case watchrequests.AskMember():
                 return self.operations.serve_near_member(body)
             case clusterrequests.AskIndex():
                 return self.operations.serve_commit_index()
@@ -103,9 +103,9 @@
             'handle', f'message of unexpected type {type(body)}', ''
         )
 
-    def pages(self) -> tuple[Page, ...]:
+    def pages(self) -> Any:
         """Return the pages that show operators the cluster."""
-        return core_pages(self._state_machine.cluster)
+        return self._state_machine.pages()
 
     def tick(self) -> None:
         """Run failure detection: the leader removes silent edges and targets.
@@ -163,7 +163,7 @@
     def _start_change(self, command: commands.ClusterCommand) -> None:
         asyncio.ensure_future(self.operations.change(command))
 
-    def _register(self, watch: clusterrequests.WatchCluster) -> None:
+    def _register(self, watch: watchrequests.WatchCluster) -> None:
         edge = watch.edge
         known = self._state_machine.cluster.edge(edge.instance)
         if self._registrations.begin(edge, known):
@@ -172,7 +172,7 @@
             )
             task.add_done_callback(lambda _: self._registrations.end(edge))
 
-    async def _watch(self, watch: clusterrequests.WatchCluster) -> Any:
+    async def _watch(self, watch: watchrequests.WatchCluster) -> Any:
         self._watching_edges.add(watch.edge.instance)
         self._register(watch)
         if self._group.contact_age() < MAX_CONTACT_AGE:
@@ -184,12 +184,12 @@
         contact_age = min(self._group.contact_age(), MILLIS_PER_SECOND)
         contact_ms = max(int(contact_age * MILLIS_PER_SECOND), 0)
         if watch.packed:
-            return clusterrequests.PackedCluster(
+            return watchrequests.PackedCluster(
                 self._state_machine.packed_feed(watch.known),
                 self._group.seats,
                 contact_ms,
             )
-        return clusterrequests.WatchedCluster(
+        return watchrequests.WatchedCluster(
             self._state_machine.cluster.build_feed(watch.known),
             self._group.seats,
             contact_ms,
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -6,7 +6,7 @@
 
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import Clock
-from turmericmast.cluster.commands import ReportCrash
+from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
 from turmericmast.ids import Fingerprint, Millis
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -61,8 +61,8 @@
             'SetEvacuation',
             'SetEdge',
             'DropEdges',
-            'ReportCrash',
         ),
+        'cluster.crashes': ('ReportCrash',),
         'cluster.records': (
             'ClusterFeed',
             'ClusterSnapshot',
@@ -80,13 +80,15 @@
         ),
         'wire.clusterrequests': (
             'ChangeCluster',
+            'Heard',
+            'AskIndex',
+        ),
+        'wire.watchrequests': (
             'WatchCluster',
             'WatchedCluster',
             'PackedCluster',
             'AskMember',
             'TellMember',
-            'Heard',
-            'AskIndex',
             'TellIndex',
         ),
         'wire.replies': (
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -1,12 +1,10 @@
-"""Requests of edges and core members to a core member, and its answers."""
+"""Requests of core members to each other."""
 
 import dataclasses
 from typing import final
 
 from turmericmast.cluster.commands import ClusterCommand
-from turmericmast.cluster.records import ClusterFeed, EdgeRecord
-from turmericmast.ids import DomainId, Index, InstanceId, MemberId, TargetId
-from turmericmast.replica.seat import Seat
+from turmericmast.ids import InstanceId, TargetId
 
 
 @final
@@ -17,56 +15,6 @@
     command: ClusterCommand
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchCluster:
-    """An edge reports that it runs and requests all changes after an index."""
-
-    edge: EdgeRecord
-    known: Index
-    """Index up to which the edge has all changes."""
-    packed: bool = False
-    """Whether the edge understands ``PackedCluster``; older ones do not."""
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchedCluster:
-    """The changes, the core group's members, and the answer's staleness."""
-
-    feed: ClusterFeed
-    seats: tuple[Seat, ...]
-    contact_ms: int
-    """Milliseconds since the answering member last had contact to a quorum."""
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class PackedCluster:
-    """Like ``WatchedCluster``, with the feed as ``pack_feed`` returns it."""
-
-    feed: bytes
-    seats: tuple[Seat, ...]
-    contact_ms: int
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskMember:
-    """A starting edge asks which member is in its failure domain."""
-
-    domain: DomainId
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class TellMember:
-    """The answer to ``AskMember``."""
-
-    member: MemberId
-    """Empty while no member of the group is in that domain."""
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
@@ -80,15 +28,3 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskIndex:
     """A member requests the leader's commit index."""
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class TellIndex:
-    """The commit index of the member that answers.
-
-    Only a leader whose lease holds answers ``AskIndex``. As the answer to
-    ``ChangeCluster``, the index covers the change.
-    """
-
-    index: Index
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -35,7 +35,7 @@
     STALE_PATIENCE,
     ClusterWatcher,
 )
-from turmericmast.wire.clusterrequests import (
+from turmericmast.wire.watchrequests import (
     AskMember,
     TellMember,
     WatchCluster,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -32,7 +32,13 @@
 from turmericmast.region import commands
 from turmericmast.region.snapshot import take_snapshot
 from turmericmast.replica import messages
-from turmericmast.wire import clusterrequests, codec, replies, requests
+from turmericmast.wire import (
+    clusterrequests,
+    codec,
+    replies,
+    requests,
+    watchrequests,
+)
 from turmericmast.wire.catalogue import NAMES_BY_MODULE, find_class
 from turmericmast.wire.client import GroupClient
 from turmericmast.wire.frame import LENGTH_PREFIX, MAX_FIRST_FRAME_BYTES
@@ -74,6 +80,7 @@
             messages,
             requests,
             clusterrequests,
+            watchrequests,
             replies,
         )
         for _name, message_class in inspect.getmembers(module, inspect.isclass)
