Downloads: the first one of an instance stays in its domain

Cause: a route's size began at 1,000 bytes whatever its kind. Change: downloads begin at 100,000 bytes. Test: tests/test_balance.py, the row of the download failed before.

--- a/src/turmericmast/balance/candidate.py
+++ b/src/turmericmast/balance/candidate.py
@@ -47,6 +47,8 @@
     """Regions that may serve the request; any region when empty."""
     avoid: Collection[TargetId] = ()
     """Targets that were already tried."""
+    is_download: bool = False
+    """Whether a large answer is expected."""
 
 
 @final
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -127,7 +127,7 @@
         max_probes = (
             MAX_PROBES_REMOTE if distance is Distance.remote else MAX_PROBES
         )
-        service_time = self._profile(requirements).service_time
+        service_time = self.profile_for(requirements).service_time
         promising = sorted(
             reachable,
             key=lambda view: (
@@ -222,7 +222,7 @@
         self, requirements: Requirements, now: Seconds
     ) -> RequestEstimate:
         """Return the limits and the expected service time of a request."""
-        profile = self._profile(requirements)
+        profile = self.profile_for(requirements)
         return RequestEstimate(
             goal_left=requirements.goal_at - now,
             time_left=requirements.deadline - now,
@@ -237,14 +237,28 @@
         if view.eligibility(now) is Eligibility.cold:
             self._cold_limiter(view).record_send(self.cold_rate, now)
 
-    def profile(self, route: RouteName, latency_goal: Seconds) -> RouteProfile:
+    def profile(
+        self,
+        route: RouteName,
+        latency_goal: Seconds,
+        *,
+        is_download: bool = False,
+    ) -> RouteProfile:
         """Return the estimates of a route's requests to this service."""
         known = self._profile_by_route.get(route)
         if known is None:
-            known = RouteProfile(latency_goal)
+            known = RouteProfile(latency_goal, is_download=is_download)
             self._profile_by_route[route] = known
         return known
 
+    def profile_for(self, requirements: Requirements) -> RouteProfile:
+        """Return the estimates of a request's route."""
+        return self.profile(
+            requirements.route,
+            requirements.latency_goal,
+            is_download=requirements.is_download,
+        )
+
     def retry_delay(
         self,
         requirements: Requirements,
@@ -275,12 +289,9 @@
             if distance is Distance.remote
             else FRESH_REPORT_AGE
         )
-        service_time = self._profile(requirements).service_time
+        service_time = self.profile_for(requirements).service_time
         return max(least, FRESH_SERVICE_SHARE * service_time)
 
-    def _profile(self, requirements: Requirements) -> RouteProfile:
-        return self.profile(requirements.route, requirements.latency_goal)
-
     def _is_good(self, best: Candidate, estimate: RequestEstimate) -> bool:
         ideal = ideal_score(Distance.domain, estimate)
         return best.score >= ideal - GOOD_MARGIN
--- a/src/turmericmast/balance/profile.py
+++ b/src/turmericmast/balance/profile.py
@@ -9,6 +9,10 @@
 It matters after a restart, when callers that waited come back all at once."""
 INITIAL_OCTETS = 1000.0
 """Size in bytes that is assumed before the first answer."""
+INITIAL_DOWNLOAD_OCTETS = 100_000.0
+"""The same in bytes for a download.
+
+Without it, the first downloads of each instance cross slow, billed links."""
 SIZE_WEIGHT = 0.05
 """Least weight of the newest answer in the average of the size."""
 MEDIAN_WINDOW = 25
@@ -24,11 +28,13 @@
     a large fleet gets few requests of each, so a few answers must suffice.
     """
 
-    def __init__(self, latency_goal: float) -> None:
-        """Begin with what a latency goal in seconds suggests."""
+    def __init__(
+        self, latency_goal: float, *, is_download: bool = False
+    ) -> None:
+        """Begin with what the latency goal in seconds and the kind suggest."""
         self.service_time = INITIAL_GOAL_SHARE * latency_goal
         """Median seconds that a target takes when it is not slowed down."""
-        self.octets = INITIAL_OCTETS
+        self.octets = INITIAL_DOWNLOAD_OCTETS if is_download else INITIAL_OCTETS
         """Mean size of the bodies of a request and its answer, in bytes."""
         self._answers = 0
         self._service_times: collections.deque[float] = collections.deque(
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -71,9 +71,7 @@
             incoming.call.method,
             lambda: context.edge.is_leaving,
         )
-        self._profile = incoming.pool.profile(
-            incoming.route.name, incoming.route.latency_goal
-        )
+        self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
         self._claimed: EdgeResponse | None = None
         """The response that may be written to the caller."""
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -11,7 +11,7 @@
 from turmericmast.call.call import CallRequest
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.ids import Seconds, TargetId
-from turmericmast.route.document import Route
+from turmericmast.route.document import Route, RouteKind
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.parse import edge_request_headers
@@ -41,6 +41,7 @@
             deadline=self.call.deadline,
             home_regions=self.route.home_regions,
             avoid=avoid,
+            is_download=self.route.kind is RouteKind.download,
         )
 
     def transfer_request(
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -186,6 +186,17 @@
         best = stock_pool.best(plans, Distance.remote, NOW)
         self.assertEqual(best and best.view.record.target, '1')
 
+    @parameterized.expand([('look_up', False, '2'), ('download', True, '1')])
+    def test_first_download_of_an_instance_stays_in_its_domain(
+        self, _name: str, is_download: bool, expected: str
+    ) -> None:
+        stock_pool = pool(
+            target_view('1', slowness=4), target_view('2', 'wien-a')
+        )
+        first = dataclasses.replace(requirements(), is_download=is_download)
+        best = stock_pool.best(first, Distance.remote, NOW)
+        self.assertEqual(best and best.view.record.target, expected)
+
     @parameterized.expand(
         [
             ('look_up_at_a_slow_target', 800, 7, True),
