Edges: a request on a connection that was just closed is not sent to a target

Cause: the check for idle connections can run after the head of a request was read and before it is parsed. It closed the connection as idle, and the request was still sent: run, and never answered. Change: a request whose connection is closed when its head is parsed is dropped and counted (requests_total, outcome closed_unread); callers may send it again.

--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -90,6 +90,11 @@
         The body is read once the returned task has ended, if there is one.
         """
         self._idle_connections.mark_active(self._server_conn)
+        if _is_closed(self._connection):
+            # Closed as idle after these headers were read: the caller sees a
+            # closed connection, so its request must not be sent to a target.
+            self._context.metrics.count('requests', outcome='closed_unread')
+            return None
         now = self._context.clock.now()
         if self._context.edge.route_table is None:
             return self._start_with_routes(start_line, headers, now)
@@ -158,6 +163,12 @@
         refuse_request(self._connection, problem, headers)
 
 
+def _is_closed(connection: HTTPConnection) -> bool:
+    return isinstance(connection, HTTP1Connection) and (
+        connection.stream.closed()
+    )
+
+
 def _read_request(
     context: EdgeContext,
     start: RequestStartLine,
