--- a/src/turmericmast/programs/controlclient.py
+++ b/src/turmericmast/programs/controlclient.py
@@ -29,7 +29,7 @@
 """Seconds between two rounds of requests, and between two polls."""
 
 ASK_STEP = 'ask control'
-"""Step of an error that a request to a process met."""
+"""Step of an error that a request to a control group met."""
 NO_ANSWER_HINT = (
     'check that most control members of the region are running, '
     'then send the same change again with --change'
@@ -99,10 +99,12 @@
     document: Mapping[str, Any] | None = None,
     *,
     hint: str,
+    step: str = ASK_STEP,
 ) -> OperationResult:
     """Send one request to ``address``; return the JSON document it answers.
 
-    ``hint`` tells the operator what to do if there is no answer.
+    ``hint`` tells the operator what to do if there is no answer, ``step`` what
+    was done then.
     """
     body = BytesIO()
     handle = pycurl.Curl()
@@ -117,14 +119,16 @@
         handle.perform()
     except pycurl.error as error:
         return Failure(
-            WireError(error.args[1], step=ASK_STEP, peer=address, hint=hint)
+            WireError(error.args[1], step=step, peer=address, hint=hint)
         )
     status = handle.getinfo(pycurl.RESPONSE_CODE)
     handle.close()
-    return _parse_answer(address, status, body.getvalue())
+    return _parse_answer(address, status, body.getvalue(), step)
 
 
-def _parse_answer(address: str, status: int, body: bytes) -> OperationResult:
+def _parse_answer(
+    address: str, status: int, body: bytes, step: str
+) -> OperationResult:
     try:
         document = json.loads(body)
     except ValueError:
@@ -139,7 +143,7 @@
     return Failure(
         error_class(
             document.get('error', f'status {status}'),
-            step=document.get('step') or ASK_STEP,
+            step=document.get('step') or step,
             peer=address,
             hint=document.get('hint', ''),
         ),
--- a/src/turmericmast/programs/fleetview.py
+++ b/src/turmericmast/programs/fleetview.py
@@ -83,6 +83,7 @@
         'GET',
         f'/fleet/{command}?{_query()}',
         hint='check --address; budgets are shown by edges only',
+        step='ask process',
     )
     if not isinstance(answer, Success):
         error = answer.failure()
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -139,7 +139,8 @@
             ('instances', ('instances', '--limit=3'), 0, '297 more'),
             ('none_found', ('targets', '--service=x'), 0, 'NOTHING FOUND'),
             ('fault', ('instances', '--phase=x'), 1, 'phase: write one of'),
-            ('no_such_page', ('budgets',), 1, 'status 404'),
+            ('no_such_page', ('budgets',), 1, 'ask process'),
+            ('status_of_no_page', ('budgets',), 1, 'status 404'),
             ('no_command', (), 2, 'usage: turmericmast-fleet'),
         ]
     )
