Targets: that others reach one does not put it in reach here

Cause: an instance took over from the news of its domain that a target is up, and with it the right to send there; the news ended ejections and reset their backoff. What is known of a target and what is known of the path to it were one state. Beside it, the cut-off instances told their domain of each loss, so that healthy ones verified the same targets again (240 times in 12 s at one), and would have reported requests as crashing targets that were only out of reach.

Now a lost connection or probe puts the target out of reach of this instance until it answers this instance.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -1,5 +1,6 @@
 """Selection among the targets of one service at one instance."""
 
+import itertools
 from collections.abc import Collection, Iterator
 from typing import final
 
@@ -142,20 +143,17 @@
             view
             for view in promising
             if view.report_age(now) > max_age
-            or view.eligibility(now) is Eligibility.unverified
+            or view.eligibility(now).needs_probe
             if now - view.probed_at >= self.probe_interval
         ]
 
-    def unverified_targets(
-        self, requirements: Requirements, now: Seconds
-    ) -> list[TargetView]:
-        """Return the targets that may serve a request once they are probed."""
-        return [
-            view
-            for distance in Distance
-            for view in self._permitted(requirements, distance)
-            if view.eligibility(now) is Eligibility.unverified
-        ]
+    def permitted_targets(
+        self, requirements: Requirements
+    ) -> Iterator[TargetView]:
+        """Yield the targets that may serve a request, near ones first."""
+        return itertools.chain.from_iterable(
+            self._permitted(requirements, distance) for distance in Distance
+        )
 
     def needs_background_probes(self, now: Seconds) -> bool:
         """Tell whether to probe near targets before requests arrive.
@@ -275,8 +273,7 @@
             return self._retry_delays.next_delay(until_room)
         ejections = (
             view.ejected_until() - now
-            for distance in Distance
-            for view in self._permitted(requirements, distance)
+            for view in self.permitted_targets(requirements)
         )
         return limited_delay(min(ejections, default=MAX_DELAY))
 
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -36,9 +36,16 @@
     """A limited rate of requests from a few instances (slow start)."""
     unverified = 'unproved'
     """Probes only; requests once it has answered a probe."""
+    unreachable = 'unreachable'
+    """Probes only, until this instance itself gets an answer from it."""
     ejected = 'shunned'
     """Neither requests nor probes until the ejection ends."""
 
+    @property
+    def needs_probe(self) -> bool:
+        """Tell whether a probe must precede the next request."""
+        return self in {Eligibility.unverified, Eligibility.unreachable}
+
 
 @final
 class TargetView:
@@ -71,6 +78,7 @@
         """When this instance last sent a request to the target."""
         self.is_unhealthy = False
         """Whether the last health check returned another status than 200."""
+        self._is_path_lost = False
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
         self._verified_at = -math.inf
@@ -85,12 +93,22 @@
         """Return which traffic the target may receive now."""
         if now < self._ejected_until:
             return Eligibility.ejected
+        if self._is_path_lost:
+            return Eligibility.unreachable
         if now < self._cold_until:
             return Eligibility.cold
         if now - self._verified_at > VERIFICATION_LIFETIME:
             return Eligibility.unverified
         return Eligibility.warm
 
+    @property
+    def is_path_lost(self) -> bool:
+        """Tell whether the last own connection or probe did not get through.
+
+        Other instances may reach the target all the same.
+        """
+        return self._is_path_lost
+
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
         return now - self._verified_at
@@ -130,12 +148,17 @@
     def verify(self, cold_time_left: Seconds, now: Seconds) -> None:
         """Record that the target itself confirmed at ``now`` that it is up.
 
-        It is cold for ``cold_time_left`` seconds from then on.
+        It is cold for ``cold_time_left`` seconds from then on. Another instance
+        may have received the confirmation.
         """
         self._verified_at = now
         self._cold_until = (
             now + cold_time_left if cold_time_left > 0 else -math.inf
         )
+
+    def confirm_path(self) -> None:
+        """Record that the target answered this instance."""
+        self._is_path_lost = False
         self._ejections = 0
 
     def mark_unverified(self) -> None:
@@ -145,6 +168,15 @@
         """
         self._verified_at = -math.inf
 
+    def lose_path(self, now: Seconds) -> None:
+        """Record that a connection or probe did not get through: eject.
+
+        Confirmations that other instances received do not count until the
+        target has answered this one.
+        """
+        self._is_path_lost = True
+        self.eject(now)
+
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
         self._verified_at = -math.inf
@@ -176,9 +208,14 @@
         failed = loss in {Loss.failed, Loss.cut_short, Loss.timed_out}
         self._update_failure_share(failed=failed, now=now)
         if loss is Loss.shed:
+            self.confirm_path()
             self._ejected_until = max(self._ejected_until, now + OVERLOAD_PAUSE)
-        elif loss in {Loss.never_sent, Loss.connection_lost}:
+        elif loss is Loss.connection_lost:
             self.eject(now)
+        elif loss is Loss.never_sent:
+            self.lose_path(now)
+        elif loss in {None, Loss.failed}:
+            self.confirm_path()
 
     def drop_request(self) -> None:
         """Stop counting a request whose outcome says nothing of the target.
--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -36,6 +36,15 @@
     leaving = 'leaving'
 
 
+@final
+class TargetReach(enum.Enum):
+    """How an edge instance reaches the targets."""
+
+    direct = 'direct'
+    forwarded = 'forwarded'
+    """It has lost most of them, and forwards requests to other instances."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRecord:
@@ -80,7 +89,10 @@
     region: RegionId
     phase: EdgePhase
     peer: str
-    """IP address and port for load gossip from other edge instances."""
+    """IP address and port for other edge instances.
+
+    They send load gossip to it over UDP, and forward requests over TCP."""
+    reach: TargetReach = TargetReach.direct
 
 
 @final
--- a/src/turmericmast/edge/explanation.py
+++ b/src/turmericmast/edge/explanation.py
@@ -23,6 +23,8 @@
     """A connection or probe was lost, or it rejected a request."""
     unverified = 'unverified'
     """It has not answered a probe or request for a second."""
+    unreachable = 'unreachable'
+    """This instance has lost its path to it; others may reach it."""
     cold = 'cold'
     """It has just started: only a few instances send, at a limited rate."""
     unhealthy = 'unhealthy'
@@ -37,6 +39,7 @@
     {
         Eligibility.ejected: Obstacle.ejected,
         Eligibility.unverified: Obstacle.unverified,
+        Eligibility.unreachable: Obstacle.unreachable,
         Eligibility.cold: Obstacle.cold,
     }
 )
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -8,6 +8,7 @@
 from turmericmast.clock import Clock
 from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.edge.edge import Edge
+from turmericmast.edge.reach import is_cut_off
 from turmericmast.events import EventLog
 from turmericmast.ids import Fingerprint, Millis
 from turmericmast.web.edgeevents import EdgeEvent
@@ -62,6 +63,9 @@
         path = self._edge.health_path(view.record.service)
         if not path or await self._prober.start(view, path):
             return
+        if is_cut_off(self._edge.views()):
+            # The silence says nothing about the target.
+            return
         crash = ReportCrash(fingerprint, Millis(self._clock.wall()))
         is_reported = False
         for _ in range(MAX_REPORT_ATTEMPTS):
--- a/src/turmericmast/web/fleetpages.py
+++ b/src/turmericmast/web/fleetpages.py
@@ -194,7 +194,8 @@
     return {
         'left_out': listing.left_out,
         'instances': [
-            dataclasses.asdict(record) | {'phase': record.phase.value}
+            dataclasses.asdict(record)
+            | {'phase': record.phase.value, 'reach': record.reach.value}
             for record in listing.records
         ],
     }
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -10,6 +10,7 @@
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.gossip import BUSY_CHECK_INTERVAL, LoadGossip, Parcel
+from turmericmast.edge.reach import is_cut_off
 from turmericmast.metrics import Metrics
 from turmericmast.web.probing import Prober
 from turmericmast.wire.datagrams import DatagramEndpoint
@@ -64,7 +65,12 @@
             self._check()
 
     def share_result(self, view: TargetView, *, is_lost: bool = False) -> None:
-        """Tell the domain the load of a target, or its loss."""
+        """Tell the domain the load of a target, or its loss.
+
+        Losses of an instance that is cut off say nothing about the targets.
+        """
+        if is_lost and is_cut_off(self._edge.views()):
+            return
         self._send(
             self._gossip.share_load(view, self._clock.now(), is_lost=is_lost)
         )
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -122,7 +122,7 @@
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         before = view.eligibility(self._clock.now())
         if loss or sink.head is None or sink.metadata is None:
-            view.eject(self._clock.now())
+            view.lose_path(self._clock.now())
             self.on_result(view, is_lost=True)
             has_responded = False
         else:
@@ -159,6 +159,7 @@
         if metadata.target and metadata.target != view.record.target:
             view.eject_misplaced()
             return False
+        view.confirm_path()
         if metadata.load:
             view.update_load(metadata.load, now)
         if not metadata.is_not_run:
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -1,5 +1,6 @@
 """Selection of a target for a request, with probes of stale targets."""
 
+import dataclasses
 from collections.abc import Sequence
 from typing import final
 
@@ -7,6 +8,8 @@
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
+from turmericmast.call.call import Call
+from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -40,15 +43,34 @@
         self._pool = pool
         self.last_best: Candidate | None = None
         """The best target at the last selection, also if it was too slow."""
+        self.is_cut_off = False
+        """Whether most targets were out of reach at the last selection."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
-        """Return the best target, ``None`` if the request is to be refused."""
-        best = await self._search(requirements)
+        """Return the best target, ``None`` if there is no good one."""
+        self.is_cut_off = is_cut_off(
+            self._pool.permitted_targets(
+                dataclasses.replace(requirements, avoid=())
+            )
+        )
+        best = await (
+            self._search_at_once(requirements)
+            if self.is_cut_off
+            else self._search(requirements)
+        )
         self.last_best = best
         now = self._context.clock.now()
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
 
+    def is_doubtful(self, candidate: Candidate | None, call: Call) -> bool:
+        """Tell whether another instance would serve a call more likely.
+
+        Where most paths are lost, and one more was lost by this call, those
+        to the other targets are doubtful as well.
+        """
+        return self.is_cut_off and (candidate is None or bool(call.losses))
+
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
         path = self._context.edge.health_path(self._pool.service)
@@ -68,6 +90,21 @@
             best = await self._search_within(requirements, distance)
         return await self._wait_for_probes(requirements, best)
 
+    async def _search_at_once(
+        self, requirements: Requirements
+    ) -> Candidate | None:
+        """Return the best known target without waiting for probes.
+
+        The probes that it starts serve later requests.
+        """
+        now = self._context.clock.now()
+        path = self._context.edge.health_path(self._pool.service)
+        for distance in Distance:
+            stale = self._pool.targets_to_probe(requirements, distance, now)
+            for view in stale if path else ():
+                self._context.prober.start(view, path)
+        return self._pool.best(requirements, Distance.remote, now)
+
     async def _wait_for_probes(
         self, requirements: Requirements, best: Candidate | None
     ) -> Candidate | None:
@@ -85,7 +122,12 @@
             )
             has_probes = time_left > 0 and (
                 await self._context.prober.wait_for_any(
-                    self._pool.unverified_targets(requirements, now), time_left
+                    [
+                        view
+                        for view in self._pool.permitted_targets(requirements)
+                        if view.eligibility(now).needs_probe
+                    ],
+                    time_left,
                 )
             )
             best = self._pool.best(requirements, Distance.remote, clock.now())
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -478,6 +478,7 @@
   5: string region
   6: string phase
   7: string peer = ""
+  8: string reach = "direct"
 }
 
 /** The load of a target as an edge knows it, with its age. */
