Edges: an instance without targets forwards to one that reaches them

Cause: an instance had only one way to serve a request, its own links to targets, and the directory went on to name it.

An instance that has lost most targets of a service now forwards the request to another one, over the port that instances already share: near ones first, another domain after a refusal, none that is leaving or outside the home regions, four at most; a service that four refuse is not asked for further. A request is forwarded once. The receiver counts no deposit in the retry budget, keeps the service and the attempts left, and marks errors of its own, so that "not run" holds from end to end and cannot be forged by a target. Cut-off instances say so in their record (new field of the IDL, skipped by older readers), and the directory names them only if no other is left. A caller whose domain has no instance left gets all of its region, no longer the first two. Connections between instances stay open for longer than the sender uses them.

--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -56,6 +56,10 @@
     """A complete answer that reports a failure of the target."""
 
 
+NOT_RUN_LOSSES = frozenset((Loss.never_sent, Loss.shed))
+"""Losses after which the request has certainly not run."""
+
+
 @final
 class NextStep(enum.Enum):
     """The decision after a failed attempt."""
@@ -129,8 +133,14 @@
     @property
     def ran(self) -> Ran:
         """Return whether the request ran, judged by the failed attempts."""
-        not_run = {Loss.never_sent, Loss.shed}
-        return Ran.no if set(self.losses) <= not_run else Ran.unknown
+        is_certain = NOT_RUN_LOSSES.issuperset(self.losses)
+        return Ran.no if is_certain else Ran.unknown
+
+    @property
+    def attempts_left(self) -> int:
+        """Return the targets that may still run the request, at least 1."""
+        possibly_run = sum(loss not in NOT_RUN_LOSSES for loss in self.losses)
+        return max(self.request.max_attempts - possibly_run, 1)
 
     def start_attempt(self) -> None:
         """Count an attempt that is about to be made."""
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -18,8 +18,15 @@
     TargetPhase,
     TargetRecord,
 )
+from turmericmast.edge.directory import (
+    DirectoryAnswer,
+    choose_instances,
+    directory_ttl,
+)
 from turmericmast.edge.membership import Membership
+from turmericmast.edge.peers import Peers
 from turmericmast.edge.quarantine import Quarantine
+from turmericmast.edge.reach import ReachReport, is_cut_off
 from turmericmast.ids import (
     DomainId,
     Index,
@@ -32,30 +39,12 @@
 from turmericmast.route.document import Route, RouteDocument, ServiceConfig
 from turmericmast.route.table import RouteTable, TrafficSplitter
 
-DIRECTORY_TTL = 5.0
-"""Longest time in seconds that callers cache an answer of the directory.
-
-A look-up costs a caller two round trips before its request."""
-MIN_ADDRESSES = 2
-"""Fewest addresses in an answer, if the region has that many instances."""
-MAX_ADDRESSES = 64
-"""Most addresses in an answer of the directory."""
 MAX_USUAL_DURATION = 2.0
 """Seconds within which all but a few requests are finished."""
 PROBE_SHARE = 0.5
 """Fraction of a target's permitted probe rate that near instances use."""
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class DirectoryAnswer:
-    """The instances that callers should connect to, and for how long."""
-
-    addresses: tuple[str, ...]
-    ttl: float
-    """Seconds for which callers may use the addresses."""
-
-
 @final
 class Edge:
     """One instance's view of the cluster, and its decisions for callers."""
@@ -79,6 +68,7 @@
         self.route_table: RouteTable | None = None
         self.pool_by_service: dict[ServiceId, Pool] = {}
         self.membership = Membership(record.instance)
+        self.peers = Peers(record, self.membership)
         self.evacuated: frozenset[DomainId] = frozenset()
         self._started_at = started_at
         self._region_by_domain = region_by_domain
@@ -86,6 +76,7 @@
         self._view_by_target: dict[TargetId, TargetView] = {}
         self.quarantine = Quarantine()
         self._splitter = TrafficSplitter()
+        self._reach_report = ReachReport()
         self._stops_at = math.inf
         """When the process ends; infinite unless it is leaving."""
 
@@ -100,10 +91,16 @@
         """Tell whether this instance is about to stop."""
         return self.record.phase is EdgePhase.leaving
 
-    @property
-    def directory_ttl(self) -> float:
-        """Return the seconds that callers cache an answer of the directory."""
-        return min(DIRECTORY_TTL, self.bounds.directory_ttl)
+    def update_reach(self, now: Seconds) -> bool:
+        """Report to the core how targets are reached; true after a change."""
+        has_changed = self._reach_report.update(
+            now, cut_off=is_cut_off(self.views())
+        )
+        if has_changed:
+            self.record = dataclasses.replace(
+                self.record, reach=self._reach_report.state
+            )
+        return has_changed
 
     def leave(self, stops_at: Seconds) -> None:
         """Stop attracting new callers; the process ends at ``stops_at``."""
@@ -117,9 +114,19 @@
         """Return the route of a request, ``None`` without a match."""
         return self.route_table.find(host, path) if self.route_table else None
 
-    def pick_pool(self, route: Route) -> Pool | None:
-        """Choose a service of a route by weight, and return its targets."""
-        service = self._splitter.pick(route)
+    def pick_pool(
+        self, route: Route, wanted: ServiceId | None = None
+    ) -> Pool | None:
+        """Choose a service of a route by weight, and return its targets.
+
+        ``wanted`` is the choice of the instance that forwarded the request. It
+        is kept if the route still has that service.
+        """
+        is_known = any(
+            branch.service == wanted and branch.weight > 0
+            for branch in route.branches
+        )
+        service = wanted if is_known else self._splitter.pick(route)
         return self._pool(service) if service else None
 
     def can_finish(self, deadline: Seconds, now: Seconds) -> bool:
@@ -165,24 +172,20 @@
 
         ``region`` and ``domain`` are those of the caller. Callers outside of
         the home regions of a host are sent there, if any instance serves.
+        Those that have lost their targets are named only if no other is left.
         """
-        serving = [
-            edge
-            for edge in self.membership.edge_by_instance.values()
-            if edge.phase is EdgePhase.serving
-        ]
         homes = (
             self.route_table.home_regions(host)
             if self.route_table
             else frozenset()
         )
-        if homes and region not in homes:
-            at_home = [edge for edge in serving if edge.region in homes]
-            chosen = at_home or serving
-        else:
-            chosen = _nearest(serving, region, domain)
-        addresses = tuple(edge.address for edge in chosen[:MAX_ADDRESSES])
-        return DirectoryAnswer(addresses, self.directory_ttl)
+        chosen = choose_instances(
+            self.membership.edge_by_instance.values(), homes, region, domain
+        )
+        return DirectoryAnswer(
+            tuple(edge.address for edge in chosen),
+            directory_ttl(self.bounds),
+        )
 
     def accepts(self, feed: ClusterFeed) -> bool:
         """Tell whether a feed is at least as new as the current view.
@@ -206,6 +209,7 @@
         self.evacuated = frozenset(feed.evacuated)
         self.quarantine.update(feed.suspects)
         self.membership.apply(feed)
+        self.peers.forget_removed()
         self._apply_targets(feed)
         self._update_shares()
 
@@ -294,17 +298,3 @@
         record.service,
         record.domain,
     )
-
-
-def _nearest(
-    edges: list[EdgeRecord],
-    region: RegionId,
-    domain: DomainId,
-) -> list[EdgeRecord]:
-    in_domain = [edge for edge in edges if edge.domain == domain]
-    in_region = [edge for edge in edges if edge.region == region]
-    if len(in_domain) >= MIN_ADDRESSES:
-        return in_domain
-    # A domain with one instance needs a fallback while that one is down.
-    others = [edge for edge in in_region if edge.domain != domain]
-    return in_domain + others[: MIN_ADDRESSES - len(in_domain)] or edges
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -49,7 +49,10 @@
 class PlatformHeaders(HeaderFormat):
     """Reads and writes the platform's headers."""
 
-    replaced_headers = _REPLACED_HEADERS
+    @property
+    def replaced_headers(self) -> frozenset[str]:
+        """Return the names of the timeout and of the expected target."""
+        return _REPLACED_HEADERS
 
     def read_request(self, headers: HTTPHeaders) -> RequestMetadata:
         """Return the id and the timeout of a request."""
@@ -61,6 +64,14 @@
             else None,
         )
 
+    def timeout_headers(
+        self, time_left: Seconds
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the header with the time until the deadline, in seconds."""
+        return (
+            (TIMEOUT_HEADER, str(max(int(time_left * MILLIS_PER_SECOND), 1))),
+        )
+
     def target_headers(
         self,
         target: TargetId,
@@ -71,7 +82,7 @@
         ``time_left`` is the time until the deadline, in seconds.
         """
         return (
-            (TIMEOUT_HEADER, str(max(int(time_left * MILLIS_PER_SECOND), 1))),
+            *self.timeout_headers(time_left),
             (EXPECTED_TARGET_HEADER, target),
         )
 
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -3,8 +3,6 @@
 import contextlib
 from typing import Any
 
-from tornado.ioloop import PeriodicCallback
-
 from turmericmast.clock import LONG_AGO
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
@@ -13,9 +11,10 @@
 from turmericmast.platform.edgeapi import make_application
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.platform.settings import load_instance_settings
-from turmericmast.programs.callerport import CallerPort
 from turmericmast.programs.clusterwatcher import ClusterWatcher
+from turmericmast.programs.edgewatch import watch_edge
 from turmericmast.programs.gracefulshutdown import GracefulShutdown
+from turmericmast.programs.requestport import open_ports
 from turmericmast.programs.runner import (
     Process,
     run_program,
@@ -26,7 +25,7 @@
 from turmericmast.web.crashdetection import CrashDetector, ReportToCore
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
-from turmericmast.web.edgefrontend import EdgeFrontend
+from turmericmast.web.edgefrontend import EdgeFrontend, Origin
 from turmericmast.web.fleetpages import edge_pages
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
@@ -39,8 +38,6 @@
 
 Targets close idle connections after about 10 s, a time that they announce in
 whole seconds."""
-IDLE_SWEEP_INTERVAL_MS = 500
-"""Milliseconds between two checks for idle connections of callers."""
 
 
 async def _main(
@@ -68,15 +65,22 @@
     )
     context = _make_context(process, stack, edge, watcher.report_crash)
     watcher.on_routes = lambda: _use_routes(context)
-    frontend = EdgeFrontend(context)
-    port = stack.enter_context(CallerPort(process, edge, frontend))
-    _serve_http(process, stack, edge, frontend)
+    frontends = (
+        EdgeFrontend(context),
+        EdgeFrontend(context, Origin.instance),
+    )
+    ports = open_ports(process, stack, frontends)
+    _serve_http(process, stack, edge)
+    watch_edge(stack, context, frontends)
     stack.enter_context(watcher)
     stack.enter_context(SettingsReloader(process, _apply_nothing))
     await context.load_sharing.open(settings.listening.peers)
-    port.serve()
+    for request_port in ports:
+        request_port.serve()
     await process.stop.wait()
-    await GracefulShutdown(process, context, frontend).run(port.server)
+    await GracefulShutdown(process, context, frontends).run(
+        [port.server for port in ports]
+    )
 
 
 def _use_routes(context: EdgeContext) -> None:
@@ -88,7 +92,6 @@
     process: Process[InstanceSettings],
     stack: contextlib.ExitStack,
     edge: Edge,
-    frontend: EdgeFrontend,
 ) -> None:
     listening = process.settings.listening
     application = make_application(edge, process.metrics)
@@ -96,9 +99,6 @@
         serve_pages(stack, application, address)
     host = listening.peers.rpartition(':')[0]
     serve_metrics(process, stack, host, edge_pages(edge, process.clock))
-    ticker = PeriodicCallback(frontend.close_idle, IDLE_SWEEP_INTERVAL_MS)
-    ticker.start()
-    stack.callback(ticker.stop)
 
 
 def _make_context(
--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -1,10 +1,12 @@
 """Stops an edge without cutting off requests."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import final
 
 from tornado.httpserver import HTTPServer
 
+from turmericmast.edge.directory import directory_ttl
 from turmericmast.ids import Seconds
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.programs.runner import Process
@@ -29,14 +31,14 @@
         self,
         process: Process[InstanceSettings],
         context: EdgeContext,
-        frontend: EdgeFrontend,
+        frontends: Iterable[EdgeFrontend],
     ) -> None:
-        """Drain the requests that ``frontend`` accepted."""
+        """Drain the requests that ``frontends`` accepted."""
         self._process = process
         self._context = context
-        self._frontend = frontend
+        self._frontends = tuple(frontends)
 
-    async def run(self, server: HTTPServer) -> None:
+    async def run(self, servers: Iterable[HTTPServer]) -> None:
         """Announce that the edge is leaving, and finish running requests.
 
         Accepts requests until cached directory answers have expired and
@@ -56,12 +58,17 @@
                 quiet_since = now
             is_propagated = (
                 now - started_at
-                > self._context.edge.directory_ttl + PROPAGATION_TIME
+                > directory_ttl(self._context.edge.bounds) + PROPAGATION_TIME
             )
             if is_propagated and now - quiet_since > QUIET_TIME:
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
-        server.stop()
-        self._frontend.idle_connections.close_older(0)
+        self._stop_accepting(servers)
         while self._context.running and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
+
+    def _stop_accepting(self, servers: Iterable[HTTPServer]) -> None:
+        for server in servers:
+            server.stop()
+        for frontend in self._frontends:
+            frontend.idle_connections.close_older(0)
--- a/src/turmericmast/programs/requestport.py
+++ b/src/turmericmast/programs/requestport.py
@@ -1,4 +1,4 @@
-"""The port on which an edge accepts callers."""
+"""The ports on which an edge accepts requests."""
 
 import socket
 from types import TracebackType
@@ -8,7 +8,8 @@
 from tornado.netutil import bind_sockets
 
 if TYPE_CHECKING:
-    from turmericmast.edge.edge import Edge
+    import contextlib
+
     from turmericmast.instancesettings import InstanceSettings
     from turmericmast.programs.runner import Process
     from turmericmast.web.edgefrontend import EdgeFrontend
@@ -24,16 +25,19 @@
 
 
 @final
-class CallerPort:
-    """Queues connections of callers at once, and serves them when ready."""
+class RequestPort:
+    """Queues connections at once, and serves them when ready.
+
+    They are those of callers, or of instances that forward requests.
+    """
 
     def __init__(
         self,
         process: 'Process[InstanceSettings]',
-        edge: 'Edge',
+        address: str,
         frontend: 'EdgeFrontend',
     ) -> None:
-        """Pass requests of callers to ``frontend``."""
+        """Pass requests that arrive at ``address`` to ``frontend``."""
         self.server = HTTPServer(
             frontend,
             max_header_size=MAX_HEADER_BYTES,
@@ -41,13 +45,12 @@
             body_timeout=BODY_TIMEOUT,
         )
         self._process = process
-        self._edge = edge
+        self._address = address
         self._sockets: list[socket.socket] = []
 
     def __enter__(self) -> Self:
         """Bind the port; the kernel queues connections from now on."""
-        address = self._process.settings.listening.callers
-        host, _, port = address.rpartition(':')
+        host, _, port = self._address.rpartition(':')
         self._sockets = bind_sockets(int(port), host)
         return self
 
@@ -63,4 +66,19 @@
     def serve(self) -> None:
         """Serve the connections, those in the queue first."""
         self.server.add_sockets(self._sockets)
-        self._process.events.write('serving', domain=self._edge.record.domain)
+        self._process.events.write('serving', address=self._address)
+
+
+def open_ports(
+    process: 'Process[InstanceSettings]',
+    stack: 'contextlib.ExitStack',
+    frontends: 'tuple[EdgeFrontend, EdgeFrontend]',
+) -> list[RequestPort]:
+    """Open the ports for callers and for other instances."""
+    listening = process.settings.listening
+    return [
+        stack.enter_context(RequestPort(process, address, frontend))
+        for address, frontend in zip(
+            (listening.callers, listening.peers), frontends, strict=True
+        )
+    ]
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -6,6 +6,7 @@
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
+from turmericmast.ids import Seconds, ServiceId
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
@@ -33,3 +34,12 @@
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
+
+    def record_outcome(
+        self, service: ServiceId, began_at: Seconds, outcome: str
+    ) -> None:
+        """Count a request that has ended, and record how long it took."""
+        self.metrics.count('requests', outcome=outcome)
+        self.metrics.record(
+            'request', self.clock.now() - began_at, service=service
+        )
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -23,6 +23,8 @@
     target_failed = 'request_failed_at_target'
     eligibility_changed = 'target_trust'
     target_crashed = 'target_crashed'
+    reach_changed = 'target_reach'
+    forwarded = 'request_forwarded'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -11,7 +11,13 @@
 
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.scoring import Distance
-from turmericmast.call.call import Call, Loss, NextStep, Ran
+from turmericmast.call.call import (
+    NOT_RUN_LOSSES,
+    Call,
+    Loss,
+    NextStep,
+    Ran,
+)
 from turmericmast.events import Field
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.units import MILLIS_PER_SECOND
@@ -28,6 +34,7 @@
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.hedgedattempts import HedgedAttempts
+from turmericmast.web.peerforwarder import PeerForwarder
 from turmericmast.web.problem import Problem
 from turmericmast.web.quarantinecheck import QuarantineCheck
 from turmericmast.web.relay import Relay, RelayState
@@ -71,6 +78,9 @@
             incoming.call.method,
             lambda: context.edge.is_leaving,
         )
+        self._forwarder = PeerForwarder(
+            context, incoming, self._call, self._body
+        )
         self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
         self._claimed: EdgeResponse | None = None
@@ -110,6 +120,7 @@
         self._is_finished = True
         self._body.stop_reading()
         self._attempts.cancel()
+        self._forwarder.cancel()
 
     def _start(self) -> None:
         if self._task is None and not self._is_finished:
@@ -128,24 +139,32 @@
 
     async def _serve(self) -> None:
         now = self._context.clock.now()
-        self._pool.retry_budget.deposit(now)
+        if not self._incoming.forwarding:
+            self._pool.retry_budget.deposit(now)
         self._pool.request_rate.record(now)
         should_retry = True
         while should_retry and not self._is_finished:
-            time_left = self._quarantine_check.time_left()
-            if time_left:
-                self._refuse_quarantined(time_left)
-                return
-            candidate = await self._selector.select(
-                self._incoming.requirements(self._tried)
-            )
-            if self._is_finished:
-                # The caller disconnected while targets were probed.
-                return
-            if candidate is None:
-                self._refuse_without_target()
-                return
-            should_retry = await self._try_target(candidate)
+            should_retry = await self._try_once()
+
+    async def _try_once(self) -> bool:
+        """Send the request somewhere, or refuse it; tell whether to retry."""
+        time_left = self._quarantine_check.time_left()
+        if time_left:
+            self._refuse_quarantined(time_left)
+            return False
+        candidate = await self._selector.select(
+            self._incoming.requirements(self._tried)
+        )
+        if self._is_finished:
+            # The caller disconnected while targets were probed.
+            return False
+        is_doubtful = self._selector.is_doubtful(candidate, self._call)
+        if is_doubtful and self._forwarder.find_peer():
+            return await self._try_peer()
+        if candidate:
+            return await self._try_target(candidate)
+        self._refuse_without_target()
+        return False
 
     async def _try_target(self, candidate: Candidate) -> bool:
         """Send to a target and hedge; tell whether to try another one."""
@@ -155,20 +174,41 @@
         )
         loss = decisive.task.result()
         self._attempts.cancel(decisive)
-        for earlier in self._attempts.failed:
-            self._fail_attempt(earlier)
+        failed = [*self._attempts.failed, *([decisive] if loss else ())]
         self._attempts = HedgedAttempts(self._profile)
+        for attempt in failed:
+            attempt_loss = attempt.task.result()
+            self._quarantine_check.on_attempt_end(
+                attempt.candidate.view, attempt_loss
+            )
+            if attempt_loss:
+                self._call.record_failure(attempt_loss)
         if loss is None:
             self._deliver(decisive.response)
             return False
-        self._fail_attempt(decisive)
-        return self._retry_or_fail(loss, decisive.response)
+        return self._retry_or_fail(
+            loss,
+            decisive.response,
+            has_reached_target=loss is not Loss.never_sent,
+        )
 
-    def _fail_attempt(self, attempt: EdgeAttempt) -> None:
-        loss = attempt.task.result()
-        self._quarantine_check.on_attempt_end(attempt.candidate.view, loss)
-        if loss:
-            self._call.record_failure(loss)
+    async def _try_peer(self) -> bool:
+        """Forward to another instance; tell whether to try another one."""
+        self._relay.resume = self._forwarder.resume
+        self._log.write(
+            EdgeEvent.forwarded,
+            peer=self._forwarder.peer,
+            **self._progress(),
+        )
+        response = self._forwarder.make_response(self._relay, self._claim)
+        loss = await self._forwarder.forward(response)
+        if loss is None:
+            self._deliver(response)
+            return False
+        self._call.record_failure(loss)
+        return self._retry_or_fail(
+            loss, response, has_reached_target=loss not in NOT_RUN_LOSSES
+        )
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
         self._call.start_attempt()
@@ -245,8 +285,14 @@
             self._context.header_format,
         )
 
-    def _retry_or_fail(self, loss: Loss, response: EdgeResponse) -> bool:
-        """Tell whether to retry after a failed attempt; else respond."""
+    def _retry_or_fail(
+        self, loss: Loss, response: EdgeResponse, *, has_reached_target: bool
+    ) -> bool:
+        """Tell whether to retry after a failed attempt; else respond.
+
+        A retry is taken from the budget if the attempt has, or may have,
+        reached a target.
+        """
         if loss is Loss.failed:
             self._failed_response = response
         if self._is_finished:
@@ -263,9 +309,8 @@
             self._relay.abort()
             return False
         step = self._call.next_step(now, can_replay=self._body.can_replay)
-        was_unsent = loss is Loss.never_sent
         if step is NextStep.retry and (
-            was_unsent or self._pool.retry_budget.try_withdraw(now)
+            not has_reached_target or self._pool.retry_budget.try_withdraw(now)
         ):
             self._context.metrics.count('repeats', loss=loss.value)
             self._log.write(
@@ -324,13 +369,19 @@
     def _finish(self, outcome: str) -> None:
         if not self._is_finished:
             self._is_finished = True
-            self._record_outcome(outcome)
+            self._context.record_outcome(
+                self._pool.service, self._incoming.began_at, outcome
+            )
             self._relay.finish()
 
     def _refuse(self, problem: Problem) -> None:
         if not self._is_finished:
             self._is_finished = True
-            self._record_outcome(f'refused_{problem.status:d}')
+            self._context.record_outcome(
+                self._pool.service,
+                self._incoming.began_at,
+                f'refused_{problem.status:d}',
+            )
             self._log.write(
                 EdgeEvent.refused,
                 **describe_problem(problem),
@@ -339,7 +390,7 @@
                 ),
                 **self._progress(),
             )
-            self._relay.send_problem(problem)
+            self._relay.send_problem(self._incoming.answer_with(problem))
 
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
@@ -357,12 +408,3 @@
             'left_ms': int((requirements.deadline - now) * MILLIS_PER_SECOND),
             'cluster_index': self._context.edge.index,
         }
-
-    def _record_outcome(self, outcome: str) -> None:
-        now = self._context.clock.now()
-        self._context.metrics.count('requests', outcome=outcome)
-        self._context.metrics.record(
-            'request',
-            now - self._incoming.began_at,
-            service=self._pool.service,
-        )
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -1,5 +1,6 @@
 """HTTP front end of an edge: parses request headers and finds the route."""
 
+import enum
 import itertools
 import secrets
 from collections.abc import Awaitable
@@ -24,23 +25,40 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgerequest import EdgeRequest
+from turmericmast.web.edgerequest import EdgeRequest, address_problem
 from turmericmast.web.firstroutes import routes_wait
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.idle import IdleConnections
+from turmericmast.web.peerheaders import Forwarding, read_forwarding
 from turmericmast.web.problem import Problem, refuse_request
 
+INSTANCE_IDLE_TIMEOUT = 60.0
+"""Seconds after which an idle connection of another instance is closed.
+
+Instances stop using it earlier, so that no request crosses the close."""
 MAX_SHOWN_LENGTH = 20
 """Characters of a malformed Content-Length that a refusal repeats."""
 
 
+@final
+class Origin(enum.Enum):
+    """Who sends the requests that arrive at a port."""
+
+    caller = 'caller'
+    instance = 'instance'
+    """Another instance, which forwards requests of its callers."""
+
+
 @final
 class EdgeFrontend(HTTPServerConnectionDelegate):
-    """Accepts connections of callers and starts an exchange per request."""
+    """Accepts connections and starts an exchange per request."""
 
-    def __init__(self, context: EdgeContext) -> None:
+    def __init__(
+        self, context: EdgeContext, origin: Origin = Origin.caller
+    ) -> None:
         """Serve requests with the edge and the clients of ``context``."""
         self._context = context
+        self._origin = origin
         self.idle_connections = IdleConnections(context.clock, context.metrics)
 
     def start_request(
@@ -51,13 +69,22 @@
         """Return the delegate that receives the next request."""
         self.idle_connections.mark_idle(server_conn)
         return _RequestReader(
-            self._context, self.idle_connections, server_conn, request_conn
+            self._context,
+            self.idle_connections,
+            server_conn,
+            request_conn,
+            self._origin,
         )
 
     def close_idle(self) -> None:
-        """Close connections idle for longer than the route document allows."""
+        """Close connections that have been idle for too long.
+
+        For callers, the route document says how long that is.
+        """
         table = self._context.edge.route_table
-        if table:
+        if self._origin is Origin.instance:
+            self.idle_connections.close_older(INSTANCE_IDLE_TIMEOUT)
+        elif table:
             self.idle_connections.close_older(
                 table.document.limits.idle_timeout
             )
@@ -73,8 +100,10 @@
         idle_connections: IdleConnections,
         server_conn: object,
         connection: HTTPConnection,
+        origin: Origin,
     ) -> None:
         self._context = context
+        self._origin = origin
         self._idle_connections = idle_connections
         self._server_conn = server_conn
         self._connection = connection
@@ -133,9 +162,17 @@
     def _start(
         self, start_line: Any, headers: HTTPHeaders, received_at: Seconds
     ) -> None:
-        parsed = _read_request(self._context, start_line, headers, received_at)
+        forwarding = (
+            read_forwarding(headers)
+            if self._origin is Origin.instance
+            else None
+        )
+        parsed = _read_request(
+            self._context, start_line, headers, received_at, forwarding
+        )
         if not isinstance(parsed, Success):
-            self._refuse(parsed.failure(), start_line, headers)
+            problem = address_problem(parsed.failure(), forwarding)
+            self._refuse(problem, start_line, headers)
             return
         exchange = EdgeExchange(
             self._context, self._connection, parsed.unwrap()
@@ -174,25 +211,30 @@
     start: RequestStartLine,
     headers: HTTPHeaders,
     received_at: Seconds,
+    forwarding: Forwarding | None = None,
 ) -> Result[EdgeRequest, Problem]:
     """Return the request with its route and pool, or why it is refused.
 
-    ``received_at`` is when its headers arrived.
+    ``received_at`` is when its headers arrived; ``forwarding`` is what another
+    instance told that forwarded it, whose headers are somewhat longer.
     """
     edge = context.edge
     if edge.route_table is None:
         return Failure(edgerefusals.no_routes())
     problem = _check_limits(headers, edge.route_table.document.limits)
-    if problem:
+    if problem and not forwarding:
         return Failure(problem)
     host = headers.get('Host', '')
     route = edge.find_route(host, start.path)
-    pool = edge.pick_pool(route) if route else None
+    wanted = forwarding.service if forwarding else None
+    pool = edge.pick_pool(route, wanted) if route else None
     if route is None or pool is None:
         return Failure(edgerefusals.no_route(host))
     request = _make_request(
         context.header_format, start, headers, route, pool, received_at
     )
+    if forwarding:
+        request = request.forwarded(forwarding)
     if not edge.can_finish(request.call.deadline, request.began_at):
         return Failure(edgerefusals.leaving())
     return Success(request)
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -9,12 +9,14 @@
 from turmericmast.balance.candidate import Requirements
 from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
-from turmericmast.cluster.records import TargetRecord
+from turmericmast.cluster.records import EdgeRecord, TargetRecord
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.route.document import Route, RouteKind
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.parse import edge_request_headers
+from turmericmast.web.peerheaders import Forwarding, PeerHeaders
+from turmericmast.web.problem import Problem
 from turmericmast.web.transfer import TransferRequest
 
 
@@ -31,6 +33,21 @@
     request_id: str
     began_at: Seconds
     """When the headers were received."""
+    forwarding: Forwarding | None = None
+    """What the instance told that forwarded it; ``None`` from a caller."""
+
+    def forwarded(self, forwarding: Forwarding) -> 'EdgeRequest':
+        """Return this request as another instance has forwarded it."""
+        max_attempts = min(self.call.max_attempts, forwarding.attempts_left)
+        return dataclasses.replace(
+            self,
+            call=dataclasses.replace(self.call, max_attempts=max_attempts),
+            forwarding=forwarding,
+        )
+
+    def answer_with(self, problem: Problem) -> Problem:
+        """Return a problem as the sender of this request expects it."""
+        return address_problem(problem, self.forwarding)
 
     def requirements(self, avoid: Collection[TargetId]) -> Requirements:
         """Return the constraints on the target; ``avoid`` is excluded."""
@@ -57,18 +74,68 @@
         ``resume`` is called when more of the body has arrived; ``time_left``
         limits the whole transfer, in seconds.
         """
+        return self._request_to(
+            record.address,
+            body,
+            resume,
+            time_left,
+            edge_request_headers(
+                self.headers,
+                header_format.replaced_headers,
+                header_format.target_headers(record.target, time_left),
+            ),
+        )
+
+    def peer_request(
+        self,
+        peer: EdgeRecord,
+        body: RequestBody,
+        resume: Callable[[], None],
+        time_left: Seconds,
+        header_format: PeerHeaders,
+    ) -> TransferRequest:
+        """Return the request to forward to the instance ``peer``.
+
+        The other arguments are those of ``transfer_request``.
+        """
+        return self._request_to(
+            peer.peer,
+            body,
+            resume,
+            time_left,
+            edge_request_headers(
+                self.headers,
+                header_format.replaced_headers,
+                header_format.peer_headers(time_left),
+            ),
+        )
+
+    def _request_to(
+        self,
+        address: str,
+        body: RequestBody,
+        resume: Callable[[], None],
+        time_left: Seconds,
+        headers: tuple[bytes, ...],
+    ) -> TransferRequest:
         has_body = body.size or self.call.method in METHODS_WITH_BODY
         length = self.headers.get('Content-Length')
         known_size = body.size if body.is_complete else -1
         return TransferRequest(
-            url=f'http://{record.address}{self.start.path}',
+            url=f'http://{address}{self.start.path}',
             method=self.call.method,
-            headers=edge_request_headers(
-                self.headers,
-                header_format.replaced_headers,
-                header_format.target_headers(record.target, time_left),
-            ),
+            headers=headers,
             timeout=time_left,
             body=body.open_reader(resume) if has_body else None,
             body_size=int(length) if length else known_size,
         )
+
+
+def address_problem(problem: Problem, forwarding: Forwarding | None) -> Problem:
+    """Return a problem marked for the instance that forwarded the request.
+
+    It is unchanged if ``forwarding`` is ``None``.
+    """
+    if forwarding is None:
+        return problem
+    return dataclasses.replace(problem, forwarded_call=forwarding.call)
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -2,7 +2,7 @@
 
 import abc
 import dataclasses
-from typing import ClassVar, final
+from typing import final
 
 from tornado.httputil import HTTPHeaders
 
@@ -58,16 +58,24 @@
 class HeaderFormat(abc.ABC):
     """Reads and writes the headers that one platform uses for metadata."""
 
-    replaced_headers: ClassVar[frozenset[str]]
-    """Names in lower case of headers that ``target_headers`` sets anew.
+    @property
+    @abc.abstractmethod
+    def replaced_headers(self) -> frozenset[str]:
+        """Return the names in lower case that ``target_headers`` sets anew.
 
-    Those that the caller sent are not forwarded.
-    """
+        Those that the caller sent are not forwarded.
+        """
 
     @abc.abstractmethod
     def read_request(self, headers: HTTPHeaders) -> RequestMetadata:
         """Return the metadata of a caller's request."""
 
+    @abc.abstractmethod
+    def timeout_headers(
+        self, time_left: Seconds
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the header with the time until the deadline, in seconds."""
+
     @abc.abstractmethod
     def target_headers(
         self,
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -19,7 +19,7 @@
     TenantId,
 )
 from turmericmast.numerals import is_whole_within, parse_whole
-from turmericmast.web.problem import RAN_HEADER, Problem
+from turmericmast.web.problem import RAN_HEADER, REFUSAL_HEADER, Problem
 
 if TYPE_CHECKING:
     from turmericmast.fleet.values import Values
@@ -38,6 +38,12 @@
 """Packed hybrid clock timestamp of the sender."""
 CALL_HEADER = 'Turmericmast-Call'
 """Id of an attempt, which targets send back with every response."""
+FORWARD_HEADER = 'Turmericmast-Forward'
+"""Id of a request that one edge forwards to another."""
+ATTEMPTS_HEADER = 'Turmericmast-Attempts'
+"""Targets to which a forwarded request may still be sent."""
+SERVICE_HEADER = 'Turmericmast-Service'
+"""Service that was picked for a forwarded request, of those of its route."""
 KEY_HEADER = 'Idempotency-Key'
 """Key by which the ledger recognises resends of a request."""
 
@@ -68,6 +74,10 @@
         DEPTH_HEADER.lower(),
         CLOCK_HEADER.lower(),
         CALL_HEADER.lower(),
+        FORWARD_HEADER.lower(),
+        ATTEMPTS_HEADER.lower(),
+        REFUSAL_HEADER.lower(),
+        SERVICE_HEADER.lower(),
     ),
 )
 """Lower-case names of headers that are not passed on.
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -26,6 +26,10 @@
 """Reads of an unread body that are discarded before the connection closes."""
 RAN_HEADER = 'Turmericmast-Ran'
 """Header that tells whether a target has run the request."""
+REFUSAL_HEADER = 'Turmericmast-Refusal'
+"""Header with the id of the forwarded request that a problem responds to.
+
+A response to a forwarded request that lacks it comes from a target."""
 
 
 @final
@@ -51,6 +55,8 @@
     """Whether the caller accepts fractions of a second in ``Retry-After``."""
     closes_connection: bool = False
     """Whether the caller is asked to close the connection."""
+    forwarded_call: str = ''
+    """Id of the request if another instance has forwarded it."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -81,6 +87,8 @@
             headers['Retry-After'] = self._retry_after()
         if self.closes_connection:
             headers['Connection'] = 'close'
+        if self.forwarded_call:
+            headers[REFUSAL_HEADER] = self.forwarded_call
         return headers
 
     @property
--- /dev/null
+++ b/src/turmericmast/web/reachwatch.py
@@ -0,0 +1,30 @@
+"""Reports and logs when an instance loses most of its targets."""
+
+from typing import final
+
+from turmericmast.edge.reach import is_cut_off
+from turmericmast.web.edgecontext import EdgeContext
+from turmericmast.web.edgeevents import EdgeEvent
+
+
+@final
+class ReachWatch:
+    """Follows whether the targets are in reach of this instance."""
+
+    def __init__(self, context: EdgeContext) -> None:
+        """Watch the edge of ``context``."""
+        self._context = context
+        context.metrics.gauge(
+            'cut_off', lambda: int(is_cut_off(context.edge.views()))
+        )
+
+    def check(self) -> None:
+        """Report a change to the core with the next poll, and log it."""
+        edge = self._context.edge
+        if edge.update_reach(self._context.clock.now()):
+            self._context.events.write(
+                EdgeEvent.reach_changed.value,
+                reach=edge.record.reach.value,
+                lost=sum(view.is_path_lost for view in edge.views()),
+                targets=len(tuple(edge.views())),
+            )
--- /dev/null
+++ b/tests/test_cut_off_instances.py
@@ -0,0 +1,425 @@
+"""Instances that lose their links to all targets, but not to anyone else.
+
+Pattern: for some seconds the targets of a few instances, or of a whole failure
+domain, do not answer them, while callers, the core and other instances do.
+"""
+
+import asyncio
+import contextlib
+import time
+import unittest.mock
+from collections.abc import AsyncIterator
+
+from parameterized import parameterized
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+from tornado.testing import bind_unused_port
+
+from bench.machines import Upstream
+from tests.edge_samples import (
+    NOW,
+    edge,
+    feed,
+    instance,
+    target,
+)
+from tests.running_edge import (
+    HangingAddress,
+    ResettingAddress,
+    RunningEdge,
+    target_at,
+)
+from turmericmast.balance.targetview import TargetView
+from turmericmast.call.call import Call, CallRequest, Loss
+from turmericmast.cluster.records import EdgePhase, EdgeRecord, TargetReach
+from turmericmast.edge.directory import choose_instances
+from turmericmast.edge.peers import (
+    LOSS_BACKOFF,
+    MAX_NEAR_IN_FLIGHT,
+    MAX_REFUSALS,
+    REFUSAL_BACKOFF,
+    PeerOutcome,
+    Peers,
+)
+from turmericmast.edge.reach import HOLD_TIME, ReachReport, is_cut_off
+from turmericmast.ids import CallId, ServiceId
+from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.web.edgeresponse import EdgeResponse
+from turmericmast.web.peerheaders import (
+    Forwarding,
+    PeerHeaders,
+    read_forwarding,
+)
+from turmericmast.web.transfer import ResponseHead
+
+LEARNING_TIME = 1.5
+"""Seconds in which an instance notices that its targets are out of reach."""
+CALLER_TIMEOUT_MS = 800
+"""Milliseconds that a caller waits for its response."""
+
+
+def _lose(view: TargetView) -> TargetView:
+    view.begin_request()
+    view.end_request(Loss.never_sent, NOW)
+    return view
+
+
+class ReachReportTest(unittest.TestCase):
+    """Changes of reach are reported, but not each flicker of it."""
+
+    def test_report_follows_at_most_once_in_the_hold_time(self) -> None:
+        report = ReachReport()
+        changes = [
+            report.update(NOW + after, cut_off=cut_off)
+            for after, cut_off in (
+                (0, False),
+                (1, True),
+                (1 + HOLD_TIME / 2, False),
+                (1 + HOLD_TIME, False),
+            )
+        ]
+        self.assertEqual(changes, [False, True, False, True])
+
+
+OWN = instance('own')
+NEAR = (instance('near-1'), instance('near-2'))
+REGION = (instance('region-1', 'tirol-b'), instance('region-2', 'tirol-b'))
+REMOTE = (instance('remote', 'wien-a'),)
+
+
+def _cut_off(record: EdgeRecord) -> EdgeRecord:
+    return EdgeRecord(
+        record.instance,
+        record.incarnation,
+        record.address,
+        record.domain,
+        record.region,
+        record.phase,
+        record.peer,
+        TargetReach.forwarded,
+    )
+
+
+CHOICES = [
+    ('near_first', (*REMOTE, *REGION, *NEAR), (), (), ['near-1', 'near-2']),
+    ('domain_alone', (*REMOTE, *REGION), (), (), ['region-1', 'region-2']),
+    ('homes', (*REMOTE, *REGION, *NEAR), ('wien',), (), ['remote']),
+    ('no_instance_at_home', NEAR, ('wien',), (), [None]),
+    ('already_tried', NEAR, (), ('near-1',), ['near-2']),
+    (
+        'leaving',
+        (instance('near-1', phase=EdgePhase.leaving), *REGION),
+        (),
+        (),
+        ['region-1', 'region-2'],
+    ),
+    (
+        'cut_off_as_well',
+        (*map(_cut_off, NEAR), *REMOTE),
+        (),
+        (),
+        ['remote'],
+    ),
+    ('all_are_cut_off', tuple(map(_cut_off, NEAR)), (), (), ['near-1']),
+    ('alone', (), (), (), [None]),
+]
+
+
+class PeersTest(unittest.TestCase):
+    """Requests go to near instances that serve them, or nowhere."""
+
+    @parameterized.expand(CHOICES)
+    def test_choice(
+        self,
+        _name: str,
+        others: tuple[EdgeRecord, ...],
+        homes: tuple[str, ...],
+        avoid: tuple[str, ...],
+        expected: list[str | None],
+    ) -> None:
+        peers = _peers(*others)
+        chosen = peers.choose('stock', homes, avoid, NOW)
+        self.assertIn(chosen and chosen.instance, expected)
+
+    @parameterized.expand(
+        [
+            ('refused', PeerOutcome.refused, REFUSAL_BACKOFF, 'region-1'),
+            ('not_reached', PeerOutcome.unreached, LOSS_BACKOFF, 'near-2'),
+            ('answered', PeerOutcome.answered, 0, 'near-2'),
+            ('failed', PeerOutcome.failed, 0, 'near-2'),
+        ]
+    )
+    def test_next_choice_after(
+        self, _name: str, outcome: PeerOutcome, backoff: float, following: str
+    ) -> None:
+        peers = _peers(*NEAR, *REGION)
+        peers.begin('near-1', NOW)
+        peers.end('near-1', 'stock', outcome, NOW)
+        chosen = peers.choose('stock', (), (), NOW + 0.01)
+        self.assertEqual(chosen and chosen.instance, following)
+        again = peers.choose('stock', (), ('near-2',), NOW + backoff + 0.01)
+        self.assertEqual(again and again.domain, 'tirol-a')
+
+    def test_service_that_all_refuse_is_not_asked_for_everywhere(self) -> None:
+        names = [f'near-{number}' for number in range(MAX_REFUSALS + 4)]
+        peers = _peers(*map(instance, names))
+        asked = 0
+        while chosen := peers.choose('stock', (), (), NOW):
+            peers.begin(chosen.instance, NOW)
+            peers.end(chosen.instance, 'stock', PeerOutcome.refused, NOW)
+            asked += 1
+        self.assertEqual(asked, MAX_REFUSALS)
+        self.assertIsNotNone(peers.choose('orders', (), (), NOW))
+        later = NOW + REFUSAL_BACKOFF
+        self.assertIsNotNone(peers.choose('stock', (), (), later))
+
+    def test_many_requests_are_spread_beyond_the_domain(self) -> None:
+        peers = _peers(NEAR[0], REGION[0])
+        for _ in range(MAX_NEAR_IN_FLIGHT):
+            peers.begin('near-1', NOW)
+        chosen = peers.choose('stock', (), (), NOW)
+        self.assertEqual(chosen and chosen.instance, 'region-1')
+
+
+class DirectoryTest(unittest.TestCase):
+    """Callers are sent to instances that reach targets, if there are any."""
+
+    @parameterized.expand(
+        [
+            ('one_of_three', (*NEAR, _cut_off(OWN)), ['near-1', 'near-2']),
+            (
+                'whole_domain',
+                (_cut_off(OWN), *REGION, *REMOTE),
+                ['region-1', 'region-2'],
+            ),
+            (
+                'whole_region',
+                (_cut_off(OWN), _cut_off(REGION[0]), *REMOTE),
+                ['remote'],
+            ),
+            ('all', (_cut_off(OWN), _cut_off(REMOTE[0])), ['own']),
+            (
+                'whole_home_region',
+                (_cut_off(OWN), *REMOTE),
+                ['own'],
+                ('tirol',),
+            ),
+        ]
+    )
+    def test_instances(
+        self,
+        _name: str,
+        edges: tuple[EdgeRecord, ...],
+        expected: list[str],
+        homes: tuple[str, ...] = (),
+    ) -> None:
+        chosen = choose_instances(edges, homes, 'tirol', 'tirol-a')
+        self.assertEqual([edge.instance for edge in chosen], expected)
+
+
+class PeerHeadersTest(unittest.TestCase):
+    """Errors of another instance are told from responses of targets."""
+
+    @parameterized.expand(
+        [
+            ('own_refusal', 503, {'Refusal': 'c', 'Ran': 'no'}, Loss.shed),
+            ('no_route_yet', 404, {'Refusal': 'c', 'Ran': 'no'}, Loss.shed),
+            ('may_have_run', 502, {'Refusal': 'c', 'Ran': 'unknown'}, 'failed'),
+            ('of_another_request', 503, {'Refusal': 'd', 'Ran': 'no'}, 'cut'),
+            ('of_an_instance_unmarked', 503, {'Ran': 'no'}, 'cut'),
+            ('target_failed', 503, {'Ran': 'no', 'id': 'r'}, 'failed'),
+            ('target_answered', 200, {'id': 'r', 'signature': 's'}, None),
+        ]
+    )
+    def test_response(
+        self, _name: str, status: int, given: dict[str, str], expected: object
+    ) -> None:
+        names = {'id': 'X-Request-Id', 'signature': 'X-Response-Signature'}
+        headers = HTTPHeaders(
+            {
+                names.get(name, f'Turmericmast-{name}'): text
+                for name, text in given.items()
+            }
+        )
+        peer_headers = PeerHeaders(
+            PlatformHeaders(),
+            'r',
+            Forwarding(CallId('c'), 1, ServiceId('stock')),
+        )
+        response = EdgeResponse(
+            peer_headers, 'r', unittest.mock.Mock(), lambda _: True
+        )
+        response.on_head(ResponseHead(status, '', headers))
+        loss_by_name = {'failed': Loss.failed, 'cut': Loss.cut_short}
+        self.assertIs(
+            response.final_loss(None),
+            loss_by_name.get(str(expected), expected),
+        )
+
+    @parameterized.expand(
+        [
+            ('given', {'Turmericmast-Attempts': '2'}, 2),
+            ('missing', {}, 1),
+            ('none_left', {'Turmericmast-Attempts': '0'}, 1),
+            ('no_number', {'Turmericmast-Attempts': 'many'}, 1),
+            ('endless', {'Turmericmast-Attempts': '9' * 5000}, 1),
+        ]
+    )
+    def test_attempts(
+        self, _name: str, headers: dict[str, str], expected: int
+    ) -> None:
+        forwarding = read_forwarding(HTTPHeaders(headers))
+        self.assertEqual(forwarding.attempts_left, expected)
+
+    @parameterized.expand(
+        [
+            ('nothing_sent', (), 2),
+            ('rejected', (Loss.never_sent, Loss.shed), 2),
+            ('may_have_run', (Loss.connection_lost,), 1),
+            ('used_up', (Loss.connection_lost, Loss.timed_out), 1),
+        ]
+    )
+    def test_attempts_left(
+        self, _name: str, losses: tuple[Loss, ...], expected: int
+    ) -> None:
+        call = Call(
+            CallRequest(
+                'c', 'stock', 'GET', '/', '', '', NOW + 1, max_attempts=2
+            )
+        )
+        for loss in losses:
+            call.record_failure(loss)
+        self.assertEqual(call.attempts_left, expected)
+
+
+class CrashEvidenceTest(unittest.IsolatedAsyncioTestCase):
+    """Targets that are out of reach do not count as crashed by a request."""
+
+    @parameterized.expand([('one_target_lost', 1, True), ('most', 3, False)])
+    async def test_report(self, _name: str, lost: int, expected: bool) -> None:
+        with RunningEdge('own') as running:
+            dead = [target_at(name, '127.0.0.1:9') for name in '12345']
+            await running.open(targets=dead)
+            views = list(running.edge.views())
+            for view in views[:lost]:
+                _lose(view)
+            await running.context.crash_detector.check(views[-1], 'f')
+            self.assertIs(running.report_crash.called, expected)
+
+
+class ForwardingTest(unittest.IsolatedAsyncioTestCase):
+    """Callers of an instance that lost its targets are served through others.
+
+    Guards against RECOVER: such an instance refused all its callers.
+    """
+
+    @parameterized.expand([('refused',), ('hanging',), ('reset',)])
+    async def test_callers_of_a_cut_off_instance_are_served(
+        self, how: str
+    ) -> None:
+        async with _cluster(how) as (cut_off, healthy, upstream):
+            await _learn(cut_off)
+            ran_before = len(upstream.paths)
+            answers = [
+                await _request(cut_off.address, number) for number in range(20)
+            ]
+            self.assertEqual([answer.code for answer in answers], [200] * 20)
+            self.assertEqual(len(upstream.paths) - ran_before, 20)
+            self.assertGreaterEqual(cut_off.count('forwarded'), 20)
+            self.assertEqual(healthy.count('forwarded'), 0)
+
+    async def test_all_instances_are_cut_off(self) -> None:
+        dead = [target_at(name, _closed_address()) for name in '123']
+        with RunningEdge('own') as own, RunningEdge('other') as other:
+            await own.open(other, targets=dead)
+            await other.open(own, targets=dead)
+            await _learn(own)
+            await _learn(other)
+            began_at = time.monotonic()
+            answer = await _request(own.address, 0)
+            self.assertEqual(answer.code, 503)
+            self.assertEqual(answer.headers['Turmericmast-Ran'], 'no')
+            self.assertNotIn('Turmericmast-Refusal', answer.headers)
+            self.assertLess(time.monotonic() - began_at, 0.2)
+
+    async def test_end_of_the_cut_is_found(self) -> None:
+        address = _closed_address()
+        async with _cluster('refused', address) as (cut_off, _, _upstream):
+            await _learn(cut_off)
+            with Upstream('1', 'tirol-a', address):
+                deadline = time.monotonic() + 5
+                while is_cut_off(cut_off.edge.views()):
+                    self.assertLess(time.monotonic(), deadline)
+                    await _request(cut_off.address, 0)
+                forwarded = cut_off.count('forwarded')
+                answer = await _request(cut_off.address, 1)
+                self.assertEqual(answer.code, 200)
+                self.assertEqual(cut_off.count('forwarded'), forwarded)
+
+
+def _peers(*others: EdgeRecord) -> Peers:
+    sample = edge(OWN, feed(OWN, *others, targets=(target('1'),)))
+    return sample.peers
+
+
+def _closed_address() -> str:
+    sock, port = bind_unused_port()
+    sock.close()
+    return f'127.0.0.1:{port}'
+
+
+@contextlib.asynccontextmanager
+async def _dead_address(how: str, address: str) -> AsyncIterator[str]:
+    if how == 'hanging':
+        with HangingAddress() as hanging:
+            yield hanging
+    elif how == 'reset':
+        async with ResettingAddress() as resetting:
+            yield resetting
+    else:
+        yield address or _closed_address()
+
+
+@contextlib.asynccontextmanager
+async def _cluster(
+    how: str, address: str = ''
+) -> AsyncIterator[tuple[RunningEdge, RunningEdge, Upstream]]:
+    """Run an instance that reaches no target, one that does, and the target."""
+    sock, port = bind_unused_port()
+    sock.close()
+    working = target_at('1', f'127.0.0.1:{port}')
+    async with _dead_address(how, address) as dead_address:
+        with (
+            RunningEdge('cut-off') as cut_off,
+            RunningEdge('healthy', 'tirol-b') as healthy,
+            Upstream('1', 'tirol-a', working.address) as upstream,
+        ):
+            dead = target_at('1', dead_address)
+            await cut_off.open(healthy, targets=[dead])
+            await healthy.open(cut_off, targets=[working])
+            yield cut_off, healthy, upstream
+
+
+async def _learn(running: RunningEdge) -> None:
+    """Send requests until an instance knows that its targets are lost."""
+    deadline = time.monotonic() + LEARNING_TIME
+    while not is_cut_off(running.edge.views()):
+        if time.monotonic() > deadline:
+            raise TimeoutError('the targets still count as reachable')
+        await _request(running.address, 0)
+        await asyncio.sleep(0.01)
+
+
+async def _request(address: str, number: int) -> HTTPResponse:
+    return await AsyncHTTPClient().fetch(
+        HTTPRequest(
+            f'http://{address}/stock/{number}',
+            headers={
+                'Host': 'shop.example',
+                'X-Request-Id': f'r-{number}',
+                'X-Deadline-Ms': str(CALLER_TIMEOUT_MS),
+            },
+            request_timeout=2,
+        ),
+        raise_error=False,
+    )
