Transfers: one that has ended no longer cancels its handle's next user

Callers could get no answer at all: CurlClient keeps the handle of an ended transfer for the next one, and found the transfer to cancel by its handle. An ended transfer that was cancelled again removed the running transfer of another request, whose result was then never set: neither answer nor refusal, and no time-out either, since curl no longer had it.

Ended transfers are cancelled where the caller leaves after an attempt failed (the forwarder keeps its last transfer while a target or another instance is tried; the sender of an entry does so too), and where an attempt and its hedge end together. The class: a reused object taken for its earlier owner.

cancel() and resume() now ignore a transfer that has ended. On the old code the row "cancel" of tests/test_curl.py waits until it times out; the row "resume" passes there as well, since pausing again is harmless.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -113,9 +113,13 @@
         self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
     def remove(self, transfer: 'Transfer') -> None:
-        """Remove a transfer; an unfinished one loses its connection."""
-        if self._transfer_by_handle.pop(transfer.handle, None) is None:
+        """Remove a transfer; an unfinished one loses its connection.
+
+        One that has ended is ignored: its handle may serve another transfer.
+        """
+        if not self._is_running(transfer):
             return
+        self._transfer_by_handle.pop(transfer.handle)
         self._multi.remove_handle(transfer.handle)
         if len(self._idle) < MAX_IDLE_HANDLES:
             self._idle.append(transfer.handle)
@@ -124,10 +128,13 @@
 
     def resume(self, transfer: 'Transfer') -> None:
         """Resume a paused transfer."""
-        if transfer.handle in self._transfer_by_handle:
+        if self._is_running(transfer):
             transfer.handle.pause(pycurl.PAUSE_CONT)
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
+    def _is_running(self, transfer: 'Transfer') -> bool:
+        return self._transfer_by_handle.get(transfer.handle) is transfer
+
     def _on_socket(self, event: int, fd: int, multi: Any, token: Any) -> None:
         wanted_events = {
             pycurl.POLL_NONE: 0,
--- a/tests/test_curl.py
+++ b/tests/test_curl.py
@@ -1,7 +1,13 @@
-"""The curl client after it was closed."""
+"""Transfers of the curl client: reused handles, and a closed client."""
 
+import asyncio
 import unittest
+from collections.abc import Callable
 
+from parameterized import parameterized
+from tornado.testing import bind_unused_port
+
+from bench.machines import Upstream
 from turmericmast.call.call import Loss
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.transfer import (
@@ -35,10 +41,38 @@
     async def test_transfer_on_a_closed_client(self) -> None:
         with CurlClient() as curl:
             # The client keeps the handle of this transfer for the next one.
-            self.assertIs(await _transfer(curl), Loss.never_sent)
-        self.assertIs(await _transfer(curl), Loss.never_sent)
+            self.assertIs(await _transfer(curl).run(), Loss.never_sent)
+        self.assertIs(await _transfer(curl).run(), Loss.never_sent)
+
+
+class EndedTransferTest(unittest.IsolatedAsyncioTestCase):
+    """A transfer that has ended leaves its handle to the next one.
+
+    Guards against requests without an answer: the caller of a request whose
+    first attempt had failed left, and the transfer of another request, which
+    had got the handle of that attempt, was cancelled and never ended.
+    """
+
+    @parameterized.expand(
+        [('cancel', Transfer.cancel), ('resume', Transfer.resume)]
+    )
+    async def test_transfer_with_the_same_handle_ends(
+        self, _name: str, act: Callable[[Transfer], None]
+    ) -> None:
+        sock, port = bind_unused_port()
+        sock.close()
+        address = f'127.0.0.1:{port}'
+        with CurlClient() as curl, Upstream('1', 'tirol-a', address):
+            ended = _transfer(curl)
+            await ended.run()
+            following = _transfer(curl, f'http://{address}/')
+            self.assertIs(following.handle, ended.handle)
+            running = asyncio.ensure_future(following.run())
+            await asyncio.sleep(0)
+            act(ended)
+            self.assertIsNone(await asyncio.wait_for(running, 2))
 
 
-async def _transfer(curl: CurlClient) -> Loss | None:
-    request = TransferRequest(CLOSED_PORT_URL, 'GET', (), 1.0, None, 0)
-    return await Transfer(curl, request, _IgnoringSink(), lambda: True).run()
+def _transfer(curl: CurlClient, url: str = CLOSED_PORT_URL) -> Transfer:
+    request = TransferRequest(url, 'GET', (), 1.0, None, 0)
+    return Transfer(curl, request, _IgnoringSink(), lambda: True)
