Probes: an instance without callers finds that its links are back

Callers were kept away from instances whose links had long been restored.

Cause: reach counts paths that only an answer to this instance confirms, and all but the assigned targets of the own domain were probed for requests only. The directory had sent these requests elsewhere, so the state that kept callers away also kept away what would have ended it. Own targets were left out too while other instances verified them.

An instance that reports lost targets now probes them in the background: four at a time, those first whose last probe is the longest ago, none while ejected. tests/test_cut_off_instances.py, LinksAreBackTest: on the old code four of the five rows fail (no end within 5 s; own targets that others verify not due).

--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -14,7 +14,7 @@
 )
 from turmericmast.balance.pool import PROBE_AFTER
 from turmericmast.balance.targetview import TargetView
-from turmericmast.cluster.records import EdgeRecord, TargetPhase
+from turmericmast.cluster.records import EdgeRecord, TargetPhase, TargetReach
 from turmericmast.edge.edge import Edge
 from turmericmast.ids import Seconds, ServiceId, TargetId
 
@@ -38,6 +38,11 @@
 
 An instance of a large fleet is idle most of the time, and waking up is the most
 that it does then."""
+MAX_PATH_PROBES = 4
+"""Targets out of reach that are probed at a time while most of them are.
+
+Without them, an instance that the directory no longer names would not notice
+that its links are back."""
 MAX_RELAYED_TARGETS = 24
 """Targets in one forwarded datagram, which then fits into one packet."""
 
@@ -91,13 +96,15 @@
             for service, pool in self._edge.pool_by_service.items()
             if pool.needs_background_probes(now)
         }
-        return [
+        assigned = [
             view
             for view in self._known_views(
                 self._edge.membership.assignments.probed_targets
             )
             if self._is_due(view, services_to_probe, now)
         ]
+        lost = (view for view in self._lost_paths(now) if view not in assigned)
+        return [*assigned, *itertools.islice(lost, MAX_PATH_PROBES)]
 
     def share_load(
         self,
@@ -204,20 +211,32 @@
         services_to_probe: Collection[ServiceId],
         now: Seconds,
     ) -> bool:
-        is_in_use = view.record.phase is TargetPhase.ready and (
-            view.record.domain not in self._edge.evacuated
-        )
         needs_load = view.record.service in services_to_probe
         is_stale = view.verification_age(now) > REVERIFY_AFTER or (
             needs_load and view.report_age(now) > PROBE_AFTER
         )
-        is_probe_allowed = now - view.probed_at >= PROBE_AFTER
-        return (
-            is_in_use
-            and is_stale
-            and is_probe_allowed
-            and view.ejected_until() <= now
+        return is_stale and self._may_probe(view, now)
+
+    def _lost_paths(self, now: Seconds) -> list[TargetView]:
+        """Return lost targets to probe, if the edge reports to be cut off.
+
+        The one whose last probe is the longest ago comes first.
+        """
+        if self._edge.record.reach is TargetReach.direct:
+            return []
+        due = (
+            view
+            for view in self._edge.views()
+            if view.is_path_lost and self._may_probe(view, now)
         )
+        return sorted(due, key=lambda view: view.probed_at)
+
+    def _may_probe(self, view: TargetView, now: Seconds) -> bool:
+        is_in_use = view.record.phase is TargetPhase.ready and (
+            view.record.domain not in self._edge.evacuated
+        )
+        is_probe_allowed = now - view.probed_at >= PROBE_AFTER
+        return is_in_use and is_probe_allowed and view.ejected_until() <= now
 
     def _update_peers(self) -> None:
         """Recompute peers and delegate after instances have changed."""
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
 import unittest.mock
 from collections.abc import AsyncIterator
@@ -18,6 +19,7 @@
 from bench.machines import Upstream
 from tests.edge_samples import (
     NOW,
+    REGION_BY_DOMAIN,
     edge,
     feed,
     instance,
@@ -33,6 +35,7 @@
 from turmericmast.call.call import Call, CallRequest, Loss
 from turmericmast.cluster.records import EdgePhase, EdgeRecord, TargetReach
 from turmericmast.edge.directory import choose_instances
+from turmericmast.edge.gossip import MAX_PATH_PROBES, LoadGossip
 from turmericmast.edge.peers import (
     LOSS_BACKOFF,
     MAX_NEAR_IN_FLIGHT,
@@ -357,6 +360,62 @@
                 self.assertEqual(cut_off.count('forwarded'), forwarded)
 
 
+class LinksAreBackTest(unittest.IsolatedAsyncioTestCase):
+    """An instance finds the end of a cut although nobody sends it requests.
+
+    Guards against instances that went without callers for good: the directory
+    did not name them any more, and only requests made them probe far targets.
+    """
+
+    @parameterized.expand([('tirol-a',), ('tirol-b',), ('wien-a',)])
+    async def test_reach_without_callers(self, domain: str) -> None:
+        addresses = {name: _closed_address() for name in '123'}
+        targets = [
+            dataclasses.replace(target_at(name, address), domain=domain)
+            for name, address in addresses.items()
+        ]
+        with contextlib.ExitStack() as stack:
+            running, *others = (
+                stack.enter_context(RunningEdge(f'in-{place}', place))
+                for place in REGION_BY_DOMAIN
+            )
+            await running.open(*others, targets=targets)
+            for view in running.edge.views():
+                _lose(view)
+            running.edge.update_reach(NOW)
+            for name, address in addresses.items():
+                stack.enter_context(Upstream(name, domain, address))
+            deadline = time.monotonic() + 5
+            while is_cut_off(running.edge.views()):
+                self.assertLess(time.monotonic(), deadline)
+                await asyncio.sleep(0.05)
+
+    def test_target_that_others_verify_is_probed(self) -> None:
+        sample = edge(OWN, feed(OWN, *NEAR, targets=(target('1'),)))
+        view = sample.view('1')
+        _lose(view)
+        sample.update_reach(NOW)
+        later = NOW + 5
+        view.verify(0, later)
+        self.assertEqual(LoadGossip(sample).probes_due(later), [view])
+
+    def test_few_probes_at_a_time(self) -> None:
+        targets = [target(str(number), 'wien-a') for number in range(50)]
+        sample = edge(OWN, feed(OWN, *REMOTE, targets=targets))
+        for view in sample.views():
+            _lose(view)
+        sample.update_reach(NOW)
+        gossip = LoadGossip(sample)
+        later = NOW + 5
+        probed = set()
+        while due := gossip.probes_due(later):
+            self.assertLessEqual(len(due), MAX_PATH_PROBES)
+            for view in due:
+                view.probed_at = later
+                probed.add(view.record.target)
+        self.assertEqual(len(probed), len(targets))
+
+
 def _peers(*others: EdgeRecord) -> Peers:
     sample = edge(OWN, feed(OWN, *others, targets=(target('1'),)))
     return sample.peers
