Edges: a request without an eligible target is forwarded once a path is lost

Forwarding now begins with the first lost path if no target is eligible. Without any lost path nothing is forwarded: then targets are cold, evacuated or not probed yet. Two of the new tests failed before (first request after a start; one of four paths lost).

--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -45,20 +45,23 @@
         """The best target at the last selection, also if it was too slow."""
         self.is_cut_off = False
         """Whether most targets were out of reach at the last selection."""
+        self._has_lost_path = False
 
     async def select(self, requirements: Requirements) -> Candidate | None:
         """Return the best target, ``None`` if there is no good one."""
-        self.is_cut_off = is_cut_off(
+        views = tuple(
             self._pool.permitted_targets(
                 dataclasses.replace(requirements, avoid=())
             )
         )
+        self.is_cut_off = is_cut_off(views)
         best = await (
             self._search_at_once(requirements)
             if self.is_cut_off
             else self._search(requirements)
         )
         self.last_best = best
+        self._has_lost_path = any(view.is_path_lost for view in views)
         now = self._context.clock.now()
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
@@ -66,10 +69,13 @@
     def is_doubtful(self, candidate: Candidate | None, call: Call) -> bool:
         """Tell whether another instance would serve a call more likely.
 
-        Where most paths are lost, and one more was lost by this call, those
-        to the other targets are doubtful as well.
+        That is so without an eligible target if any path is lost. Where most
+        paths are lost, those to the other targets are doubtful as well once
+        this call has lost one more.
         """
-        return self.is_cut_off and (candidate is None or bool(call.losses))
+        if self.is_cut_off:
+            return candidate is None or bool(call.losses)
+        return self.last_best is None and self._has_lost_path
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -21,6 +21,7 @@
     edge,
     feed,
     instance,
+    requirements,
     target,
 )
 from tests.running_edge import (
@@ -50,6 +51,8 @@
     PeerHeaders,
     read_forwarding,
 )
+from turmericmast.web.probing import Prober
+from turmericmast.web.targetselection import TargetSelector
 from turmericmast.web.transfer import ResponseHead
 
 LEARNING_TIME = 1.5
@@ -328,6 +331,36 @@
             self.assertGreaterEqual(cut_off.count('forwarded'), 20)
             self.assertEqual(healthy.count('forwarded'), 0)
 
+    async def test_first_request_after_a_start_during_the_cut(self) -> None:
+        async with _cluster('refused') as (cut_off, _, _upstream):
+            answer = await _request(cut_off.address, 0)
+            self.assertEqual(answer.code, 200)
+
+    @parameterized.expand(
+        [
+            ('no_path_lost', 0, False),
+            ('one_of_four_lost', 1, True),
+            ('most_lost', 3, True),
+        ]
+    )
+    async def test_without_an_eligible_target(
+        self, _name: str, lost: int, expected: bool
+    ) -> None:
+        with RunningEdge('own') as running:
+            names = '1234'
+            await running.open(targets=[target_at(name, '') for name in names])
+            views = list(running.edge.views())
+            for view in views[:lost]:
+                _lose(view)
+            selector = TargetSelector(
+                running.context,
+                running.edge.pool_by_service[ServiceId('stock')],
+            )
+            with unittest.mock.patch.object(Prober, 'probe'):
+                candidate = await selector.select(requirements())
+            call = Call(CallRequest('c', 'stock', 'GET', '/', '', '', NOW + 1))
+            self.assertIs(selector.is_doubtful(candidate, call), expected)
+
     async def test_all_instances_are_cut_off(self) -> None:
         dead = [target_at(name, _closed_address()) for name in '123']
         with RunningEdge('own') as own, RunningEdge('other') as other:
