Idle connections: a line says what had arrived on those that were closed

The counter of idle connections told neither when they were closed, nor how many at once, nor whether a request had arrived on them. So a request that was closed with its connection left no trace. What is closed is unchanged.

--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -41,7 +41,9 @@
     def __init__(self, context: EdgeContext) -> None:
         """Serve requests with the edge and the clients of ``context``."""
         self._context = context
-        self.idle_connections = IdleConnections(context.clock, context.metrics)
+        self.idle_connections = IdleConnections(
+            context.clock, context.metrics, context.events
+        )
 
     def start_request(
         self,
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -54,7 +54,9 @@
         """Serve calls and pages of the entry in ``context``."""
         self._context = context
         self._announcements = announcements
-        self._idle_connections = IdleConnections(context.clock, context.metrics)
+        self._idle_connections = IdleConnections(
+            context.clock, context.metrics, context.events
+        )
 
     def start_request(
         self,
