Idle connections: a connection on which a request has arrived is not closed

What callers saw: a whole request, read by an edge, got neither an answer nor a refusal; its connection was closed. Cause: the check for idle connections compared times only. asyncio runs readers before the timers of the same iteration, so a check always follows reads, and a request that was just read is handled one iteration after it. A loop that is behind reads more requests before one check. No change of the time-out is needed. Ruled out: a shorter idle time-out. Change: a connection is closed only if nothing has arrived: no byte in its socket, none in its buffer, no head that waits to be handled. Part of a head gets the time for a head in addition, at an edge. Connections that were closed are forgotten at once. Tests: tests/test_idle_connections.py, CrossingRequestTest. All five cases of a request beside a check and the one of 200 connections failed before. IdleConnectionTest closes the stream itself now, since the check does not any more; what it asserts is unchanged.

--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -56,12 +56,17 @@
             self._context, self.idle_connections, server_conn, request_conn
         )
 
+    def on_close(self, server_conn: object) -> None:
+        """Stop tracking a connection that was closed."""
+        self.idle_connections.mark_active(server_conn)
+
     def close_idle(self) -> None:
         """Close connections idle for longer than the route document allows."""
         table = self._context.edge.route_table
         if table:
-            self.idle_connections.close_older(
-                table.document.limits.idle_timeout
+            limits = table.document.limits
+            self.idle_connections.close_expired(
+                limits.idle_timeout, limits.header_timeout
             )
 
 
@@ -93,8 +98,8 @@
         """
         self._idle_connections.mark_active(self._server_conn)
         if _is_closed(self._connection):
-            # Closed as idle after these headers were read: the caller sees a
-            # closed connection, so its request must not be sent to a target.
+            # The caller has disconnected, or its connection was closed after
+            # these headers were read, so a target would run it for nobody.
             self._context.metrics.count('requests', outcome='closed_unread')
             return None
         now = self._context.clock.now()
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -78,7 +78,7 @@
 
     def close_idle(self, older_than: float = IDLE_TIMEOUT) -> None:
         """Close connections that were idle for more than so many seconds."""
-        self._idle_connections.close_older(older_than)
+        self._idle_connections.close_expired(older_than, header_timeout=0)
 
 
 @final
--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -1,7 +1,10 @@
 """Idle keep-alive connections of callers."""
 
 import collections
+import dataclasses
 import enum
+import itertools
+import math
 import select
 from collections.abc import Iterable, Iterator
 from typing import final
@@ -29,59 +32,79 @@
     """A head was read and will be handled shortly."""
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Idle:
+    """A connection on which no request has been handled for some time."""
+
+    stream: IOStream
+    seconds: float
+    arrival: Arrival
+
+
 @final
 class IdleConnections:
-    """Closes connections that have been idle for too long.
+    """Closes connections on which no request has arrived for too long.
 
     All connections are checked periodically, which costs less than a timer
-    for each request.
+    for each request. What has arrived counts, handled or not: the loop runs
+    a check before it handles the requests that it has just read.
     """
 
     def __init__(
         self, clock: Clock, metrics: Metrics, events: EventLog
     ) -> None:
-        """Create an empty set; closed connections are counted and logged."""
+        """Create an empty set; idle connections are counted and logged."""
         self._clock = clock
         self._metrics = metrics
         self._events = events
-        self._idle_since: dict[object, Seconds] = {}
+        self._idle_since: dict[HTTP1ServerConnection, Seconds] = {}
 
     def mark_idle(self, connection: object) -> None:
         """Record that a connection waits for a request from now on."""
-        self._idle_since[connection] = self._clock.now()
+        if isinstance(connection, HTTP1ServerConnection):
+            self._idle_since[connection] = self._clock.now()
 
     def mark_active(self, connection: object) -> None:
-        """Record that a request has arrived on a connection."""
-        self._idle_since.pop(connection, None)
+        """Record that a request has arrived or the connection was closed."""
+        if isinstance(connection, HTTP1ServerConnection):
+            self._idle_since.pop(connection, None)
 
-    def close_older(self, older_than: float) -> None:
-        """Close connections idle for longer than ``older_than`` seconds.
+    def close_expired(self, idle_timeout: float, header_timeout: float) -> None:
+        """Close connections without a request for ``idle_timeout`` seconds.
 
-        Connections that the caller has closed are forgotten.
+        If part of a head has arrived, ``header_timeout`` seconds are added.
         """
-        cutoff = self._clock.now() - older_than
-        expired = [
-            stream for stream, since in self._open_streams() if since < cutoff
-        ]
-        if not expired:
-            return
-        count_by_arrival = collections.Counter(find_arrivals(expired))
-        for stream in expired:
-            stream.close()
-        self._report(older_than, count_by_arrival)
-
-    def _open_streams(self) -> Iterator[tuple[IOStream, Seconds]]:
-        for connection, since in tuple(self._idle_since.items()):
-            if not isinstance(connection, HTTP1ServerConnection):
-                continue
-            if connection.stream.closed():
-                self._idle_since.pop(connection)
-            else:
-                yield connection.stream, since
+        longest_by_arrival = {
+            Arrival.nothing: idle_timeout,
+            Arrival.in_buffer: idle_timeout + header_timeout,
+        }
+        idle = tuple(self._find_idle(idle_timeout))
+        for found in idle:
+            if found.seconds > longest_by_arrival.get(found.arrival, math.inf):
+                found.stream.close()
+        if idle:
+            self._report(
+                idle_timeout,
+                collections.Counter(each.arrival for each in idle),
+            )
+
+    def _find_idle(self, idle_timeout: float) -> Iterator['_Idle']:
+        now = self._clock.now()
+        time_by_stream = {
+            connection.stream: now - since
+            for connection, since in self._idle_since.items()
+            if now - since > idle_timeout and not connection.stream.closed()
+        }
+        arrivals = find_arrivals(time_by_stream)
+        return itertools.starmap(
+            _Idle,
+            zip(time_by_stream, time_by_stream.values(), arrivals, strict=True),
+        )
 
     def _report(
         self,
-        older_than: float,
+        idle_timeout: float,
         count_by_arrival: collections.Counter[Arrival],
     ) -> None:
         for arrival, count in count_by_arrival.items():
@@ -89,8 +112,8 @@
                 'connections_idle', count, arrived=arrival.value
             )
         self._events.write(
-            'connections_closed',
-            timeout_ms=int(older_than * MILLIS_PER_SECOND),
+            'connections_idle',
+            timeout_ms=int(idle_timeout * MILLIS_PER_SECOND),
             **{member.value: count_by_arrival[member] for member in Arrival},
         )
 
@@ -103,7 +126,7 @@
         poll.register(stream.socket, select.POLLIN)
     readable = {descriptor for descriptor, _ in poll.poll(0)}
     return (
-        _find_arrival(each, is_readable=each.fileno() in readable)
+        _find_arrival(each, is_readable=each.socket.fileno() in readable)
         for each in known
     )
 
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -1,17 +1,21 @@
 """Idle connections that are closed just as their next request arrives.
 
 Pattern: the idle time-out becomes shorter by a change of the routes, so that
-connections which callers still use are closed in that moment.
+hundreds of connections which callers still use are closed in one check.
 """
 
 import asyncio
 import contextlib
+import socket
+import time
 import unittest.mock
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 from parameterized import parameterized
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate
 from tornado.testing import bind_unused_port
 
 from tests.edge_samples import (
@@ -29,11 +33,21 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 from turmericmast.web.firstroutes import FirstRoutes
+from turmericmast.web.problem import respond
 
 REQUEST = (
     b'GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n'
     b'X-Request-Id: r\r\nX-Deadline-Ms: 800\r\n\r\n'
 )
+UPLOAD = REQUEST.replace(b'GET', b'PUT').replace(
+    b'\r\n\r\n', b'\r\nContent-Length: 8\r\n\r\n12345678'
+)
+RECEIVE_SECONDS = 0.4
+"""Time for the server to handle a few hundred connections."""
+IDLE_SECONDS = 16.0
+"""Longer than the idle time-out of the sample routes, 15 s.
+
+Shorter than that and the time for a head, 3 s, together."""
 
 
 class IdleConnectionTest(unittest.IsolatedAsyncioTestCase):
@@ -57,7 +71,7 @@
 
         def close_and_parse(connection: Any, head: bytes) -> Any:
             if is_closed:
-                frontend.idle_connections.close_older(-1)
+                connection.stream.close()
             return parse(connection, head)
 
         with (
@@ -77,6 +91,153 @@
         server.stop()
 
 
+class CrossingRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A connection is closed as idle only when nothing has arrived on it.
+
+    Otherwise a request that was read gets neither an answer nor a refusal.
+    """
+
+    @parameterized.expand(
+        [
+            ('in_the_socket', REQUEST, b'', False, 1),
+            ('read_but_not_parsed', REQUEST, b'', True, 1),
+            ('head_read_in_part', REQUEST[:40], REQUEST[40:], True, 1),
+            ('body_read_in_part', UPLOAD[:-4], UPLOAD[-4:], True, 1),
+            ('two_at_once', REQUEST + REQUEST, b'', True, 2),
+        ]
+    )
+    async def test_request_beside_check_is_answered(
+        self,
+        _name: str,
+        before: bytes,
+        after: bytes,
+        is_read: bool,
+        answers: int,
+    ) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _skip_time(frontend)
+            await _send(caller, before)
+            if is_read:
+                await _check_after_reading(frontend)
+            else:
+                frontend.close_idle()
+            await _send(caller, after)
+            octets = await _receive(caller)
+            self.assertEqual(octets.count(b'HTTP/1.1 200'), answers)
+
+    async def test_connection_without_request_is_closed(self) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _skip_time(frontend)
+            frontend.close_idle()
+            self.assertEqual(await _receive(caller), b'')
+            self.assertEqual(caller.recv(1), b'')
+
+    @parameterized.expand([('half_a_head', REQUEST[:40]), ('nothing', b'')])
+    async def test_incomplete_head_is_closed_in_the_end(
+        self, _name: str, octets: bytes
+    ) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _send(caller, octets)
+            await _skip_time(frontend)
+            await _skip_time(frontend)
+            frontend.close_idle()
+            self.assertEqual(await _receive(caller), b'')
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(caller.recv(1), b'')
+
+    async def test_hundreds_of_connections_while_the_loop_is_behind(
+        self,
+    ) -> None:
+        async with _served() as (frontend, connect):
+            callers = [await connect() for _ in range(200)]
+            await _skip_time(frontend)
+            asyncio.get_running_loop().call_later(0, frontend.close_idle)
+            for caller in callers[::2]:
+                caller.send(REQUEST)
+            time.sleep(0.05)  # noqa: ASYNC251
+            received = await asyncio.gather(*map(_receive, callers))
+        self.assertEqual(list(map(bool, received)), [True, False] * 100)
+
+
+async def _skip_time(frontend: EdgeFrontend) -> None:
+    """Let all connections have been idle for longer than allowed."""
+    await asyncio.sleep(0.01)
+    clock = frontend._context.clock
+    assert isinstance(clock, SkewedClock)
+    clock.offset += IDLE_SECONDS
+
+
+async def _send(caller: socket.socket, octets: bytes) -> None:
+    await asyncio.get_running_loop().sock_sendall(caller, octets)
+
+
+async def _receive(caller: socket.socket) -> bytes:
+    """Return what arrives within a short time, empty if it is closed."""
+    received = bytearray()
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(TimeoutError, ConnectionResetError):
+        async with asyncio.timeout(RECEIVE_SECONDS):
+            while octets := await loop.sock_recv(caller, 65536):
+                received += octets
+    return bytes(received)
+
+
+async def _check_after_reading(frontend: EdgeFrontend) -> None:
+    """Check in the iteration of the loop that reads what has arrived."""
+    checked = asyncio.Event()
+
+    def check() -> None:
+        frontend.close_idle()
+        checked.set()
+
+    # The loop runs readers before timers that are due.
+    asyncio.get_running_loop().call_later(0, check)
+    await checked.wait()
+
+
+class _AnsweringExchange(HTTPMessageDelegate):
+    """Answers each request when its body is complete."""
+
+    def __init__(self, _context: Any, connection: Any, _request: Any) -> None:
+        self._connection = connection
+
+    def on_connection_close(self) -> None:
+        """Do nothing: there is nothing to cancel."""
+
+    def finish(self) -> None:
+        respond(self._connection, 200, 'OK', HTTPHeaders(), b'answer')
+
+
+@contextlib.asynccontextmanager
+async def _served() -> AsyncIterator[tuple[EdgeFrontend, Callable[[], Any]]]:
+    """Serve an edge without targets; also return how to connect to it."""
+    frontend = EdgeFrontend(_context())
+    server = HTTPServer(frontend)
+    listener, port = bind_unused_port()
+    listener.setblocking(False)
+    server.add_socket(listener)
+    with contextlib.ExitStack() as stack:
+        stack.callback(server.stop)
+        stack.enter_context(
+            unittest.mock.patch(
+                'turmericmast.web.edgefrontend.EdgeExchange',
+                _AnsweringExchange,
+            )
+        )
+
+        async def connect() -> socket.socket:
+            caller = stack.enter_context(socket.socket())
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, ('127.0.0.1', port))
+            return caller
+
+        yield frontend, connect
+
+
 def _context() -> EdgeContext:
     edge = Edge(instance('a'), REGION_BY_DOMAIN, Bounds())
     edge.apply(feed(targets=(target('1'),)), document())
