Idle connections: callers are told how long they may use them

Cause: an edge closed idle connections without having said when. A change to a shorter time-out closed all connections between the old and the new one in one check. Change: responses and refusals have Keep-Alive with the idle time-out less one second, in whole seconds; a leaving edge says Connection: close in refusals too. A connection stays open for as long as it might be used by that, also if the time-out becomes shorter meanwhile: a shorter one holds from the next response on. Tests: tests/test_idle_connections.py, ReuseTimeTest and the case of a shorter time-out; failed with the header and the promised time taken out. test_endless_answers passes dict for the changed parameter of Relay, as the empty headers; what it asserts is unchanged.

--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -62,6 +62,6 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         server.stop()
-        self._frontend.idle_connections.close_expired(0, 0)
+        self._frontend.idle_connections.close_unused()
         while self._context.running and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -27,6 +27,11 @@
 A route document with a goal that exceeds it by as much or more is rejected as
 a whole."""
 
+REUSE_MARGIN = 1.0
+"""Seconds between the last reuse of an idle connection and its close.
+
+Covers a response and a request on their way, and an instance that is slow."""
+
 
 @final
 class RouteKind(enum.Enum):
@@ -110,6 +115,14 @@
     idle_timeout: float = 75.0
     """Seconds that a connection may stay open between two requests."""
 
+    @property
+    def reuse_time(self) -> int:
+        """Return the whole seconds for which callers may reuse a connection.
+
+        It is 0 if the idle time-out is too short to tell them.
+        """
+        return max(int(self.idle_timeout - REUSE_MARGIN), 0)
+
 
 @final
 @dataclasses.dataclass(frozen=True)
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -1,6 +1,7 @@
 """Objects that all requests of an edge share."""
 
 import dataclasses
+from collections.abc import Mapping
 from typing import final
 
 from turmericmast.clock import Clock
@@ -33,3 +34,15 @@
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
+
+    def connection_headers(self) -> Mapping[str, str]:
+        """Return the headers that tell a caller how long to use a connection.
+
+        A connection that the caller uses until it is closed may be closed
+        while the next request is on its way.
+        """
+        table = self.edge.route_table
+        reuse_time = table.document.limits.reuse_time if table else 0
+        if self.edge.is_leaving:
+            return {'Connection': 'close'}
+        return {'Keep-Alive': f'timeout={reuse_time}'} if reuse_time else {}
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -69,7 +69,7 @@
         self._relay = Relay(
             connection,
             incoming.call.method,
-            lambda: context.edge.is_leaving,
+            context.connection_headers,
         )
         self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -51,7 +51,10 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the delegate that receives the next request."""
-        self.idle_connections.mark_idle(server_conn)
+        table = self._context.edge.route_table
+        self.idle_connections.mark_idle(
+            server_conn, table.document.limits.idle_timeout if table else 0
+        )
         return _RequestReader(
             self._context, self.idle_connections, server_conn, request_conn
         )
@@ -167,7 +170,9 @@
             **describe_problem(problem),
             cluster_index=context.edge.index,
         )
-        refuse_request(self._connection, problem, headers)
+        refuse_request(
+            self._connection, problem, headers, context.connection_headers()
+        )
 
 
 def _is_closed(connection: HTTPConnection) -> bool:
--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -3,8 +3,6 @@
 import collections
 import dataclasses
 import enum
-import itertools
-import math
 import select
 from collections.abc import Iterable, Iterator
 from typing import final
@@ -12,11 +10,10 @@
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.iostream import IOStream
 
-from turmericmast.clock import Clock
+from turmericmast.clock import LONG_AGO, Clock
 from turmericmast.events import EventLog
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
-from turmericmast.units import MILLIS_PER_SECOND
 
 
 @final
@@ -34,12 +31,12 @@
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Idle:
-    """A connection on which no request has been handled for some time."""
+class _Wait:
+    """Since when a connection waits for a request, and how long it may."""
 
-    stream: IOStream
-    seconds: float
-    arrival: Arrival
+    since: Seconds
+    promised: float
+    """Seconds that the caller was told it stays open."""
 
 
 @final
@@ -58,62 +55,70 @@
         self._clock = clock
         self._metrics = metrics
         self._events = events
-        self._idle_since: dict[HTTP1ServerConnection, Seconds] = {}
+        self._wait_by_connection: dict[HTTP1ServerConnection, _Wait] = {}
 
-    def mark_idle(self, connection: object) -> None:
-        """Record that a connection waits for a request from now on."""
+    def mark_idle(self, connection: object, promised: float = 0) -> None:
+        """Record that a connection waits for a request from now on.
+
+        The caller was told that it stays open for ``promised`` seconds.
+        """
         if isinstance(connection, HTTP1ServerConnection):
-            self._idle_since[connection] = self._clock.now()
+            self._wait_by_connection[connection] = _Wait(
+                self._clock.now(), promised
+            )
 
     def mark_active(self, connection: object) -> None:
         """Record that a request has arrived or the connection was closed."""
         if isinstance(connection, HTTP1ServerConnection):
-            self._idle_since.pop(connection, None)
+            self._wait_by_connection.pop(connection, None)
 
     def close_expired(self, idle_timeout: float, header_timeout: float) -> None:
         """Close connections without a request for ``idle_timeout`` seconds.
 
-        If part of a head has arrived, ``header_timeout`` seconds are added.
+        Each stays open for as long as its caller was told. If part of a head
+        has arrived, ``header_timeout`` seconds are added.
         """
-        longest_by_arrival = {
-            Arrival.nothing: idle_timeout,
-            Arrival.in_buffer: idle_timeout + header_timeout,
-        }
-        idle = tuple(self._find_idle(idle_timeout))
-        for found in idle:
-            if found.seconds > longest_by_arrival.get(found.arrival, math.inf):
-                found.stream.close()
-        if idle:
-            self._report(
-                idle_timeout,
-                collections.Counter(each.arrival for each in idle),
-            )
-
-    def _find_idle(self, idle_timeout: float) -> Iterator['_Idle']:
         now = self._clock.now()
-        time_by_stream = {
-            connection.stream: now - since
-            for connection, since in self._idle_since.items()
-            if now - since > idle_timeout and not connection.stream.closed()
-        }
-        arrivals = find_arrivals(time_by_stream)
-        return itertools.starmap(
-            _Idle,
-            zip(time_by_stream, time_by_stream.values(), arrivals, strict=True),
+        self._close(
+            [
+                connection
+                for connection, wait in self._wait_by_connection.items()
+                if now - wait.since > max(idle_timeout, wait.promised)
+            ],
+            Seconds(now - idle_timeout - header_timeout),
         )
 
-    def _report(
-        self,
-        idle_timeout: float,
-        count_by_arrival: collections.Counter[Arrival],
+    def close_unused(self) -> None:
+        """Close all connections on which nothing has arrived."""
+        self._close(list(self._wait_by_connection), LONG_AGO)
+
+    def _close(
+        self, idle: list[HTTP1ServerConnection], partial_since: Seconds
     ) -> None:
+        """Close those of ``idle`` connections on which nothing has arrived.
+
+        Also those with part of a head that wait since ``partial_since``.
+        """
+        is_open = [each for each in idle if not each.stream.closed()]
+        arrivals = find_arrivals(each.stream for each in is_open)
+        arrival_by_connection = dict(zip(is_open, arrivals, strict=True))
+        for connection, arrival in arrival_by_connection.items():
+            since = self._wait_by_connection[connection].since
+            is_partial = arrival is Arrival.in_buffer
+            if arrival is Arrival.nothing or (
+                is_partial and since < partial_since
+            ):
+                connection.stream.close()
+        if arrival_by_connection:
+            self._report(collections.Counter(arrival_by_connection.values()))
+
+    def _report(self, count_by_arrival: collections.Counter[Arrival]) -> None:
         for arrival, count in count_by_arrival.items():
             self._metrics.count(
                 'connections_idle', count, arrived=arrival.value
             )
         self._events.write(
             'connections_idle',
-            timeout_ms=int(idle_timeout * MILLIS_PER_SECOND),
             **{member.value: count_by_arrival[member] for member in Arrival},
         )
 
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -7,6 +7,7 @@
 import http
 import json
 import socket
+from collections.abc import Mapping
 from typing import final
 
 from tornado.gen import with_timeout
@@ -98,19 +99,26 @@
     connection: HTTPConnection,
     problem: Problem,
     headers: HTTPHeaders,
+    connection_headers: Mapping[str, str] | None = None,
 ) -> None:
-    """Send a problem before the request body, if there is one, was read."""
+    """Send a problem before the request body, if there is one, was read.
+
+    ``headers`` are those of the request. If the connection stays open, the
+    response has ``connection_headers``.
+    """
     has_body = headers.get('Content-Length', '0') != '0' or (
         'Transfer-Encoding' in headers
     )
     if has_body and isinstance(connection, HTTP1Connection):
         refuse_unread(connection, problem)
         return
+    answer_headers = problem.headers()
+    answer_headers.update(connection_headers or {})
     respond(
         connection,
         problem.status,
         problem.reason,
-        problem.headers(),
+        answer_headers,
         problem.body(),
     )
 
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, final
 
@@ -22,10 +22,6 @@
 """Statuses whose responses have no body, whatever their headers say."""
 
 
-def _never() -> bool:
-    return False
-
-
 @final
 class RelayState(enum.Enum):
     """How far a response has been relayed."""
@@ -52,14 +48,14 @@
         self,
         connection: HTTPConnection,
         method: str,
-        should_close: Callable[[], bool] = _never,
+        connection_headers: Callable[[], Mapping[str, str]] = dict,
     ) -> None:
         """Respond to a request with ``method`` on ``connection``.
 
-        ``should_close`` tells whether the response should ask the caller to
-        close the connection.
+        ``connection_headers`` returns the headers that tell the caller how
+        long it may use the connection.
         """
-        self._should_close = should_close
+        self._connection_headers = connection_headers
         self.head: ResponseHead | None = None
         self.state = RelayState.empty
         self.sent_bytes = 0
@@ -189,11 +185,13 @@
 
     def send_problem(self, problem: Problem) -> None:
         """Send problem details instead of a target's response."""
+        headers = problem.headers()
+        headers.update(self._connection_headers())
         respond(
             self._connection,
             problem.status,
             problem.reason,
-            problem.headers(),
+            headers,
             problem.body(),
             is_head=self._method == 'HEAD',
         )
@@ -247,8 +245,7 @@
         start = ResponseStartLine(
             'HTTP/1.1', self.head.status, self.head.reason
         )
-        if self._should_close():
-            headers['Connection'] = 'close'
+        headers.update(self._connection_headers())
         written = self._connection.write_headers(start, headers, body)
         written.add_done_callback(_ignore_error)
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -127,7 +127,7 @@
             b'HTTP/1.1 404 Not Found\r\n' + CHUNKED, b'5\r\naaaaa\r\n'
         )
         connection = unittest.mock.Mock()
-        relay = Relay(connection, 'GET', bool)
+        relay = Relay(connection, 'GET', dict)
         response = EdgeResponse(PlatformHeaders(), 'r', relay, lambda _: True)
         async with target.run() as address:
             with CurlClient() as curl:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import time
 import unittest.mock
@@ -27,13 +28,16 @@
     target,
 )
 from turmericmast.edge.edge import Edge
+from turmericmast.ids import Seconds
 from turmericmast.instancesettings import Bounds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.route.document import RouteLimits
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 from turmericmast.web.firstroutes import FirstRoutes
-from turmericmast.web.problem import respond
+from turmericmast.web.relay import Relay
+from turmericmast.web.transfer import ResponseHead
 
 REQUEST = (
     b'GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n'
@@ -42,6 +46,7 @@
 UPLOAD = REQUEST.replace(b'GET', b'PUT').replace(
     b'\r\n\r\n', b'\r\nContent-Length: 8\r\n\r\n12345678'
 )
+UNKNOWN = REQUEST.replace(b'shop.example', b'unknown.example')
 RECEIVE_SECONDS = 0.4
 """Time for the server to handle a few hundred connections."""
 IDLE_SECONDS = 16.0
@@ -148,6 +153,18 @@
             with contextlib.suppress(ConnectionResetError):
                 self.assertEqual(caller.recv(1), b'')
 
+    async def test_shorter_time_out_leaves_connections_in_use(self) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _ask(caller, REQUEST)
+            _set_idle_timeout(frontend, 5)
+            new_caller = await connect()
+            await _skip_time(frontend, 10)
+            frontend.close_idle()
+            self.assertIn(b'HTTP/1.1 200', await _ask(caller, REQUEST))
+            self.assertEqual(await _receive(new_caller), b'')
+            self.assertEqual(new_caller.recv(1), b'')
+
     async def test_hundreds_of_connections_while_the_loop_is_behind(
         self,
     ) -> None:
@@ -162,18 +179,66 @@
         self.assertEqual(list(map(bool, received)), [True, False] * 100)
 
 
-async def _skip_time(frontend: EdgeFrontend) -> None:
-    """Let all connections have been idle for longer than allowed."""
+class ReuseTimeTest(unittest.IsolatedAsyncioTestCase):
+    """Callers are told to stop using a connection before it is closed."""
+
+    @parameterized.expand(
+        [
+            ('answer', REQUEST, 15, False, b'Keep-Alive: timeout=14'),
+            ('refusal', UNKNOWN, 15, False, b'Keep-Alive: timeout=14'),
+            ('fraction_of_a_second', REQUEST, 3.5, False, b'timeout=2\r\n'),
+            ('too_short_to_tell', REQUEST, 1.5, False, b'HTTP/1.1 200'),
+            ('leaving', REQUEST, 15, True, b'Connection: close'),
+            ('refusal_when_leaving', UNKNOWN, 15, True, b'Connection: close'),
+        ]
+    )
+    async def test_header(
+        self,
+        _name: str,
+        request: bytes,
+        idle_timeout: float,
+        is_leaving: bool,
+        wanted: bytes,
+    ) -> None:
+        async with _served() as (frontend, connect):
+            _set_idle_timeout(frontend, idle_timeout)
+            if is_leaving:
+                edge = frontend._context.edge
+                edge.leave(Seconds(frontend._context.clock.now() + 10))
+            caller = await connect()
+            octets = await _ask(caller, request)
+            self.assertIn(wanted, octets)
+            has_time = b'Keep-Alive' in octets
+            self.assertIs(has_time, not is_leaving and idle_timeout > 2)
+
+
+def _set_idle_timeout(frontend: EdgeFrontend, idle_timeout: float) -> None:
+    edge = frontend._context.edge
+    changed = dataclasses.replace(
+        document(), limits=RouteLimits(idle_timeout=idle_timeout)
+    )
+    edge.apply(feed(targets=(target('1'),), index=edge.index + 1), changed)
+
+
+async def _skip_time(
+    frontend: EdgeFrontend, seconds: float = IDLE_SECONDS
+) -> None:
+    """Let time pass, by default more than a connection may be idle."""
     await asyncio.sleep(0.01)
     clock = frontend._context.clock
     assert isinstance(clock, SkewedClock)
-    clock.offset += IDLE_SECONDS
+    clock.offset += seconds
 
 
 async def _send(caller: socket.socket, octets: bytes) -> None:
     await asyncio.get_running_loop().sock_sendall(caller, octets)
 
 
+async def _ask(caller: socket.socket, octets: bytes) -> bytes:
+    await _send(caller, octets)
+    return await _receive(caller)
+
+
 async def _receive(caller: socket.socket) -> bytes:
     """Return what arrives within a short time, empty if it is closed."""
     received = bytearray()
@@ -201,14 +266,16 @@
 class _AnsweringExchange(HTTPMessageDelegate):
     """Answers each request when its body is complete."""
 
-    def __init__(self, _context: Any, connection: Any, _request: Any) -> None:
-        self._connection = connection
+    def __init__(self, context: Any, connection: Any, _request: Any) -> None:
+        self._relay = Relay(connection, 'GET', context.connection_headers)
 
     def on_connection_close(self) -> None:
         """Do nothing: there is nothing to cancel."""
 
     def finish(self) -> None:
-        respond(self._connection, 200, 'OK', HTTPHeaders(), b'answer')
+        self._relay.on_head(ResponseHead(200, 'OK', HTTPHeaders()))
+        self._relay.on_chunk(b'answer')
+        self._relay.finish()
 
 
 @contextlib.asynccontextmanager
