Planned stop of an edge: requests that have arrived in part are waited for

What callers could see: an edge that was stopped ended while it read a request; the connection closed without an answer, although some of the grace was left. Cause: the stop closed idle connections once and waited only for requests that were being sent or answered. A request is one of these after its body only. Change: the stop closes connections on which nothing has arrived, again and again, until none is open, no request runs, or the grace ends. Also a fault of: connections that callers had closed were not forgotten, since Tornado's server does not tell its delegate. Each check forgets them now, and the two methods that were never called are removed.

--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -1,16 +1,18 @@
 """Stops an edge without cutting off requests."""
 
 import asyncio
-from typing import final
+from typing import TYPE_CHECKING, final
 
 from tornado.httpserver import HTTPServer
 
 from turmericmast.ids import Seconds
-from turmericmast.instancesettings import InstanceSettings
-from turmericmast.programs.runner import Process
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 
+if TYPE_CHECKING:
+    from turmericmast.instancesettings import InstanceSettings
+    from turmericmast.programs.runner import Process
+
 PROPAGATION_TIME = 0.3
 """Seconds until no directory lists this instance any more."""
 QUIET_TIME = 0.3
@@ -27,7 +29,7 @@
 
     def __init__(
         self,
-        process: Process[InstanceSettings],
+        process: 'Process[InstanceSettings]',
         context: EdgeContext,
         frontend: EdgeFrontend,
     ) -> None:
@@ -62,6 +64,10 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         server.stop()
-        self._frontend.idle_connections.close_unused()
-        while self._context.running and clock.now() < ends_at:
+        connections = self._frontend.idle_connections
+        connections.close_unused()
+        while (
+            connections.has_open or self._context.running
+        ) and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
+            connections.close_unused()
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -59,10 +59,6 @@
             self._context, self.idle_connections, server_conn, request_conn
         )
 
-    def on_close(self, server_conn: object) -> None:
-        """Stop tracking a connection that was closed."""
-        self.idle_connections.mark_active(server_conn)
-
     def close_idle(self) -> None:
         """Close connections idle for longer than the route document allows."""
         table = self._context.edge.route_table
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -72,10 +72,6 @@
             lambda: self._idle_connections.mark_active(server_conn),
         )
 
-    def on_close(self, server_conn: object) -> None:
-        """Stop tracking a connection that was closed."""
-        self._idle_connections.mark_active(server_conn)
-
     def close_idle(self, older_than: float = IDLE_TIMEOUT) -> None:
         """Close connections that were idle for more than so many seconds."""
         self._idle_connections.close_expired(older_than, header_timeout=0)
--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import select
 from collections.abc import Iterable, Iterator
 from typing import final
@@ -56,6 +57,13 @@
         self._metrics = metrics
         self._events = events
         self._wait_by_connection: dict[HTTP1ServerConnection, _Wait] = {}
+        self._active: set[HTTP1ServerConnection] = set()
+
+    @property
+    def has_open(self) -> bool:
+        """Tell whether any connection is open, idle or not."""
+        known = itertools.chain(self._active, self._wait_by_connection)
+        return not all(each.stream.closed() for each in known)
 
     def mark_idle(self, connection: object, promised: float = 0) -> None:
         """Record that a connection waits for a request from now on.
@@ -63,14 +71,16 @@
         The caller was told that it stays open for ``promised`` seconds.
         """
         if isinstance(connection, HTTP1ServerConnection):
+            self._active.discard(connection)
             self._wait_by_connection[connection] = _Wait(
                 self._clock.now(), promised
             )
 
     def mark_active(self, connection: object) -> None:
-        """Record that a request has arrived or the connection was closed."""
+        """Record that the head of a request has arrived on a connection."""
         if isinstance(connection, HTTP1ServerConnection):
             self._wait_by_connection.pop(connection, None)
+            self._active.add(connection)
 
     def close_expired(self, idle_timeout: float, header_timeout: float) -> None:
         """Close connections without a request for ``idle_timeout`` seconds.
@@ -78,6 +88,7 @@
         Each stays open for as long as its caller was told. If part of a head
         has arrived, ``header_timeout`` seconds are added.
         """
+        self._forget_closed()
         now = self._clock.now()
         self._close(
             [
@@ -90,6 +101,7 @@
 
     def close_unused(self) -> None:
         """Close all connections on which nothing has arrived."""
+        self._forget_closed()
         self._close(list(self._wait_by_connection), LONG_AGO)
 
     def _close(
@@ -99,9 +111,8 @@
 
         Also those with part of a head that wait since ``partial_since``.
         """
-        is_open = [each for each in idle if not each.stream.closed()]
-        arrivals = find_arrivals(each.stream for each in is_open)
-        arrival_by_connection = dict(zip(is_open, arrivals, strict=True))
+        arrivals = find_arrivals(each.stream for each in idle)
+        arrival_by_connection = dict(zip(idle, arrivals, strict=True))
         for connection, arrival in arrival_by_connection.items():
             since = self._wait_by_connection[connection].since
             is_partial = arrival is Arrival.in_buffer
@@ -112,6 +123,17 @@
         if arrival_by_connection:
             self._report(collections.Counter(arrival_by_connection.values()))
 
+    def _forget_closed(self) -> None:
+        # Tornado's server does not tell its delegate of closed connections.
+        self._active = {
+            each for each in self._active if not each.stream.closed()
+        }
+        self._wait_by_connection = {
+            connection: wait
+            for connection, wait in self._wait_by_connection.items()
+            if not connection.stream.closed()
+        }
+
     def _report(self, count_by_arrival: collections.Counter[Arrival]) -> None:
         for arrival, count in count_by_arrival.items():
             self._metrics.count(
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -32,6 +32,11 @@
 from turmericmast.instancesettings import Bounds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.programs.gracefulshutdown import (
+    PROPAGATION_TIME,
+    QUIET_TIME,
+    GracefulShutdown,
+)
 from turmericmast.route.document import RouteLimits
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
@@ -165,6 +170,17 @@
             self.assertEqual(await _receive(new_caller), b'')
             self.assertEqual(new_caller.recv(1), b'')
 
+    async def test_closed_connections_are_forgotten(self) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _ask(caller, REQUEST)
+            self.assertTrue(frontend.idle_connections.has_open)
+            caller.close()
+            await asyncio.sleep(0.01)
+            frontend.close_idle()
+            self.assertFalse(frontend.idle_connections.has_open)
+            self.assertFalse(frontend.idle_connections._wait_by_connection)
+
     async def test_hundreds_of_connections_while_the_loop_is_behind(
         self,
     ) -> None:
@@ -212,6 +228,42 @@
             self.assertIs(has_time, not is_leaving and idle_timeout > 2)
 
 
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    """A planned stop waits for requests that have arrived in part."""
+
+    @parameterized.expand(
+        [
+            ('head_read_in_part', REQUEST[:40], REQUEST[40:], True),
+            ('body_read_in_part', UPLOAD[:-4], UPLOAD[-4:], True),
+            ('nothing', b'', b'', False),
+        ]
+    )
+    async def test_request_is_answered(
+        self, _name: str, before: bytes, after: bytes, is_answered: bool
+    ) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            await _send(caller, before)
+            stop = asyncio.ensure_future(_shutdown(frontend))
+            # The callers count as quiet by then.
+            await asyncio.sleep(PROPAGATION_TIME + QUIET_TIME)
+            self.assertIs(stop.done(), not is_answered)
+            with contextlib.suppress(ConnectionError):
+                await _send(caller, after)
+            octets = await _receive(caller)
+            await asyncio.wait_for(stop, 1)
+        self.assertIs(b'HTTP/1.1 200' in octets, is_answered)
+
+
+async def _shutdown(frontend: EdgeFrontend) -> None:
+    context = frontend._context
+    context.edge.bounds = Bounds(grace=6, directory_ttl=0)
+    process = unittest.mock.Mock(clock=context.clock)
+    process.settings.bounds = context.edge.bounds
+    shutdown = GracefulShutdown(process, context, frontend)
+    await shutdown.run(unittest.mock.Mock())
+
+
 def _set_idle_timeout(frontend: EdgeFrontend, idle_timeout: float) -> None:
     edge = frontend._context.edge
     changed = dataclasses.replace(
