Planned stop of an entry: requests that have arrived in part are answered

The same cause as in the stop of an edge: once no call ran, all connections were closed, also those on which a request had arrived or was being read. Change: the entry closes the connections on which nothing has arrived, and waits up to 2 s for the others; what comes then is refused, since its session is closed. The stop of an edge uses the same method. Tests: tests/test_front.py, test_request_read_in_part_is_answered_before_the_end (the method that it calls is new, so it was not run on the code before).

--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -61,6 +61,8 @@
 """Seconds that a leaving entry waits at most to hand over its targets."""
 DRAIN_TIMEOUT = 600.0
 """Seconds to wait at most for running calls to end by their deadlines."""
+CLOSE_TIMEOUT = 2.0
+"""Seconds to wait at most for requests that have arrived in part."""
 MAX_HEADER_BYTES = 65_536
 """Largest head of a request, in bytes."""
 BODY_TIMEOUT = 60.0
@@ -321,6 +323,9 @@
     server.stop()
     await _wait_for_calls(process, context)
     await session.close()
+    await frontend.idle_connections.drain(
+        Seconds(process.clock.now() + CLOSE_TIMEOUT)
+    )
     await server.close_all_connections()
     for task in renewal_tasks:
         task.cancel()
--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -64,10 +64,6 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         server.stop()
-        connections = self._frontend.idle_connections
-        connections.close_unused()
-        while (
-            connections.has_open or self._context.running
-        ) and clock.now() < ends_at:
+        await self._frontend.idle_connections.drain(Seconds(ends_at))
+        while self._context.running and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
-            connections.close_unused()
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -54,7 +54,7 @@
         """Serve calls and pages of the entry in ``context``."""
         self._context = context
         self._announcements = announcements
-        self._idle_connections = IdleConnections(
+        self.idle_connections = IdleConnections(
             context.clock, context.metrics, context.events
         )
 
@@ -64,17 +64,17 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads one request."""
-        self._idle_connections.mark_idle(server_conn)
+        self.idle_connections.mark_idle(server_conn)
         return _RequestReader(
             self._context,
             self._announcements,
             request_conn,
-            lambda: self._idle_connections.mark_active(server_conn),
+            lambda: self.idle_connections.mark_active(server_conn),
         )
 
     def close_idle(self, older_than: float = IDLE_TIMEOUT) -> None:
         """Close connections that were idle for more than so many seconds."""
-        self._idle_connections.close_expired(older_than, header_timeout=0)
+        self.idle_connections.close_expired(older_than, header_timeout=0)
 
 
 @final
--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -1,5 +1,6 @@
 """Idle keep-alive connections of callers."""
 
+import asyncio
 import collections
 import dataclasses
 import enum
@@ -16,6 +17,9 @@
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 
+DRAIN_POLL_INTERVAL = 0.05
+"""Seconds between two checks whether all connections are closed."""
+
 
 @final
 class Arrival(enum.Enum):
@@ -104,6 +108,16 @@
         self._forget_closed()
         self._close(list(self._wait_by_connection), LONG_AGO)
 
+    async def drain(self, deadline: Seconds) -> None:
+        """Close each connection once no request is expected on it.
+
+        Returns when none is open, at the latest at ``deadline``.
+        """
+        self.close_unused()
+        while self.has_open and self._clock.now() < deadline:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
+            self.close_unused()
+
     def _close(
         self, idle: list[HTTP1ServerConnection], partial_since: Seconds
     ) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,7 @@
 
 from tests.entry_harness import BIG, BODY_TIMEOUT, EntryHarness
 from turmericmast.entry.entry import Entry
-from turmericmast.ids import ChangeId, ServiceId
+from turmericmast.ids import ChangeId, Seconds, ServiceId
 from turmericmast.region.commands import SetOutage
 from turmericmast.region.records import OutageKind
 
@@ -325,6 +325,32 @@
                 1, sum(len(target.runs) for target in harness.targets)
             )
 
+    @parameterized.expand(
+        [
+            ('head_read_in_part', POST[:9], POST[9:] + b'\r\n'),
+            ('body_read_in_part', POST + b'Content-Length: 4\r\n\r\nha', b'lf'),
+        ],
+    )
+    async def test_request_read_in_part_is_answered_before_the_end(
+        self, _name: str, before: bytes, after: bytes
+    ) -> None:
+        async with EntryHarness() as harness:
+            host, _, port = harness.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(before)
+            await asyncio.sleep(0.05)
+            connections = harness.frontend.idle_connections
+            ends_at = Seconds(connections._clock.now() + 5)
+            drained = asyncio.ensure_future(connections.drain(ends_at))
+            await asyncio.sleep(0.05)
+            self.assertFalse(drained.done())
+            writer.write(after)
+            self.assertIn(
+                b'HTTP/1.1 ', await asyncio.wait_for(reader.read(), 3)
+            )
+            await asyncio.wait_for(drained, 1)
+            writer.close()
+
     @parameterized.expand(
         [('with_length', False), ('chunked', True)],
     )
