Edge: a refusal is not written into a response that has begun

Cause: after an unexpected error, or for a body over the limit, the edge sent its own response although a target's had begun. Its head and body became a part of the target's body, which could then look complete. Change: the connection is closed instead, as when a target breaks off. Test: tests/test_edge_exchange.py, RefusalWithinResponseTest; the row streaming failed before.

--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -339,7 +339,10 @@
                 ),
                 **self._progress(),
             )
-            self._relay.send_problem(problem)
+            if self._relay.state is RelayState.streaming:
+                self._relay.abort()
+            else:
+                self._relay.send_problem(problem)
 
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -6,6 +6,7 @@
 
 from parameterized import parameterized
 from returns.result import Success
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from tests.edge_samples import NOW, edge, feed, instance, target
@@ -21,6 +22,7 @@
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.edgefrontend import _read_request
 from turmericmast.web.edgeresponse import EdgeResponse
+from turmericmast.web.relay import RelayState
 from turmericmast.web.transfer import ResponseHead
 
 VALID_HEADERS = {'X-Request-Id': 'r', 'X-Response-Signature': 's'}
@@ -293,6 +295,37 @@
         )
 
 
+class RefusalWithinResponseTest(unittest.IsolatedAsyncioTestCase):
+    """A refusal is not written into a response that has begun.
+
+    The caller would take it for a part of the target's body.
+    """
+
+    @parameterized.expand(
+        [
+            ('no_response', RelayState.empty, True),
+            ('buffered', RelayState.buffered, True),
+            ('streaming', RelayState.streaming, False),
+        ]
+    )
+    async def test_unexpected_error(
+        self, _name: str, state: RelayState, is_refused: bool
+    ) -> None:
+        context = _context()
+        connection = unittest.mock.Mock(spec=HTTP1Connection)
+        exchange = EdgeExchange(context, connection, _read(context).unwrap())
+        exchange._relay.state = state
+        with (
+            unittest.mock.patch.object(
+                EdgeExchange, '_serve', side_effect=ZeroDivisionError
+            ),
+            self.assertRaises(ZeroDivisionError),
+        ):
+            await exchange._run()
+        self.assertIs(connection.write_headers.called, is_refused)
+        self.assertIs(connection.close.called, not is_refused)
+
+
 def _context() -> EdgeContext:
     return EdgeContext(
         edge=edge(instance('a'), feed(targets=(target('1'),))),
