--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -76,7 +76,7 @@
         self._relay = Relay(
             connection,
             incoming.call.method,
-            lambda: context.edge.is_leaving,
+            context.connection_headers,
         )
         self._forwarder = PeerForwarder(
             context, incoming, self._call, self._body
@@ -390,7 +390,10 @@
                 ),
                 **self._progress(),
             )
-            self._relay.send_problem(self._incoming.answer_with(problem))
+            if self._relay.state is RelayState.streaming:
+                self._relay.abort()
+            else:
+                self._relay.send_problem(self._incoming.answer_with(problem))
 
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -59,7 +59,9 @@
         """Serve requests with the edge and the clients of ``context``."""
         self._context = context
         self._origin = origin
-        self.idle_connections = IdleConnections(context.clock, context.metrics)
+        self.idle_connections = IdleConnections(
+            context.clock, context.metrics, context.events
+        )
 
     def start_request(
         self,
@@ -67,7 +69,10 @@
         request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         """Return the delegate that receives the next request."""
-        self.idle_connections.mark_idle(server_conn)
+        table = self._context.edge.route_table
+        self.idle_connections.mark_idle(
+            server_conn, table.document.limits.idle_timeout if table else 0
+        )
         return _RequestReader(
             self._context,
             self.idle_connections,
@@ -82,11 +87,13 @@
         For callers, the route document says how long that is.
         """
         table = self._context.edge.route_table
-        if self._origin is Origin.instance:
-            self.idle_connections.close_older(INSTANCE_IDLE_TIMEOUT)
-        elif table:
-            self.idle_connections.close_older(
-                table.document.limits.idle_timeout
+        if table:
+            limits = table.document.limits
+            self.idle_connections.close_expired(
+                INSTANCE_IDLE_TIMEOUT
+                if self._origin is Origin.instance
+                else limits.idle_timeout,
+                limits.header_timeout,
             )
 
 
@@ -120,8 +127,8 @@
         """
         self._idle_connections.mark_active(self._server_conn)
         if _is_closed(self._connection):
-            # Closed as idle after these headers were read: the caller sees a
-            # closed connection, so its request must not be sent to a target.
+            # The caller has disconnected, or its connection was closed after
+            # these headers were read, so a target would run it for nobody.
             self._context.metrics.count('requests', outcome='closed_unread')
             return None
         now = self._context.clock.now()
@@ -197,7 +204,9 @@
             **describe_problem(problem),
             cluster_index=context.edge.index,
         )
-        refuse_request(self._connection, problem, headers)
+        refuse_request(
+            self._connection, problem, headers, context.connection_headers()
+        )
 
 
 def _is_closed(connection: HTTPConnection) -> bool:
