Addresses of targets: one form, of one certain host

A report with the address 10.0.0.1:<digits of another script> was accepted, as were [10.0.0.1]:80, [[::1]]:80, ::1:80, fe80::1%x:80 and 0.0.0.0:80. For the first, curl's binding raised UnicodeEncodeError while the request was set up, so that callers got a 500 and the probe ended with an exception; the others were chosen as targets and failed as never sent, and 0.0.0.0 stands for the edge's own host. Ports out of range were refused before already.

Cause: str.isdecimal takes digits of all scripts, brackets were stripped without regard to the kind of address, and a zone index may hold any text.

The check stands in one module now, for settings, reports and announcements. Reports and announcements need the address of one host.

--- a/src/turmericmast/numerals.py
+++ b/src/turmericmast/numerals.py
@@ -7,9 +7,11 @@
 def parse_whole(text: str) -> int | None:
     """Return the whole number that ``text`` holds, ``None`` if it has none.
 
-    Signs, spaces and more than ``MAX_DIGITS`` digits are no number.
+    Signs, spaces, digits of other scripts and more than ``MAX_DIGITS`` digits
+    are no number.
     """
-    return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_DIGITS else None
 
 
 def is_whole_within(text: str, low: int, high: int) -> bool:
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from turmericmast.addresses import is_unicast_address
 from turmericmast.cluster.records import TargetPhase, TargetRecord
 from turmericmast.exceptions import SettingsError
 from turmericmast.ids import (
@@ -27,7 +28,6 @@
     RouteLimits,
     ServiceConfig,
 )
-from turmericmast.validation import is_address
 
 HEXADECIMAL = 16
 """Base of the numbers that versions are written in."""
@@ -147,7 +147,7 @@
 def _report(target: str, tree: JsonObject) -> TargetRecord:
     description, status = tree['info'], tree['status']
     address = _string(tree['address'])
-    if not is_address(address):
+    if not is_unicast_address(address):
         raise ValueError('address is not IP-ADDRESS:PORT')
     return TargetRecord(
         target=TargetId(target),
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from turmericmast.addresses import is_address
 from turmericmast.exceptions import SettingsError
 from turmericmast.ids import DomainId, RegionId, Seconds
 from turmericmast.instancesettings import (
@@ -14,7 +15,6 @@
     InstanceSettings,
     ListenAddresses,
 )
-from turmericmast.validation import is_address
 
 JsonObject: TypeAlias = Mapping[str, Any]
 
--- a/src/turmericmast/target/announcement.py
+++ b/src/turmericmast/target/announcement.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 import enum
-import ipaddress
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, final
 
 from returns.result import Failure, Result, Success
 
+from turmericmast.addresses import MAX_PORT, is_unicast_address
 from turmericmast.exceptions import RefusedError
 from turmericmast.ids import (
     DomainId,
@@ -23,8 +23,6 @@
 """Concurrent requests that a target may announce."""
 MAX_NAME_LENGTH = 128
 """Characters in the name of a target, service, region or domain."""
-MAX_PORT = 65_535
-"""Highest TCP port number."""
 
 
 @final
@@ -125,13 +123,12 @@
 
 
 def _check_address(raw_value: object) -> str:
-    host, _, port = str(raw_value).rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        return 'write an IP address and a port, such as 127.0.0.1:8080'
-    is_port = is_whole_within(port, 1, MAX_PORT)
-    return '' if is_port else 'write a port between 1 and 65535'
+    if is_unicast_address(raw_value):
+        return ''
+    port = str(raw_value).rpartition(':')[-1]
+    if not is_whole_within(port, 1, MAX_PORT):
+        return f'write a port between 1 and {MAX_PORT}'
+    return 'write an IP address and a port, such as 127.0.0.1:8080'
 
 
 def _check_slots(raw_value: object) -> str:
--- a/src/turmericmast/validation.py
+++ b/src/turmericmast/validation.py
@@ -1,17 +1,14 @@
 """Checks a settings document and reports every fault, not only the first."""
 
-import ipaddress
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeAlias
 
-from turmericmast.numerals import is_whole_within
+from turmericmast.addresses import is_address
 
 Fault: TypeAlias = tuple[str, str, str]
 """Path in the document, what was found there, what to write instead."""
 
-MAX_PORT = 65_535
-"""Largest port number of TCP and UDP."""
 GROUPS = ('control', 'ledger')
 """Keys of the groups in the settings of a region."""
 
@@ -191,18 +188,5 @@
             )
 
 
-def is_address(address: object) -> bool:
-    """Tell whether ``address`` is ``IP-ADDRESS:PORT``.
-
-    Host names are refused: resolving them would need a thread.
-    """
-    host, _, port = str(address).rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-    except ValueError:
-        return False
-    return is_whole_within(port, 1, MAX_PORT)
-
-
 def _join_path(path: str, key: str) -> str:
     return f'{path}.{key}' if path else key
