Reports of targets: odd ones are refused with the field and the fix

Of the 94 odd reports of tests.test_odd_entries, 4 that are nested deeply raised RecursionError (callers got a 500 with a traceback in the log), 8 with numbers beyond the integers of the IDL or a lone surrogate were taken for valid and failed when the command was encoded (500 too; that is before the entry is appended to the log, so that none can stand in a log, and no process ends), 11 were accepted (negative and zero starts, sequences and slots, empty and 100,000 characters long names), and 61 were refused without naming the field. Ids with line breaks went to targets as a header line of their own, and ids beyond latin-1 failed each request to that target.

Fields are read through one class now that knows their path, and JSON through one function that refuses what is too deep, NaN, Infinity and numbers beyond a float. Route documents are read by the same class. Whole numbers in them may still be written as 2.0. Refusals count as orders{page=instances,status=400}, as before.

KeyError and TypeError no longer stand for a bad document, so that a fault of our own shows as such.

--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -19,6 +19,9 @@
     Version,
 )
 
+MAX_SLOTS = 1_000_000
+"""Requests that a target can process at a time, at most."""
+
 
 @final
 class TargetPhase(enum.Enum):
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -1,14 +1,19 @@
 """Parsers of the platform's route documents and target reports."""
 
-import json
-from collections.abc import Mapping
-from typing import Any, TypeAlias, final
+import string
+from collections.abc import Callable
+from typing import TypeVar, final
 
 from returns.result import Failure, Result, Success
 
-from turmericmast.addresses import is_unicast_address
-from turmericmast.cluster.records import TargetPhase, TargetRecord
+from turmericmast.addresses import MAX_PORT, is_unicast_address
+from turmericmast.cluster.records import (
+    MAX_SLOTS,
+    TargetPhase,
+    TargetRecord,
+)
 from turmericmast.exceptions import SettingsError
+from turmericmast.fields import FieldError, Fields
 from turmericmast.ids import (
     Born,
     DomainId,
@@ -19,6 +24,8 @@
     TargetId,
     Version,
 )
+from turmericmast.jsontext import parse_json
+from turmericmast.names import MAX_NAME_LENGTH, is_token
 from turmericmast.route.document import (
     Branch,
     Route,
@@ -29,12 +36,14 @@
     ServiceConfig,
 )
 
+Parsed = TypeVar('Parsed')
+
 HEXADECIMAL = 16
 """Base of the numbers that versions are written in."""
-PARSE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
-"""Exceptions for a document that lacks a field or has one of a wrong type."""
-
-JsonObject: TypeAlias = Mapping[str, Any]
+MAX_VERSION_DIGITS = 15
+"""Digits of a version; the log holds 63 bits."""
+MAX_SEQUENCE = 9_223_372_036_854_775_807
+"""Largest number of a report that the log holds."""
 
 
 @final
@@ -46,16 +55,13 @@
 
     def parse(self, source: bytes) -> Result[RouteDocument, SettingsError]:
         """Return the route document in JSON text, or the first error in it."""
-        try:
-            return Success(_document(json.loads(source)))
-        except PARSE_ERRORS as error:
-            return Failure(
-                SettingsError(
-                    f'cannot be read: {type(error).__name__}: {error}',
-                    step='read routes',
-                    hint='send the whole document with every field',
-                ),
-            )
+        return _read(source, _document).alt(
+            lambda fault: SettingsError(
+                fault,
+                step='read routes',
+                hint='nothing was changed; correct the document',
+            ),
+        )
 
 
 def parse_report(
@@ -63,111 +69,122 @@
     source: bytes,
 ) -> Result[TargetRecord, SettingsError]:
     """Return the report of a target in JSON text, or the first error in it."""
+    return _read(source, lambda fields: _report(target, fields)).alt(
+        lambda fault: SettingsError(
+            fault,
+            step='read report',
+            peer=target[:MAX_NAME_LENGTH],
+            hint='nothing was changed; correct the report',
+        ),
+    )
+
+
+def _read(
+    source: bytes, build: Callable[[Fields], Parsed]
+) -> Result[Parsed, str]:
+    """Return what ``build`` makes of a JSON object, or the first error."""
+    parsed = parse_json(source)
+    if not isinstance(parsed, Success):
+        return Failure(parsed.failure())
     try:
-        return Success(_report(target, json.loads(source)))
-    except PARSE_ERRORS as error:
-        return Failure(
-            SettingsError(
-                f'cannot be read: {type(error).__name__}: {error}',
-                step='read report',
-                peer=target,
-                hint='send every field with the type that the format requires',
-            ),
-        )
+        return Success(build(Fields(parsed.unwrap())))
+    except FieldError as error:
+        return Failure(str(error))
 
 
-def _document(tree: JsonObject) -> RouteDocument:
+def _document(fields: Fields) -> RouteDocument:
     return RouteDocument(
-        version=_version(tree['version']),
-        base=_version(tree['base_version']),
+        version=_version(fields, 'version'),
+        base=_version(fields, 'base_version'),
         route_by_name={
             RouteName(name): _route(name, route)
-            for name, route in tree['routes'].items()
+            for name, route in fields.table('routes').by_name()
         },
         config_by_service={
             ServiceId(name): _config(name, service)
-            for name, service in tree['services'].items()
+            for name, service in fields.table('services').by_name()
         },
-        limits=_limits(tree.get('limits') or {}),
+        limits=_limits(fields.table('limits'))
+        if fields.has('limits')
+        else RouteLimits(),
     )
 
 
-def _version(text: str) -> Version:
-    return Version(int(text, HEXADECIMAL))
+def _version(fields: Fields, key: str) -> Version:
+    text = fields.string(key)
+    is_number = 0 < len(text) <= MAX_VERSION_DIGITS
+    if is_number and set(text).issubset(string.hexdigits):
+        return Version(int(text, HEXADECIMAL))
+    raise FieldError(
+        f'{key}: write 1 to {MAX_VERSION_DIGITS} hexadecimal digits'
+    )
 
 
-def _route(name: str, tree: JsonObject) -> Route:
+def _route(name: str, fields: Fields) -> Route:
     return Route(
         name=RouteName(name),
-        host=_string(tree['host']).lower(),
-        prefix=_string(tree['path_prefix']),
-        kind=RouteKind(tree['kind']),
-        timeout=Seconds(float(tree['timeout_s'])),
-        latency_goal=Seconds(float(tree['target_latency_s'])),
-        priority=int(tree.get('priority', 0)),
-        branches=_branches(tree),
-        max_attempts=int(tree.get('max_attempts', 1)),
+        host=fields.string('host').lower(),
+        prefix=fields.string('path_prefix'),
+        kind=fields.choice('kind', RouteKind),
+        timeout=Seconds(fields.number('timeout_s')),
+        latency_goal=Seconds(fields.number('target_latency_s')),
+        priority=fields.rounded('priority', 0),
+        branches=_branches(fields),
+        max_attempts=fields.rounded('max_attempts', 1),
         home_regions=frozenset(
-            RegionId(region) for region in tree.get('allowed_regions') or ()
+            map(RegionId, fields.strings('allowed_regions'))
         ),
     )
 
 
-def _branches(tree: JsonObject) -> tuple[Branch, ...]:
-    split = tree.get('traffic_split')
-    if split:
+def _branches(fields: Fields) -> tuple[Branch, ...]:
+    if fields.has('traffic_split'):
         return tuple(
-            Branch(
-                ServiceId(_string(branch['service'])), float(branch['weight'])
-            )
-            for branch in split
+            Branch(ServiceId(branch.name('service')), branch.number('weight'))
+            for branch in fields.tables('traffic_split')
         )
-    return (Branch(ServiceId(_string(tree['service'])), 1),)
+    return (Branch(ServiceId(fields.name('service')), 1),)
 
 
-def _config(name: str, tree: JsonObject) -> ServiceConfig:
+def _config(name: str, fields: Fields) -> ServiceConfig:
     return ServiceConfig(
         service=ServiceId(name),
-        health_path=_string(tree['health_path']),
-        max_connections=int(tree['max_connections']),
-        cold_rate=float(tree.get('warmup_per_s') or 0),
+        health_path=fields.string('health_path'),
+        max_connections=fields.rounded('max_connections'),
+        cold_rate=fields.number('warmup_per_s', 0),
     )
 
 
-def _limits(tree: JsonObject) -> RouteLimits:
+def _limits(fields: Fields) -> RouteLimits:
     defaults = RouteLimits()
     return RouteLimits(
-        int(tree.get('max_header_bytes', defaults.header_bytes)),
-        int(tree.get('max_body_bytes', defaults.body_bytes)),
-        float(tree.get('header_timeout_s', defaults.header_timeout)),
-        float(tree.get('idle_timeout_s', defaults.idle_timeout)),
+        fields.rounded('max_header_bytes', defaults.header_bytes),
+        fields.rounded('max_body_bytes', defaults.body_bytes),
+        fields.number('header_timeout_s', defaults.header_timeout),
+        fields.number('idle_timeout_s', defaults.idle_timeout),
     )
 
 
-def _report(target: str, tree: JsonObject) -> TargetRecord:
-    description, status = tree['info'], tree['status']
-    address = _string(tree['address'])
-    if not is_unicast_address(address):
-        raise ValueError('address is not IP-ADDRESS:PORT')
-    return TargetRecord(
+def _report(target: str, fields: Fields) -> TargetRecord:
+    description, status = fields.table('info'), fields.table('status')
+    record = TargetRecord(
         target=TargetId(target),
-        born=Born(_integer(tree['born'])),
-        sequence=_integer(status['sequence']),
-        service=ServiceId(_string(description['service'])),
-        address=address,
-        domain=DomainId(_string(description['zone'])),
-        slots=_integer(description['capacity']),
-        phase=TargetPhase(status['state']),
+        born=Born(fields.whole('born', low=1)),
+        sequence=status.whole('sequence', high=MAX_SEQUENCE),
+        service=ServiceId(description.name('service')),
+        address=fields.string('address'),
+        domain=DomainId(description.name('zone')),
+        slots=description.whole('capacity', low=1, high=MAX_SLOTS),
+        phase=status.choice('state', TargetPhase),
     )
-
-
-def _string(json_value: Any) -> str:
-    if not isinstance(json_value, str):
-        raise TypeError(f'{json_value!r} is not a string')
-    return json_value
-
-
-def _integer(json_value: Any) -> int:
-    if not isinstance(json_value, int) or isinstance(json_value, bool):
-        raise TypeError(f'{json_value!r} is not an integer')
-    return json_value
+    if not is_unicast_address(record.address):
+        raise FieldError(
+            'address: write the IP address of one host and a port from 1 to '
+            f'{MAX_PORT}, such as 10.0.0.1:8080',
+        )
+    if not is_token(target):
+        raise FieldError(
+            f'id: write 1 to {MAX_NAME_LENGTH} printable ASCII characters '
+            'without spaces',
+        )
+    return record
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,10 +1,20 @@
 """Odd entries among those of targets: none of them stops or confuses others."""
 
+import itertools
+import re
 import unittest
 
 from parameterized import parameterized
+from returns.result import Failure
 
+from tests.platform_samples import REPORT, changed, encoded
 from turmericmast.addresses import is_address, is_unicast_address
+from turmericmast.cluster.commands import ReportTarget
+from turmericmast.cluster.records import MAX_SLOTS
+from turmericmast.fields import MAX_WHOLE
+from turmericmast.names import MAX_NAME_LENGTH
+from turmericmast.platform.documents import MAX_SEQUENCE, parse_report
+from turmericmast.wire.codec import decode, encode
 
 ADDRESSES = [
     ('usual', '10.0.0.1:80', True, True),
@@ -48,3 +58,121 @@
     ) -> None:
         self.assertIs(is_address(address), is_one)
         self.assertIs(is_unicast_address(address), is_of_one_host)
+
+
+def _replaced(path: str, raw: str) -> bytes:
+    """Return the sample report with raw JSON text in a field."""
+    marked = encoded(changed(REPORT, path, '@')).decode()
+    return marked.replace('"@"', raw).encode()
+
+
+NUMBER_PATHS = ('born', 'status.sequence', 'info.capacity')
+ODD_NUMBERS = [
+    ('beyond_a_float', '1e400'),
+    ('beyond_64_bits', '9223372036854775808'),
+    ('400_digits', f'1{"0" * 400}'),
+    ('5000_digits', '9' * 5000),
+    ('not_a_number', 'NaN'),
+    ('infinity', 'Infinity'),
+    ('negative_infinity', '-Infinity'),
+    ('negative', '-1'),
+    ('negative_zero_fraction', '-0.0'),
+    ('fraction', '1.5'),
+    ('string', '"3"'),
+    ('boolean', 'true'),
+    ('null', 'null'),
+    ('list', '[3]'),
+]
+NAME_PATHS = ('info.service', 'info.zone', 'status.state', 'address')
+ODD_NAMES = [
+    ('lone_surrogate', r'"\ud800"'),
+    ('empty', '""'),
+    ('long', f'"{"x" * 100_000}"'),
+    ('line_break', r'"a\r\nb"'),
+    ('number', '7'),
+    ('list', '["ready"]'),
+    ('object', '{"a": 1}'),
+    ('null', 'null'),
+]
+TABLE_PATHS = ('info', 'status')
+ODD_TABLES = [
+    ('null', 'null'),
+    ('list', '[]'),
+    ('string', '"x"'),
+    ('number', '1e400'),
+]
+DEEP = f'{"[" * 100_000}{"]" * 100_000}'
+ODD_REPORTS = [
+    (f'{path}_{name}', _replaced(path, raw), path)
+    for paths, odd in (
+        (NUMBER_PATHS, ODD_NUMBERS),
+        (NAME_PATHS, ODD_NAMES),
+        (TABLE_PATHS, ODD_TABLES),
+    )
+    for path, (name, raw) in itertools.product(paths, odd)
+]
+"""Name, report and path of the field that the error names."""
+UNREADABLE = [
+    ('empty', b''),
+    ('no_text', b'\xff\xfe\xfd'),
+    ('deep_list', DEEP.encode()),
+    ('deep_object', b'{"a":' * 100_000),
+    ('deep_in_a_field', _replaced('info', DEEP)),
+    ('deep_in_an_unknown_field', _replaced('version', DEEP)),
+    (
+        'less_deep_in_an_unknown_field',
+        _replaced('version', f'{"[" * 900}{"]" * 900}'),
+    ),
+    ('long_number_in_an_unknown_field', _replaced('version', '9' * 5000)),
+    ('large_number_in_an_unknown_field', _replaced('version', '1e400')),
+    ('list', b'[]'),
+    ('null', b'null'),
+    ('number', b'1e400'),
+]
+EXTREME_REPORTS = [
+    ('born', 'born', MAX_WHOLE),
+    ('sequence', 'status.sequence', MAX_SEQUENCE),
+    ('slots', 'info.capacity', MAX_SLOTS),
+    ('service', 'info.service', 'x' * MAX_NAME_LENGTH),
+]
+
+
+class OddReportTest(unittest.TestCase):
+    """An odd report is refused; the error names the field and the fix.
+
+    Guards against reports that fail with an internal error, and against
+    records that cannot be written to the log or sent to edges.
+    """
+
+    @parameterized.expand(ODD_REPORTS)
+    def test_odd_field(self, _name: str, source: bytes, path: str) -> None:
+        shown = parse_report('i-1', source).failure().show()
+        self.assertRegex(
+            shown, f'not valid JSON|{re.escape(path)}.*(write|use)'
+        )
+        self.assertLess(len(shown), 400)
+
+    @parameterized.expand(UNREADABLE)
+    def test_unreadable(self, _name: str, source: bytes) -> None:
+        self.assertIsInstance(parse_report('i-1', source), Failure)
+
+    @parameterized.expand(
+        [
+            ('empty', ''),
+            ('line_break', 'i-1\r\nX-Own: 1'),
+            ('space', 'i 1'),
+            ('not_ascii', 'i-\u20ac'),
+            ('long', 'i' * 1000),
+        ]
+    )
+    def test_odd_id(self, _name: str, target: str) -> None:
+        shown = parse_report(target, encoded(REPORT)).failure().show()
+        self.assertIn('id: write', shown)
+
+    @parameterized.expand(EXTREME_REPORTS)
+    def test_largest_values_can_be_committed(
+        self, _name: str, path: str, extreme: object
+    ) -> None:
+        source = encoded(changed(REPORT, path, extreme))
+        command = ReportTarget(parse_report('i-1', source).unwrap())
+        self.assertEqual(decode(encode(command)).unwrap(), command)
