--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -16,6 +16,7 @@
     ServiceId,
     Version,
 )
+from turmericmast.names import is_token
 
 MAX_TIMEOUT = 600.0
 """Longest timeout of a route in seconds.
@@ -151,6 +152,12 @@
                 for branch in route.branches
                 if branch.service not in self.config_by_service
             )
+        yield from (
+            f'services.{config.service}.health_path: must begin with / and be '
+            'ASCII without spaces'
+            for config in self.config_by_service.values()
+            if not _is_path(config.health_path)
+        )
 
 
 class RouteFormat(abc.ABC):
@@ -173,3 +180,8 @@
         )
     if any(branch.weight < 0 for branch in route.branches):
         yield 'weight: must not be negative'
+
+
+def _is_path(path: str) -> bool:
+    """Tell whether a path can be requested; an empty one stands for none."""
+    return not path or (path.startswith('/') and is_token(path))
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,13 +7,17 @@
 from parameterized import parameterized
 from returns.result import Failure
 
-from tests.platform_samples import REPORT, changed, encoded
+from tests.platform_samples import REPORT, ROUTES, changed, encoded
 from turmericmast.addresses import is_address, is_unicast_address
 from turmericmast.cluster.commands import ReportTarget
 from turmericmast.cluster.records import MAX_SLOTS
 from turmericmast.fields import MAX_WHOLE
 from turmericmast.names import MAX_NAME_LENGTH
-from turmericmast.platform.documents import MAX_SEQUENCE, parse_report
+from turmericmast.platform.documents import (
+    MAX_SEQUENCE,
+    DocumentFormat,
+    parse_report,
+)
 from turmericmast.wire.codec import decode, encode
 
 ADDRESSES = [
@@ -176,3 +180,81 @@
         source = encoded(changed(REPORT, path, extreme))
         command = ReportTarget(parse_report('i-1', source).unwrap())
         self.assertEqual(decode(encode(command)).unwrap(), command)
+
+
+def _raw_routes(path: str, raw: str) -> bytes:
+    """Return the sample routes with raw JSON text in a field."""
+    marked = encoded(changed(ROUTES, path, '@')).decode()
+    return marked.replace('"@"', raw).encode()
+
+
+ROUTE_NUMBERS = (
+    'routes.look.timeout_s',
+    'routes.look.target_latency_s',
+    'routes.look.priority',
+    'routes.look.max_attempts',
+    'services.stock.max_connections',
+    'services.stock.warmup_per_s',
+    'limits.max_body_bytes',
+    'limits.idle_timeout_s',
+)
+ODD_ROUTE_NUMBERS = [
+    ('beyond_a_float', '1e400'),
+    ('400_digits', f'1{"0" * 400}'),
+    ('5000_digits', '9' * 5000),
+    ('not_a_number', 'NaN'),
+    ('infinity', 'Infinity'),
+    ('negative_infinity', '-Infinity'),
+    ('not_a_number_as_string', '"nan"'),
+    ('boolean', 'true'),
+    ('list', '[]'),
+]
+ODD_ROUTES = [
+    *(
+        (f'{path}_{name}', _raw_routes(path, raw))
+        for path, (name, raw) in itertools.product(
+            ROUTE_NUMBERS, ODD_ROUTE_NUMBERS
+        )
+    ),
+    *(
+        (f'weight_{name}', _raw_routes('routes.look.traffic_split', split))
+        for name, split in (
+            ('not_a_number', '[{"service": "stock", "weight": NaN}]'),
+            ('too_large', '[{"service": "stock", "weight": 1e308}]'),
+            ('number', '[3]'),
+            ('object', '{"service": "stock"}'),
+        )
+    ),
+    ('fraction_of_an_attempt', _raw_routes('routes.look.max_attempts', '1.5')),
+    ('version_too_large', _raw_routes('version', '"ffffffffffffffffff"')),
+    ('version_negative', _raw_routes('version', '"-7"')),
+    ('version_number', _raw_routes('version', '7')),
+    ('surrogate_service', _raw_routes('routes.order.service', r'"\ud800"')),
+    *(
+        (f'health_path_{name}', _raw_routes('services.stock.health_path', raw))
+        for name, raw in (
+            ('without_slash', '"health"'),
+            ('not_ascii', r'"/\u20ac"'),
+            ('line_break', r'"/a\r\nb"'),
+        )
+    ),
+    ('deep', DEEP.encode()),
+    ('deep_in_an_unknown_field', _raw_routes('routes.look.priority', DEEP)),
+]
+
+
+class OddRoutesTest(unittest.TestCase):
+    """An odd route document is refused as a whole, before it is committed.
+
+    Guards against documents in force that no edge can apply, and against
+    routes whose requests have no deadline.
+    """
+
+    @parameterized.expand(ODD_ROUTES)
+    def test_odd_number(self, _name: str, source: bytes) -> None:
+        checked = (
+            DocumentFormat()
+            .parse(source)
+            .bind(lambda document: document.validate())
+        )
+        self.assertIsInstance(checked, Failure)
