Edges: an odd record that an older version accepted is passed over

Edges took it for a target: its requests failed as never sent or with 500.

An edge takes no such target, drops one whose record becomes odd, and counts them in the gauge targets_unusable. The core keeps the record as it is, so that members of two versions hold the same state.

OddRecordTest failed before.

--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -4,6 +4,7 @@
 import enum
 from typing import final
 
+from turmericmast.addresses import is_unicast_address
 from turmericmast.ids import (
     Born,
     Digest,
@@ -18,6 +19,7 @@
     TargetId,
     Version,
 )
+from turmericmast.names import is_token
 
 MAX_SLOTS = 1_000_000
 """Requests that a target can process at a time, at most."""
@@ -56,6 +58,18 @@
     """Requests that the target can process at a time."""
     phase: TargetPhase
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether requests can be sent to the target.
+
+        Older versions accepted addresses and ids that cannot be used.
+        """
+        return (
+            is_unicast_address(self.address)
+            and is_token(self.target)
+            and 1 <= self.slots <= MAX_SLOTS
+        )
+
     @property
     def order(self) -> tuple[Born, int]:
         """Return the sort key of a report, newer ones being greater."""
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -84,6 +84,8 @@
         self._region_by_domain = region_by_domain
         self._locality = Locality(record.domain, record.region)
         self._view_by_target: dict[TargetId, TargetView] = {}
+        self.unusable_targets: set[TargetId] = set()
+        """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self._splitter = TrafficSplitter()
         self._stops_at = math.inf
@@ -212,7 +214,7 @@
     def _apply_targets(self, feed: ClusterFeed) -> None:
         listed = {record.target for record in feed.targets}
         removed = (
-            self._view_by_target.keys() - listed
+            (self._view_by_target.keys() | self.unusable_targets) - listed
             if feed.complete
             else set(feed.removed_targets)
         )
@@ -223,10 +225,14 @@
 
     def _apply_target(self, record: TargetRecord) -> None:
         known = self._view_by_target.get(record.target)
-        if known and _is_same_start(known.record, record):
+        is_same_start = known and _is_same_start(known.record, record)
+        if known and is_same_start and record.is_usable:
             known.record = record
             return
         self._remove_target(record.target)
+        if not record.is_usable:
+            self.unusable_targets.add(record.target)
+            return
         region = self._region_by_domain.get(record.domain, RegionId(''))
         spread_rank = affinity(record.target, self.record.instance)
         view = TargetView(record, region, spread_rank)
@@ -235,6 +241,7 @@
         self.membership.assignments.add_target(record, region)
 
     def _remove_target(self, target: TargetId) -> None:
+        self.unusable_targets.discard(target)
         view = self._view_by_target.pop(target, None)
         if view:
             self._pool(view.record.service).remove(view)
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -132,6 +132,9 @@
     )
     process.metrics.gauge('requests_running', lambda: context.running)
     process.metrics.gauge('cluster_index', lambda: edge.index)
+    process.metrics.gauge(
+        'targets_unusable', lambda: len(edge.unusable_targets)
+    )
     return context
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,16 +1,20 @@
 """Odd entries among those of targets: none of them stops or confuses others."""
 
+import dataclasses
 import itertools
 import re
 import unittest
+from typing import Any
 
 from parameterized import parameterized
 from returns.result import Failure
 
+from tests.edge_samples import edge, feed, instance, target
 from tests.platform_samples import REPORT, ROUTES, changed, encoded
 from turmericmast.addresses import is_address, is_unicast_address
+from turmericmast.cluster.cluster import Cluster
 from turmericmast.cluster.commands import ReportTarget
-from turmericmast.cluster.records import MAX_SLOTS
+from turmericmast.cluster.records import MAX_SLOTS, TargetRecord
 from turmericmast.fields import MAX_WHOLE
 from turmericmast.names import MAX_NAME_LENGTH
 from turmericmast.platform.documents import (
@@ -19,6 +23,7 @@
     parse_report,
 )
 from turmericmast.wire.codec import decode, encode
+from turmericmast.wire.feedpacking import pack_feed, unpack_feed
 
 ADDRESSES = [
     ('usual', '10.0.0.1:80', True, True),
@@ -258,3 +263,62 @@
             .bind(lambda document: document.validate())
         )
         self.assertIsInstance(checked, Failure)
+
+
+ODD_RECORDS = [
+    ('digits_of_another_script', {'address': '10.0.0.2:\u0668\u0660'}),
+    ('port_out_of_range', {'address': '10.0.0.2:65536'}),
+    ('no_port', {'address': '10.0.0.2'}),
+    ('every_host', {'address': '0.0.0.0:80'}),
+    ('no_slots', {'slots': 0}),
+    ('negative_slots', {'slots': -1}),
+    ('most_slots_of_the_log', {'slots': 2_147_483_647}),
+]
+ODD_ID = 'i-2\r\nX-Own: 1'
+
+
+class OddRecordTest(unittest.TestCase):
+    """An odd record that an older version accepted is passed over.
+
+    Guards against requests that fail, since they go to a target whose record
+    cannot be used; the other targets hold.
+    """
+
+    @parameterized.expand(ODD_RECORDS)
+    def test_odd_record(self, _name: str, changes: dict[str, Any]) -> None:
+        odd = dataclasses.replace(target('2'), **changes)
+        self._check_passed_over(odd)
+
+    def test_odd_id(self) -> None:
+        self._check_passed_over(dataclasses.replace(target('2'), target=ODD_ID))
+
+    @parameterized.expand(ODD_RECORDS)
+    def test_record_becomes_odd_and_good_again(
+        self, _name: str, changes: dict[str, Any]
+    ) -> None:
+        good = target('2')
+        own_edge = edge(instance('a'), feed(targets=(target('1'), good)))
+        odd = dataclasses.replace(good, sequence=2, **changes)
+        own_edge.apply(feed(targets=(target('1'), odd), index=2), None)
+        self.assertIsNone(own_edge.view(good.target))
+        self.assertEqual(own_edge.unusable_targets, {good.target})
+        newer = dataclasses.replace(good, sequence=3)
+        own_edge.apply(feed(targets=(target('1'), newer), index=3), None)
+        self.assertIsNotNone(own_edge.view(good.target))
+        self.assertFalse(own_edge.unusable_targets)
+
+    def _check_passed_over(self, odd: TargetRecord) -> None:
+        # Through the registry, a snapshot and a feed, as from a log.
+        cluster = Cluster()
+        for index, record in enumerate((target('1'), odd), start=1):
+            cluster.apply(index, ReportTarget(record))
+        restored = Cluster()
+        restored.restore(decode(encode(cluster.snapshot())).unwrap())
+        packed = pack_feed(restored.build_feed(0))
+        own_edge = edge(instance('a'), unpack_feed(packed).unwrap())
+        self.assertEqual(
+            [view.record for view in own_edge.views()], [target('1')]
+        )
+        self.assertEqual(own_edge.unusable_targets, {odd.target})
+        own_edge.apply(feed(targets=(target('1'),), index=9), None)
+        self.assertFalse(own_edge.unusable_targets)
