Announcements, fleet documents and settings: odd JSON is refused

Further, an announcement with 10^400 running requests was taken.

All readers of JSON from outside use parse_json now, and running requests are at most 10^9.

--- a/src/turmericmast/fleet/document.py
+++ b/src/turmericmast/fleet/document.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import hashlib
-import json
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeAlias, final
 
@@ -15,6 +14,7 @@
 from turmericmast.exceptions import SettingsError
 from turmericmast.fleet.values import FIELD_BY_NAME, RANGE_BY_NAME, Values
 from turmericmast.ids import Digest
+from turmericmast.jsontext import parse_json
 
 SELECTORS = ('service', 'tenant', 'route')
 """Attributes of a call by which an exception can select it."""
@@ -93,12 +93,12 @@
 
 def parse_document(text: str) -> Result[FleetDocument, SettingsError]:
     """Return the document in a JSON text, or an error with its first fault."""
-    try:
-        tree = json.loads(text)
-    except ValueError as error:
+    parsed = parse_json(text)
+    if not isinstance(parsed, Success):
         return Failure(
-            _error(('', f'not valid JSON: {error}', 'correct the JSON syntax')),
+            _error(('', parsed.failure(), 'correct the JSON syntax')),
         )
+    tree = parsed.unwrap()
     fault = next(_faults(tree), None)
     return Failure(_error(fault)) if fault else Success(_build(tree))
 
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -1,6 +1,5 @@
 """Reads the platform's settings file into ``InstanceSettings``."""
 
-import json
 import pathlib
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeAlias
@@ -15,6 +14,7 @@
     InstanceSettings,
     ListenAddresses,
 )
+from turmericmast.jsontext import parse_json
 
 JsonObject: TypeAlias = Mapping[str, Any]
 
@@ -37,17 +37,22 @@
 ) -> Result[InstanceSettings, SettingsError]:
     """Read and check a settings file, which the platform renders as JSON."""
     try:
-        tree = json.loads(path.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as error:
-        return Failure(
-            SettingsError(
-                f'cannot be read: {error}',
-                step='read settings',
-                peer=path.name,
-                hint='give a readable JSON file with --settings',
-            ),
-        )
-    return parse_instance_settings(tree)
+        source = path.read_bytes()
+    except OSError as error:
+        return Failure(_unreadable(path, str(error)))
+    parsed = parse_json(source)
+    if isinstance(parsed, Success):
+        return parse_instance_settings(parsed.unwrap())
+    return Failure(_unreadable(path, parsed.failure()))
+
+
+def _unreadable(path: pathlib.Path, cause: str) -> SettingsError:
+    return SettingsError(
+        f'cannot be read: {cause}',
+        step='read settings',
+        peer=path.name,
+        hint='give a readable JSON file with --settings',
+    )
 
 
 def parse_instance_settings(
--- a/src/turmericmast/programs/operatorapi.py
+++ b/src/turmericmast/programs/operatorapi.py
@@ -11,6 +11,7 @@
 from turmericmast.fleet.explanation import explain
 from turmericmast.fleet.fleet import FleetVersion
 from turmericmast.ids import TargetId
+from turmericmast.jsontext import parse_json
 from turmericmast.numerals import parse_whole
 from turmericmast.programs.operatordocuments import (
     members_document,
@@ -86,15 +87,17 @@
 
     def parse_body(self) -> Result[dict[str, Any], TurmericmastError]:
         """Return the JSON object in the body of the request."""
-        try:
-            parsed = json.loads(self.request.body)
-        except ValueError as error:
+        parsed = parse_json(self.request.body)
+        if not isinstance(parsed, Success):
             return Failure(
-                invalid_field_error('body', f'correct the JSON syntax: {error}')
+                invalid_field_error(
+                    'body', f'correct the JSON syntax: {parsed.failure()}'
+                )
             )
-        if not isinstance(parsed, dict):
+        document = parsed.unwrap()
+        if not isinstance(document, dict):
             return Failure(invalid_field_error('body', 'write a JSON object'))
-        return Success(parsed)
+        return Success(document)
 
 
 @final
--- a/src/turmericmast/settings.py
+++ b/src/turmericmast/settings.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import json
 import pathlib
 from collections.abc import Mapping
 from typing import Any, final
@@ -11,6 +10,7 @@
 
 from turmericmast.exceptions import SettingsError
 from turmericmast.ids import DomainId, InstanceId, MemberId, RegionId
+from turmericmast.jsontext import parse_json
 from turmericmast.validation import settings_faults
 
 
@@ -135,20 +135,18 @@
 
 def parse_settings(text: str) -> Result[Settings, SettingsError]:
     """Check a settings document and return it, or all of its faults."""
-    try:
-        tree = json.loads(text)
-    except ValueError as error:
-        faults = [
-            ('document', f'not valid JSON: {error}', 'correct the JSON syntax')
-        ]
-    else:
-        faults = list(settings_faults(tree))
+    parsed = parse_json(text)
+    faults = (
+        list(settings_faults(parsed.unwrap()))
+        if isinstance(parsed, Success)
+        else [('document', parsed.failure(), 'correct the JSON syntax')]
+    )
     if faults:
         lines = [f'{path}: {problem}; {hint}' for path, problem, hint in faults]
         return Failure(
             SettingsError('\n'.join(lines), step='check settings'),
         )
-    return Success(_build(tree))
+    return Success(_build(parsed.unwrap()))
 
 
 def _build(tree: Mapping[str, Any]) -> Settings:
--- a/src/turmericmast/target/announcement.py
+++ b/src/turmericmast/target/announcement.py
@@ -21,6 +21,8 @@
 
 MAX_SLOTS = 10_000
 """Concurrent requests that a target may announce."""
+MAX_IN_FLIGHT = 1_000_000_000
+"""Running requests that a target may announce; more are a mistake."""
 MAX_NAME_LENGTH = 128
 """Characters in the name of a target, service, region or domain."""
 
@@ -140,9 +142,11 @@
 
 def _check_in_flight(raw_value: object) -> str:
     is_number = isinstance(raw_value, int) and not isinstance(raw_value, bool)
-    if raw_value is None or (is_number and int(str(raw_value)) >= 0):
+    if raw_value is None or (
+        is_number and 0 <= int(str(raw_value)) <= MAX_IN_FLIGHT
+    ):
         return ''
-    return 'write a whole number of requests, 0 or more'
+    return f'write a whole number of requests from 0 to {MAX_IN_FLIGHT}'
 
 
 def _check_state(raw_value: object) -> str:
--- a/src/turmericmast/web/announcementhandler.py
+++ b/src/turmericmast/web/announcementhandler.py
@@ -1,7 +1,6 @@
 """Handle announcements of targets, within a budget of bytes per second."""
 
 import asyncio
-import json
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, TypeAlias, final
@@ -9,6 +8,7 @@
 from returns.result import Success
 
 from turmericmast.entry.entry import Entry
+from turmericmast.jsontext import parse_json
 from turmericmast.region.commands import PlaceTarget, WithdrawTarget
 from turmericmast.region.records import Placement
 from turmericmast.target.announcement import (
@@ -50,7 +50,7 @@
         metrics = self._context.metrics
         metrics.count('measure_requests')
         metrics.count('measure_bytes', len(octets) + OVERHEAD_BYTES)
-        parsed = parse_announcement(_parse_json(octets))
+        parsed = parse_announcement(parse_json(octets).value_or(None))
         if not isinstance(parsed, Success):
             metrics.count('announcements_bad')
             respond(HTTPStatus.BAD_REQUEST, {'error': parsed.failure().show()})
@@ -200,11 +200,3 @@
             'announce_to': [*owner_addresses, *other_addresses[:3]],
             'again_ms': int(interval * 1000),
         }
-
-
-def _parse_json(octets: bytes) -> object:
-    try:
-        parsed: object = json.loads(octets)
-    except ValueError:
-        return None
-    return parsed
--- a/tests/test_announcing.py
+++ b/tests/test_announcing.py
@@ -36,6 +36,30 @@
         [
             ('not_json', b'{', 'a JSON object is needed'),
             ('binary', b'\xff\xfe', 'a JSON object is needed'),
+            ('nested_deeply', b'[' * 16_000, 'a JSON object is needed'),
+            (
+                'nested_deeply_in_a_field',
+                {**GOOD, 'slots': json.loads(f'{"[" * 900}{"]" * 900}')},
+                'a JSON object is needed',
+            ),
+            ('number_too_large', b'{"slots": 1e400}', 'a JSON object'),
+            ('not_a_number', b'{"slots": NaN}', 'a JSON object is needed'),
+            (
+                'long_number',
+                {**GOOD, 'in_flight': 10**400},
+                'in_flight: write a whole number',
+            ),
+            ('port_0', {**GOOD, 'address': '127.0.0.1:0'}, 'write a port'),
+            (
+                'port_in_another_script',
+                {**GOOD, 'address': '127.0.0.1:\u0668\u0660'},
+                'write a port',
+            ),
+            (
+                'lone_surrogate',
+                {**GOOD, 'service': '\ud800'},
+                'service: write 1 to 128',
+            ),
             ('bad_field', {**GOOD, 'slots': 0}, 'slots: write a whole number'),
             ('too_long', {**GOOD, 'x': 'y' * 20_000}, 'send at most 16384'),
             ('other_region', {**GOOD, 'region': 'wien'}, 'own region'),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 import itertools
+import pathlib
 import re
+import tempfile
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from parameterized import parameterized
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from tests.edge_samples import edge, feed, instance, target
 from tests.platform_samples import REPORT, ROUTES, changed, encoded
@@ -15,13 +18,18 @@
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.cluster.commands import ReportTarget
 from turmericmast.cluster.records import MAX_SLOTS, TargetRecord
+from turmericmast.exceptions import SettingsError
 from turmericmast.fields import MAX_WHOLE
+from turmericmast.fleet.document import parse_document
+from turmericmast.instancesettings import InstanceSettings
 from turmericmast.names import MAX_NAME_LENGTH
 from turmericmast.platform.documents import (
     MAX_SEQUENCE,
     DocumentFormat,
     parse_report,
 )
+from turmericmast.platform.settings import load_instance_settings
+from turmericmast.settings import parse_settings
 from turmericmast.wire.codec import decode, encode
 from turmericmast.wire.feedpacking import pack_feed, unpack_feed
 
@@ -322,3 +330,50 @@
         self.assertEqual(own_edge.unusable_targets, {odd.target})
         own_edge.apply(feed(targets=(target('1'),), index=9), None)
         self.assertFalse(own_edge.unusable_targets)
+
+
+ODD_TEXTS = [
+    ('deep', DEEP),
+    ('deep_object', '{"a":' * 100_000),
+    ('less_deep', f'{{"regions": {"[" * 900}{"]" * 900}}}'),
+    ('large_number', '{"bounds": {"grace_s": 1e400}}'),
+    ('long_number', f'{{"regions": {"9" * 5000}}}'),
+    ('not_a_number', '{"bounds": {"grace_s": NaN}}'),
+]
+
+
+def _load_file(text: str) -> Result[InstanceSettings, SettingsError]:
+    with tempfile.NamedTemporaryFile('w', encoding='utf-8') as file:
+        file.write(text)
+        file.flush()
+        return load_instance_settings(pathlib.Path(file.name))
+
+
+READERS = [
+    ('settings', parse_settings),
+    ('fleet_document', parse_document),
+    ('instance_settings', _load_file),
+]
+
+
+class OddTextTest(unittest.TestCase):
+    """Odd settings and fleet documents are refused with a short reason.
+
+    Guards against a process that ends, or keeps an old state, since it cannot
+    read a file or an operator's document.
+    """
+
+    @parameterized.expand(
+        [
+            (f'{reader_name}_{name}', read, text)
+            for (reader_name, read), (name, text) in itertools.product(
+                READERS, ODD_TEXTS
+            )
+        ]
+    )
+    def test_odd_text(
+        self, _name: str, read: Callable[[str], Result[Any, Any]], text: str
+    ) -> None:
+        shown = read(text).failure().show()
+        self.assertRegex(shown, 'not valid JSON|nested deeper than 32')
+        self.assertLess(len(shown), 400)
