--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -273,7 +273,12 @@
     def _parse_routes(self, routes: RoutesRecord) -> RouteDocument | None:
         if not routes.source:
             return None
-        parsed = self._route_format.parse(zlib.decompress(routes.source))
+        try:
+            source = zlib.decompress(routes.source)
+        except zlib.error as error:
+            self._events.write('routes_bad', reason=str(error))
+            return None
+        parsed = self._route_format.parse(source)
         if isinstance(parsed, Success):
             self._events.write('routes', version=routes.version)
             return parsed.unwrap()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import dataclasses
 import math
 import time
 import types
 import unittest.mock
+import zlib
 from typing import Any
 
 from parameterized import parameterized
@@ -20,11 +22,14 @@
     edge,
     feed,
     instance,
+    target,
 )
+from tests.platform_samples import ROUTES, encoded
+from turmericmast.cluster.records import RoutesRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.nearmember import ASK_INTERVAL, PATIENCE
 from turmericmast.exceptions import WireError
-from turmericmast.ids import MemberId
+from turmericmast.ids import Digest, MemberId, Version
 from turmericmast.instancesettings import Bounds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import (
@@ -231,6 +236,34 @@
             self.assertEqual(watcher._contacted_member, CONTACTS[0])
 
 
+class UnreadableRoutesTest(unittest.IsolatedAsyncioTestCase):
+    """Routes that cannot be read are passed over; the rest of a feed is used.
+
+    Guards against an edge that stops following the cluster.
+    """
+
+    @parameterized.expand(
+        [
+            ('not_compressed', b'{}'),
+            ('cut_short', zlib.compress(encoded(ROUTES))[:-9]),
+            ('number_too_large', zlib.compress(b'{"version": 1e400}')),
+            ('nested_deeply', zlib.compress(b'[' * 100_000)),
+        ]
+    )
+    async def test_feed(self, _name: str, source: bytes) -> None:
+        watcher, _, _ = _make_watcher([0.01] * 3)
+        former_routes = watcher._edge.route_table
+        odd_feed = dataclasses.replace(
+            feed(instance('a'), targets=(target('1'),), index=KNOWN_INDEX + 1),
+            routes=RoutesRecord(Version(9), Digest('d'), source),
+        )
+        is_good = watcher._apply_answer(WatchedCluster(odd_feed, (), 0))
+        self.assertTrue(is_good)
+        self.assertEqual(watcher._edge.index, KNOWN_INDEX + 1)
+        self.assertEqual(len(list(watcher._edge.views())), 1)
+        self.assertIs(watcher._edge.route_table, former_routes)
+
+
 class FirstStartTest(unittest.IsolatedAsyncioTestCase):
     """Only a member in the own domain sends changes while the group forms."""
 
