Load reports: figures too large to be sent to peers are no report

The load news that an edge sends its peers then could not be encoded (OverflowError): the probe of that target ended with an exception, and the whole news of a round was lost, with the loads of all other targets in it. Figures above 1,000,000 make no report now, as other malformed ones.

--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -39,6 +39,8 @@
 """Status of a target that is not the expected one and ran nothing."""
 _MIN_LOAD_FIGURES = 3
 """Figures that a load report has without the optional slowness."""
+MAX_FIGURE = 1_000_000
+"""Largest figure of a load; a report with a larger one is a mistake."""
 _REPLACED_HEADERS = frozenset(
     (TIMEOUT_HEADER.lower(), EXPECTED_TARGET_HEADER.lower())
 )
@@ -107,6 +109,8 @@
     if len(figures) < _MIN_LOAD_FIGURES or not all(map(_is_number, figures)):
         return None
     running, waiting, slots, *more = map(float, figures)
+    if max(running, waiting, slots, *more) > MAX_FIGURE:
+        return None
     slowness = more[0] / USUAL_SLOWNESS if more else 1
     return LoadReport(int(running), int(waiting), int(slots), slowness)
 
--- a/tests/test_numerals.py
+++ b/tests/test_numerals.py
@@ -7,16 +7,20 @@
 from parameterized import parameterized
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from tests.edge_samples import NOW, target_view
+from turmericmast.balance.news import LoadNews, describe_load
 from turmericmast.numerals import is_whole_within, parse_whole
 from turmericmast.platform.headers import (
     COLD_TIME_HEADER,
     LOAD_HEADER,
+    MAX_FIGURE,
     TIMEOUT_HEADER,
     PlatformHeaders,
 )
 from turmericmast.route.document import RouteLimits
 from turmericmast.web.edgefrontend import _check_limits
 from turmericmast.web.parse import HOPS_HEADER, _find_header_faults
+from turmericmast.wire.codec import decode, encode
 
 LONG = '9' * 5000
 """More digits than Python converts."""
@@ -94,3 +98,25 @@
     def test_load_of_many_digits_is_no_load(self) -> None:
         headers = HTTPHeaders({LOAD_HEADER: f'{LONG},0,4'})
         self.assertIsNone(PlatformHeaders().read_health(headers).load)
+
+    # Guards against load news that cannot be encoded, so that no peer learns
+    # the load of any target in them.
+    @parameterized.expand(
+        [
+            ('running', '3000000000,0,4'),
+            ('waiting', '1,3000000000,4'),
+            ('slots', '1,0,999999999999999'),
+            ('slowness', '1,0,4,999999999999999'),
+            ('largest', f'{MAX_FIGURE},{MAX_FIGURE},{MAX_FIGURE},{MAX_FIGURE}'),
+        ]
+    )
+    def test_load_can_be_sent_to_peers(self, _name: str, text: str) -> None:
+        view = target_view('1')
+        headers = HTTPHeaders({LOAD_HEADER: text})
+        load = PlatformHeaders().read_health(headers).load
+        self.assertIs(load is not None, _name == 'largest')
+        view.update_load(load or view.report, NOW)
+        news = LoadNews(
+            'tirol-a', hand_on=False, loads=(describe_load(view, NOW),)
+        )
+        self.assertEqual(decode(encode(news)).unwrap(), news)
