Answers cut within the last line of their head are not complete

Cause: curl reports success if the connection is closed within the head, and passes the cut line to the header callback. Cut elsewhere, there was no head and the attempt failed; but if the target closed between the carriage return and the line feed of the blank line, the cut line was empty once the carriage return was stripped, and counted as the end of the head. Curl knew no length, or a length of 0, or chunks not begun, and so no error. Entries, the regional product, did the same for an answer of length 0, in chunks or without a body.

An answer without length is complete if its connection is closed, and not if it is reset.

A line without its end ends the transfer now, and a transfer counts as complete only after a head, whatever curl says.

--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -138,7 +138,8 @@
 
     def finish(self, code: int) -> None:
         """Receive the result code of curl."""
-        if code == pycurl.E_OK:
+        # curl also reports success if the connection ends within the head.
+        if code == pycurl.E_OK and self.progress is Progress.head:
             self.progress = Progress.whole
             self._settle(None)
         else:
@@ -201,6 +202,9 @@
         return chunk
 
     def _on_header(self, line: bytes) -> int | None:
+        if not line.endswith(b'\n'):
+            # The connection ended within this line.
+            return ABORT_TRANSFER
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/'):
             self._head_lines = [text]
