Transfers: a head that is not valid fails without an exception

A head line without a name, or a status of four digits, passes curl, and tornado's parser raised HTTPInputError in curl's header callback. The attempt failed as it should, with a traceback on standard error for each answer. The callback ends the transfer now. Both rows failed before.

--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -9,7 +9,11 @@
 from typing import Any, final
 
 import pycurl
-from tornado.httputil import HTTPHeaders, parse_response_start_line
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    parse_response_start_line,
+)
 
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
@@ -218,20 +222,27 @@
         if self.progress is Progress.head or not self._head_lines:
             # These are trailers after the body, which are not passed on.
             return True
-        start = parse_response_start_line(self._head_lines[0])
-        if start.code < HTTPStatus.OK:
+        try:
+            head = _parse_head(self._head_lines)
+        except HTTPInputError:
+            # curl passes on some lines that are not valid.
+            return False
+        if head.status < HTTPStatus.OK:
             self._head_lines = []
             return True
-        headers = HTTPHeaders()
-        for line in self._head_lines[1:]:
-            headers.parse_line(line)
         self.progress = Progress.head
-        return self._sink.on_head(
-            ResponseHead(start.code, start.reason, headers)
-        )
+        return self._sink.on_head(head)
 
     def _on_write(self, chunk: bytes) -> int:
         if self._sink.on_chunk(chunk):
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
+
+
+def _parse_head(lines: list[str]) -> ResponseHead:
+    start = parse_response_start_line(lines[0])
+    headers = HTTPHeaders()
+    for line in lines[1:]:
+        headers.parse_line(line)
+    return ResponseHead(start.code, start.reason, headers)
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import io
 import itertools
 import socket
 import struct
@@ -25,6 +26,7 @@
 from tests.entry_harness import EntryHarness, RawTarget
 from tests.test_front import call
 from turmericmast.balance.load import LoadReport
+from turmericmast.call.call import Loss
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.instancesettings import Bounds
@@ -33,6 +35,7 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
+from turmericmast.web.transfer import Transfer, TransferRequest
 
 TIMEOUT = 3.0
 """Seconds for one request; each must end long before."""
@@ -184,6 +187,35 @@
         self.assertRegex(received, rb'^HTTP/1\.1 502 ')
 
 
+class UnreadableHeadTest(unittest.IsolatedAsyncioTestCase):
+    """A head that curl passes on, but that is not valid, fails the attempt.
+
+    Guards against exceptions in a callback of curl.
+    """
+
+    @parameterized.expand(
+        [
+            ('name', HEAD + b': x\r\n\r\n'),
+            ('status', HEAD.replace(b'200', b'2000') + b'\r\n'),
+        ]
+    )
+    async def test_head(self, _name: str, answer: bytes) -> None:
+        odd = CutTarget(answer)
+        sink = unittest.mock.Mock()
+        with (
+            CurlClient() as curl,
+            contextlib.redirect_stderr(io.StringIO()) as errors,
+        ):
+            async with odd.run() as address:
+                request = TransferRequest(
+                    f'http://{address}/', 'GET', (), TIMEOUT, None, 0
+                )
+                loss = await Transfer(curl, request, sink, lambda: True).run()
+        self.assertIs(loss, Loss.connection_lost)
+        self.assertFalse(sink.on_head.called)
+        self.assertNotIn('Traceback', errors.getvalue())
+
+
 class CutAnswerAtAnEntryTest(unittest.IsolatedAsyncioTestCase):
     """The same at an entry, the regional product."""
 
