Planned stop: an edge takes only requests that certainly end in time

Cause: an edge took a request if it would usually end before the process does, in 2 s, whatever its deadline. A request with a deadline of 8 s and a target that takes 2.8 s, sent 0.1 s after the signal with 2.3 s of the grace period left, reached the target and got no answer. Further, the check was made when the headers were read: a request whose body came during the stop was sent with no regard to the time left, and one that was read after the edge had decided to stop before the grace period was over was still sent.

A request is taken only if its deadline, which ends it whatever happens, and 0.1 s for writing the answer lie before the end; others are refused at once, before the body is read, with 503, Retry-After: 0.01 and Connection: close. The check is made once more before the first attempt, and once the edge stops, no deadline is near enough. Requests with long deadlines are so refused from the signal on. They have not run, and callers of a leaving instance have others; a cut would have told them nothing.

Not changed: a request that was sent before the signal and whose target still works at the end of the grace period is cut. The rest of the grace period was given to it.

The rows of the latter that stood before are unchanged; can_finish needs no time of arrival any more.

--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -40,8 +40,8 @@
 """Fewest addresses in an answer, if the region has that many instances."""
 MAX_ADDRESSES = 64
 """Most addresses in an answer of the directory."""
-MAX_USUAL_DURATION = 2.0
-"""Seconds within which all but a few requests are finished."""
+RESPONSE_TIME = 0.1
+"""Seconds to write a response that is ready at the deadline of its request."""
 PROBE_SHARE = 0.5
 """Fraction of a target's permitted probe rate that near instances use."""
 
@@ -108,7 +108,10 @@
         return min(DIRECTORY_TTL, self.bounds.directory_ttl)
 
     def leave(self, stops_at: Seconds) -> None:
-        """Stop attracting new callers; the process ends at ``stops_at``."""
+        """Stop attracting new callers; the process ends at ``stops_at``.
+
+        From then on no request is taken.
+        """
         self._stops_at = stops_at
         self.record = dataclasses.replace(
             self.record,
@@ -124,12 +127,13 @@
         service = self._splitter.pick(route)
         return self._pool(service) if service else None
 
-    def can_finish(self, deadline: Seconds, now: Seconds) -> bool:
-        """Tell whether a request will finish before this instance stops.
+    def can_finish(self, deadline: Seconds) -> bool:
+        """Tell whether a request certainly ends before this instance stops.
 
-        Other requests must go elsewhere, since they would be cut off here.
+        It may run until its ``deadline``. Other requests must go elsewhere,
+        since they could be cut off here.
         """
-        return min(deadline, now + MAX_USUAL_DURATION) < self._stops_at
+        return deadline + RESPONSE_TIME <= self._stops_at
 
     def views(self) -> Iterable[TargetView]:
         """Return the views of all targets."""
--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -1,16 +1,18 @@
 """Stops an edge without cutting off requests."""
 
 import asyncio
-from typing import final
+from typing import TYPE_CHECKING, final
 
 from tornado.httpserver import HTTPServer
 
 from turmericmast.ids import Seconds
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.programs.runner import Process
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 
+if TYPE_CHECKING:
+    from turmericmast.programs.runner import Process
+
 PROPAGATION_TIME = 0.3
 """Seconds until no directory lists this instance any more."""
 QUIET_TIME = 0.3
@@ -23,11 +25,15 @@
 
 @final
 class GracefulShutdown:
-    """Drains an edge, so that it stops without cutting off requests."""
+    """Drains an edge, so that it stops without cutting off requests.
+
+    A request is taken if it ends before the grace period does, by its deadline.
+    Other ones are refused before their bodies are read.
+    """
 
     def __init__(
         self,
-        process: Process[InstanceSettings],
+        process: 'Process[InstanceSettings]',
         context: EdgeContext,
         frontend: EdgeFrontend,
     ) -> None:
@@ -62,6 +68,8 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         server.stop()
+        # A request that is read from here on is refused.
+        self._context.edge.leave(clock.now())
         self._frontend.idle_connections.close_older(0)
         while self._context.running and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -112,9 +112,15 @@
         self._attempts.cancel()
 
     def _start(self) -> None:
-        if self._task is None and not self._is_finished:
-            self._context.running += 1
-            self._task = asyncio.ensure_future(self._run())
+        if self._task is not None or self._is_finished:
+            return
+        if not self._context.edge.can_finish(self._incoming.call.deadline):
+            # The shutdown began while the body arrived.
+            self._refuse(edgerefusals.leaving())
+            self._body.stop_reading()
+            return
+        self._context.running += 1
+        self._task = asyncio.ensure_future(self._run())
 
     async def _run(self) -> None:
         try:
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -193,7 +193,7 @@
     request = _make_request(
         context.header_format, start, headers, route, pool, received_at
     )
-    if not edge.can_finish(request.call.deadline, request.began_at):
+    if not edge.can_finish(request.call.deadline):
         return Failure(edgerefusals.leaving())
     return Success(request)
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -32,6 +32,7 @@
 from turmericmast.instancesettings import Bounds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.route.document import RouteDocument
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
@@ -245,12 +246,24 @@
 @contextlib.asynccontextmanager
 async def _serving(address: str) -> AsyncIterator[int]:
     """Serve an edge whose only target has ``address``; return its port."""
+    async with serving_target(address, document()) as served:
+        yield served[-1]
+
+
+@contextlib.asynccontextmanager
+async def serving_target(
+    address: str, routes: RouteDocument
+) -> AsyncIterator[tuple[EdgeContext, EdgeFrontend, HTTPServer, int]]:
+    """Serve an edge whose only target has ``address``.
+
+    Return its context, front end, server and port.
+    """
     edge = Edge(instance('a'), REGION_BY_DOMAIN, Bounds())
     clock = SkewedClock()
     targets = tuple(
         _target(service, address) for service in ('stock', 'orders')
     )
-    edge.apply(feed(targets=targets), document())
+    edge.apply(feed(targets=targets), routes)
     for view in edge.views():
         view.verify(0, clock.now())
         view.update_load(LoadReport(0, 0, 4), clock.now())
@@ -270,10 +283,12 @@
             metrics=Metrics(),
             events=unittest.mock.Mock(),
         )
-        server = HTTPServer(EdgeFrontend(context))
+        frontend = EdgeFrontend(context)
+        server = HTTPServer(frontend)
         sock, port = bind_unused_port()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         server.add_socket(sock)
-        yield port
+        yield (context, frontend, server, port)
         server.stop()
 
 
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -9,11 +9,13 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from tests.edge_samples import NOW, edge, feed, instance, target
+from tests.platform_samples import ROUTES, changed, encoded
 from turmericmast.balance.load import LoadReport
 from turmericmast.call.call import Call, Loss, Ran
 from turmericmast.cluster.records import SuspectRecord
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
+from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import RequestBody
@@ -122,24 +124,38 @@
 class LeavingInstanceTest(unittest.TestCase):
     """An instance that shuts down refuses requests that it cannot finish.
 
-    So a planned shutdown cuts off no request that was accepted.
+    Guards against a planned shutdown that cuts off requests which it accepted
+    late in the grace period.
     """
 
     @parameterized.expand(
         [
-            ('enough_time', 3.0, True),
-            ('deadline_after_shutdown', 0.5, False),
+            ('enough_time', 3.0, {}, True),
+            ('deadline_after_shutdown', 0.5, {}, False),
+            ('route_without_a_deadline_of_the_caller', 1.0, {}, False),
+            ('long_deadline', 2.1, {'X-Deadline-Ms': '8000'}, False),
+            ('long_deadline_at_the_end', 8.0, {'X-Deadline-Ms': '8000'}, False),
+            ('long_deadline_with_time', 8.2, {'X-Deadline-Ms': '8000'}, True),
+            ('short_deadline', 0.7, {'X-Deadline-Ms': '500'}, True),
+            ('stopping', 0.0, {'X-Deadline-Ms': '100'}, False),
         ],
     )
     def test_request_during_shutdown(
         self,
         _name: str,
         time_left: float,
+        headers: dict[str, str],
         is_accepted: bool,
     ) -> None:
         context = _context()
+        long_routes = encoded(changed(ROUTES, 'routes.look.timeout_s', 10))
+        if headers:
+            context.edge.apply(
+                feed(targets=(target('1'),), index=2),
+                DocumentFormat().parse(long_routes).unwrap(),
+            )
         context.edge.leave(Seconds(NOW + time_left))
-        read = _read(context)
+        read = _read(context, headers=headers)
         self.assertIs(isinstance(read, Success), is_accepted)
         if not is_accepted:
             problem = read.failure()
