Planned stop: wait until the responses are written

An edge that stopped since no request was running could end while a response was still in its own buffer, so that a slow caller got only the beginning of it; the body of a request that was still arriving did not hold it up either.

Cause: a request counted as running from the end of its body until its response was handed to the connection, not until it was written.

A request is open from its headers until its connection waits for the next one or is closed. The drain and the last wait go by that, within the grace period as before.

--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -58,7 +58,7 @@
         quiet_since = started_at
         while clock.now() < ends_at:
             now = clock.now()
-            if self._context.running:
+            if self._frontend.open_requests:
                 quiet_since = now
             is_propagated = (
                 now - started_at
@@ -71,5 +71,5 @@
         # A request that is read from here on is refused.
         self._context.edge.leave(clock.now())
         self._frontend.idle_connections.close_older(0)
-        while self._context.running and clock.now() < ends_at:
+        while self._frontend.open_requests and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -28,6 +28,7 @@
 from turmericmast.web.firstroutes import routes_wait
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.idle import IdleConnections
+from turmericmast.web.openrequests import OpenRequests
 from turmericmast.web.problem import Problem, refuse_request
 
 MAX_SHOWN_LENGTH = 20
@@ -42,6 +43,7 @@
         """Serve requests with the edge and the clients of ``context``."""
         self._context = context
         self.idle_connections = IdleConnections(context.clock, context.metrics)
+        self.open_requests = OpenRequests()
 
     def start_request(
         self,
@@ -50,9 +52,8 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate that receives the next request."""
         self.idle_connections.mark_idle(server_conn)
-        return _RequestReader(
-            self._context, self.idle_connections, server_conn, request_conn
-        )
+        self.open_requests.end(server_conn)
+        return _RequestReader(self._context, self, server_conn, request_conn)
 
     def close_idle(self) -> None:
         """Close connections idle for longer than the route document allows."""
@@ -70,12 +71,12 @@
     def __init__(
         self,
         context: EdgeContext,
-        idle_connections: IdleConnections,
+        frontend: EdgeFrontend,
         server_conn: object,
         connection: HTTPConnection,
     ) -> None:
         self._context = context
-        self._idle_connections = idle_connections
+        self._frontend = frontend
         self._server_conn = server_conn
         self._connection = connection
         self._exchange: EdgeExchange | None = None
@@ -89,7 +90,8 @@
 
         The body is read once the returned task has ended, if there is one.
         """
-        self._idle_connections.mark_active(self._server_conn)
+        self._frontend.idle_connections.mark_active(self._server_conn)
+        self._frontend.open_requests.begin(self._server_conn)
         if _is_closed(self._connection):
             # Closed as idle after these headers were read: the caller sees a
             # closed connection, so its request must not be sent to a target.
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -124,6 +124,24 @@
         self.assertEqual(answer.split(b' ')[1], str(status).encode())
         self.assertEqual(target.requests, int(status == 200))
 
+    async def test_response_is_still_being_written(self) -> None:
+        target = SlowTarget(0, b'x' * LARGE)
+        async with target.run() as address, _serving(address) as stop:
+            _, writer, received = await stop.send('GET', 1000, '')
+            writer.transport.pause_reading()
+            while not target.answered or stop.context.running:
+                await asyncio.sleep(0.01)
+            stop.context.edge.bounds = QUICK
+            stopped = asyncio.ensure_future(stop.run())
+            await asyncio.sleep(1)
+            self.assertFalse(stopped.done())
+            writer.transport.resume_reading()
+            answer = await _whole(received)
+            await stopped
+            writer.close()
+        _, _, body = answer.partition(b'\r\n\r\n')
+        self.assertEqual(len(body), LARGE)
+
     async def test_nothing_is_taken_once_it_stops(self) -> None:
         async with _serving('127.0.0.1:1') as stop:
             stop.context.edge.bounds = QUICK
