Entries: a stop waits for calls that arrive, and takes no new ones

An entry that stopped went by the calls that were running: one whose body was still arriving did not count, so that its connection was closed with no answer, or a moment after it had been passed on. While the session was being closed (2 s at most) the entry still read calls on kept connections and passed them on to other entries, and cut them when it closed all connections.

From the moment at which its targets are released, an entry refuses calls before their bodies are read, with 503, the addresses of others and Connection: close, closes idle connections, and waits for the calls whose headers were read, until their answers are written. They end by their deadlines, which are at most the 600 s that it waits. A test with a body that arrives during the stop failed before (tests.test_call_drain). The refusal of a call that follows on the same connection is new, and is tested there too.

--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -59,6 +59,8 @@
         """
         self.is_leaving = False
         """Whether the entry is shutting down and serves no new calls."""
+        self.is_stopping = False
+        """Whether it takes no calls at all, to forward them neither."""
         self.ownership = Ownership(
             instance,
             lambda: make_policy(policy, source),
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -15,7 +15,8 @@
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.entry.entry import Entry
-from turmericmast.ids import Seconds
+from turmericmast.ids import Seconds, TargetId
+from turmericmast.programs.calldrain import CallDrain
 from turmericmast.programs.runner import Process, run_program
 from turmericmast.region.commands import (
     CloseSession,
@@ -25,7 +26,6 @@
 from turmericmast.service.policy import POLICIES
 from turmericmast.session.renewals import RENEW_INTERVAL
 from turmericmast.settings import load_settings
-from turmericmast.target.target import Target
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.announcementhandler import AnnouncementHandler
 from turmericmast.web.curl import CurlClient
@@ -59,8 +59,6 @@
 """Seconds between two checks whether a step of the shutdown is complete."""
 RELEASE_TIMEOUT = 20.0
 """Seconds that a leaving entry waits at most to hand over its targets."""
-DRAIN_TIMEOUT = 600.0
-"""Seconds to wait at most for running calls to end by their deadlines."""
 MAX_HEADER_BYTES = 65_536
 """Largest head of a request, in bytes."""
 BODY_TIMEOUT = 60.0
@@ -136,7 +134,7 @@
             name = target.spec.target
             if name not in self._releasing_targets:
                 self._releasing_targets.add(name)
-                asyncio.ensure_future(self._release_target(target))
+                asyncio.ensure_future(self._release_target(name))
 
     async def leave(self) -> None:
         """Stop receiving new callers, and hand over all targets.
@@ -202,15 +200,15 @@
         self.release_idle_targets()
         return entry.view.index != previous_index
 
-    async def _release_target(self, target: Target) -> None:
+    async def _release_target(self, target: TargetId) -> None:
         entry = self._context.entry
         # The answer is ignored, since it may be lost: if the view still lists
         # the target after the release, the release is sent again.
         await self._context.change_region(
-            ReleaseTarget(target.spec.target, entry.instance),
+            ReleaseTarget(target, entry.instance),
             COMMIT_TIMEOUT,
         )
-        self._releasing_targets.discard(target.spec.target)
+        self._releasing_targets.discard(target)
 
     def _log_lease_change(self) -> None:
         has_lease = self._context.entry.lease.is_valid(
@@ -318,8 +316,7 @@
         _call_periodically(stack, callback)
     await process.stop.wait()
     await session.leave()
-    server.stop()
-    await _wait_for_calls(process, context)
+    await CallDrain(context, frontend).run(server)
     await session.close()
     await server.close_all_connections()
     for task in renewal_tasks:
@@ -334,12 +331,6 @@
     stack.callback(ticker.stop)
 
 
-async def _wait_for_calls(process: Process, context: EntryContext) -> None:
-    deadline = process.clock.now() + DRAIN_TIMEOUT
-    while context.running and process.clock.now() < deadline:
-        await asyncio.sleep(STOP_POLL_INTERVAL)
-
-
 def main() -> None:
     """Run an entry instance until it is stopped by a signal."""
     run_program(_main, load_settings)
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -22,6 +22,7 @@
 from turmericmast.web.entrycontext import EntryContext
 from turmericmast.web.exchange import Exchange
 from turmericmast.web.idle import IdleConnections
+from turmericmast.web.openrequests import OpenRequests
 from turmericmast.web.parse import (
     CLOCK_HEADER,
     TENANT_HEADER,
@@ -31,7 +32,7 @@
     parse_path,
 )
 from turmericmast.web.problem import Problem, refuse_request, respond
-from turmericmast.web.refusals import body_too_large, misdirected
+from turmericmast.web.refusals import body_too_large, misdirected, stopping
 from turmericmast.web.sending import IncomingRequest
 
 SYSTEM_PREFIX = '/-/'
@@ -55,6 +56,7 @@
         self._context = context
         self._announcements = announcements
         self._idle_connections = IdleConnections(context.clock, context.metrics)
+        self.open_requests = OpenRequests()
 
     def start_request(
         self,
@@ -63,11 +65,12 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads one request."""
         self._idle_connections.mark_idle(server_conn)
+        self.open_requests.end(server_conn)
         return _RequestReader(
             self._context,
             self._announcements,
             request_conn,
-            lambda: self._idle_connections.mark_active(server_conn),
+            lambda: self._mark_active(server_conn),
         )
 
     def on_close(self, server_conn: object) -> None:
@@ -78,6 +81,10 @@
         """Close connections that were idle for more than so many seconds."""
         self._idle_connections.close_older(older_than)
 
+    def _mark_active(self, server_conn: object) -> None:
+        self._idle_connections.mark_active(server_conn)
+        self.open_requests.begin(server_conn)
+
 
 @final
 class _RequestReader(HTTPMessageDelegate):
@@ -164,6 +171,8 @@
         if not isinstance(parsed, Success):
             return parsed.failure()
         request = parsed.unwrap()
+        if entry.is_stopping:
+            return stopping(entry, request)
         if int(headers.get('Content-Length', '0')) > values.max_body_bytes:
             return body_too_large(values)
         if not request.is_allowed_in(entry.region):
--- a/src/turmericmast/web/refusals.py
+++ b/src/turmericmast/web/refusals.py
@@ -10,6 +10,8 @@
 
 RETRY_AFTER_MS = 1000
 """Milliseconds after which a caller may send a refused call again."""
+STOPPING_RETRY_AFTER_MS = 1
+"""Milliseconds after which a caller should use another entry: at once."""
 
 
 def body_too_large(values: Values) -> Problem:
@@ -56,6 +58,25 @@
     )
 
 
+def stopping(entry: Entry, request: CallRequest) -> Problem:
+    """Return the problem for a call to an entry that is about to end."""
+    return Problem(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        'Stopping',
+        'this entry is shutting down; use another one',
+        'read request',
+        Ran.no,
+        peer=entry.instance,
+        retry_after_ms=STOPPING_RETRY_AFTER_MS,
+        addresses=entry.router.addresses(
+            request.service,
+            entry.domain,
+            request.home_regions,
+        ),
+        closes_connection=True,
+    )
+
+
 def quarantined(entry: Entry, fingerprint: Fingerprint) -> Problem:
     """Return the problem for a request suspected to crash its targets."""
     return Problem(
