--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -39,8 +39,8 @@
 from turmericmast.route.document import Route, RouteDocument, ServiceConfig
 from turmericmast.route.table import RouteTable, TrafficSplitter
 
-MAX_USUAL_DURATION = 2.0
-"""Seconds within which all but a few requests are finished."""
+RESPONSE_TIME = 0.1
+"""Seconds to write a response that is ready at the deadline of its request."""
 PROBE_SHARE = 0.5
 """Fraction of a target's permitted probe rate that near instances use."""
 
@@ -74,6 +74,8 @@
         self._region_by_domain = region_by_domain
         self._locality = Locality(record.domain, record.region)
         self._view_by_target: dict[TargetId, TargetView] = {}
+        self.unusable_targets: set[TargetId] = set()
+        """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self._splitter = TrafficSplitter()
         self._reach_report = ReachReport()
@@ -103,7 +105,10 @@
         return has_changed
 
     def leave(self, stops_at: Seconds) -> None:
-        """Stop attracting new callers; the process ends at ``stops_at``."""
+        """Stop attracting new callers; the process ends at ``stops_at``.
+
+        From then on no request is taken.
+        """
         self._stops_at = stops_at
         self.record = dataclasses.replace(
             self.record,
@@ -129,12 +134,13 @@
         service = wanted if is_known else self._splitter.pick(route)
         return self._pool(service) if service else None
 
-    def can_finish(self, deadline: Seconds, now: Seconds) -> bool:
-        """Tell whether a request will finish before this instance stops.
+    def can_finish(self, deadline: Seconds) -> bool:
+        """Tell whether a request certainly ends before this instance stops.
 
-        Other requests must go elsewhere, since they would be cut off here.
+        It may run until its ``deadline``. Other requests must go elsewhere,
+        since they could be cut off here.
         """
-        return min(deadline, now + MAX_USUAL_DURATION) < self._stops_at
+        return deadline + RESPONSE_TIME <= self._stops_at
 
     def views(self) -> Iterable[TargetView]:
         """Return the views of all targets."""
@@ -216,7 +222,7 @@
     def _apply_targets(self, feed: ClusterFeed) -> None:
         listed = {record.target for record in feed.targets}
         removed = (
-            self._view_by_target.keys() - listed
+            (self._view_by_target.keys() | self.unusable_targets) - listed
             if feed.complete
             else set(feed.removed_targets)
         )
@@ -227,10 +233,14 @@
 
     def _apply_target(self, record: TargetRecord) -> None:
         known = self._view_by_target.get(record.target)
-        if known and _is_same_start(known.record, record):
+        is_same_start = known and _is_same_start(known.record, record)
+        if known and is_same_start and record.is_usable:
             known.record = record
             return
         self._remove_target(record.target)
+        if not record.is_usable:
+            self.unusable_targets.add(record.target)
+            return
         region = self._region_by_domain.get(record.domain, RegionId(''))
         spread_rank = affinity(record.target, self.record.instance)
         view = TargetView(record, region, spread_rank)
@@ -239,6 +249,7 @@
         self.membership.assignments.add_target(record, region)
 
     def _remove_target(self, target: TargetId) -> None:
+        self.unusable_targets.discard(target)
         view = self._view_by_target.pop(target, None)
         if view:
             self._pool(view.record.service).remove(view)
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -31,7 +31,7 @@
     parse_path,
 )
 from turmericmast.web.problem import Problem, refuse_request, respond
-from turmericmast.web.refusals import body_too_large, misdirected
+from turmericmast.web.refusals import body_too_large, misdirected, stopping
 from turmericmast.web.sending import IncomingRequest
 
 SYSTEM_PREFIX = '/-/'
@@ -162,6 +162,8 @@
         if not isinstance(parsed, Success):
             return parsed.failure()
         request = parsed.unwrap()
+        if entry.is_stopping:
+            return stopping(entry, request)
         if int(headers.get('Content-Length', '0')) > values.max_body_bytes:
             return body_too_large(values)
         if not request.is_allowed_in(entry.region):
--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -63,6 +63,11 @@
         self._wait_by_connection: dict[HTTP1ServerConnection, _Wait] = {}
         self._active: set[HTTP1ServerConnection] = set()
 
+    @property
+    def has_active(self) -> bool:
+        """Tell whether a request is read, served or answered anywhere."""
+        return not all(each.stream.closed() for each in self._active)
+
     @property
     def has_open(self) -> bool:
         """Tell whether any connection is open, idle or not."""
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -48,6 +48,8 @@
 from turmericmast.web.targetselection import TargetSelector
 from turmericmast.web.transfer import ResponseHead
 
+DEAD = '127.0.0.1:9'
+"""An address at which nothing listens."""
 LEARNING_TIME = 1.5
 """Seconds in which an instance notices that its targets are out of reach."""
 CALLER_TIMEOUT_MS = 800
@@ -163,7 +165,7 @@
     @parameterized.expand([('one_target_lost', 1, True), ('most', 3, False)])
     async def test_report(self, _name: str, lost: int, expected: bool) -> None:
         with RunningEdge('own') as running:
-            dead = [target_at(name, '127.0.0.1:9') for name in '12345']
+            dead = [target_at(name, DEAD) for name in '12345']
             await running.open(targets=dead)
             views = list(running.edge.views())
             for view in views[:lost]:
@@ -210,7 +212,9 @@
     ) -> None:
         with RunningEdge('own') as running:
             names = '1234'
-            await running.open(targets=[target_at(name, '') for name in names])
+            await running.open(
+                targets=[target_at(name, DEAD) for name in names]
+            )
             views = list(running.edge.views())
             for view in views[:lost]:
                 _lose(view)
