Routes: a timeout of 0 is refused

Cause: of the invalid documents that the operator sends, one gives a route a timeout of 0. Where that document differs from version 5 it mostly agrees with version 2, so the requests named looked as if version 2 decided them.

Ruled out by a trial that traced each request: of 11,749 requests all got the route and a service that the document in force at their edge names, by a plain second reading. So neither the matching nor another document than the one logged, nor a target of another service.

The format lists what makes a document invalid, and a timeout of 0 is not on that list; a route that no request can be served by is refused all the same. Both new rows of the table failed before.

--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -164,6 +164,8 @@
 def _find_route_faults(route: Route) -> Iterator[str]:
     if not route.host:
         yield 'host: is empty; set a host name'
+    if route.timeout <= 0:
+        yield 'timeout: must be above 0 s, or no request can be answered'
     if route.timeout > MAX_TIMEOUT:
         yield f'timeout: must be at most {MAX_TIMEOUT:g} s'
     if route.latency_goal - route.timeout >= MAX_GOAL_OVER_TIMEOUT:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -65,6 +65,9 @@
 FAULTY_ROUTES = [
     ('unknown_service', 'routes.order.service', 'gone', 'routes.order'),
     ('empty_host', 'routes.look.host', '', 'routes.look.host'),
+    # Guards against a route in force that can answer no request.
+    ('zero_timeout', 'routes.look.timeout_s', 0, 'routes.look.timeout'),
+    ('negative_timeout', 'routes.look.timeout_s', -1, 'routes.look.timeout'),
     ('long_timeout', 'routes.look.timeout_s', 601, 'routes.look.timeout'),
     (
         'goal_over_timeout',
