Routes: numbers that are not finite, and splits without weight, are refused

The class of the timeout of 0: a document that can be read, is accepted, and gives a route that no request is served by.

- NaN, Infinity and 1e999 passed every check (comparisons with NaN are false; JSON has none of the three).
A whole number of 400 digits raised an OverflowError, and lists nested 100,000 deep a RecursionError: the operator got a 500 and would send the document again, instead of a 400.
- A split whose weights are all 0 was accepted; its requests got 404.
A single branch of weight 0 got all requests.

Reports of targets are read by the same decoder. Of the new rows of the table each failed before.

--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -1,6 +1,7 @@
 """Parsers of the platform's route documents and target reports."""
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any, TypeAlias, final
 
@@ -31,8 +32,18 @@
 
 HEXADECIMAL = 16
 """Base of the numbers that versions are written in."""
-PARSE_ERRORS = (LookupError, TypeError, ValueError, AttributeError)
-"""Exceptions for a document that lacks a field or has one of a wrong type."""
+PARSE_ERRORS = (
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""Exceptions for a document that lacks a field or has one of a wrong type.
+
+The last two are for numbers beyond the range of a float, and for lists nested
+too deeply."""
 
 JsonObject: TypeAlias = Mapping[str, Any]
 
@@ -47,7 +58,7 @@
     def parse(self, source: bytes) -> Result[RouteDocument, SettingsError]:
         """Return the route document in JSON text, or the first error in it."""
         try:
-            return Success(_document(json.loads(source)))
+            return Success(_document(_decode(source)))
         except PARSE_ERRORS as error:
             return Failure(
                 SettingsError(
@@ -64,7 +75,7 @@
 ) -> Result[TargetRecord, SettingsError]:
     """Return the report of a target in JSON text, or the first error in it."""
     try:
-        return Success(_report(target, json.loads(source)))
+        return Success(_report(target, _decode(source)))
     except PARSE_ERRORS as error:
         return Failure(
             SettingsError(
@@ -76,6 +87,20 @@
         )
 
 
+def _decode(source: bytes) -> Any:
+    """Return the value of a JSON text, all of whose numbers are finite."""
+    return json.loads(
+        source, parse_float=_finite_float, parse_constant=_finite_float
+    )
+
+
+def _finite_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f'{text} is not a finite number')
+    return number
+
+
 def _document(tree: JsonObject) -> RouteDocument:
     return RouteDocument(
         version=_version(tree['version']),
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -175,3 +175,5 @@
         )
     if any(branch.weight < 0 for branch in route.branches):
         yield 'weight: must not be negative'
+    elif not any(branch.weight for branch in route.branches):
+        yield 'weight: one must be above 0, or no service gets the requests'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Tests of the adapter to the provider's platform."""
 
+import math
 import pathlib
 import re
 import unittest
@@ -49,6 +50,12 @@
     '/-/ready',
 )
 
+TIMEOUT = 'routes.look.timeout_s'
+SPLIT = 'routes.look.traffic_split'
+GOAL = 'routes.look.target_latency_s'
+DEEP = 100_000
+WEIGHT_NAN = [{'service': 'stock', 'weight': math.nan}]
+
 BAD_ROUTES = [
     ('cut_short', encoded(ROUTES)[:-40]),
     ('not_an_object', b'[]'),
@@ -60,6 +67,13 @@
     ('no_host', encoded(without(ROUTES, 'routes.order.host'))),
     ('host_number', encoded(changed(ROUTES, 'routes.look.host', 4))),
     ('no_routes', encoded(without(ROUTES, 'routes'))),
+    ('timeout_nan', encoded(changed(ROUTES, TIMEOUT, math.nan))),
+    ('timeout_infinite', encoded(changed(ROUTES, TIMEOUT, math.inf))),
+    ('timeout_beyond_floats', encoded(changed(ROUTES, TIMEOUT, 10**400))),
+    ('float_beyond_range', encoded(ROUTES).replace(b'0.25', b'1e999')),
+    ('goal_negative_infinite', encoded(changed(ROUTES, GOAL, -math.inf))),
+    ('weight_nan', encoded(changed(ROUTES, SPLIT, WEIGHT_NAN))),
+    ('nested_too_deeply', b'[' * DEEP + b']' * DEEP),
 ]
 
 FAULTY_ROUTES = [
@@ -81,6 +95,21 @@
         [{'service': 'stock', 'weight': -1}],
         'routes.look.weight',
     ),
+    (
+        'no_weight_above_zero',
+        'routes.look.traffic_split',
+        [
+            {'service': 'stock', 'weight': 0},
+            {'service': 'stock-next', 'weight': 0},
+        ],
+        'routes.look.weight',
+    ),
+    (
+        'one_branch_without_weight',
+        'routes.look.traffic_split',
+        [{'service': 'stock', 'weight': 0}],
+        'routes.look.weight',
+    ),
 ]
 
 BAD_REPORTS = [
