Lines: routes_proposed, for each route document that an operator sends

Which document a core member accepted or refused, and why, stood in no line; only the counter `orders` counted statuses.

Weighed and left out: a line for each request with its route and version.

--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 import zlib
-from typing import Any, final
+from typing import TYPE_CHECKING, Any, final
 
 from returns.result import Failure, Result, Success
 
@@ -18,15 +18,24 @@
     TurmericmastError,
     WireError,
 )
-from turmericmast.ids import Digest, DomainId, Index, MemberId, TargetId
+from turmericmast.ids import (
+    Digest,
+    DomainId,
+    Index,
+    MemberId,
+    TargetId,
+    Version,
+)
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
 from turmericmast.programs.groupsetup import error_reply, flatten_result
-from turmericmast.programs.runner import Process
 from turmericmast.route.document import RouteFormat
 from turmericmast.wire import clusterrequests, replies, watchrequests
 
+if TYPE_CHECKING:
+    from turmericmast.programs.runner import Process
+
 CHANGE_TIMEOUT = 0.9
 """Seconds for a change or a read.
 
@@ -37,6 +46,10 @@
 """Seconds between two checks whether an index has been applied."""
 DIGEST_LENGTH = 16
 """Hexadecimal digits in the digest of a route document."""
+MAX_REASON_LENGTH = 300
+"""Characters of a refusal that an event repeats.
+
+A document may have a fault in each of hundreds of routes."""
 
 
 @final
@@ -45,7 +58,7 @@
 
     def __init__(
         self,
-        process: Process[InstanceSettings],
+        process: 'Process[InstanceSettings]',
         group: GroupMember,
         state_machine: ClusterStateMachine,
         route_format: RouteFormat,
@@ -101,23 +114,24 @@
         document is invalid, and with ``ConflictError`` if it is not based on
         the current version.
         """
+        digest = Digest(hashlib.sha256(source).hexdigest()[:DIGEST_LENGTH])
         parsed = self._route_format.parse(source).bind(
             lambda document: document.validate()
         )
         if not isinstance(parsed, Success):
+            self._log_proposal(digest, parsed)
             return Failure(parsed.failure())
         document = parsed.unwrap()
-        digest = hashlib.sha256(source).hexdigest()[:DIGEST_LENGTH]
-        return await self.change(
+        proposed = await self.change(
             commands.ProposeRoutes(
-                RoutesRecord(
-                    document.version,
-                    Digest(digest),
-                    zlib.compress(source),
-                ),
+                RoutesRecord(document.version, digest, zlib.compress(source)),
                 document.base,
             ),
         )
+        self._log_proposal(
+            digest, proposed, version=document.version, base=document.base
+        )
+        return proposed
 
     async def read_routes(self) -> Result[bytes, TurmericmastError]:
         """Return the latest committed route document as the operator sent it.
@@ -219,6 +233,22 @@
         """Answer an edge that looks for a member in its failure domain."""
         return watchrequests.TellMember(self._member_in(question.domain))
 
+    def _log_proposal(
+        self,
+        digest: Digest,
+        outcome: Result[Any, TurmericmastError],
+        **versions: Version,
+    ) -> None:
+        is_accepted = isinstance(outcome, Success)
+        reason = '' if is_accepted else outcome.failure().show()
+        self._process.events.write(
+            'routes_proposed',
+            digest=digest,
+            accepted=is_accepted,
+            reason=reason[:MAX_REASON_LENGTH],
+            **versions,
+        )
+
     def _commit_index_reply(self) -> watchrequests.TellIndex:
         return watchrequests.TellIndex(self._group.replica.state.commit)
 
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -275,7 +275,9 @@
             return None
         parsed = self._route_format.parse(zlib.decompress(routes.source))
         if isinstance(parsed, Success):
-            self._events.write('routes', version=routes.version)
+            self._events.write(
+                'routes', version=routes.version, digest=routes.digest
+            )
             return parsed.unwrap()
         self._events.write('routes_bad', reason=parsed.failure().show())
         return None
--- a/src/turmericmast/programs/groupsetup.py
+++ b/src/turmericmast/programs/groupsetup.py
@@ -4,7 +4,7 @@
 """
 
 import contextlib
-from typing import Any, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 from returns.result import Success
 from tornado.web import Application
@@ -18,13 +18,15 @@
 )
 from turmericmast.ids import MemberId, RegionId
 from turmericmast.programs.groupmember import GroupMember, StateMachine
-from turmericmast.programs.runner import Process
 from turmericmast.replica.state import ReplicaConfig
 from turmericmast.settings import GroupKind, MemberSettings
 from turmericmast.web.pageserver import listen, make_page_server
 from turmericmast.wire.replies import NotNow, Refusal
 from turmericmast.wire.server import Handler, PeerServer
 
+if TYPE_CHECKING:
+    from turmericmast.programs.runner import Process
+
 LEADERSHIP_TRANSFER_TIMEOUT = 3.0
 """Seconds within which a stopping leader should find a successor."""
 MAX_OPERATOR_BODY_BYTES = 4_194_304
@@ -34,7 +36,7 @@
 """Region of a group and the settings of its members."""
 
 
-def find_group(process: Process, kind: GroupKind) -> RegionGroup:
+def find_group(process: 'Process', kind: GroupKind) -> RegionGroup:
     """Return the region and members of the group that this process belongs to.
 
     Raises ``SettingsError`` if it is in no group of this kind, or has no data
@@ -52,7 +54,7 @@
 
 
 def open_group_member(
-    process: Process,
+    process: 'Process',
     stack: contextlib.ExitStack,
     group: RegionGroup,
     state_machine: StateMachine,
@@ -91,7 +93,7 @@
 
 
 def serve_group(
-    process: Process,
+    process: 'Process',
     stack: contextlib.ExitStack,
     handler: Handler,
     application: Application,
