Routes: limits that refuse every request are refused

Same class as the timeout of 0: a largest header size of 0 or less answers 431 to every request, a largest body size below 0 answers 413, and a negative idle time-out closes every connection between two requests. Each new row of the table failed before.

Left as they are: an idle time-out of 0 (no connection is used twice), a largest body size of 0, `max_attempts` of 0 (a request is still sent once).

--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -151,6 +151,9 @@
                 for branch in route.branches
                 if branch.service not in self.config_by_service
             )
+        yield from (
+            f'limits.{fault}' for fault in _find_limit_faults(self.limits)
+        )
 
 
 class RouteFormat(abc.ABC):
@@ -177,3 +180,14 @@
         yield 'weight: must not be negative'
     elif not any(branch.weight for branch in route.branches):
         yield 'weight: one must be above 0, or no service gets the requests'
+
+
+def _find_limit_faults(limits: RouteLimits) -> Iterator[str]:
+    if limits.header_bytes <= 0:
+        yield 'header_bytes: must be above 0, or every request is refused'
+    if limits.body_bytes < 0:
+        yield 'body_bytes: must not be negative'
+    if limits.header_timeout <= 0:
+        yield 'header_timeout: must be above 0 s'
+    if limits.idle_timeout < 0:
+        yield 'idle_timeout: must not be negative'
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -104,6 +104,10 @@
         ],
         'routes.look.weight',
     ),
+    ('no_header_bytes', 'limits.max_header_bytes', 0, 'limits.header_bytes'),
+    ('negative_body', 'limits.max_body_bytes', -1, 'limits.body_bytes'),
+    ('no_header_time', 'limits.header_timeout_s', 0, 'limits.header_timeout'),
+    ('negative_idle', 'limits.idle_timeout_s', -1, 'limits.idle_timeout'),
     (
         'one_branch_without_weight',
         'routes.look.traffic_split',
