Splits: credits of routes that are gone are forgotten

The splitter kept a credit for each route and service that it ever saw, so its memory grew with each split route that came and went, and a route that came back under its name began where it had stopped.

--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -203,6 +203,7 @@
             return
         if document:
             self.route_table = RouteTable(document)
+            self._splitter.keep(document.route_by_name.values())
         self.evacuated = frozenset(feed.evacuated)
         self.quarantine.update(feed.suspects)
         self.membership.apply(feed)
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -1,7 +1,7 @@
 """Route matching, and splitting of a route's traffic among services."""
 
 import itertools
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
 from turmericmast.ids import RegionId, RouteName, ServiceId
@@ -84,6 +84,16 @@
         credit[route.name, service] -= 1
         return service
 
+    def keep(self, routes: Iterable[Route]) -> None:
+        """Forget the credits of all branches but those of ``routes``."""
+        kept = {
+            (route.name, branch.service)
+            for route in routes
+            for branch in route.branches
+        }
+        for key in self._credit_by_branch.keys() - kept:
+            self._credit_by_branch.pop(key)
+
 
 def normalize_host(host: str) -> str:
     """Return a host name in lower case and without a port."""
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -14,6 +14,8 @@
     target,
 )
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
+from turmericmast.edge.edge import Edge
+from turmericmast.route.document import Route, RouteDocument
 from turmericmast.route.table import RouteTable, TrafficSplitter
 
 LEAVING = EdgePhase.leaving
@@ -140,3 +142,18 @@
         assert route is not None
         picked = [splitter.pick(route) for _ in range(20)]
         self.assertEqual(picked.count('stock-next'), 2)
+
+    # Guards against credits that are kept for routes that are gone.
+    def test_split_forgets_routes_that_are_gone(self) -> None:
+        own_edge = edge(instance('a'), feed(instance('a')))
+        route = own_edge.find_route('shop.example', '/stock/')
+        assert route is not None
+        first = _pick_services(own_edge, route)
+        own_edge.apply(feed(index=2), RouteDocument())
+        own_edge.apply(feed(index=3), document())
+        self.assertEqual(_pick_services(own_edge, route), first)
+
+
+def _pick_services(own_edge: Edge, route: Route) -> list[str]:
+    pools = (own_edge.pick_pool(route) for _ in range(7))
+    return [pool.service for pool in pools if pool]
