--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -171,6 +171,9 @@
             for config in self.config_by_service.values()
             if not _is_path(config.health_path)
         )
+        yield from (
+            f'limits.{fault}' for fault in _find_limit_faults(self.limits)
+        )
 
 
 class RouteFormat(abc.ABC):
@@ -184,6 +187,8 @@
 def _find_route_faults(route: Route) -> Iterator[str]:
     if not route.host:
         yield 'host: is empty; set a host name'
+    if route.timeout <= 0:
+        yield 'timeout: must be above 0 s, or no request can be answered'
     if route.timeout > MAX_TIMEOUT:
         yield f'timeout: must be at most {MAX_TIMEOUT:g} s'
     if route.latency_goal - route.timeout >= MAX_GOAL_OVER_TIMEOUT:
@@ -193,8 +198,21 @@
         )
     if any(branch.weight < 0 for branch in route.branches):
         yield 'weight: must not be negative'
+    elif not any(branch.weight for branch in route.branches):
+        yield 'weight: one must be above 0, or no service gets the requests'
 
 
 def _is_path(path: str) -> bool:
     """Tell whether a path can be requested; an empty one stands for none."""
     return not path or (path.startswith('/') and is_token(path))
+
+
+def _find_limit_faults(limits: RouteLimits) -> Iterator[str]:
+    if limits.header_bytes <= 0:
+        yield 'header_bytes: must be above 0, or every request is refused'
+    if limits.body_bytes < 0:
+        yield 'body_bytes: must not be negative'
+    if limits.header_timeout <= 0:
+        yield 'header_timeout: must be above 0 s'
+    if limits.idle_timeout < 0:
+        yield 'idle_timeout: must not be negative'
