Edges: a forwarded request keeps to the attempts of its route

A request could run at more targets than its route permits (BUDGET): the instance that it was forwarded to made all attempts that were left, and the forwarding one, whose count had grown by one only, sent it to a further instance, which made at least one more. With max_attempts 2, three targets ran it.

Attempts that another instance may have made now count as spent, unless it says that the request has not run. This also holds if the connection to it is lost: how many it made is not known then.

tests/test_cut_off_instances.py, AttemptsTest: on the old code 3 targets instead of 2 run a request that all of them fail, or whose connections they reset.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -134,7 +134,10 @@
         self.upstream = upstream
 
     async def get(self) -> None:
-        """Answer; a path with ``hang`` or ``fail`` asks for that failure."""
+        """Answer; a path with a name of a failure asks for that one.
+
+        It is ``hang``, ``fail`` or ``reset``.
+        """
         upstream = self.upstream
         self.set_header('X-Server-Load', f'0,0,4,{NORMAL_SLOWNESS_PERCENT}')
         if self.request.path == '/health':
@@ -150,6 +153,9 @@
         self.set_header('X-Response-Signature', 'signed')
         if 'hang' in self.request.path:
             await asyncio.sleep(HANG_SECONDS)
+        if 'reset' in self.request.path:
+            self.request.connection.stream.close()
+            return
         if 'fail' in self.request.path:
             self.set_status(500)
         self.finish(f'{upstream.name} {self.request.path}')
--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -129,6 +129,8 @@
         """Attempts started so far."""
         self.losses: list[Loss] = []
         """Failures of the attempts, oldest first."""
+        self._has_spent_all = False
+        """Whether another instance may have made all attempts."""
 
     @property
     def ran(self) -> Ran:
@@ -146,9 +148,17 @@
         """Count an attempt that is about to be made."""
         self.attempts += 1
 
-    def record_failure(self, loss: Loss) -> None:
-        """Record how the newest attempt failed."""
+    def record_failure(
+        self, loss: Loss, *, spends_all_attempts: bool = False
+    ) -> None:
+        """Record how the newest attempt failed.
+
+        With ``spends_all_attempts``, another instance made it, and may have
+        made all attempts that were left, unless the request did not run.
+        """
         self.losses.append(loss)
+        if spends_all_attempts and loss not in NOT_RUN_LOSSES:
+            self._has_spent_all = True
 
     def next_step(self, now: Seconds, *, can_replay: bool) -> NextStep:
         """Decide whether to retry; the caller also checks its retry budget.
@@ -166,7 +176,7 @@
         if self.ran is Ran.no:
             has_more = self.attempts < MAX_NOT_RUN_ATTEMPTS
             return NextStep.retry if has_more else NextStep.fail
-        if self.attempts >= self.request.max_attempts:
+        if self._has_spent_all or self.attempts >= self.request.max_attempts:
             return NextStep.fail
         may_run_twice = self.request.is_idempotent and not self.request.retried
         return NextStep.retry if may_run_twice else NextStep.fail
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -205,7 +205,7 @@
         if loss is None:
             self._deliver(response)
             return False
-        self._call.record_failure(loss)
+        self._call.record_failure(loss, spends_all_attempts=True)
         return self._retry_or_fail(
             loss, response, has_reached_target=loss not in NOT_RUN_LOSSES
         )
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -360,6 +360,42 @@
                 self.assertEqual(cut_off.count('forwarded'), forwarded)
 
 
+class AttemptsTest(unittest.IsolatedAsyncioTestCase):
+    """A forwarded request runs at no more targets than its route permits.
+
+    Guards against BUDGET: the instances that a request was forwarded to used
+    up its attempts, and the forwarding one began anew at the next.
+    """
+
+    @parameterized.expand([('fail', 500), ('reset', 502)])
+    async def test_targets_that_fail(self, how: str, expected: int) -> None:
+        names = '1234'
+        with contextlib.ExitStack() as stack:
+            cut_off = stack.enter_context(RunningEdge('cut-off'))
+            healthy = [
+                stack.enter_context(RunningEdge(name, 'tirol-b'))
+                for name in ('healthy-1', 'healthy-2')
+            ]
+            upstreams = [
+                stack.enter_context(
+                    Upstream(name, 'tirol-a', _closed_address())
+                )
+                for name in names
+            ]
+            working = [target_at(each.name, each.address) for each in upstreams]
+            dead = [target_at(name, _closed_address()) for name in names]
+            await cut_off.open(*healthy, targets=dead)
+            for running in healthy:
+                await running.open(cut_off, targets=working)
+            await _learn(cut_off)
+            for upstream in upstreams:
+                upstream.paths.clear()
+            answer = await _request(cut_off.address, f'{how}-1')
+            self.assertEqual(answer.code, expected)
+            ran = sum(len(upstream.paths) for upstream in upstreams)
+            self.assertEqual(ran, 2)
+
+
 class LinksAreBackTest(unittest.IsolatedAsyncioTestCase):
     """An instance finds the end of a cut although nobody sends it requests.
 
@@ -469,7 +505,7 @@
         await asyncio.sleep(0.01)
 
 
-async def _request(address: str, number: int) -> HTTPResponse:
+async def _request(address: str, number: object) -> HTTPResponse:
     return await AsyncHTTPClient().fetch(
         HTTPRequest(
             f'http://{address}/stock/{number}',
