Edges: repeats at a further instance are taken from the retry budget

A service whose targets were full got repeats that nothing limited (BUDGET): each instance that a request was forwarded to sent it to a target, which rejected it, and the forwarding instance went on to the next without taking from its budget, up to three times for each request. It knew only that the request had not run, not that a target had got it.

An instance now tells with a refusal whether a target has got the request (Turmericmast-Reached, only with a marked refusal, never passed on), and the forwarding one takes such a repeat from the budget like one of its own. Without the header a target counts as reached.

tests/test_cut_off_instances.py, RetryBudgetTest: with all budgets spent and three instances, a full target gets 3 arrivals of one request on the old code, now 1. The fake target of bench.machines can reject and reset.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -75,6 +75,8 @@
         self.address = address
         self.paths: list[str] = []
         """Paths of the requests that began to run."""
+        self.rejected: list[str] = []
+        """Paths of the requests that were rejected without running."""
         self.start_times: list[float] = []
         """When each of them began, by the monotonic clock in seconds."""
         self.cold_ms = 0
@@ -136,7 +138,7 @@
     async def get(self) -> None:
         """Answer; a path with a name of a failure asks for that one.
 
-        It is ``hang``, ``fail`` or ``reset``.
+        It is ``hang``, ``fail``, ``reset`` or ``reject``.
         """
         upstream = self.upstream
         self.set_header('X-Server-Load', f'0,0,4,{NORMAL_SLOWNESS_PERCENT}')
@@ -147,14 +149,19 @@
         if self.request.headers.get('X-Expect-Instance') != upstream.name:
             self.set_status(421)
             return
+        self.set_header('X-Request-Id', self.request.headers['X-Request-Id'])
+        if 'reject' in self.request.path:
+            upstream.rejected.append(self.request.path)
+            self.set_header('X-Not-Executed', '1')
+            self.set_status(503)
+            return
         upstream.paths.append(self.request.path)
         upstream.start_times.append(time.monotonic())
-        self.set_header('X-Request-Id', self.request.headers['X-Request-Id'])
         self.set_header('X-Response-Signature', 'signed')
         if 'hang' in self.request.path:
             await asyncio.sleep(HANG_SECONDS)
         if 'reset' in self.request.path:
-            self.request.connection.stream.close()
+            self.detach().close()
             return
         if 'fail' in self.request.path:
             self.set_status(500)
--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -138,6 +138,11 @@
         is_certain = NOT_RUN_LOSSES.issuperset(self.losses)
         return Ran.no if is_certain else Ran.unknown
 
+    @property
+    def has_reached_target(self) -> bool:
+        """Tell whether a failed attempt may have reached a target."""
+        return any(loss is not Loss.never_sent for loss in self.losses)
+
     @property
     def attempts_left(self) -> int:
         """Return the targets that may still run the request, at least 1."""
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -12,7 +12,6 @@
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.scoring import Distance
 from turmericmast.call.call import (
-    NOT_RUN_LOSSES,
     Call,
     Loss,
     NextStep,
@@ -207,7 +206,10 @@
             return False
         self._call.record_failure(loss, spends_all_attempts=True)
         return self._retry_or_fail(
-            loss, response, has_reached_target=loss not in NOT_RUN_LOSSES
+            loss,
+            response,
+            has_reached_target=loss is not Loss.never_sent
+            and response.has_reached_target,
         )
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
@@ -390,7 +392,11 @@
                 ),
                 **self._progress(),
             )
-            self._relay.send_problem(self._incoming.answer_with(problem))
+            self._relay.send_problem(
+                self._incoming.answer_with(
+                    problem, has_reached_target=self._call.has_reached_target
+                )
+            )
 
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -45,9 +45,14 @@
             forwarding=forwarding,
         )
 
-    def answer_with(self, problem: Problem) -> Problem:
+    def answer_with(
+        self, problem: Problem, *, has_reached_target: bool
+    ) -> Problem:
         """Return a problem as the sender of this request expects it."""
-        return address_problem(problem, self.forwarding)
+        return address_problem(
+            dataclasses.replace(problem, has_reached_target=has_reached_target),
+            self.forwarding,
+        )
 
     def requirements(self, avoid: Collection[TargetId]) -> Requirements:
         """Return the constraints on the target; ``avoid`` is excluded."""
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -78,6 +78,11 @@
         """Tell whether a target with another id received the request."""
         return self._metadata is not None and self._metadata.is_misdirected
 
+    @property
+    def has_reached_target(self) -> bool:
+        """Tell whether a target may have got the request."""
+        return self._metadata is None or self._metadata.has_reached_target
+
     def on_head(self, head: ResponseHead) -> bool:
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.headers)
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -36,6 +36,10 @@
     """Whether the request reached another target than the intended one."""
     load: LoadReport | None
     """Load report of the target, ``None`` if it sent no valid one."""
+    has_reached_target: bool = True
+    """Whether a target got the request.
+
+    False only if another instance says so."""
 
 
 @final
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -19,7 +19,12 @@
     TenantId,
 )
 from turmericmast.numerals import is_whole_within, parse_whole
-from turmericmast.web.problem import RAN_HEADER, REFUSAL_HEADER, Problem
+from turmericmast.web.problem import (
+    RAN_HEADER,
+    REACHED_HEADER,
+    REFUSAL_HEADER,
+    Problem,
+)
 
 if TYPE_CHECKING:
     from turmericmast.fleet.values import Values
@@ -76,6 +81,7 @@
         CALL_HEADER.lower(),
         FORWARD_HEADER.lower(),
         ATTEMPTS_HEADER.lower(),
+        REACHED_HEADER.lower(),
         REFUSAL_HEADER.lower(),
         SERVICE_HEADER.lower(),
     ),
--- a/src/turmericmast/web/peerheaders.py
+++ b/src/turmericmast/web/peerheaders.py
@@ -19,7 +19,11 @@
     FORWARD_HEADER,
     SERVICE_HEADER,
 )
-from turmericmast.web.problem import RAN_HEADER, REFUSAL_HEADER
+from turmericmast.web.problem import (
+    RAN_HEADER,
+    REACHED_HEADER,
+    REFUSAL_HEADER,
+)
 
 MAX_ATTEMPTS = 100
 """Largest number of attempts that is read from a header."""
@@ -105,7 +109,7 @@
         """Return the metadata of a target's response, or of an error.
 
         An error that the other instance itself generated names the forwarded
-        request, and tells whether a target has run it.
+        request, and tells whether a target has run it or only got it.
         """
         if headers.get(REFUSAL_HEADER) != self._forwarding.call:
             return self._platform_format.read_response(status, headers)
@@ -115,6 +119,7 @@
             is_not_run=headers.get(RAN_HEADER) == Ran.no.value,
             is_misdirected=False,
             load=None,
+            has_reached_target=headers.get(REACHED_HEADER) != '0',
         )
 
     def read_health(self, headers: HTTPHeaders) -> HealthMetadata:
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -30,6 +30,10 @@
 """Header with the id of the forwarded request that a problem responds to.
 
 A response to a forwarded request that lacks it comes from a target."""
+REACHED_HEADER = 'Turmericmast-Reached'
+"""Header that tells whether a forwarded request has reached a target.
+
+A target that rejected the request was reached, though it has not run it."""
 
 
 @final
@@ -57,6 +61,8 @@
     """Whether the caller is asked to close the connection."""
     forwarded_call: str = ''
     """Id of the request if another instance has forwarded it."""
+    has_reached_target: bool = False
+    """Whether a target got the request; told to that instance only."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -89,6 +95,7 @@
             headers['Connection'] = 'close'
         if self.forwarded_call:
             headers[REFUSAL_HEADER] = self.forwarded_call
+            headers[REACHED_HEADER] = str(int(self.has_reached_target))
         return headers
 
     @property
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -396,6 +396,37 @@
             self.assertEqual(ran, 2)
 
 
+class RetryBudgetTest(unittest.IsolatedAsyncioTestCase):
+    """A forwarded request is repeated only as far as the retry budget goes.
+
+    Guards against BUDGET: where targets were full, each instance that was
+    asked sent the request to one of them, without taking from the budget.
+    """
+
+    async def test_full_targets(self) -> None:
+        with contextlib.ExitStack() as stack:
+            cut_off = stack.enter_context(RunningEdge('cut-off'))
+            healthy = [
+                stack.enter_context(RunningEdge(f'healthy-{name}', 'tirol-b'))
+                for name in '123'
+            ]
+            upstream = stack.enter_context(
+                Upstream('1', 'tirol-a', _closed_address())
+            )
+            dead = target_at('1', _closed_address())
+            await cut_off.open(*healthy, targets=[dead])
+            for running in healthy:
+                working = target_at('1', upstream.address)
+                await running.open(cut_off, targets=[working])
+            await _learn(cut_off)
+            for running in (cut_off, *healthy):
+                _spend_budget(running)
+            answer = await _request(cut_off.address, 'reject')
+            self.assertEqual(answer.code, 503)
+            self.assertEqual(answer.headers['Turmericmast-Ran'], 'no')
+            self.assertEqual(upstream.rejected, ['/stock/reject'])
+
+
 class LinksAreBackTest(unittest.IsolatedAsyncioTestCase):
     """An instance finds the end of a cut although nobody sends it requests.
 
@@ -428,7 +459,7 @@
 
     def test_target_that_others_verify_is_probed(self) -> None:
         sample = edge(OWN, feed(OWN, *NEAR, targets=(target('1'),)))
-        view = sample.view('1')
+        view = next(iter(sample.views()))
         _lose(view)
         sample.update_reach(NOW)
         later = NOW + 5
@@ -452,6 +483,14 @@
         self.assertEqual(len(probed), len(targets))
 
 
+def _spend_budget(running: RunningEdge) -> None:
+    now = running.clock.now()
+    for pool in running.edge.pool_by_service.values():
+        usable = int(pool.retry_budget.usable(now))
+        for _ in range(usable):
+            pool.retry_budget.try_withdraw(now)
+
+
 def _peers(*others: EdgeRecord) -> Peers:
     sample = edge(OWN, feed(OWN, *others, targets=(target('1'),)))
     return sample.peers
