Edges: an instance that is only busy is asked again at once

A refusal by an instance that has answered for the service in the last second now holds for 0.05 s. One that reaches no target stops answering and is left alone as before.

--- a/src/turmericmast/edge/peers.py
+++ b/src/turmericmast/edge/peers.py
@@ -21,6 +21,10 @@
 
 REFUSAL_BACKOFF = 0.5
 """Seconds for which an instance gets no requests for a service it refused."""
+BUSY_BACKOFF = 0.05
+"""The same, in seconds, if it has just answered others for the service.
+
+It reaches targets, so they are busy, and room for the next one comes soon."""
 LOSS_BACKOFF = 1.0
 """Seconds for which an instance that was not reached gets no requests."""
 CONFIRMATION_LIFETIME = 1.0
@@ -140,8 +144,9 @@
             peer.answered_at_by_service[service] = now
             peer.refused_until_by_service.pop(service, None)
         elif outcome is PeerOutcome.refused:
-            peer.refused_until_by_service[service] = now + REFUSAL_BACKOFF
-            peer.answered_at_by_service.pop(service, None)
+            is_busy = peer.serves(service, now)
+            backoff = BUSY_BACKOFF if is_busy else REFUSAL_BACKOFF
+            peer.refused_until_by_service[service] = now + backoff
         elif outcome is PeerOutcome.unreached:
             peer.lost_until = now + LOSS_BACKOFF
             peer.answered_at_by_service.clear()
