Edges: a frozen instance gets one forwarded request at a time

Beside a frozen instance, callers of a cut-off one got no answer (RECOVER): a request that ended without one said nothing about the next, so that they went on to the nearest or least recently used instance, frozen or not, up to eight at a time. Connections to it stay open, so that nothing else tells.

An instance that left a request unanswered and has answered none since now comes after all others that reach targets; one request every 2 s at most finds out whether it answers again.

The row "failed" of PeersTest.test_next_choice_after expected no backoff at all after such a request. It now expects that the instance is chosen again once the backoff is over.

--- a/src/turmericmast/edge/peers.py
+++ b/src/turmericmast/edge/peers.py
@@ -27,6 +27,8 @@
 It reaches targets, so they are busy, and room for the next one comes soon."""
 LOSS_BACKOFF = 1.0
 """Seconds for which an instance that was not reached gets no requests."""
+SILENCE_BACKOFF = 2.0
+"""Seconds between two requests to an instance that leaves them unanswered."""
 CONFIRMATION_LIFETIME = 1.0
 """Seconds for which an answer for a service speaks for an instance."""
 MAX_REFUSALS = 4
@@ -48,7 +50,7 @@
     unreached = 'unreached'
     """No connection to the instance could be opened."""
     failed = 'failed'
-    """Anything else, which says nothing about the next request."""
+    """No answer, which may be due to the instance, a target or the caller."""
 
 
 @final
@@ -59,6 +61,8 @@
     in_flight: int = 0
     used_at: float = LONG_AGO
     lost_until: float = LONG_AGO
+    failed_at: float = LONG_AGO
+    """When a request ended without an answer, if none came since."""
     refused_until_by_service: dict[ServiceId, float] = dataclasses.field(
         default_factory=dict
     )
@@ -66,6 +70,12 @@
         default_factory=dict
     )
 
+    def is_silent(self, now: Seconds) -> bool:
+        """Tell whether it may be frozen; one request at a time finds out."""
+        has_failed = self.failed_at > LONG_AGO
+        was_just_tried = now - self.failed_at < SILENCE_BACKOFF
+        return has_failed and (was_just_tried or self.in_flight > 0)
+
     def refuses(self, service: ServiceId, now: Seconds) -> bool:
         """Tell whether it has just refused a request for a service."""
         return now < self.refused_until_by_service.get(service, LONG_AGO)
@@ -140,6 +150,7 @@
         """Record what became of a request that was forwarded."""
         peer = self._peer_by_instance[instance]
         peer.in_flight -= 1
+        peer.failed_at = now if outcome is PeerOutcome.failed else LONG_AGO
         if outcome is PeerOutcome.answered:
             peer.answered_at_by_service[service] = now
             peer.refused_until_by_service.pop(service, None)
@@ -186,14 +197,15 @@
         service: ServiceId,
         refusing_domains: Collection[DomainId],
         now: Seconds,
-    ) -> tuple[bool, int, bool, Distance, float]:
+    ) -> tuple[int, int, bool, Distance, float]:
         """Return the sort key of an instance; the lowest comes first."""
         peer = self._peer_by_instance[edge.instance]
+        is_cut_off = edge.reach is not TargetReach.direct
         is_doubtful = edge.domain in refusing_domains and not (
             peer.serves(service, now)
         )
         return (
-            edge.reach is not TargetReach.direct,
+            2 * is_cut_off + peer.is_silent(now),
             peer.in_flight // MAX_NEAR_IN_FLIGHT,
             is_doubtful,
             self._distance(edge),
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -34,13 +34,14 @@
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Call, CallRequest, Loss
 from turmericmast.cluster.records import EdgePhase, EdgeRecord, TargetReach
+from turmericmast.edge import gossip
 from turmericmast.edge.directory import choose_instances
-from turmericmast.edge.gossip import MAX_PATH_PROBES, LoadGossip
 from turmericmast.edge.peers import (
     LOSS_BACKOFF,
     MAX_NEAR_IN_FLIGHT,
     MAX_REFUSALS,
     REFUSAL_BACKOFF,
+    SILENCE_BACKOFF,
     PeerOutcome,
     Peers,
 )
@@ -149,7 +150,7 @@
             ('refused', PeerOutcome.refused, REFUSAL_BACKOFF, 'region-1'),
             ('not_reached', PeerOutcome.unreached, LOSS_BACKOFF, 'near-2'),
             ('answered', PeerOutcome.answered, 0, 'near-2'),
-            ('failed', PeerOutcome.failed, 0, 'near-2'),
+            ('failed', PeerOutcome.failed, SILENCE_BACKOFF, 'near-2'),
         ]
     )
     def test_next_choice_after(
@@ -464,7 +465,7 @@
         sample.update_reach(NOW)
         later = NOW + 5
         view.verify(0, later)
-        self.assertEqual(LoadGossip(sample).probes_due(later), [view])
+        self.assertEqual(gossip.LoadGossip(sample).probes_due(later), [view])
 
     def test_few_probes_at_a_time(self) -> None:
         targets = [target(str(number), 'wien-a') for number in range(50)]
@@ -472,11 +473,11 @@
         for view in sample.views():
             _lose(view)
         sample.update_reach(NOW)
-        gossip = LoadGossip(sample)
+        probing = gossip.LoadGossip(sample)
         later = NOW + 5
         probed = set()
-        while due := gossip.probes_due(later):
-            self.assertLessEqual(len(due), MAX_PATH_PROBES)
+        while due := probing.probes_due(later):
+            self.assertLessEqual(len(due), gossip.MAX_PATH_PROBES)
             for view in due:
                 view.probed_at = later
                 probed.add(view.record.target)
