Edges: targets of an evacuated domain do not count as out of reach

An instance that had lost its links to a domain which was then evacuated could go without callers until the evacuation was taken back: nothing is sent to such targets, probes neither, so that their paths stay lost, and if they are more than half of all, the directory does not name the instance, although it reaches all targets that are in use.

Reach now goes by the targets of domains that are not evacuated.

--- a/src/turmericmast/edge/reach.py
+++ b/src/turmericmast/edge/reach.py
@@ -1,11 +1,11 @@
 """Whether one instance reaches the targets by itself."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import final
 
 from turmericmast.balance.targetview import TargetView
 from turmericmast.cluster.records import TargetPhase, TargetReach
-from turmericmast.ids import Seconds
+from turmericmast.ids import DomainId, Seconds
 
 HOLD_TIME = 1.0
 """Least time in seconds between two changes of the reported state.
@@ -13,16 +13,20 @@
 Each change is committed by the core and sent to all instances."""
 
 
-def is_cut_off(views: Iterable[TargetView]) -> bool:
+def is_cut_off(
+    views: Iterable[TargetView], evacuated: Collection[DomainId] = ()
+) -> bool:
     """Tell whether the paths to most of the targets that serve are lost.
 
     Single targets are lost when they crash. Most of them at once rather points
-    to the links of this instance.
+    to the links of this instance. Nothing is sent to those in ``evacuated``
+    domains, so that their paths are not known.
     """
     paths = [
         view.is_path_lost
         for view in views
         if view.record.phase is TargetPhase.ready
+        and view.record.domain not in evacuated
     ]
     return 2 * sum(paths) > len(paths)
 
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -63,7 +63,7 @@
         path = self._edge.health_path(view.record.service)
         if not path or await self._prober.start(view, path):
             return
-        if is_cut_off(self._edge.views()):
+        if is_cut_off(self._edge.views(), self._edge.evacuated):
             # The silence says nothing about the target.
             return
         crash = ReportCrash(fingerprint, Millis(self._clock.wall()))
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -69,7 +69,8 @@
 
         Losses of an instance that is cut off say nothing about the targets.
         """
-        if is_lost and is_cut_off(self._edge.views()):
+        edge = self._edge
+        if is_lost and is_cut_off(edge.views(), edge.evacuated):
             return
         self._send(
             self._gossip.share_load(view, self._clock.now(), is_lost=is_lost)
--- a/src/turmericmast/web/reachwatch.py
+++ b/src/turmericmast/web/reachwatch.py
@@ -14,8 +14,9 @@
     def __init__(self, context: EdgeContext) -> None:
         """Watch the edge of ``context``."""
         self._context = context
+        edge = context.edge
         context.metrics.gauge(
-            'cut_off', lambda: int(is_cut_off(context.edge.views()))
+            'cut_off', lambda: int(is_cut_off(edge.views(), edge.evacuated))
         )
 
     def check(self) -> None:
