Edges: a service that is rarely used is forwarded from the first request on

A cut-off instance refused the first requests of each service (RECOVER), however long it had been cut off from all others: only the targets of the service itself counted, a request tries few of them, and what its own probes had found in the meantime was looked at before the next request only. The more targets and the fewer requests a service has, the more callers were refused.

A request without a target is now forwarded if most targets of its service are out of reach by then, or if the instance reports that most targets of all are.

--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -9,6 +9,7 @@
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Call
+from turmericmast.cluster.records import TargetReach
 from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
@@ -44,20 +45,25 @@
         self.last_best: Candidate | None = None
         """The best target at the last selection, also if it was too slow."""
         self.is_cut_off = False
-        """Whether most targets were out of reach at the last selection."""
+        """Whether most targets are out of reach, as the last selection found.
+
+        It goes by the targets of the service, or by all targets if there was
+        none to send to."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
         """Return the best target, ``None`` if there is no good one."""
-        self.is_cut_off = is_cut_off(
-            self._pool.permitted_targets(
-                dataclasses.replace(requirements, avoid=())
-            )
-        )
+        self.is_cut_off = self._has_lost_most(requirements)
         best = await (
             self._search_at_once(requirements)
             if self.is_cut_off
             else self._search(requirements)
         )
+        if best is None:
+            # The probes of this search may have lost the last paths. Few of
+            # a service that is rarely used are tried at all.
+            self.is_cut_off = self._has_lost_most(requirements) or (
+                self._context.edge.record.reach is TargetReach.forwarded
+            )
         self.last_best = best
         now = self._context.clock.now()
         is_admitted = best and self._pool.admits(requirements, best, now)
@@ -77,6 +83,11 @@
         if path:
             self._context.prober.start(candidate.view, path)
 
+    def _has_lost_most(self, requirements: Requirements) -> bool:
+        """Tell whether the paths to most targets of the service are lost."""
+        anywhere = dataclasses.replace(requirements, avoid=())
+        return is_cut_off(self._pool.permitted_targets(anywhere))
+
     async def _search(self, requirements: Requirements) -> Candidate | None:
         """Return the best target; probe unless a good one is known."""
         now = self._context.clock.now()
--- a/tests/test_unused_paths.py
+++ b/tests/test_unused_paths.py
@@ -4,13 +4,64 @@
 since, because their service is hardly in use there or its domain is evacuated.
 """
 
+import contextlib
 import unittest
 
 from parameterized import parameterized
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.testing import bind_unused_port
 
+from bench.machines import Upstream
 from tests.edge_samples import NOW, edge, feed, instance, target
+from tests.running_edge import RunningEdge, target_at
 from turmericmast.cluster.records import TargetReach
 
+NAMES = tuple('abcdefghijklmnopqrst')
+"""Names of the targets of the service in use."""
+
+
+class RareServiceTest(unittest.IsolatedAsyncioTestCase):
+    """A request is forwarded although its own service has just been tried.
+
+    Guards against RECOVER: a cut-off instance refused the first requests of
+    each service, until it had lost most targets of that one too.
+    """
+
+    @parameterized.expand([('few', 1), ('many', 12)])
+    async def test_first_request(self, _name: str, count: int) -> None:
+        with contextlib.ExitStack() as stack:
+            cut_off = stack.enter_context(RunningEdge('cut-off'))
+            healthy = stack.enter_context(RunningEdge('healthy', 'tirol-b'))
+            upstream = stack.enter_context(
+                Upstream('orders-0', 'tirol-a', _closed_address())
+            )
+            rare = [
+                target_at(f'orders-{number}', _closed_address(), 'orders')
+                for number in range(count)
+            ]
+            await cut_off.open(
+                healthy,
+                targets=[
+                    *(target_at(name, _closed_address()) for name in NAMES),
+                    *rare,
+                ],
+            )
+            working = target_at('orders-0', upstream.address, 'orders')
+            await healthy.open(cut_off, targets=[working])
+            _lose(cut_off, 'stock')
+            answer = await AsyncHTTPClient().fetch(
+                HTTPRequest(
+                    f'http://{cut_off.address}/orders/1',
+                    headers={
+                        'Host': 'pay.example',
+                        'X-Request-Id': 'r',
+                        'X-Deadline-Ms': '800',
+                    },
+                ),
+                raise_error=False,
+            )
+            self.assertEqual(answer.code, 200)
+
 
 class EvacuatedDomainTest(unittest.TestCase):
     """Targets of an evacuated domain do not make an instance lose callers.
@@ -44,3 +95,18 @@
                 view.lose_path(NOW)
         sample.update_reach(NOW)
         self.assertIs(sample.record.reach, expected)
+
+
+def _closed_address() -> str:
+    sock, port = bind_unused_port()
+    sock.close()
+    return f'127.0.0.1:{port}'
+
+
+def _lose(running: RunningEdge, service: str) -> None:
+    """Lose the paths to the targets of a service, and notice it."""
+    now = running.clock.now()
+    for view in running.edge.views():
+        if view.record.service == service:
+            view.lose_path(now)
+    running.edge.update_reach(now)
