Refusals: a refused HEAD request gets its response

Cause: the refusal was written with a body, which the HTTP server rejects for HEAD with an exception, after which it closes the connection. Edges and entries alike.

--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -197,7 +197,7 @@
             **describe_problem(problem),
             cluster_index=context.edge.index,
         )
-        refuse_request(self._connection, problem, headers)
+        refuse_request(self._connection, problem, start_line.method, headers)
 
 
 def _is_closed(connection: HTTPConnection) -> bool:
--- a/src/turmericmast/web/frontend.py
+++ b/src/turmericmast/web/frontend.py
@@ -120,7 +120,9 @@
                 'calls',
                 outcome=f'refused_{problem.status}',
             )
-            refuse_request(self._connection, problem, headers)
+            refuse_request(
+                self._connection, problem, start_line.method, headers
+            )
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass a chunk of the body to the delegate."""
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -112,6 +112,7 @@
 def refuse_request(
     connection: HTTPConnection,
     problem: Problem,
+    method: str,
     headers: HTTPHeaders,
 ) -> None:
     """Send a problem before the request body, if there is one, was read."""
@@ -127,6 +128,7 @@
         problem.reason,
         problem.headers(),
         problem.body(),
+        is_head=method == 'HEAD',
     )
 
 
