Refusals: one that ends the connection says so

Callers whose request was refused by its headers (no route, too large) got their response and a connection that was closed right after it, with nothing in the response that said so. A caller that sent its next request at once got no answer to it, nor a refusal: beside a change that drops a route, and also between two instances, where the next forwarded request could be lost on such a connection. Cause: the HTTP server closes a connection whose response ends before the request was read to its end.

Such responses now carry "Connection: close". Found by reading; that this is what the reports describe is a hypothesis, not shown. tests/test_refused_headers.py, ClosedConnectionTest: two of three rows fail on the old code.

--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -115,19 +115,23 @@
     method: str,
     headers: HTTPHeaders,
 ) -> None:
-    """Send a problem before the request body, if there is one, was read."""
+    """Send a problem before the request body, if there is one, was read.
+
+    The connection is closed then, and the response says so.
+    """
+    closing = dataclasses.replace(problem, closes_connection=True)
     has_body = headers.get('Content-Length', '0') != '0' or (
         'Transfer-Encoding' in headers
     )
     if has_body and isinstance(connection, HTTP1Connection):
-        refuse_unread(connection, problem)
+        refuse_unread(connection, closing)
         return
     respond(
         connection,
-        problem.status,
-        problem.reason,
-        problem.headers(),
-        problem.body(),
+        closing.status,
+        closing.reason,
+        closing.headers(),
+        closing.body(),
         is_head=method == 'HEAD',
     )
 
--- a/tests/test_refused_headers.py
+++ b/tests/test_refused_headers.py
@@ -34,6 +34,23 @@
         self.assertEqual(rest, b'')
 
 
+class ClosedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A refusal after which the connection is closed says so.
+
+    Guards against requests without an answer: callers sent the next one on a
+    connection that was about to be closed, for example beside a change that
+    drops a route.
+    """
+
+    @parameterized.expand(REFUSALS)
+    async def test_header(
+        self, _name: str, path: str, filling: str, expected: int
+    ) -> None:
+        head, _, is_closed = await _refuse('GET', path, filling)
+        self.assertEqual(int(head.split()[1]), expected)
+        self.assertIs('Connection: close' in head, is_closed)
+
+
 async def _refuse(
     method: str, path: str, filling: str
 ) -> tuple[str, bytes, bool]:
