--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -12,7 +12,6 @@
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.scoring import Distance
 from turmericmast.call.call import (
-    NOT_RUN_LOSSES,
     Call,
     Loss,
     NextStep,
@@ -211,9 +210,12 @@
         if loss is None:
             self._deliver(response)
             return False
-        self._call.record_failure(loss)
+        self._call.record_failure(loss, spends_all_attempts=True)
         return self._retry_or_fail(
-            loss, response, has_reached_target=loss not in NOT_RUN_LOSSES
+            loss,
+            response,
+            has_reached_target=loss is not Loss.never_sent
+            and response.has_reached_target,
         )
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
@@ -398,8 +400,12 @@
             )
             if self._relay.state is RelayState.streaming:
                 self._relay.abort()
-            else:
-                self._relay.send_problem(self._incoming.answer_with(problem))
+                return
+            self._relay.send_problem(
+                self._incoming.answer_with(
+                    problem, has_reached_target=self._call.has_reached_target
+                )
+            )
 
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -7,7 +7,6 @@
 import http
 import json
 import socket
-from collections.abc import Mapping
 from typing import final
 
 from tornado.gen import with_timeout
@@ -31,6 +30,10 @@
 """Header with the id of the forwarded request that a problem responds to.
 
 A response to a forwarded request that lacks it comes from a target."""
+REACHED_HEADER = 'Turmericmast-Reached'
+"""Header that tells whether a forwarded request has reached a target.
+
+A target that rejected the request was reached, though it has not run it."""
 
 
 @final
@@ -58,6 +61,8 @@
     """Whether the caller is asked to close the connection."""
     forwarded_call: str = ''
     """Id of the request if another instance has forwarded it."""
+    has_reached_target: bool = False
+    """Whether a target got the request; told to that instance only."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -90,6 +95,7 @@
             headers['Connection'] = 'close'
         if self.forwarded_call:
             headers[REFUSAL_HEADER] = self.forwarded_call
+            headers[REACHED_HEADER] = str(int(self.has_reached_target))
         return headers
 
     @property
@@ -106,28 +112,27 @@
 def refuse_request(
     connection: HTTPConnection,
     problem: Problem,
+    method: str,
     headers: HTTPHeaders,
-    connection_headers: Mapping[str, str] | None = None,
 ) -> None:
     """Send a problem before the request body, if there is one, was read.
 
-    ``headers`` are those of the request. If the connection stays open, the
-    response has ``connection_headers``.
+    The connection is closed then, and the response says so.
     """
+    closing = dataclasses.replace(problem, closes_connection=True)
     has_body = headers.get('Content-Length', '0') != '0' or (
         'Transfer-Encoding' in headers
     )
     if has_body and isinstance(connection, HTTP1Connection):
-        refuse_unread(connection, problem)
+        refuse_unread(connection, closing)
         return
-    answer_headers = problem.headers()
-    answer_headers.update(connection_headers or {})
     respond(
         connection,
-        problem.status,
-        problem.reason,
-        answer_headers,
-        problem.body(),
+        closing.status,
+        closing.reason,
+        closing.headers(),
+        closing.body(),
+        is_head=method == 'HEAD',
     )
 
 
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -9,6 +9,7 @@
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Call
+from turmericmast.cluster.records import TargetReach
 from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
@@ -44,8 +45,10 @@
         self.last_best: Candidate | None = None
         """The best target at the last selection, also if it was too slow."""
         self.is_cut_off = False
-        """Whether most targets were out of reach at the last selection."""
-        self._has_lost_path = False
+        """Whether the last selection found targets out of reach.
+
+        Without an eligible target one lost path is enough, else it takes most
+        of them."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
         """Return the best target, ``None`` if there is no good one."""
@@ -60,8 +63,12 @@
             if self.is_cut_off
             else self._search(requirements)
         )
+        if best is None:
+            # Few targets of a service that is rarely used are tried at all.
+            self.is_cut_off = any(view.is_path_lost for view in views) or (
+                self._context.edge.record.reach is TargetReach.forwarded
+            )
         self.last_best = best
-        self._has_lost_path = any(view.is_path_lost for view in views)
         now = self._context.clock.now()
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
@@ -69,13 +76,10 @@
     def is_doubtful(self, candidate: Candidate | None, call: Call) -> bool:
         """Tell whether another instance would serve a call more likely.
 
-        That is so without an eligible target if any path is lost. Where most
-        paths are lost, those to the other targets are doubtful as well once
-        this call has lost one more.
+        Where most paths are lost, and one more was lost by this call, those
+        to the other targets are doubtful as well.
         """
-        if self.is_cut_off:
-            return candidate is None or bool(call.losses)
-        return self.last_best is None and self._has_lost_path
+        return self.is_cut_off and (candidate is None or bool(call.losses))
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
