--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -1,7 +1,8 @@
 """Idle connections that are closed just as their next request arrives.
 
-Pattern: the idle time-out becomes shorter by a change of the routes, so that
-hundreds of connections which callers still use are closed in one check.
+Pattern: callers use kept connections until these are closed, so requests arrive
+beside the checks for idle ones; or the idle time-out becomes shorter by a
+change of the routes, and hundreds of connections are closed in one check.
 """
 
 import asyncio
