--- a/src/turmericmast/web/idle.py
+++ b/src/turmericmast/web/idle.py
@@ -5,14 +5,15 @@
 import dataclasses
 import enum
 import itertools
+import math
 import select
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import final
 
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.iostream import IOStream
 
-from turmericmast.clock import LONG_AGO, Clock
+from turmericmast.clock import Clock
 from turmericmast.events import EventLog
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
@@ -94,19 +95,23 @@
         """
         self._forget_closed()
         now = self._clock.now()
+        excess_by_connection = {
+            connection: now - wait.since - max(idle_timeout, wait.promised)
+            for connection, wait in self._wait_by_connection.items()
+        }
         self._close(
-            [
-                connection
-                for connection, wait in self._wait_by_connection.items()
-                if now - wait.since > max(idle_timeout, wait.promised)
-            ],
-            Seconds(now - idle_timeout - header_timeout),
+            {
+                connection: excess
+                for connection, excess in excess_by_connection.items()
+                if excess > 0
+            },
+            header_timeout,
         )
 
     def close_unused(self) -> None:
         """Close all connections on which nothing has arrived."""
         self._forget_closed()
-        self._close(list(self._wait_by_connection), LONG_AGO)
+        self._close(dict.fromkeys(self._wait_by_connection, 0), math.inf)
 
     async def drain(self, deadline: Seconds) -> None:
         """Close each connection once no request is expected on it.
@@ -119,20 +124,26 @@
             self.close_unused()
 
     def _close(
-        self, idle: list[HTTP1ServerConnection], partial_since: Seconds
+        self,
+        excess_by_connection: Mapping[HTTP1ServerConnection, float],
+        header_timeout: float,
     ) -> None:
-        """Close those of ``idle`` connections on which nothing has arrived.
+        """Close those connections on which nothing has arrived.
 
-        Also those with part of a head that wait since ``partial_since``.
+        Also those with part of a head that exceed their time by more than
+        ``header_timeout`` seconds.
         """
-        arrivals = find_arrivals(each.stream for each in idle)
-        arrival_by_connection = dict(zip(idle, arrivals, strict=True))
+        arrivals = find_arrivals(each.stream for each in excess_by_connection)
+        arrival_by_connection = dict(
+            zip(excess_by_connection, arrivals, strict=True)
+        )
+        longest_by_arrival = {
+            Arrival.nothing: -math.inf,
+            Arrival.in_buffer: header_timeout,
+        }
         for connection, arrival in arrival_by_connection.items():
-            since = self._wait_by_connection[connection].since
-            is_partial = arrival is Arrival.in_buffer
-            if arrival is Arrival.nothing or (
-                is_partial and since < partial_since
-            ):
+            longest = longest_by_arrival.get(arrival, math.inf)
+            if excess_by_connection[connection] > longest:
                 connection.stream.close()
         if arrival_by_connection:
             self._report(collections.Counter(arrival_by_connection.values()))
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -171,6 +171,16 @@
             self.assertEqual(await _receive(new_caller), b'')
             self.assertEqual(new_caller.recv(1), b'')
 
+    async def test_head_read_in_part_after_shorter_time_out(self) -> None:
+        async with _served() as (frontend, connect):
+            caller = await connect()
+            _set_idle_timeout(frontend, 5)
+            _skip_time(frontend)
+            await _send(caller, REQUEST[:40])
+            await _check_after_reading(frontend)
+            octets = await _ask(caller, REQUEST[40:])
+            self.assertIn(b'HTTP/1.1 200', octets)
+
     async def test_closed_connections_are_forgotten(self) -> None:
         async with _served() as (frontend, connect):
             caller = await connect()
