Answers framed by two headers: the one that holds is passed on

A valid answer with chunks and a length, which the chunks override, or with the same length twice, was lost once it was over 64 KiB: the relay wrote the length that does not hold, or 'n,n', and the connection raised an error in curl's body callback, so that callers got a head without a body, or nothing. Smaller ones were framed anew.

The head of an answer keeps the one length that frames it, and none beside chunks. Two rows of FRAMED_TWICE failed before.

--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -245,4 +245,16 @@
     headers = HTTPHeaders()
     for line in lines[1:]:
         headers.parse_line(line)
+    _keep_one_length(headers)
     return ResponseHead(start.code, start.reason, headers)
+
+
+def _keep_one_length(headers: HTTPHeaders) -> None:
+    """Leave the length that frames the body; chunks override any length."""
+    length = headers.pop('Content-Length', None)
+    if length is None or 'Transfer-Encoding' in headers:
+        return
+    first, *others = map(str.strip, length.split(','))
+    if any(other != first for other in others):
+        raise HTTPInputError('the response has several lengths')
+    headers['Content-Length'] = first
