Tests: odd reports over HTTP, and deeply nested messages

A core member answers odd reports with 400, counts them, and takes the next report (tests.test_odd_entries, OddReportOverHttpTest).

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,16 +1,19 @@
 """Odd entries among those of targets: none of them stops or confuses others."""
 
+import contextlib
 import dataclasses
 import itertools
 import pathlib
 import re
 import tempfile
-import unittest
+import unittest.mock
 from collections.abc import Callable
 from typing import Any
 
 from parameterized import parameterized
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
+from tornado.httpclient import AsyncHTTPClient
+from tornado.testing import bind_unused_port
 
 from tests.edge_samples import edge, feed, instance, target
 from tests.platform_samples import REPORT, ROUTES, changed, encoded
@@ -22,7 +25,9 @@
 from turmericmast.fields import MAX_WHOLE
 from turmericmast.fleet.document import parse_document
 from turmericmast.instancesettings import InstanceSettings
+from turmericmast.metrics import Metrics
 from turmericmast.names import MAX_NAME_LENGTH
+from turmericmast.platform.coreapi import make_application
 from turmericmast.platform.documents import (
     MAX_SEQUENCE,
     DocumentFormat,
@@ -30,6 +35,7 @@
 )
 from turmericmast.platform.settings import load_instance_settings
 from turmericmast.settings import parse_settings
+from turmericmast.web.pageserver import make_page_server
 from turmericmast.wire.codec import decode, encode
 from turmericmast.wire.feedpacking import pack_feed, unpack_feed
 
@@ -377,3 +383,62 @@
         shown = read(text).failure().show()
         self.assertRegex(shown, 'not valid JSON|nested deeper than 32')
         self.assertLess(len(shown), 400)
+
+
+MAX_BODY_BYTES = 4_194_304
+"""Bytes that a core member takes at the operators' port."""
+
+
+class OddReportOverHttpTest(unittest.IsolatedAsyncioTestCase):
+    """A core member refuses odd reports, counts them and goes on.
+
+    Guards against answers that say that the member has failed, and against a
+    member that does not take the reports of others any more.
+    """
+
+    @parameterized.expand(
+        [
+            ('deep', 'i-1', DEEP.encode()),
+            ('number', 'i-1', _replaced('born', '1e400')),
+            ('port', 'i-1', _replaced('address', '"10.0.0.1:65536"')),
+            ('surrogate', 'i-1', _replaced('info.zone', r'"\ud800"')),
+            ('id', 'i-1%0d%0aX-Own:1', encoded(REPORT)),
+            ('id_that_is_no_text', 'i-%ff', encoded(REPORT)),
+        ]
+    )
+    async def test_report(
+        self, _name: str, target_id: str, body: bytes
+    ) -> None:
+        operations = unittest.mock.Mock()
+        operations.report_target = unittest.mock.AsyncMock(
+            return_value=Success('')
+        )
+        metrics = Metrics()
+        server = make_page_server(
+            make_application(operations, metrics), MAX_BODY_BYTES
+        )
+        sock, port = bind_unused_port()
+        server.add_socket(sock)
+        statuses = [
+            await _put(port, f'/-/instances/{path}', report)
+            for path, report in ((target_id, body), ('i-2', encoded(REPORT)))
+        ]
+        server.stop()
+        self.assertEqual(statuses, [400, 200])
+        self.assertEqual(operations.report_target.call_count, 1)
+        if '%ff' not in target_id:
+            self.assertIn(
+                'orders_total{page="instances",status="400"} 1',
+                metrics.render(),
+            )
+
+
+async def _put(port: int, path: str, body: bytes) -> int:
+    with contextlib.closing(AsyncHTTPClient(force_instance=True)) as client:
+        answer = await client.fetch(
+            f'http://127.0.0.1:{port}{path}',
+            method='PUT',
+            body=body,
+            raise_error=False,
+        )
+    return int(answer.code)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -129,6 +129,21 @@
             with self.subTest(name):
                 self.assertTrue(dataclasses.is_dataclass(find_class(name)))
 
+    # Guards against a process that runs out of stack while it decodes.
+    @parameterized.expand(
+        [
+            ('structs', b'\xfc', b'\x1c'),
+            ('lists', b'\xf9', b'\x19'),
+            ('maps', b'\xfb', b'\x01\xcc'),
+        ]
+    )
+    def test_deep_nesting_fails_to_decode(
+        self, _name: str, field: bytes, again: bytes
+    ) -> None:
+        octets = field + again * 1_000_000
+        self.assertIsInstance(codec.decode(octets), Failure)
+        self.assertIsInstance(codec.decode_envelope(octets), Failure)
+
     @settings(derandomize=True, max_examples=400)
     @given(st.binary(max_size=200))
     def test_random_octets_fail_to_decode(self, octets: bytes) -> None:
