Edges: targets that say they are leaving get no more requests

Callers saw nothing yet: the header is new in the platform. A target that was about to stop got requests until the core listed it as leaving, or until its connections failed.

Cause: the heads of answers were read for the load and the request's id only.

Change: balance/departure.py holds what one start of a target has said. The head of the first such answer, of a request or a health check, takes the target out at once; Edge.may_send asks again right before a send. The news go to the near instances with the start of the target and the age of the first answer (LoadNews, new optional field 6). While no other target may be sent to, a leaving one is the last resort until 0.25 s before the drain time ends, on a connection of its own. Answers to other requests, of other targets (421), or encoded ones say nothing. One line (target_leaving), counters requests_withheld, target_departures, gauge targets_leaving, obstacle 'leaving', and the cause in the reason of a refusal.

Existing tests changed: Edge.may_send takes the time (tests/test_edge.py); the header joins the names that may stand in the adapter only (tests/test_platform.py).

--- a/src/turmericmast/balance/candidate.py
+++ b/src/turmericmast/balance/candidate.py
@@ -49,6 +49,8 @@
     """Targets that were already tried."""
     is_download: bool = False
     """Whether a large answer is expected."""
+    allows_leaving: bool = False
+    """Whether a leaving target may serve, since no other one can."""
 
 
 @final
@@ -59,3 +61,5 @@
     view: TargetView
     distance: Distance
     score: float
+    is_last_resort: bool = False
+    """Whether it is leaving and was chosen because no other one can serve."""
--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -6,7 +6,7 @@
 
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.targetview import TargetView
-from turmericmast.ids import DomainId, Millis, Seconds, TargetId
+from turmericmast.ids import Born, DomainId, Millis, Seconds, TargetId
 from turmericmast.units import MILLIS_PER_SECOND
 
 PERCENT = 100
@@ -40,6 +40,18 @@
     """Milliseconds until the target is warm; 0 when it is."""
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetDeparture:
+    """That one incarnation of a target is leaving."""
+
+    target: TargetId
+    born: Born
+    """When this incarnation started."""
+    age_ms: Millis
+    """Milliseconds since it first said so."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadNews:
@@ -55,6 +67,8 @@
     """Targets to which the sender is about to send a request."""
     lost: tuple[TargetId, ...] = ()
     """Targets at which a probe or connection of the sender was lost."""
+    leaving: tuple[TargetDeparture, ...] = ()
+    """Targets that say that they are leaving."""
 
 
 def describe_load(view: TargetView, now: Seconds) -> TargetLoad:
@@ -72,6 +86,12 @@
     )
 
 
+def describe_departure(view: TargetView, now: Seconds) -> TargetDeparture:
+    """Return the departure of a leaving target, to send to peers."""
+    age_ms = int(view.departure.age(now) * MILLIS_PER_SECOND)
+    return TargetDeparture(view.record.target, view.record.born, Millis(age_ms))
+
+
 def merge_load(view: TargetView, load: TargetLoad, now: Seconds) -> bool:
     """Update a view from a peer's report.
 
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -1,6 +1,7 @@
 """Selection among the targets of one service at one instance."""
 
-from collections.abc import Collection, Iterator
+import itertools
+from collections.abc import Collection, Iterable, Iterator
 from typing import final
 
 from turmericmast.balance.admission import (
@@ -12,6 +13,7 @@
 )
 from turmericmast.balance.candidate import Candidate, Locality, Requirements
 from turmericmast.balance.coldlimit import ColdRateLimiter
+from turmericmast.balance.openness import open_targets
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.requestrate import RequestRate
 from turmericmast.balance.retrybudget import SharedRetryBudget
@@ -152,8 +154,9 @@
         """Return the targets that may serve a request once they are probed."""
         return [
             view
-            for distance in Distance
-            for view in self._permitted(requirements, distance)
+            for view in open_targets(
+                self.permitted(requirements), requirements, now
+            )
             if view.eligibility(now) is Eligibility.unverified
         ]
 
@@ -172,7 +175,12 @@
         """Return the eligible target with the best score up to a distance."""
         estimate = self.estimate(requirements, now)
         candidates = (
-            Candidate(view, distance, score(view, distance, estimate, now))
+            Candidate(
+                view,
+                distance,
+                score(view, distance, estimate, now),
+                is_last_resort=view.departure.has_begun,
+            )
             for distance in Distance
             if distance <= max_distance
             for view in self._not_ejected(requirements, distance, now)
@@ -275,11 +283,34 @@
             return self._retry_delays.next_delay(until_room)
         ejections = (
             view.ejected_until() - now
-            for distance in Distance
-            for view in self._permitted(requirements, distance)
+            for view in self.permitted(requirements)
+            if not view.departure.has_begun
         )
         return limited_delay(min(ejections, default=MAX_DELAY))
 
+    def permitted(
+        self,
+        requirements: Requirements,
+        distances: Iterable[Distance] = Distance,
+    ) -> Iterator[TargetView]:
+        """Yield the targets to which the operators permit a request to go."""
+        for view in itertools.chain.from_iterable(
+            self._views_by_distance[distance].values() for distance in distances
+        ):
+            record = view.record
+            is_home = not requirements.home_regions or view.region in (
+                requirements.home_regions
+            )
+            is_available = record.phase is TargetPhase.ready and (
+                record.domain not in self.evacuated
+            )
+            if (
+                is_home
+                and is_available
+                and record.target not in requirements.avoid
+            ):
+                yield view
+
     def _fresh_age(
         self, requirements: Requirements, distance: Distance
     ) -> float:
@@ -296,30 +327,14 @@
         ideal = ideal_score(Distance.domain, estimate)
         return best.score >= ideal - GOOD_MARGIN
 
-    def _permitted(
-        self, requirements: Requirements, distance: Distance
-    ) -> Iterator[TargetView]:
-        for view in self._views_by_distance[distance].values():
-            record = view.record
-            is_home = not requirements.home_regions or view.region in (
-                requirements.home_regions
-            )
-            is_available = record.phase is TargetPhase.ready and (
-                record.domain not in self.evacuated
-            )
-            if (
-                is_home
-                and is_available
-                and record.target not in requirements.avoid
-            ):
-                yield view
-
     def _not_ejected(
         self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> Iterator[TargetView]:
         return (
             view
-            for view in self._permitted(requirements, distance)
+            for view in open_targets(
+                self.permitted(requirements, (distance,)), requirements, now
+            )
             if view.eligibility(now) is not Eligibility.ejected
         )
 
@@ -337,13 +352,15 @@
         )
 
 
-def _preference(candidate: Candidate) -> tuple[float, float]:
+def _preference(candidate: Candidate) -> tuple[bool, float, float]:
     """Return the sort key of a candidate: its score, then its idle time.
 
-    Among equal scores the least recently used target comes first, so that a
-    new target gets requests too.
+    Any target that stays comes before those that leave. Among equal scores
+    the least recently used target comes first, so that a new target gets
+    requests too.
     """
     return (
+        not candidate.is_last_resort,
         round(candidate.score, SCORE_DIGITS),
         -candidate.view.sent_at,
     )
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -4,10 +4,12 @@
 import math
 from typing import final
 
+from turmericmast.balance.departure import Departure, DepartureStage
 from turmericmast.balance.load import LoadReport
 from turmericmast.call.call import Loss
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.ids import RegionId, Seconds
+from turmericmast.instancesettings import Bounds
 
 VERIFICATION_LIFETIME = 1.0
 """Seconds for which a target's own statement that it is up remains valid.
@@ -40,6 +42,16 @@
     """Neither requests nor probes until the ejection ends."""
 
 
+@final
+class Withholding(enum.Enum):
+    """What a target itself has said that keeps requests from it.
+
+    The values are metric labels.
+    """
+
+    leaving = 'leaving'
+
+
 @final
 class TargetView:
     """What this instance has learned of one target.
@@ -53,8 +65,12 @@
         record: TargetRecord,
         region: RegionId,
         spread_rank: float = 0,
+        drain: Seconds = Bounds.drain,
     ) -> None:
-        """Begin unverified and without a load report."""
+        """Begin unverified and without a load report.
+
+        ``drain`` is how long a leaving target takes requests.
+        """
         self.record = record
         self.region = region
         self.spread_rank = spread_rank
@@ -71,6 +87,7 @@
         """When this instance last sent a request to the target."""
         self.is_unhealthy = False
         """Whether the last health check returned another status than 200."""
+        self.departure = Departure(drain)
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
         self._verified_at = -math.inf
@@ -91,6 +108,19 @@
             return Eligibility.unverified
         return Eligibility.warm
 
+    def withheld_by(
+        self, now: Seconds, *, as_last_resort: bool = False
+    ) -> Withholding | None:
+        """Return why the target wants no request of this instance now.
+
+        ``as_last_resort`` tells that no other target can serve the request.
+        """
+        stage = self.departure.stage(now)
+        if stage is DepartureStage.staying:
+            return None
+        is_open = as_last_resort and stage is DepartureStage.last_resort
+        return None if is_open else Withholding.leaving
+
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
         return now - self._verified_at
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -142,17 +142,27 @@
         config = self._config(service)
         return config.health_path if config else ''
 
-    def may_send(self, view: TargetView) -> bool:
+    def may_send(
+        self,
+        view: TargetView,
+        now: Seconds,
+        *,
+        as_last_resort: bool = False,
+    ) -> bool:
         """Tell whether a request may still be sent to a chosen target.
 
         The target may have been removed, restarted, drained or evacuated
-        since it was chosen.
+        since it was chosen, or may have asked for no more requests.
         """
         record = view.record
         known = self._view_by_target.get(record.target)
         is_ready = view.record.phase is TargetPhase.ready
+        withheld_by = view.withheld_by(now, as_last_resort=as_last_resort)
         return (
-            known is view and is_ready and (record.domain not in self.evacuated)
+            known is view
+            and is_ready
+            and (record.domain not in self.evacuated)
+            and withheld_by is None
         )
 
     def resolve(
@@ -229,7 +239,7 @@
         self._remove_target(record.target)
         region = self._region_by_domain.get(record.domain, RegionId(''))
         spread_rank = affinity(record.target, self.record.instance)
-        view = TargetView(record, region, spread_rank)
+        view = TargetView(record, region, spread_rank, self.bounds.drain)
         self._view_by_target[record.target] = view
         self._pool(record.service).add(view)
         self.membership.assignments.add_target(record, region)
--- a/src/turmericmast/edge/explanation.py
+++ b/src/turmericmast/edge/explanation.py
@@ -17,6 +17,8 @@
 
     draining = 'draining'
     """It has reported that it is leaving."""
+    leaving = 'leaving'
+    """Its answers say that it leaves: at most the last resort for a while."""
     evacuated = 'evacuated'
     """Operators have taken its failure domain out."""
     ejected = 'ejected'
@@ -52,7 +54,8 @@
     report_age: float
     """Seconds since its newest load report; infinite without one."""
     seconds_left: float
-    """Seconds until an ejection or cold start ends, 0 without one."""
+    """Seconds until an ejection, a cold start or the use of a leaving target
+    ends, 0 without one."""
     failure_share: float
     """Recent share of failed answers, from 0 to 1."""
 
@@ -65,14 +68,22 @@
         view,
         _find_obstacle(edge, view, now),
         view.report_age(now),
-        max(view.ejected_until() - now, view.cold_time_left(now), 0),
+        _seconds_left(view, now),
         view.failure_share(now),
     )
 
 
+def _seconds_left(view: TargetView, now: Seconds) -> float:
+    if view.departure.has_begun:
+        return view.departure.time_left(now)
+    return max(view.ejected_until() - now, view.cold_time_left(now), 0)
+
+
 def _find_obstacle(edge: Edge, view: TargetView, now: Seconds) -> Obstacle:
     if view.record.phase is TargetPhase.draining:
         return Obstacle.draining
+    if view.departure.has_begun:
+        return Obstacle.leaving
     if view.record.domain in edge.evacuated:
         return Obstacle.evacuated
     by_eligibility = _OBSTACLE_BY_ELIGIBILITY.get(view.eligibility(now))
--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -8,7 +8,9 @@
 
 from turmericmast.balance.news import (
     LoadNews,
+    TargetDeparture,
     TargetLoad,
+    describe_departure,
     describe_load,
     merge_load,
 )
@@ -17,6 +19,7 @@
 from turmericmast.cluster.records import EdgeRecord, TargetPhase
 from turmericmast.edge.edge import Edge
 from turmericmast.ids import Seconds, ServiceId, TargetId
+from turmericmast.units import MILLIS_PER_SECOND
 
 REVERIFY_AFTER = 0.6
 """Age in seconds from which the verification of a target is renewed.
@@ -108,6 +111,7 @@
     ) -> Iterator[Parcel]:
         """Yield what tells the other instances the load of a target.
 
+        Its departure is told again each time, since datagrams may be lost.
         With ``is_lost``, it reports the target as lost instead: a probe or
         connection of this instance failed.
         """
@@ -115,6 +119,7 @@
         return self._share(
             loads=() if is_lost else (describe_load(view, now),),
             lost=(target,) if is_lost else (),
+            leaving=tuple(_describe_departures((view,), now)),
         )
 
     def announce_request(self, view: TargetView) -> Iterator[Parcel]:
@@ -122,8 +127,11 @@
         target = view.record.target
         return self._share(started=(target,))
 
-    def receive(self, news: LoadNews, now: Seconds) -> None:
-        """Update the views from a message of another instance."""
+    def receive(self, news: LoadNews, now: Seconds) -> list[TargetView]:
+        """Update the views from a message of another instance.
+
+        Return the targets that were not known to be leaving.
+        """
         for load in news.loads:
             self._merge_load(load, now)
         for view in self._known_views(self._started_by_others(news)):
@@ -132,6 +140,10 @@
             lost_view.mark_unverified()
         if news.hand_on:
             self._relay.add(news)
+        found = (
+            self._merge_departure(departure, now) for departure in news.leaving
+        )
+        return list(filter(None, found))
 
     def forward(self, now: Seconds) -> Iterator[Parcel]:
         """Yield the collected news for all other instances, if it is time."""
@@ -150,6 +162,9 @@
                 loads=loads,
                 started=batch.started,
                 lost=batch.lost,
+                leaving=tuple(
+                    _describe_departures(self._known_views(batch.leaving), now)
+                ),
             )
             yield Parcel(news, self._peers)
 
@@ -158,6 +173,7 @@
         loads: tuple[TargetLoad, ...] = (),
         started: tuple[TargetId, ...] = (),
         lost: tuple[TargetId, ...] = (),
+        leaving: tuple[TargetDeparture, ...] = (),
     ) -> Iterator[Parcel]:
         self._update_peers()
         delegate = self._delegate
@@ -171,6 +187,7 @@
             loads=loads,
             started=started,
             lost=lost,
+            leaving=leaving,
         )
         if is_relayed and delegate.instance == own_record.instance:
             self._relay.add(news)
@@ -194,6 +211,16 @@
         if view:
             merge_load(view, load, now)
 
+    def _merge_departure(
+        self, departure: TargetDeparture, now: Seconds
+    ) -> TargetView | None:
+        """Return the view if the departure of this incarnation was unknown."""
+        view = self._edge.view(departure.target)
+        if view is None or view.record.born != departure.born:
+            return None
+        began_at = Seconds(now - departure.age_ms / MILLIS_PER_SECOND)
+        return view if view.departure.begin(began_at) else None
+
     def _known_views(self, targets: Iterable[TargetId]) -> Iterable[TargetView]:
         views = map(self._edge.view, targets)
         return [view for view in views if view]
@@ -211,7 +238,10 @@
         is_stale = view.verification_age(now) > REVERIFY_AFTER or (
             needs_load and view.report_age(now) > PROBE_AFTER
         )
-        is_probe_allowed = now - view.probed_at >= PROBE_AFTER
+        is_probe_allowed = (
+            now - view.probed_at >= PROBE_AFTER
+            and view.withheld_by(now, as_last_resort=True) is None
+        )
         return (
             is_in_use
             and is_stale
@@ -249,6 +279,7 @@
     loads: tuple[TargetId, ...]
     started: tuple[TargetId, ...]
     lost: tuple[TargetId, ...]
+    leaving: tuple[TargetId, ...]
 
 
 @final
@@ -262,6 +293,7 @@
         self._loads: dict[TargetId, None] = {}
         self._started: list[TargetId] = []
         self._lost: dict[TargetId, None] = {}
+        self._leaving: dict[TargetId, None] = {}
 
     def add(self, news: LoadNews) -> None:
         """Add the news of one instance."""
@@ -270,6 +302,9 @@
         )
         self._started.extend(news.started)
         self._lost.update(dict.fromkeys(news.lost))
+        self._leaving.update(
+            dict.fromkeys(departure.target for departure in news.leaving),
+        )
 
     def take(self) -> list[_Batch]:
         """Return and forget what was collected."""
@@ -279,15 +314,28 @@
                 _split(self._loads),
                 _split(self._started),
                 _split(self._lost),
+                _split(self._leaving),
                 fillvalue=(),
             )
         ]
         self._loads.clear()
         self._started.clear()
         self._lost.clear()
+        self._leaving.clear()
         return batches
 
 
+def _describe_departures(
+    views: Iterable[TargetView], now: Seconds
+) -> Iterator[TargetDeparture]:
+    """Yield the departures of those targets that are leaving."""
+    return (
+        describe_departure(view, now)
+        for view in views
+        if view.departure.has_begun
+    )
+
+
 def _split(targets: Iterable[TargetId]) -> Iterator[tuple[TargetId, ...]]:
     """Yield the targets in tuples that fit into one datagram."""
     rest = iter(targets)
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.statement import TargetStatement
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.numerals import parse_whole
 from turmericmast.units import MILLIS_PER_SECOND
@@ -33,6 +34,8 @@
 """Running and waiting requests, slots and, optionally, slowness."""
 COLD_TIME_HEADER = 'X-Warmup-Ms'
 """Milliseconds that the target stays cold."""
+LEAVING_HEADER = 'Server-Leaving'
+"""Set to ``1`` in each response of a target that is leaving."""
 USUAL_SLOWNESS = 100.0
 """Slowness, the fourth figure of the load, on an undisturbed host."""
 MISDIRECTED_STATUS = 421
@@ -86,6 +89,7 @@
             is_not_run=NOT_RUN_HEADER in headers or is_misdirected,
             is_misdirected=is_misdirected,
             load=_load(headers.get(LOAD_HEADER, '')),
+            statement=_statement(headers),
         )
 
     def read_health(self, headers: HTTPHeaders) -> HealthMetadata:
@@ -99,9 +103,16 @@
             _load(headers.get(LOAD_HEADER, '')),
             is_not_run=NOT_RUN_HEADER in headers,
             answers_request=REQUEST_ID_HEADER in headers,
+            statement=_statement(headers),
         )
 
 
+def _statement(headers: HTTPHeaders) -> TargetStatement:
+    return TargetStatement(
+        is_leaving='1' in map(str.strip, headers.get_list(LEAVING_HEADER)),
+    )
+
+
 def _load(text: str) -> LoadReport | None:
     figures = text.split(',')
     if len(figures) < _MIN_LOAD_FIGURES or not all(map(_is_number, figures)):
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -130,11 +130,16 @@
         metrics=process.metrics,
         events=process.events,
     )
+    process.metrics.gauge('targets_leaving', lambda: _count_leaving(edge))
     process.metrics.gauge('requests_running', lambda: context.running)
     process.metrics.gauge('cluster_index', lambda: edge.index)
     return context
 
 
+def _count_leaving(edge: Edge) -> int:
+    return sum(view.departure.has_begun for view in edge.views())
+
+
 def _apply_nothing(settings: Any) -> None:
     """Do nothing: users of settings that may change read them each time."""
 
--- a/src/turmericmast/programs/why.py
+++ b/src/turmericmast/programs/why.py
@@ -13,6 +13,7 @@
 """Milliseconds before a request's first event from which context is shown."""
 CONTEXT_EVENTS = frozenset(
     (
+        'target_leaving',
         'target_trust',
         'core_contact',
         'routes',
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -1,6 +1,7 @@
 """One attempt to send a request to a target."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import final
 
@@ -8,6 +9,7 @@
 from turmericmast.balance.hedge import Hedge
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
+from turmericmast.balance.statement import TargetStatement
 from turmericmast.call.call import Loss
 from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
@@ -39,6 +41,7 @@
         self.candidate = candidate
         self.began_at = context.clock.now()
         self.hedge = Hedge(candidate, self.began_at)
+        response.on_statement = self._apply_statement
         self._context = context
         self._pool = pool
         self._profile = profile
@@ -72,6 +75,9 @@
         self._pool.begin_request(view, self.began_at)
         self._context.load_sharing.announce_request(view)
         request = make_request(self.candidate, self.resume)
+        if self.candidate.is_last_resort:
+            # A leaving target may close a kept connection at any moment.
+            request = dataclasses.replace(request, uses_kept_connection=False)
         self._sent_octets = max(request.body_size, 0)
         transfer = Transfer(
             self._context.curl,
@@ -137,5 +143,17 @@
             self._profile.learn_size(octets)
 
     def _may_send(self) -> bool:
-        may_send = self._context.edge.may_send(self.candidate.view)
+        view = self.candidate.view
+        now = self._context.clock.now()
+        as_last_resort = self.candidate.is_last_resort
+        cause = view.withheld_by(now, as_last_resort=as_last_resort)
+        if cause:
+            self._context.metrics.count('requests_withheld', cause=cause.value)
+        may_send = self._context.edge.may_send(
+            view, now, as_last_resort=as_last_resort
+        )
         return may_send and not self._is_cancelled
+
+    def _apply_statement(self, statement: TargetStatement) -> None:
+        view = self.candidate.view
+        self._context.statements.apply_response(view, statement)
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -13,6 +13,7 @@
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
+from turmericmast.web.targetstatements import TargetStatements
 
 
 @final
@@ -30,6 +31,18 @@
     metrics: Metrics
     events: EventLog
     first_routes: FirstRoutes = dataclasses.field(default_factory=FirstRoutes)
+    statements: TargetStatements = dataclasses.field(init=False)
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
+
+    def __post_init__(self) -> None:
+        """Create what follows from the other objects."""
+        self.statements = TargetStatements(
+            self.load_sharing,
+            self.clock,
+            self.metrics,
+            self.events,
+        )
+        self.prober.on_statement = self.statements.apply_health
+        self.load_sharing.on_departure = self.statements.apply_news
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -23,6 +23,7 @@
     target_failed = 'request_failed_at_target'
     eligibility_changed = 'target_trust'
     target_crashed = 'target_crashed'
+    target_leaving = 'target_leaving'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -312,7 +312,11 @@
             self._context.clock.now(),
             self._selector.last_best,
         )
-        self._refuse(edgerefusals.no_target(self._pool.service, retry_delay))
+        self._refuse(
+            edgerefusals.no_target(
+                self._pool.service, retry_delay, self._selector.withheld_by
+            )
+        )
 
     def _deliver(self, response: EdgeResponse) -> None:
         if response.is_buffered and not response.forward_buffered():
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -1,7 +1,9 @@
 """Error responses that an edge generates itself."""
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
+from turmericmast.balance.targetview import Withholding
 from turmericmast.call.call import Call, Loss, Ran
 from turmericmast.ids import Seconds
 from turmericmast.units import MILLIS_PER_SECOND
@@ -36,11 +38,20 @@
     )
 
 
-def no_target(service: str, retry_delay: float) -> Problem:
-    """Return the problem for a request that no target can serve in time."""
+def no_target(
+    service: str,
+    retry_delay: float,
+    withheld_by: Iterable[Withholding] = (),
+) -> Problem:
+    """Return the problem for a request that no target can serve in time.
+
+    ``withheld_by`` tells why some targets want no requests.
+    """
+    causes = ', '.join(sorted(cause.value for cause in withheld_by))
+    note = f'; some targets want no requests: {causes}' if causes else ''
     return _unavailable(
         'No target in time',
-        f'no target of service {service} can serve the request in time',
+        f'no target of service {service} can serve the request in time{note}',
         'choose target',
         retry_delay,
         peer=service,
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.statement import TargetStatement
 from turmericmast.call.call import Loss
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
 from turmericmast.web.relay import Relay
@@ -65,6 +66,8 @@
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._is_forwarded = False
+        self.on_statement: Callable[[TargetStatement], None] = _ignore_statement
+        """Called with the statement in the head of the target's response."""
         self.rejection: Rejection | None = None
         self._buffered: list[bytes] = []
 
@@ -87,6 +90,8 @@
             return False
         self._head = head
         self._metadata = metadata
+        if not metadata.is_misdirected:
+            self.on_statement(metadata.statement)
         if not is_success:
             return True
         self._is_forwarded = self._claim(self)
@@ -168,3 +173,7 @@
         return self._head is not None and (
             self._head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         )
+
+
+def _ignore_statement(statement: TargetStatement) -> None:
+    """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.statement import NO_STATEMENT, TargetStatement
 from turmericmast.ids import Seconds, TargetId
 
 
@@ -36,6 +37,8 @@
     """Whether the request reached another target than the intended one."""
     load: LoadReport | None
     """Load report of the target, ``None`` if it sent no valid one."""
+    statement: TargetStatement = NO_STATEMENT
+    """What the target states about itself."""
 
 
 @final
@@ -53,6 +56,8 @@
     """Whether the target was too busy to run the health check."""
     answers_request: bool = False
     """Whether it is the response to an earlier request, not to this check."""
+    statement: TargetStatement = NO_STATEMENT
+    """What the target states about itself."""
 
 
 class HeaderFormat(abc.ABC):
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -1,7 +1,7 @@
 """Background probes, and load gossip between instances over UDP."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from types import TracebackType
 from typing import Any, Self, final
 
@@ -30,6 +30,8 @@
         metrics: Metrics,
     ) -> None:
         """Prepare for ``edge``; ``open`` starts."""
+        self.on_departure: Callable[[TargetView], None] = _ignore_departure
+        """Called when another instance tells that a target is leaving."""
         self._edge = edge
         self._gossip = LoadGossip(edge)
         self._prober = prober
@@ -97,4 +99,10 @@
 
     def _receive(self, message: Any) -> None:
         if isinstance(message, LoadNews):
-            self._gossip.receive(message, self._clock.now())
+            leaving = self._gossip.receive(message, self._clock.now())
+            for view in leaving:
+                self.on_departure(view)
+
+
+def _ignore_departure(view: TargetView) -> None:
+    """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -1,10 +1,11 @@
 """Probes (health checks) of targets, which also return their load."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import Protocol, final
 
+from turmericmast.balance.statement import TargetStatement
 from turmericmast.balance.targetview import Eligibility, TargetView
 from turmericmast.call.call import Loss
 from turmericmast.clock import Clock
@@ -56,6 +57,10 @@
         self._metrics = metrics
         self.on_result: ResultCallback = _ignore_result
         """Called after each probe, except where another target responded."""
+        self.on_statement: Callable[[TargetView, TargetStatement], None] = (
+            _ignore_statement
+        )
+        """Called with the statement in each response of a target itself."""
         self._probe_by_target: dict[TargetId, asyncio.Task[bool]] = {}
 
     async def probe(
@@ -116,6 +121,7 @@
             timeout=PROBE_TIMEOUT,
             body=None,
             body_size=0,
+            uses_kept_connection=not view.departure.has_begun,
         )
         transfer = Transfer(self._curl, request, sink, _always)
         loss = await transfer.run()
@@ -159,6 +165,7 @@
         if metadata.target and metadata.target != view.record.target:
             view.eject_misplaced()
             return False
+        self.on_statement(view, metadata.statement)
         if metadata.load:
             view.update_load(metadata.load, now)
         if not metadata.is_not_run:
@@ -203,5 +210,9 @@
     return True
 
 
+def _ignore_statement(view: TargetView, statement: TargetStatement) -> None:
+    """Do nothing; the default until a callback is set."""
+
+
 def _ignore_result(view: TargetView, *, is_lost: bool = False) -> None:
     """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -1,12 +1,14 @@
 """Selection of a target for a request, with probes of stale targets."""
 
-from collections.abc import Sequence
+import dataclasses
+from collections.abc import Collection, Sequence
 from typing import final
 
 from turmericmast.balance.candidate import Candidate, Requirements
+from turmericmast.balance.openness import has_last_resort, withholdings
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
-from turmericmast.balance.targetview import TargetView
+from turmericmast.balance.targetview import TargetView, Withholding
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -40,12 +42,22 @@
         self._pool = pool
         self.last_best: Candidate | None = None
         """The best target at the last selection, also if it was too slow."""
+        self.withheld_by: Collection[Withholding] = ()
+        """Why some targets wanted no requests at the last selection."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
         """Return the best target, ``None`` if the request is to be refused."""
+        self._count_withheld(requirements)
         best = await self._search(requirements)
-        self.last_best = best
         now = self._context.clock.now()
+        if best is None and has_last_resort(
+            self._pool.permitted(requirements), now
+        ):
+            best = await self._search(
+                dataclasses.replace(requirements, allows_leaving=True)
+            )
+            now = self._context.clock.now()
+        self.last_best = best
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
 
@@ -55,6 +67,13 @@
         if path:
             self._context.prober.start(candidate.view, path)
 
+    def _count_withheld(self, requirements: Requirements) -> None:
+        now = self._context.clock.now()
+        permitted = self._pool.permitted(requirements)
+        self.withheld_by = withholdings(permitted, now)
+        for cause in self.withheld_by:
+            self._context.metrics.count('requests_withheld', cause=cause.value)
+
     async def _search(self, requirements: Requirements) -> Candidate | None:
         """Return the best target; probe unless a good one is known."""
         now = self._context.clock.now()
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -492,6 +492,13 @@
   8: i32 cold_ms
 }
 
+/** That one incarnation of a target is leaving. */
+struct TargetDeparture {
+  1: string target
+  2: i64 born
+  3: i64 age_ms
+}
+
 /** Load reports from one edge to others (gossip). */
 struct LoadNews {
   1: string domain
@@ -499,6 +506,7 @@
   3: list<TargetLoad> loads
   4: list<string> started
   5: list<string> lost
+  6: list<TargetDeparture> leaving = []
 }
 
 /** A version of the route document; ``source`` is compressed. */
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -105,7 +105,7 @@
         restarted = dataclasses.replace(target('1'), born=11)
         own_edge.apply(feed(targets=(restarted,), index=2), None)
         self.assertIsNot(own_edge.view('1'), before)
-        self.assertFalse(own_edge.may_send(before))
+        self.assertFalse(own_edge.may_send(before, NOW))
 
     @parameterized.expand([((), True), (('tirol-a',), False)])
     def test_evacuation(
@@ -117,7 +117,7 @@
         )
         view = own_edge.view('1')
         assert view is not None
-        self.assertIs(own_edge.may_send(view), may_send)
+        self.assertIs(own_edge.may_send(view, NOW), may_send)
 
 
 class RouteTableTest(unittest.TestCase):
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -174,6 +174,7 @@
             ('unhealthy', 'unhealthy', Obstacle.unhealthy),
             ('full', 'full', Obstacle.full),
             ('evacuated', 'evacuated', Obstacle.evacuated),
+            ('leaving', 'leaving', Obstacle.leaving),
         ]
     )
     def test_obstacle(self, _name: str, event: str, expected: Obstacle) -> None:
@@ -181,6 +182,8 @@
         view = next(iter(edge.views()))
         if event != 'nothing':
             view.verify(3 if event == 'cold' else 0, NOW)
+        if event == 'leaving':
+            view.departure.begin(NOW)
         view.is_unhealthy = event == 'unhealthy'
         if event == 'evacuated':
             edge.evacuated = frozenset((view.record.domain,))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -33,6 +33,7 @@
     'X-Not-Executed',
     'X-Server-Load',
     'X-Warmup-Ms',
+    'Server-Leaving',
     'warmup_left_s',
     'warmup_per_s',
     'path_prefix',
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -42,6 +42,14 @@
         ]
         self.assertEqual(times_found, times)
 
+    @parameterized.expand([('target_leaving',)])
+    def test_statements_of_targets_are_shown(self, name: str) -> None:
+        statement = _event(2800, 'e1', name, target='t1')
+        of_another = _event(2800, 'e1', name, target='t9')
+        explanation = explain_request([*EVENTS, statement, of_another], 'r')
+        self.assertIn(statement, explanation)
+        self.assertNotIn(of_another, explanation)
+
     @parameterized.expand(
         [('some_events', EVENTS, '1000 to 9000'), ('no_events', [], 'no')]
     )
