Edges: a target that asks for a pause gets nothing until it ends

Callers saw nothing yet: the platform lets a target that rejects with 503 add the time for which it wants nothing. Edges ejected it for 0.05 s and went on asking, and hedges and health checks never stopped.

Cause: the time was not read.

Change: balance/pause.py, per start of a target and instance. From the head of the 503 on nothing is sent: no request, retry, hedge or health check; what is connecting is withheld at Edge.may_send, and a withheld health check counts neither as lost nor as a crash. At the end each instance waits up to a tenth of the pause longer, by its own rank, and begins with one request at a time. Times that are no plain decimal are passed over, those over 300 s are cut, both counted (target_pauses) and logged (target_paused). Callers whose targets are all paused are refused at once; their Retry-After reaches to the first return and is spread over 0.5 s, 1 s at most. Obstacle 'paused', gauge targets_paused; the reason of a refusal names the cause. A health response without the name of its sender says nothing about leaving.

--- a/src/turmericmast/balance/admission.py
+++ b/src/turmericmast/balance/admission.py
@@ -12,6 +12,8 @@
 """Longest time in seconds after which a refused caller may retry."""
 MIN_SPREAD = 0.5
 """Shortest delay, as a fraction of the time until there is room."""
+OPENING_SPREAD = 0.5
+"""Seconds over which callers return once a target takes requests again."""
 GOLDEN_RATIO = 0.618
 """Step between the delays of two callers, so that any few are spread evenly."""
 
@@ -52,9 +54,21 @@
 
         ``until_room`` is the time until the best target has room.
         """
+        return limited_delay(until_room * (MIN_SPREAD + self._next_spread()))
+
+    def delay_after(self, until_open: float) -> float:
+        """Return the delay of another caller, in seconds.
+
+        It does not end before ``until_open``, when the first target takes
+        requests again.
+        """
+        return limited_delay(until_open + OPENING_SPREAD * self._next_spread())
+
+    def _next_spread(self) -> float:
+        """Return a number from 0 to 1, far from the previous ones."""
         self._refused += 1
         spread, _ = math.modf(self._refused * GOLDEN_RATIO)
-        return limited_delay(until_room * (MIN_SPREAD + spread))
+        return spread
 
 
 def limited_delay(delay: float) -> float:
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -276,17 +276,22 @@
         """Return the seconds after which a refused caller should retry.
 
         It is about the time until ``best``, the best target, has room, and
-        until the first permitted target is no longer ejected without one.
+        until the first permitted target is open again without one.
         """
         if best:
             until_room = self.excess_latency(requirements, best, now)
             return self._retry_delays.next_delay(until_room)
-        ejections = (
-            view.ejected_until() - now
+        staying = [
+            view
             for view in self.permitted(requirements)
             if not view.departure.has_begun
+        ]
+        until_open = min(
+            (view.time_until_open(now) for view in staying), default=MAX_DELAY
         )
-        return limited_delay(min(ejections, default=MAX_DELAY))
+        if any(view.pause.is_on(now) for view in staying):
+            return self._retry_delays.delay_after(until_open)
+        return limited_delay(until_open)
 
     def permitted(
         self,
@@ -340,6 +345,8 @@
 
     def _may_send(self, view: TargetView, now: Seconds) -> bool:
         eligibility = view.eligibility(now)
+        if not view.has_room_after_pause(now):
+            return False
         if eligibility is Eligibility.cold:
             is_own = view.record.target in self.cold_targets
             return is_own and self._cold_limiter(view).allows(now)
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -6,6 +6,7 @@
 
 from turmericmast.balance.departure import Departure, DepartureStage
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.pause import Pause
 from turmericmast.call.call import Loss
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.ids import RegionId, Seconds
@@ -50,6 +51,7 @@
     """
 
     leaving = 'leaving'
+    paused = 'paused'
 
 
 @final
@@ -88,6 +90,7 @@
         self.is_unhealthy = False
         """Whether the last health check returned another status than 200."""
         self.departure = Departure(drain)
+        self.pause = Pause(spread_rank)
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
         self._verified_at = -math.inf
@@ -116,10 +119,20 @@
         ``as_last_resort`` tells that no other target can serve the request.
         """
         stage = self.departure.stage(now)
-        if stage is DepartureStage.staying:
-            return None
-        is_open = as_last_resort and stage is DepartureStage.last_resort
-        return None if is_open else Withholding.leaving
+        is_open = stage is DepartureStage.staying or (
+            as_last_resort and stage is DepartureStage.last_resort
+        )
+        if not is_open:
+            return Withholding.leaving
+        return Withholding.paused if self.pause.is_on(now) else None
+
+    def has_room_after_pause(self, now: Seconds) -> bool:
+        """Tell whether the slow start after a pause, if any, has room."""
+        return self.pause.admits(self.in_flight, self.report.slots, now)
+
+    def time_until_open(self, now: Seconds) -> float:
+        """Return the seconds until an ejection and a pause have ended."""
+        return max(self._ejected_until - now, self.pause.time_left(now))
 
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
--- a/src/turmericmast/edge/explanation.py
+++ b/src/turmericmast/edge/explanation.py
@@ -19,6 +19,8 @@
     """It has reported that it is leaving."""
     leaving = 'leaving'
     """Its answers say that it leaves: at most the last resort for a while."""
+    paused = 'paused'
+    """It has rejected a request of this instance and asked for a pause."""
     evacuated = 'evacuated'
     """Operators have taken its failure domain out."""
     ejected = 'ejected'
@@ -54,8 +56,8 @@
     report_age: float
     """Seconds since its newest load report; infinite without one."""
     seconds_left: float
-    """Seconds until an ejection, a cold start or the use of a leaving target
-    ends, 0 without one."""
+    """Seconds until a pause, an ejection, a cold start or the use of a leaving
+    target ends, 0 without one."""
     failure_share: float
     """Recent share of failed answers, from 0 to 1."""
 
@@ -76,7 +78,7 @@
 def _seconds_left(view: TargetView, now: Seconds) -> float:
     if view.departure.has_begun:
         return view.departure.time_left(now)
-    return max(view.ejected_until() - now, view.cold_time_left(now), 0)
+    return max(view.time_until_open(now), view.cold_time_left(now), 0)
 
 
 def _find_obstacle(edge: Edge, view: TargetView, now: Seconds) -> Obstacle:
@@ -84,6 +86,8 @@
         return Obstacle.draining
     if view.departure.has_begun:
         return Obstacle.leaving
+    if view.pause.is_on(now):
+        return Obstacle.paused
     if view.record.domain in edge.evacuated:
         return Obstacle.evacuated
     by_eligibility = _OBSTACLE_BY_ELIGIBILITY.get(view.eligibility(now))
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -1,10 +1,12 @@
 """The platform's headers and statuses on requests and responses."""
 
+from collections.abc import Sequence
 from typing import final
 
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.pause import PauseRequest
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.numerals import parse_whole
@@ -36,6 +38,8 @@
 """Milliseconds that the target stays cold."""
 LEAVING_HEADER = 'Server-Leaving'
 """Set to ``1`` in each response of a target that is leaving."""
+PAUSE_HEADER = 'Retry-After'
+"""Seconds for which a target that rejects a request wants nothing more."""
 USUAL_SLOWNESS = 100.0
 """Slowness, the fourth figure of the load, on an undisturbed host."""
 MISDIRECTED_STATUS = 421
@@ -110,9 +114,17 @@
 def _statement(headers: HTTPHeaders) -> TargetStatement:
     return TargetStatement(
         is_leaving='1' in map(str.strip, headers.get_list(LEAVING_HEADER)),
+        pause=_pause(headers.get_list(PAUSE_HEADER)),
     )
 
 
+def _pause(texts: Sequence[str]) -> PauseRequest | None:
+    if not texts:
+        return None
+    is_readable = len(texts) == 1 and _is_number(texts[0])
+    return PauseRequest(float(texts[0]) if is_readable else None)
+
+
 def _load(text: str) -> LoadReport | None:
     figures = text.split(',')
     if len(figures) < _MIN_LOAD_FIGURES or not all(map(_is_number, figures)):
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -130,14 +130,24 @@
         metrics=process.metrics,
         events=process.events,
     )
-    process.metrics.gauge('targets_leaving', lambda: _count_leaving(edge))
+    _show_statements(process, edge)
     process.metrics.gauge('requests_running', lambda: context.running)
     process.metrics.gauge('cluster_index', lambda: edge.index)
     return context
 
 
-def _count_leaving(edge: Edge) -> int:
-    return sum(view.departure.has_begun for view in edge.views())
+def _show_statements(process: Process[InstanceSettings], edge: Edge) -> None:
+    """Show as metrics how many targets want no requests."""
+    process.metrics.gauge(
+        'targets_leaving',
+        lambda: sum(view.departure.has_begun for view in edge.views()),
+    )
+    process.metrics.gauge(
+        'targets_paused',
+        lambda: sum(
+            view.pause.is_on(process.clock.now()) for view in edge.views()
+        ),
+    )
 
 
 def _apply_nothing(settings: Any) -> None:
--- a/src/turmericmast/programs/why.py
+++ b/src/turmericmast/programs/why.py
@@ -14,6 +14,7 @@
 CONTEXT_EVENTS = frozenset(
     (
         'target_leaving',
+        'target_paused',
         'target_trust',
         'core_contact',
         'routes',
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -154,6 +154,6 @@
         )
         return may_send and not self._is_cancelled
 
-    def _apply_statement(self, statement: TargetStatement) -> None:
+    def _apply_statement(self, status: int, statement: TargetStatement) -> None:
         view = self.candidate.view
-        self._context.statements.apply_response(view, statement)
+        self._context.statements.apply_response(view, status, statement)
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -24,6 +24,7 @@
     eligibility_changed = 'target_trust'
     target_crashed = 'target_crashed'
     target_leaving = 'target_leaving'
+    target_paused = 'target_paused'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -66,8 +66,10 @@
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
         self._is_forwarded = False
-        self.on_statement: Callable[[TargetStatement], None] = _ignore_statement
-        """Called with the statement in the head of the target's response."""
+        self.on_statement: Callable[[int, TargetStatement], None] = (
+            _ignore_statement
+        )
+        """Called with the status and the statement of the target's response."""
         self.rejection: Rejection | None = None
         self._buffered: list[bytes] = []
 
@@ -91,7 +93,7 @@
         self._head = head
         self._metadata = metadata
         if not metadata.is_misdirected:
-            self.on_statement(metadata.statement)
+            self.on_statement(head.status, metadata.statement)
         if not is_success:
             return True
         self._is_forwarded = self._claim(self)
@@ -175,5 +177,5 @@
         )
 
 
-def _ignore_statement(statement: TargetStatement) -> None:
+def _ignore_statement(status: int, statement: TargetStatement) -> None:
     """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -1,6 +1,7 @@
 """Probes (health checks) of targets, which also return their load."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import Protocol, final
@@ -16,6 +17,7 @@
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
 from turmericmast.web.transfer import (
+    Progress,
     ResponseHead,
     ResponseSink,
     Transfer,
@@ -57,10 +59,10 @@
         self._metrics = metrics
         self.on_result: ResultCallback = _ignore_result
         """Called after each probe, except where another target responded."""
-        self.on_statement: Callable[[TargetView, TargetStatement], None] = (
-            _ignore_statement
-        )
-        """Called with the statement in each response of a target itself."""
+        self.on_statement: Callable[
+            [TargetView, int, TargetStatement], None
+        ] = _ignore_statement
+        """Called with the status and statement of each response of a target."""
         self._probe_by_target: dict[TargetId, asyncio.Task[bool]] = {}
 
     async def probe(
@@ -113,6 +115,9 @@
         return task
 
     async def _run_probe(self, view: TargetView, path: str) -> bool:
+        if view.pause.is_on(self._clock.now()):
+            # It has just responded to a request, and wants no probe.
+            return True
         sink = _HealthSink(self._header_format)
         request = TransferRequest(
             url=f'http://{view.record.address}{path}',
@@ -123,8 +128,15 @@
             body_size=0,
             uses_kept_connection=not view.departure.has_begun,
         )
-        transfer = Transfer(self._curl, request, sink, _always)
+        transfer = Transfer(
+            self._curl,
+            request,
+            sink,
+            lambda: not view.pause.is_on(self._clock.now()),
+        )
         loss = await transfer.run()
+        if transfer.progress is Progress.vetoed:
+            return True
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         before = view.eligibility(self._clock.now())
         if loss or sink.head is None or sink.metadata is None:
@@ -165,7 +177,7 @@
         if metadata.target and metadata.target != view.record.target:
             view.eject_misplaced()
             return False
-        self.on_statement(view, metadata.statement)
+        self.on_statement(view, status, _own_statement(metadata))
         if metadata.load:
             view.update_load(metadata.load, now)
         if not metadata.is_not_run:
@@ -206,11 +218,19 @@
         return self._octets > MAX_BODY_BYTES
 
 
-def _always() -> bool:
-    return True
+def _own_statement(metadata: HealthMetadata) -> TargetStatement:
+    """Return the statement in a response, for what it says for sure.
+
+    A response without the name of its sender may come from another target at
+    the address. A departure is final, a pause ends by itself.
+    """
+    is_leaving = metadata.statement.is_leaving and bool(metadata.target)
+    return dataclasses.replace(metadata.statement, is_leaving=is_leaving)
 
 
-def _ignore_statement(view: TargetView, statement: TargetStatement) -> None:
+def _ignore_statement(
+    view: TargetView, status: int, statement: TargetStatement
+) -> None:
     """Do nothing; the default until a callback is set."""
 
 
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -64,7 +64,8 @@
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
         path = self._context.edge.health_path(self._pool.service)
-        if path:
+        is_paused = candidate.view.pause.is_on(self._context.clock.now())
+        if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
     def _count_withheld(self, requirements: Requirements) -> None:
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -100,6 +100,8 @@
         self._behaviour_by_target = {
             record.target: Behaviour(200, NO_HEADERS) for record in records
         }
+        self.transfers = 0
+        """Transfers that were begun, whether they were sent or not."""
         self.arrivals: list[Arrival] = []
         self.connecting = asyncio.Event()
         """Requests are sent once it is set; it is set unless a test clears."""
@@ -174,6 +176,7 @@
         """Replace the transfers of requests and probes."""
 
         def transfer(*arguments: Any) -> _Transfer:
+            self.transfers += 1
             return _Transfer(self, *arguments)
 
         with (
--- a/tests/test_fleet_pages.py
+++ b/tests/test_fleet_pages.py
@@ -26,6 +26,7 @@
     instance,
     target,
 )
+from turmericmast.balance.pause import PauseRequest
 from turmericmast.call.call import Loss
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.cluster.commands import ReportTarget, SetEdge
@@ -175,6 +176,7 @@
             ('full', 'full', Obstacle.full),
             ('evacuated', 'evacuated', Obstacle.evacuated),
             ('leaving', 'leaving', Obstacle.leaving),
+            ('paused', 'paused', Obstacle.paused),
         ]
     )
     def test_obstacle(self, _name: str, event: str, expected: Obstacle) -> None:
@@ -184,6 +186,8 @@
             view.verify(3 if event == 'cold' else 0, NOW)
         if event == 'leaving':
             view.departure.begin(NOW)
+        if event == 'paused':
+            view.pause.begin(PauseRequest(2), NOW)
         view.is_unhealthy = event == 'unhealthy'
         if event == 'evacuated':
             edge.evacuated = frozenset((view.record.domain,))
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -70,6 +70,7 @@
     harness.set_behaviour('1')
     harness.context.statements.apply_response(
         harness.view('1'),
+        200,
         PlatformHeaders().read_response(200, HTTPHeaders()).statement,
     )
 
@@ -193,9 +194,12 @@
         self.assertEqual(set(harness.requests()), {'2'})
         self.assertEqual(harness.count('requests_withheld', cause='leaving'), 8)
 
-    async def test_health_answer_of_another_target(self) -> None:
+    @parameterized.expand([('named', 'another'), ('unnamed', '')])
+    async def test_health_answer_of_another_target(
+        self, _name: str, sender: str
+    ) -> None:
         harness = EdgeHarness(target('1'))
-        harness.set_behaviour('1', 503, {**LEAVING, 'X-Instance-Id': 'another'})
+        harness.set_behaviour('1', 503, {**LEAVING, 'X-Instance-Id': sender})
         with harness.running():
             await harness.probe('1')
         self.assertFalse(harness.view('1').departure.has_begun)
--- a/tests/test_why.py
+++ b/tests/test_why.py
@@ -42,7 +42,7 @@
         ]
         self.assertEqual(times_found, times)
 
-    @parameterized.expand([('target_leaving',)])
+    @parameterized.expand([('target_leaving',), ('target_paused',)])
     def test_statements_of_targets_are_shown(self, name: str) -> None:
         statement = _event(2800, 'e1', name, target='t1')
         of_another = _event(2800, 'e1', name, target='t9')
