Soak: targets that leave and that ask for a pause

The stand-in for targets on the machines says in its answers that it leaves, rejects requests and health checks in a pause, and starts anew under its name; its reports call it ready all the time. Both are faults of the soak, in series and overlapping with frozen, killed and stopped processes and disturbed connections. bench/targetwishes.py counts arrivals at the targets: a request sent over 2 s after its edge passed on the answer of a leaving target, and more than two requests in a pause, 0.5 s after the rejection; faults of the edge or its link in between excuse both. Each check has rows that break it and rows that do not (tests/test_soak.py); no check was changed.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -28,6 +28,7 @@
 from tornado.web import Application, RequestHandler
 
 from bench.layout import free_block
+from bench.targetwishes import Arrival
 
 ROOT = pathlib.Path(__file__).parent.parent
 REGION_BY_ZONE = MappingProxyType(
@@ -77,6 +78,12 @@
         """Paths of the requests that began to run."""
         self.start_times: list[float] = []
         """When each of them began, by the monotonic clock in seconds."""
+        self.arrivals: list[Arrival] = []
+        """All requests for this target, also those that it rejected."""
+        self.is_leaving = False
+        """Whether its answers say that it leaves; its reports do not."""
+        self.paused_until = float(0)
+        """Until when it rejects requests, by the monotonic clock in seconds."""
         self.cold_ms = 0
         """Milliseconds until it is warm, as it reports them."""
         self.sequence = 0
@@ -106,6 +113,13 @@
         if self._server:
             self._server.stop()
 
+    def restart(self) -> None:
+        """Begin anew under the same name, as another incarnation."""
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.sequence = 0
+        self.is_leaving = False
+        self.paused_until = 0
+
     def next_report(self, state: str = 'ready') -> dict[str, Any]:
         """Return the next announcement, for ``PUT /-/instances/NAME``."""
         self.sequence += 1
@@ -137,16 +151,33 @@
         """Answer; a path with ``hang`` or ``fail`` asks for that failure."""
         upstream = self.upstream
         self.set_header('X-Server-Load', f'0,0,4,{NORMAL_SLOWNESS_PERCENT}')
+        if upstream.is_leaving:
+            self.set_header('Server-Leaving', '1')
         if self.request.path == '/health':
             self.set_header('X-Instance-Id', upstream.name)
             self.set_header('X-Warmup-Ms', str(upstream.cold_ms))
+            self.set_status(503 if upstream.is_leaving else 200)
+            self._reject_in_pause()
             return
         if self.request.headers.get('X-Expect-Instance') != upstream.name:
             self.set_status(421)
             return
-        upstream.paths.append(self.request.path)
-        upstream.start_times.append(time.monotonic())
+        now = time.monotonic()
+        upstream.arrivals.append(
+            Arrival(
+                self.request.path,
+                upstream.zone,
+                upstream.born,
+                now,
+                upstream.is_leaving,
+                max(upstream.paused_until - now, 0),
+            )
+        )
         self.set_header('X-Request-Id', self.request.headers['X-Request-Id'])
+        if self._reject_in_pause():
+            return
+        upstream.paths.append(self.request.path)
+        upstream.start_times.append(now)
         self.set_header('X-Response-Signature', 'signed')
         if 'hang' in self.request.path:
             await asyncio.sleep(HANG_SECONDS)
@@ -158,6 +189,16 @@
         """Answer as to GET."""
         await self.get()
 
+    def _reject_in_pause(self) -> bool:
+        """Reject the request if the target wants nothing at the moment."""
+        time_left = self.upstream.paused_until - time.monotonic()
+        if time_left <= 0:
+            return False
+        self.set_status(503)
+        self.set_header('X-Not-Executed', '1')
+        self.set_header('Retry-After', f'{time_left:.3f}')
+        return True
+
 
 def _skip_request_log(page: RequestHandler) -> None:
     """Write no access log line for a request."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -33,6 +33,7 @@
     Upstream,
 )
 from bench.soakrecord import CallerRequest, Execution, SoakRecord, VersionRead
+from bench.targetwishes import FaultSpan
 
 SEEDS = flags.DEFINE_string('seeds', '1-3', 'Seeds to run: FIRST-LAST.')
 SECONDS = flags.DEFINE_float('seconds', 12.0, 'Length of the part with faults.')
@@ -71,6 +72,12 @@
 """Seconds that an evacuation lasts, on average."""
 START_TIMEOUT = 20.0
 """Seconds in which the cluster must serve requests after its start."""
+MAX_DEPARTURE = 5.0
+"""Most seconds from the first answer of a leaving target to its next start.
+
+Longer than the time in which it may still be used."""
+MAX_PAUSE = 3.0
+"""Most seconds for which a target asks for a pause."""
 REPORT_INTERVAL = 0.5
 """Seconds between two announcements of a target to the core."""
 OPERATOR_PAUSE = 0.3
@@ -194,6 +201,8 @@
             self._disturb_connections,
             self._disturb_connections,
             self._evacuate_domain,
+            self._let_target_leave,
+            self._pause_target,
         ]
         return self._random.choice(faults)()
 
@@ -234,10 +243,31 @@
                 await asyncio.sleep(RECOVERY_TIME)
 
     async def _disturb_connections(self) -> None:
-        proxy = self._random.choice(self._proxies)
+        position = self._random.randrange(len(self._proxies))
+        proxy = self._proxies[position]
+        since = time.monotonic()
         proxy.fault = self._random.choice(list(ConnectionFault))
         await asyncio.sleep(self._random.uniform(0, MAX_FAULT_DURATION))
         proxy.fault = ConnectionFault.none
+        self.record.link_faults.append(
+            FaultSpan(self._upstreams[position].zone, since, time.monotonic())
+        )
+
+    async def _let_target_leave(self) -> None:
+        """Let a target say that it leaves, and start again after a while.
+
+        Its reports call it ready all the time.
+        """
+        upstream = self._random.choice(self._upstreams)
+        upstream.is_leaving = True
+        await asyncio.sleep(self._random.uniform(0, MAX_DEPARTURE))
+        upstream.restart()
+
+    async def _pause_target(self) -> None:
+        upstream = self._random.choice(self._upstreams)
+        length = self._random.uniform(0, MAX_PAUSE)
+        upstream.paused_until = time.monotonic() + length
+        await asyncio.sleep(length)
 
     async def _evacuate_domain(self) -> None:
         zone = self._random.choice(list(REGION_BY_ZONE))
@@ -400,6 +430,11 @@
                 upstream.paths, upstream.start_times, strict=True
             )
         ]
+        self.record.arrivals = [
+            arrival
+            for upstream in self._upstreams
+            for arrival in upstream.arrivals
+        ]
 
 
 def _force_new_connection(handle: Any) -> None:
--- a/bench/soakrecord.py
+++ b/bench/soakrecord.py
@@ -5,6 +5,14 @@
 from collections.abc import Iterable, Iterator
 from typing import final
 
+from bench.targetwishes import (
+    Arrival,
+    FaultSpan,
+    Sent,
+    arrivals_after_departure,
+    arrivals_in_pauses,
+)
+
 CONTACT_WINDOW = 3.0
 """Seconds after a fault until an edge must have contact with the core."""
 PROPAGATION_TIME = 2.0
@@ -85,6 +93,10 @@
         default_factory=list,
     )
     """Domain of an edge with a fault, and the start and end of the fault."""
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    """What reached the targets, also what they rejected."""
+    link_faults: list[FaultSpan] = dataclasses.field(default_factory=list)
+    """Disturbances of the connections to the target of a domain."""
     recovered_by: float = 0
     """Time from which on requests must succeed again."""
 
@@ -98,6 +110,19 @@
             'versions_never_revert': list(self._older_reads()),
             'acknowledged_survives': list(self._lost_versions()),
             'evacuated': list(self._runs_in_evacuated_domains()),
+            'leaving_targets_rest': list(
+                arrivals_after_departure(
+                    self.arrivals, self._sent_by_path(), self._edge_faults()
+                )
+            ),
+            'pauses_hold': list(
+                arrivals_in_pauses(
+                    self.arrivals,
+                    self._sent_by_path(),
+                    self._edge_faults(),
+                    self.link_faults,
+                )
+            ),
             'recovers': list(self._missing_recovery()),
         }
 
@@ -188,6 +213,20 @@
         if served < MIN_SERVED_SHARE * len(checked) or not checked:
             yield f'{served} of {len(checked)} succeeded after recovery'
 
+    def _sent_by_path(self) -> dict[str, Sent]:
+        return {
+            request.path: Sent(
+                request.edge_domain,
+                request.started_at,
+                request.ended_at,
+                request.body.partition(' ')[0].removeprefix('u-'),
+            )
+            for request in self.requests
+        }
+
+    def _edge_faults(self) -> list[FaultSpan]:
+        return [FaultSpan(*fault) for fault in self.edge_faults]
+
     def _overlaps_fault(
         self, edge_domain: str, started_at: float, ended_at: float
     ) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 
 from bench.soak import REGRESSION_SEEDS, run_seed
 from bench.soakrecord import CallerRequest, Execution, SoakRecord, VersionRead
+from bench.targetwishes import Arrival, FaultSpan
 
 SEED_OF_CI = 1
 SECONDS_OF_CI = 4.0
@@ -87,6 +88,65 @@
     record.evacuations.append(('wien-a', 6, 12))
 
 
+def _send_to_leaving(record: SoakRecord, later: float, born: int = 1) -> None:
+    record.requests += [
+        dataclasses.replace(
+            GOOD_REQUEST,
+            path=f'/look/{number}',
+            body=f'u-wien-a /look/{number}',
+            is_unsafe=False,
+            started_at=started_at,
+            ended_at=started_at + 0.1,
+        )
+        for number, started_at in enumerate((10, 10 + later))
+    ]
+    record.arrivals += [
+        Arrival('/look/0', 'wien-a', 1, 10, was_leaving=True),
+        Arrival('/look/1', 'wien-a', born, 10 + later, was_leaving=True),
+    ]
+
+
+def _sent_to_leaving(record: SoakRecord) -> None:
+    _send_to_leaving(record, 2.2)
+
+
+def _sent_to_leaving_early(record: SoakRecord) -> None:
+    _send_to_leaving(record, 2.0)
+
+
+def _sent_to_new_incarnation(record: SoakRecord) -> None:
+    _send_to_leaving(record, 9, born=2)
+
+
+def _sent_to_leaving_after_fault(record: SoakRecord) -> None:
+    _send_to_leaving(record, 9)
+    record.edge_faults.append(('wien-a', 14, 15))
+
+
+def _send_in_pause(record: SoakRecord, *times: float) -> None:
+    record.arrivals += [
+        Arrival(GOOD_REQUEST.path, 'wien-a', 1, 10, pause=2),
+        *(Arrival(GOOD_REQUEST.path, 'wien-a', 1, 10 + time) for time in times),
+    ]
+
+
+def _sent_in_pause(record: SoakRecord) -> None:
+    _send_in_pause(record, 0.6, 1, 1.9)
+
+
+def _sent_as_pause_begins(record: SoakRecord) -> None:
+    _send_in_pause(record, 0.1, 0.2, 0.3, 0.6, 0.7)
+
+
+def _sent_after_pause(record: SoakRecord) -> None:
+    _send_in_pause(record, 2, 2.1, 2.2, 2.3)
+
+
+def _sent_in_pause_after_cut(record: SoakRecord) -> None:
+    _sent_in_pause(record)
+    record.link_faults.append(FaultSpan('wien-a', 9, 10.5))
+
+
 def _not_recovered(record: SoakRecord) -> None:
     record.recovered_by = 9
     record.requests += [dataclasses.replace(GOOD_REQUEST, status=599)] * 3
@@ -108,6 +168,14 @@
     ('version_lost', _lost_version, ['acknowledged_survives']),
     ('run_in_evacuated_domain', _run_in_evacuated_domain, ['evacuated']),
     ('run_during_evacuation', _run_during_evacuation, []),
+    ('sent_to_a_leaving_target', _sent_to_leaving, ['leaving_targets_rest']),
+    ('sent_to_a_new_incarnation', _sent_to_new_incarnation, []),
+    ('sent_to_a_leaving_target_early', _sent_to_leaving_early, []),
+    ('sent_after_a_restart', _sent_to_leaving_after_fault, []),
+    ('sent_in_a_pause', _sent_in_pause, ['pauses_hold']),
+    ('sent_as_a_pause_begins', _sent_as_pause_begins, []),
+    ('sent_after_a_pause', _sent_after_pause, []),
+    ('sent_in_a_pause_after_a_cut', _sent_in_pause_after_cut, []),
     ('never_recovers', _not_recovered, ['recovers']),
 ]
 
