Entries: a target that rejects with Retry-After gets nothing until it ends

What callers saw: an owner left a target alone for 0.25 s after any rejection, whatever time it named, and then sent to it again.

Change: Target.pause (balance/pause.py) is set by a rejection that states that the request did not run. Its owner sends nothing until the end, asked again right before a send; slow start begins anew then, as after each rejection. A call is queued only if the first pause ends before its deadline; those that already wait and cannot be served in time leave the queue at once with the next check of the queue. A new incarnation begins without a pause. The owner is the only sender, so there is nothing to spread. Reading the header moved from the platform's adapter to web/parse.py, since the name is plain HTTP.

Targets of a region announce that they leave, so nothing was added for that.

Tests: PausedServiceTest, PausedEntryTest (tests/test_pausing_targets.py); no existing check was changed.

--- a/src/turmericmast/balance/pause.py
+++ b/src/turmericmast/balance/pause.py
@@ -74,6 +74,11 @@
         self._returns_at = -math.inf
         """When this instance sends again, at the end or a little later."""
 
+    @property
+    def returns_at(self) -> float:
+        """Return when this instance sends again, ``-inf`` without a pause."""
+        return self._returns_at
+
     def begin(self, request: PauseRequest, now: Seconds) -> PauseOutcome:
         """Pause from ``now`` on, when the answer of the target arrived.
 
--- a/src/turmericmast/entry/entry.py
+++ b/src/turmericmast/entry/entry.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import final
 
+from turmericmast.balance.pause import PauseOutcome, PauseRequest
 from turmericmast.call.call import CallRequest
 from turmericmast.entry.ownership import Ownership
 from turmericmast.entry.routing import Route, RouteAction, Router
@@ -141,9 +142,19 @@
             owned is not None
             and self.lease.is_valid(now)
             and not owned.is_excluded
-            and not owned.is_leaving
+            and not owned.wants_nothing(now)
         )
 
+    def pause_target(
+        self, target: TargetId, request: PauseRequest, now: Seconds
+    ) -> PauseOutcome | None:
+        """Send nothing to a target for as long as it asks for.
+
+        Return ``None`` if it is no longer owned here.
+        """
+        owned = self.ownership.target(target)
+        return owned.pause.begin(request, now) if owned else None
+
     def remove_queued(self, service: ServiceId, call: CallId) -> bool:
         """Remove a call from the queue; return whether it was still queued."""
         known = self.ownership.service_by_id.get(service)
--- a/src/turmericmast/entry/ownership.py
+++ b/src/turmericmast/entry/ownership.py
@@ -114,12 +114,11 @@
         ]
 
     def unservable_calls(self, now: Seconds) -> list[tuple[ServiceId, CallId]]:
-        """Return queued calls of services without a target to serve them."""
+        """Return queued calls that no target will serve in time."""
         return [
             (service.service, call)
             for service in self.service_by_id.values()
-            if not self._may_be_served(service, now)
-            for call in service.backlog.calls()
+            for call in self._unservable_calls_of(service, now)
         ]
 
     def clear(self) -> None:
@@ -135,6 +134,13 @@
             for call in service.backlog.calls()
         ]
 
+    def _unservable_calls_of(
+        self, service: Service, now: Seconds
+    ) -> list[CallId]:
+        if self._may_be_served(service, now):
+            return service.hopeless_calls(now)
+        return service.backlog.calls()
+
     def _may_be_served(self, service: Service, now: Seconds) -> bool:
         """Tell whether an owned or incoming target may serve queued calls."""
         is_incoming = service.service in self.incoming_services
--- a/src/turmericmast/numerals.py
+++ b/src/turmericmast/numerals.py
@@ -12,6 +12,14 @@
     return int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
 
 
+def is_decimal(text: str) -> bool:
+    """Tell whether ``text`` is a number with or without a decimal point.
+
+    Signs, exponents and more than ``MAX_DIGITS`` digits are none.
+    """
+    return parse_whole(text.strip().replace('.', '', 1)) is not None
+
+
 def is_whole_within(text: str, low: int, high: int) -> bool:
     """Tell whether ``text`` holds a whole number from ``low`` to ``high``."""
     number = parse_whole(text)
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -1,15 +1,13 @@
 """The platform's headers and statuses on requests and responses."""
 
-from collections.abc import Sequence
 from typing import final
 
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
-from turmericmast.balance.pause import PauseRequest
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.ids import Seconds, TargetId
-from turmericmast.numerals import parse_whole
+from turmericmast.numerals import is_decimal
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.headerformat import (
     HeaderFormat,
@@ -17,6 +15,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from turmericmast.web.parse import read_pause
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 """Id that the caller gave to a request; a target sends it back."""
@@ -38,8 +37,6 @@
 """Milliseconds that the target stays cold."""
 LEAVING_HEADER = 'Server-Leaving'
 """Set to ``1`` in each response of a target that is leaving."""
-PAUSE_HEADER = 'Retry-After'
-"""Seconds for which a target that rejects a request wants nothing more."""
 USUAL_SLOWNESS = 100.0
 """Slowness, the fourth figure of the load, on an undisturbed host."""
 MISDIRECTED_STATUS = 421
@@ -64,7 +61,7 @@
         return RequestMetadata(
             headers.get(REQUEST_ID_HEADER, ''),
             Seconds(float(caller_timeout) / MILLIS_PER_SECOND)
-            if _is_number(caller_timeout)
+            if is_decimal(caller_timeout)
             else None,
         )
 
@@ -102,7 +99,7 @@
         return HealthMetadata(
             TargetId(headers.get(TARGET_HEADER, '')),
             Seconds(
-                float(cold_ms) / MILLIS_PER_SECOND if _is_number(cold_ms) else 0
+                float(cold_ms) / MILLIS_PER_SECOND if is_decimal(cold_ms) else 0
             ),
             _load(headers.get(LOAD_HEADER, '')),
             is_not_run=NOT_RUN_HEADER in headers,
@@ -114,25 +111,14 @@
 def _statement(headers: HTTPHeaders) -> TargetStatement:
     return TargetStatement(
         is_leaving='1' in map(str.strip, headers.get_list(LEAVING_HEADER)),
-        pause=_pause(headers.get_list(PAUSE_HEADER)),
+        pause=read_pause(headers),
     )
 
 
-def _pause(texts: Sequence[str]) -> PauseRequest | None:
-    if not texts:
-        return None
-    is_readable = len(texts) == 1 and _is_number(texts[0])
-    return PauseRequest(float(texts[0]) if is_readable else None)
-
-
 def _load(text: str) -> LoadReport | None:
     figures = text.split(',')
-    if len(figures) < _MIN_LOAD_FIGURES or not all(map(_is_number, figures)):
+    if len(figures) < _MIN_LOAD_FIGURES or not all(map(is_decimal, figures)):
         return None
     running, waiting, slots, *more = map(float, figures)
     slowness = more[0] / USUAL_SLOWNESS if more else 1
     return LoadReport(int(running), int(waiting), int(slots), slowness)
-
-
-def _is_number(text: str) -> bool:
-    return parse_whole(text.strip().replace('.', '', 1)) is not None
--- a/src/turmericmast/service/backlog.py
+++ b/src/turmericmast/service/backlog.py
@@ -83,3 +83,12 @@
     def calls(self) -> list[CallId]:
         """Return the ids of all queued calls."""
         return list(self._tenant_by_call)
+
+    def calls_due_before(self, deadline: Seconds) -> list[CallId]:
+        """Return the ids of the queued calls with an earlier deadline."""
+        return [
+            queued_call.call
+            for queue in self._queue_by_tenant.values()
+            for queued_call in queue.values()
+            if queued_call.deadline < deadline
+        ]
--- a/src/turmericmast/service/service.py
+++ b/src/turmericmast/service/service.py
@@ -51,7 +51,7 @@
         A call is shed when its expected wait exceeds the deadline or when
         the queue has no room for its tenant.
         """
-        wait = self.expected_wait(now)
+        wait = self.pause_left(now) + self.expected_wait(now)
         in_time = now + wait < queued_call.deadline
         if not in_time or not self.backlog.has_room(queued_call.tenant):
             return False
@@ -76,6 +76,22 @@
         mean = sum(times) / len(times)
         return len(self.backlog) * mean / slots
 
+    def pause_left(self, now: Seconds) -> float:
+        """Return the seconds until a target wants requests again."""
+        pauses = (
+            target.pause.time_left(now)
+            for target in self.target_by_id.values()
+            if not target.is_excluded and not target.is_leaving
+        )
+        return min(pauses, default=0)
+
+    def hopeless_calls(self, now: Seconds) -> list[CallId]:
+        """Return the queued calls whose deadline is within all pauses."""
+        pause_left = self.pause_left(now)
+        if not pause_left:
+            return []
+        return self.backlog.calls_due_before(Seconds(now + pause_left))
+
     def dispatch(self, now: Seconds) -> Iterator[Dispatch]:
         """Yield calls to send until there are no free slots or queued calls."""
         while len(self.backlog):
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import final
 
+from turmericmast.balance.pause import Pause
 from turmericmast.call.call import Loss
 from turmericmast.ids import CallId, Incarnation, Seconds, TargetId
 from turmericmast.target.announcement import (
@@ -125,6 +126,8 @@
             now + PREVIOUS_OWNER_TIMEOUT if unclean_handover else now
         )
         self._paused_until = now
+        self.pause = Pause(spread_rank=0)
+        """The pause for which the target itself has asked."""
         self._consecutive_errors = 0
         self._ejected_until = now
 
@@ -138,6 +141,10 @@
         """Tell whether the target announced that it is shutting down."""
         return self._state is TargetState.leaving
 
+    def wants_nothing(self, now: Seconds) -> bool:
+        """Tell whether the target itself leaves or has asked for a pause."""
+        return self.is_leaving or self.pause.is_on(now)
+
     @property
     def limit(self) -> int:
         """Return how many concurrent requests the target may have now."""
@@ -150,7 +157,7 @@
         return not (
             self.is_excluded
             or self.is_leaving
-            or now < self._paused_until
+            or now < self.pause_ends_at()
             or self.is_stale(now)
         )
 
@@ -166,8 +173,8 @@
         return max(self.limit - len(self.in_flight) - occupied, 0)
 
     def pause_ends_at(self) -> Seconds:
-        """Return when the pause of ``REFUSAL_PAUSE`` seconds ends."""
-        return self._paused_until
+        """Return when the pause after a failure, or by request, ends."""
+        return Seconds(max(self._paused_until, self.pause.returns_at))
 
     def apply_announcement(
         self, announcement: Announcement, now: Seconds
@@ -186,6 +193,7 @@
                 announcement.spec.slots,
             )
             self._previous_owner_requests = 0
+            self.pause = Pause(spread_rank=0)
             self.mean_service_time = float(0)
         self.spec = announcement.spec
         if announcement.state is TargetState.cold:
--- a/src/turmericmast/web/exchange.py
+++ b/src/turmericmast/web/exchange.py
@@ -3,7 +3,11 @@
 import asyncio
 from typing import final
 
-from tornado.httputil import HTTPConnection, HTTPMessageDelegate
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+)
 
 from turmericmast.call.call import Call, Loss, NextStep
 from turmericmast.entry.routing import RouteAction
@@ -15,6 +19,7 @@
 from turmericmast.web.entrycontext import EntryContext
 from turmericmast.web.forwarding import Forwarder
 from turmericmast.web.keyedrequest import KeyedRequest
+from turmericmast.web.parse import read_pause
 from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.reply import Reply
 from turmericmast.web.requestquarantine import RequestQuarantine
@@ -157,6 +162,8 @@
             self._resume_headers(),
         )
         loss = await self._sender.send(destination) or self._relay.loss
+        if loss is Loss.shed and self._relay.head:
+            self._pause_target(dispatch.target, self._relay.head.headers)
         self._context.release_slot(
             dispatch,
             self._request.service,
@@ -169,6 +176,15 @@
             await self._quarantine.report_crash(started_ms)
         return loss
 
+    def _pause_target(self, target: TargetId, headers: HTTPHeaders) -> None:
+        """Heed a rejection that asks for a pause."""
+        request = read_pause(headers)
+        outcome = request and self._context.entry.pause_target(
+            target, request, self._context.clock.now()
+        )
+        if outcome:
+            self._context.metrics.count('target_pauses', outcome=outcome.value)
+
     @property
     def _is_abandoned(self) -> bool:
         """Tell whether the caller disconnected and no ledger record is open."""
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from turmericmast.balance.pause import PauseRequest
 from turmericmast.call.call import MAX_DEPTH, CallRequest, Ran
 from turmericmast.ids import (
     CallId,
@@ -18,7 +19,7 @@
     ServiceId,
     TenantId,
 )
-from turmericmast.numerals import is_whole_within, parse_whole
+from turmericmast.numerals import is_decimal, is_whole_within, parse_whole
 from turmericmast.web.problem import RAN_HEADER, Problem
 
 if TYPE_CHECKING:
@@ -38,6 +39,8 @@
 """Packed hybrid clock timestamp of the sender."""
 CALL_HEADER = 'Turmericmast-Call'
 """Id of an attempt, which targets send back with every response."""
+PAUSE_HEADER = 'Retry-After'
+"""Seconds for which a target that rejects a request wants nothing more."""
 KEY_HEADER = 'Idempotency-Key'
 """Key by which the ledger recognises resends of a request."""
 
@@ -193,6 +196,15 @@
     )
 
 
+def read_pause(headers: HTTPHeaders) -> PauseRequest | None:
+    """Return the pause for which a rejection asks, ``None`` without one."""
+    texts = headers.get_list(PAUSE_HEADER)
+    if not texts:
+        return None
+    is_readable = len(texts) == 1 and is_decimal(texts[0])
+    return PauseRequest(float(texts[0]) if is_readable else None)
+
+
 def response_headers(headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of a target's response that go to the caller."""
     passed = HTTPHeaders()
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -117,6 +117,8 @@
         """Slow requests whose connection the entry closed."""
         self.crashes = True
         """Whether requests to ``/crash`` close the connection unanswered."""
+        self.pause = ''
+        """Seconds for which a rejection asks for a pause; empty for none."""
         self.echoes = True
         """Whether responses bear the id of the attempt."""
         self.always = ''
@@ -208,7 +210,8 @@
         digest = hashlib.sha256(body).hexdigest()
         own = self._own_headers(headers)
         if kind == 'shed':
-            return _head(503, 0, f'{own}Turmericmast-Ran: no\r\n')
+            pause = f'Retry-After: {self.pause}\r\n' if self.pause else ''
+            return _head(503, 0, f'{own}Turmericmast-Ran: no\r\n{pause}')
         if kind == 'busy':
             return _head(503, 4, own) + b'busy'
         if kind == 'empty':
--- a/tests/test_pausing_targets.py
+++ b/tests/test_pausing_targets.py
@@ -13,7 +13,11 @@
 
 from tests.edge_harness import EdgeHarness
 from tests.edge_samples import NOW, feed, target
+from tests.entry_harness import EntryHarness
+from tests.test_front import call
 from tests.test_gossip import Domain
+from tests.test_service import _service as make_service
+from tests.test_target import SPEC
 from turmericmast.balance.pause import (
     MAX_PAUSE,
     RAMP,
@@ -22,8 +26,18 @@
     PauseRequest,
     PauseStage,
 )
-from turmericmast.ids import Fingerprint, Seconds
+from turmericmast.ids import (
+    CallId,
+    Fingerprint,
+    Incarnation,
+    Seconds,
+    TargetId,
+    TenantId,
+)
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.service.backlog import QueuedCall
+from turmericmast.target.announcement import Announcement, TargetState
+from turmericmast.target.target import REFUSAL_PAUSE, Target
 from turmericmast.web.crashdetection import CrashDetector
 
 NOT_RUN = {'X-Not-Executed': '1'}
@@ -345,3 +359,81 @@
             answers = await asyncio.gather(*calls)
         refused = [answer for answer in answers if answer.status == 503]
         self.assertGreaterEqual(len(refused), 9)
+
+
+class PausedServiceTest(unittest.TestCase):
+    """An entry queues a call only if a pause ends before its deadline."""
+
+    @parameterized.expand(
+        [
+            ('no_pause', (), 1.0, True, 1),
+            ('pause_ends_in_time', (0,), 3.0, True, 0),
+            ('pause_ends_too_late', (0,), 1.9, False, 0),
+            ('another_target_is_open', (0, 1), 1.0, True, 1),
+        ]
+    )
+    def test_queue(
+        self,
+        _name: str,
+        targets: tuple[int, ...],
+        deadline: float,
+        is_admitted: bool,
+        sent: int,
+    ) -> None:
+        service = make_service(max(len(targets), 1))
+        if targets:
+            paused = service.target_by_id[TargetId('t0')]
+            paused.pause.begin(PauseRequest(2), Seconds(NOW))
+        queued_call = QueuedCall(
+            CallId('c'), TenantId('a'), Seconds(NOW + deadline)
+        )
+        now = Seconds(NOW)
+        self.assertIs(service.admit(queued_call, now), is_admitted)
+        self.assertEqual(len(list(service.dispatch(now))), sent)
+
+    def test_call_in_the_queue_is_refused_when_a_pause_begins(self) -> None:
+        service = make_service(1)
+        now = Seconds(NOW)
+        for name, deadline in (('early', 1), ('late', 3)):
+            service.admit(
+                QueuedCall(
+                    CallId(name), TenantId('a'), Seconds(NOW + deadline)
+                ),
+                now,
+            )
+        self.assertEqual(service.hopeless_calls(now), [])
+        paused = service.target_by_id[TargetId('t0')]
+        paused.pause.begin(PauseRequest(2), now)
+        self.assertEqual(service.hopeless_calls(now), ['early'])
+
+    @parameterized.expand([('same', 'i1', True), ('new', 'i2', False)])
+    def test_incarnation(
+        self, _name: str, incarnation: str, is_paused: bool
+    ) -> None:
+        paused = Target(SPEC, Seconds(NOW), unclean_handover=False)
+        paused.pause.begin(PauseRequest(60), Seconds(NOW))
+        spec = dataclasses.replace(SPEC, incarnation=Incarnation(incarnation))
+        announcement = Announcement(spec, TargetState.ready, 0)
+        paused.apply_announcement(announcement, Seconds(NOW))
+        self.assertIs(not paused.is_available(Seconds(NOW)), is_paused)
+
+
+class PausedEntryTest(unittest.IsolatedAsyncioTestCase):
+    """What an entry has learned from a rejection binds its next requests."""
+
+    @parameterized.expand(
+        [('pause', '200', 1), ('unreadable', 'soon', 2), ('none', '', 2)]
+    )
+    async def test_requests_after_a_rejection(
+        self, _name: str, pause: str, runs: int
+    ) -> None:
+        async with EntryHarness(targets=1) as harness:
+            raw_target = harness.targets[0]
+            raw_target.pause = pause
+            await call(harness, '/stock/shed', 'POST', b'x')
+            before = len(raw_target.runs)
+            await asyncio.sleep(REFUSAL_PAUSE + 0.05)
+            answer = await call(harness, '/stock/ok', 'POST', b'x')
+            more = len(raw_target.runs) - before
+            self.assertEqual(more, runs - 1)
+            self.assertEqual(answer.code, 201 if more else 503)
