--- a/bench/machines.py
+++ b/bench/machines.py
@@ -83,7 +83,10 @@
         self.is_leaving = False
         """Whether its answers say that it leaves; its reports do not."""
         self.paused_until = float(0)
-        """Until when it rejects requests, by the monotonic clock in seconds."""
+        """Until when it rejects requests, by the monotonic clock in seconds.
+
+        Health checks succeed meanwhile, so that nothing else keeps requests
+        away."""
         self.cold_ms = 0
         """Milliseconds until it is warm, as it reports them."""
         self.sequence = 0
@@ -157,7 +160,6 @@
             self.set_header('X-Instance-Id', upstream.name)
             self.set_header('X-Warmup-Ms', str(upstream.cold_ms))
             self.set_status(503 if upstream.is_leaving else 200)
-            self._reject_in_pause()
             return
         if self.request.headers.get('X-Expect-Instance') != upstream.name:
             self.set_status(421)
