--- a/src/turmericmast/balance/departure.py
+++ b/src/turmericmast/balance/departure.py
@@ -38,20 +38,18 @@
         ``drain`` seconds.
         """
         self._drain = drain
+        self.has_begun = False
+        """Whether the target has said that it leaves."""
         self._began_at = math.inf
         self._ends_at = math.inf
 
-    @property
-    def has_begun(self) -> bool:
-        """Tell whether the target has said that it leaves."""
-        return self._began_at < math.inf
-
     def begin(self, began_at: Seconds) -> bool:
         """Record an answer that was received at ``began_at``.
 
         The earliest answer counts. Return whether the departure was unknown.
         """
         was_unknown = not self.has_begun
+        self.has_begun = True
         self._began_at = min(self._began_at, began_at)
         self._ends_at = self._began_at + max(
             self._drain - LAST_RESORT_MARGIN, 0
--- a/src/turmericmast/balance/openness.py
+++ b/src/turmericmast/balance/openness.py
@@ -1,25 +1,12 @@
-"""Which targets want requests, by what they have said themselves."""
+"""What the targets of a service have said about wanting requests."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
-from turmericmast.balance.candidate import Requirements
 from turmericmast.balance.departure import DepartureStage
 from turmericmast.balance.targetview import TargetView, Withholding
 from turmericmast.ids import Seconds
 
 
-def open_targets(
-    views: Iterable[TargetView], requirements: Requirements, now: Seconds
-) -> Iterator[TargetView]:
-    """Yield the targets that want the request."""
-    as_last_resort = requirements.allows_leaving
-    return (
-        view
-        for view in views
-        if view.withheld_by(now, as_last_resort=as_last_resort) is None
-    )
-
-
 def has_last_resort(views: Iterable[TargetView], now: Seconds) -> bool:
     """Tell whether a leaving target may serve if no other one can."""
     return any(
@@ -33,4 +20,4 @@
 ) -> frozenset[Withholding]:
     """Return why some of the targets want no requests."""
     causes = {view.withheld_by(now) for view in views}
-    return frozenset(cause for cause in causes if cause)
+    return frozenset(filter(None, causes))
--- a/src/turmericmast/balance/pause.py
+++ b/src/turmericmast/balance/pause.py
@@ -8,7 +8,7 @@
 from turmericmast.ids import Seconds
 
 MAX_PAUSE = 300.0
-"""Longest pause in seconds; a target that wants none for longer can leave."""
+"""Longest pause in seconds; one that wants nothing for longer can leave."""
 RETURN_SPREAD = 0.1
 """Fraction of a pause over which the instances that wait for its end return."""
 MAX_RETURN_SPREAD = 0.5
@@ -71,13 +71,10 @@
         """
         self._spread_rank = spread_rank
         self._ends_at = -math.inf
-        self._returns_at = -math.inf
+        self.returns_at = -math.inf
         """When this instance sends again, at the end or a little later."""
-
-    @property
-    def returns_at(self) -> float:
-        """Return when this instance sends again, ``-inf`` without a pause."""
-        return self._returns_at
+        self.returned_at = -math.inf
+        """When the slow start has ended, ``RAMP`` seconds after that."""
 
     def begin(self, request: PauseRequest, now: Seconds) -> PauseOutcome:
         """Pause from ``now`` on, when the answer of the target arrived.
@@ -102,26 +99,26 @@
 
     def stage(self, now: Seconds) -> PauseStage:
         """Return whether the target is paused."""
-        if now < self._returns_at:
+        if now < self.returns_at:
             return PauseStage.paused
-        if now < self._returns_at + RAMP:
+        if now < self.returned_at:
             return PauseStage.returning
         return PauseStage.none
 
     def is_on(self, now: Seconds) -> bool:
         """Tell whether the target wants nothing from this instance."""
-        return now < self._returns_at
+        return now < self.returns_at
 
     def time_left(self, now: Seconds) -> float:
         """Return the seconds until this instance sends again, 0 if it does."""
-        return max(self._returns_at - now, 0)
+        return max(self.returns_at - now, 0)
 
     def admits(self, in_flight: int, slots: int, now: Seconds) -> bool:
         """Tell whether another request fits into the slow start, if it is on.
 
         ``in_flight`` is the number of requests that this instance has there.
         """
-        progress = (now - self._returns_at) / RAMP
+        progress = (now - self.returns_at) / RAMP
         return progress >= 1 or in_flight < 1 + int(slots * progress)
 
     def _extend(self, length: float, now: Seconds) -> None:
@@ -129,4 +126,5 @@
             return
         spread = min(RETURN_SPREAD * length, MAX_RETURN_SPREAD)
         self._ends_at = now + length
-        self._returns_at = self._ends_at + self._spread_rank * spread
+        self.returns_at = self._ends_at + self._spread_rank * spread
+        self.returned_at = self.returns_at + RAMP
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -13,7 +13,6 @@
 )
 from turmericmast.balance.candidate import Candidate, Locality, Requirements
 from turmericmast.balance.coldlimit import ColdRateLimiter
-from turmericmast.balance.openness import open_targets
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.requestrate import RequestRate
 from turmericmast.balance.retrybudget import SharedRetryBudget
@@ -152,11 +151,11 @@
         self, requirements: Requirements, now: Seconds
     ) -> list[TargetView]:
         """Return the targets that may serve a request once they are probed."""
+        as_last_resort = requirements.allows_leaving
         return [
             view
-            for view in open_targets(
-                self.permitted(requirements), requirements, now
-            )
+            for view in self.permitted(requirements)
+            if view.withheld_by(now, as_last_resort=as_last_resort) is None
             if view.eligibility(now) is Eligibility.unverified
         ]
 
@@ -335,17 +334,18 @@
     def _not_ejected(
         self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> Iterator[TargetView]:
+        as_last_resort = requirements.allows_leaving
         return (
             view
-            for view in open_targets(
-                self.permitted(requirements, (distance,)), requirements, now
-            )
+            for view in self.permitted(requirements, (distance,))
+            if view.withheld_by(now, as_last_resort=as_last_resort) is None
             if view.eligibility(now) is not Eligibility.ejected
         )
 
     def _may_send(self, view: TargetView, now: Seconds) -> bool:
         eligibility = view.eligibility(now)
-        if not view.has_room_after_pause(now):
+        is_returning = now < view.pause.returned_at
+        if is_returning and not view.has_room_after_pause(now):
             return False
         if eligibility is Eligibility.cold:
             is_own = view.record.target in self.cold_targets
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -118,13 +118,11 @@
 
         ``as_last_resort`` tells that no other target can serve the request.
         """
-        stage = self.departure.stage(now)
-        is_open = stage is DepartureStage.staying or (
-            as_last_resort and stage is DepartureStage.last_resort
-        )
-        if not is_open:
-            return Withholding.leaving
-        return Withholding.paused if self.pause.is_on(now) else None
+        if self.departure.has_begun:
+            stage = self.departure.stage(now)
+            if not as_last_resort or stage is DepartureStage.closed:
+                return Withholding.leaving
+        return Withholding.paused if now < self.pause.returns_at else None
 
     def has_room_after_pause(self, now: Seconds) -> bool:
         """Tell whether the slow start after a pause, if any, has room."""
