--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -1,7 +1,7 @@
 """Selection among the targets of one service at one instance."""
 
 import itertools
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterator
 from typing import final
 
 from turmericmast.balance.admission import (
@@ -13,6 +13,7 @@
 )
 from turmericmast.balance.candidate import Candidate, Locality, Requirements
 from turmericmast.balance.coldlimit import ColdRateLimiter
+from turmericmast.balance.openness import time_until_open, withheld_by
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.requestrate import RequestRate
 from turmericmast.balance.retrybudget import SharedRetryBudget
@@ -143,21 +144,17 @@
             view
             for view in promising
             if view.report_age(now) > max_age
-            or view.eligibility(now) is Eligibility.unverified
+            or view.eligibility(now).needs_probe
             if now - view.probed_at >= self.probe_interval
         ]
 
-    def unverified_targets(
-        self, requirements: Requirements, now: Seconds
-    ) -> list[TargetView]:
-        """Return the targets that may serve a request once they are probed."""
-        as_last_resort = requirements.allows_leaving
-        return [
-            view
-            for view in self.permitted(requirements)
-            if view.withheld_by(now, as_last_resort=as_last_resort) is None
-            if view.eligibility(now) is Eligibility.unverified
-        ]
+    def permitted_targets(
+        self, requirements: Requirements
+    ) -> Iterator[TargetView]:
+        """Yield the targets that may serve a request, near ones first."""
+        return itertools.chain.from_iterable(
+            self._permitted(requirements, distance) for distance in Distance
+        )
 
     def needs_background_probes(self, now: Seconds) -> bool:
         """Tell whether to probe near targets before requests arrive.
@@ -282,39 +279,16 @@
             return self._retry_delays.next_delay(until_room)
         staying = [
             view
-            for view in self.permitted(requirements)
+            for view in self.permitted_targets(requirements)
             if not view.departure.has_begun
         ]
         until_open = min(
-            (view.time_until_open(now) for view in staying), default=MAX_DELAY
+            (time_until_open(view, now) for view in staying), default=MAX_DELAY
         )
         if any(view.pause.is_on(now) for view in staying):
             return self._retry_delays.delay_after(until_open)
         return limited_delay(until_open)
 
-    def permitted(
-        self,
-        requirements: Requirements,
-        distances: Iterable[Distance] = Distance,
-    ) -> Iterator[TargetView]:
-        """Yield the targets to which the operators permit a request to go."""
-        for view in itertools.chain.from_iterable(
-            self._views_by_distance[distance].values() for distance in distances
-        ):
-            record = view.record
-            is_home = not requirements.home_regions or view.region in (
-                requirements.home_regions
-            )
-            is_available = record.phase is TargetPhase.ready and (
-                record.domain not in self.evacuated
-            )
-            if (
-                is_home
-                and is_available
-                and record.target not in requirements.avoid
-            ):
-                yield view
-
     def _fresh_age(
         self, requirements: Requirements, distance: Distance
     ) -> float:
@@ -331,21 +305,41 @@
         ideal = ideal_score(Distance.domain, estimate)
         return best.score >= ideal - GOOD_MARGIN
 
+    def _permitted(
+        self, requirements: Requirements, distance: Distance
+    ) -> Iterator[TargetView]:
+        for view in self._views_by_distance[distance].values():
+            record = view.record
+            is_home = not requirements.home_regions or view.region in (
+                requirements.home_regions
+            )
+            is_available = record.phase is TargetPhase.ready and (
+                record.domain not in self.evacuated
+            )
+            if (
+                is_home
+                and is_available
+                and record.target not in requirements.avoid
+            ):
+                yield view
+
     def _not_ejected(
         self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> Iterator[TargetView]:
         as_last_resort = requirements.allows_leaving
         return (
             view
-            for view in self.permitted(requirements, (distance,))
-            if view.withheld_by(now, as_last_resort=as_last_resort) is None
+            for view in self._permitted(requirements, distance)
+            if withheld_by(view, now, as_last_resort=as_last_resort) is None
             if view.eligibility(now) is not Eligibility.ejected
         )
 
     def _may_send(self, view: TargetView, now: Seconds) -> bool:
         eligibility = view.eligibility(now)
         is_returning = now < view.pause.returned_at
-        if is_returning and not view.has_room_after_pause(now):
+        if is_returning and not view.pause.admits(
+            view.in_flight, view.report.slots, now
+        ):
             return False
         if eligibility is Eligibility.cold:
             is_own = view.record.target in self.cold_targets
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -4,7 +4,7 @@
 import math
 from typing import final
 
-from turmericmast.balance.departure import Departure, DepartureStage
+from turmericmast.balance.departure import Departure
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.pause import Pause
 from turmericmast.call.call import Loss
@@ -39,19 +39,15 @@
     """A limited rate of requests from a few instances (slow start)."""
     unverified = 'unproved'
     """Probes only; requests once it has answered a probe."""
+    unreachable = 'unreachable'
+    """Probes only, until this instance itself gets an answer from it."""
     ejected = 'shunned'
     """Neither requests nor probes until the ejection ends."""
 
-
-@final
-class Withholding(enum.Enum):
-    """What a target itself has said that keeps requests from it.
-
-    The values are metric labels.
-    """
-
-    leaving = 'leaving'
-    paused = 'paused'
+    @property
+    def needs_probe(self) -> bool:
+        """Tell whether a probe must precede the next request."""
+        return self in {Eligibility.unverified, Eligibility.unreachable}
 
 
 @final
@@ -91,6 +87,7 @@
         """Whether the last health check returned another status than 200."""
         self.departure = Departure(drain)
         self.pause = Pause(spread_rank)
+        self._is_path_lost = False
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
         self._verified_at = -math.inf
@@ -105,32 +102,21 @@
         """Return which traffic the target may receive now."""
         if now < self._ejected_until:
             return Eligibility.ejected
+        if self._is_path_lost:
+            return Eligibility.unreachable
         if now < self._cold_until:
             return Eligibility.cold
         if now - self._verified_at > VERIFICATION_LIFETIME:
             return Eligibility.unverified
         return Eligibility.warm
 
-    def withheld_by(
-        self, now: Seconds, *, as_last_resort: bool = False
-    ) -> Withholding | None:
-        """Return why the target wants no request of this instance now.
+    @property
+    def is_path_lost(self) -> bool:
+        """Tell whether the last own connection or probe did not get through.
 
-        ``as_last_resort`` tells that no other target can serve the request.
+        Other instances may reach the target all the same.
         """
-        if self.departure.has_begun:
-            stage = self.departure.stage(now)
-            if not as_last_resort or stage is DepartureStage.closed:
-                return Withholding.leaving
-        return Withholding.paused if now < self.pause.returns_at else None
-
-    def has_room_after_pause(self, now: Seconds) -> bool:
-        """Tell whether the slow start after a pause, if any, has room."""
-        return self.pause.admits(self.in_flight, self.report.slots, now)
-
-    def time_until_open(self, now: Seconds) -> float:
-        """Return the seconds until an ejection and a pause have ended."""
-        return max(self._ejected_until - now, self.pause.time_left(now))
+        return self._is_path_lost
 
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
@@ -171,12 +157,17 @@
     def verify(self, cold_time_left: Seconds, now: Seconds) -> None:
         """Record that the target itself confirmed at ``now`` that it is up.
 
-        It is cold for ``cold_time_left`` seconds from then on.
+        It is cold for ``cold_time_left`` seconds from then on. Another instance
+        may have received the confirmation.
         """
         self._verified_at = now
         self._cold_until = (
             now + cold_time_left if cold_time_left > 0 else -math.inf
         )
+
+    def confirm_path(self) -> None:
+        """Record that the target answered this instance."""
+        self._is_path_lost = False
         self._ejections = 0
 
     def mark_unverified(self) -> None:
@@ -186,6 +177,15 @@
         """
         self._verified_at = -math.inf
 
+    def lose_path(self, now: Seconds) -> None:
+        """Record that a connection or probe did not get through: eject.
+
+        Confirmations that other instances received do not count until the
+        target has answered this one.
+        """
+        self._is_path_lost = True
+        self.eject(now)
+
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
         self._verified_at = -math.inf
@@ -217,9 +217,14 @@
         failed = loss in {Loss.failed, Loss.cut_short, Loss.timed_out}
         self._update_failure_share(failed=failed, now=now)
         if loss is Loss.shed:
+            self.confirm_path()
             self._ejected_until = max(self._ejected_until, now + OVERLOAD_PAUSE)
-        elif loss in {Loss.never_sent, Loss.connection_lost}:
+        elif loss is Loss.connection_lost:
             self.eject(now)
+        elif loss is Loss.never_sent:
+            self.lose_path(now)
+        elif loss in {None, Loss.failed}:
+            self.confirm_path()
 
     def drop_request(self) -> None:
         """Stop counting a request whose outcome says nothing of the target.
--- a/src/turmericmast/edge/explanation.py
+++ b/src/turmericmast/edge/explanation.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import final
 
+from turmericmast.balance.openness import time_until_open
 from turmericmast.balance.targetview import Eligibility, TargetView
 from turmericmast.cluster.records import TargetPhase
 from turmericmast.edge.edge import Edge
@@ -27,6 +28,8 @@
     """A connection or probe was lost, or it rejected a request."""
     unverified = 'unverified'
     """It has not answered a probe or request for a second."""
+    unreachable = 'unreachable'
+    """This instance has lost its path to it; others may reach it."""
     cold = 'cold'
     """It has just started: only a few instances send, at a limited rate."""
     unhealthy = 'unhealthy'
@@ -41,6 +44,7 @@
     {
         Eligibility.ejected: Obstacle.ejected,
         Eligibility.unverified: Obstacle.unverified,
+        Eligibility.unreachable: Obstacle.unreachable,
         Eligibility.cold: Obstacle.cold,
     }
 )
@@ -78,7 +82,7 @@
 def _seconds_left(view: TargetView, now: Seconds) -> float:
     if view.departure.has_begun:
         return view.departure.time_left(now)
-    return max(view.time_until_open(now), view.cold_time_left(now), 0)
+    return max(time_until_open(view, now), view.cold_time_left(now), 0)
 
 
 def _find_obstacle(edge: Edge, view: TargetView, now: Seconds) -> Obstacle:
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -7,6 +7,7 @@
 
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.hedge import Hedge
+from turmericmast.balance.openness import withheld_by
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.statement import TargetStatement
@@ -146,7 +147,7 @@
         view = self.candidate.view
         now = self._context.clock.now()
         as_last_resort = self.candidate.is_last_resort
-        cause = view.withheld_by(now, as_last_resort=as_last_resort)
+        cause = withheld_by(view, now, as_last_resort=as_last_resort)
         if cause:
             self._context.metrics.count('requests_withheld', cause=cause.value)
         may_send = self._context.edge.may_send(
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -25,6 +25,8 @@
     target_crashed = 'target_crashed'
     target_leaving = 'target_leaving'
     target_paused = 'target_paused'
+    reach_changed = 'target_reach'
+    forwarded = 'request_forwarded'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
-from turmericmast.balance.targetview import Withholding
+from turmericmast.balance.openness import Withholding
 from turmericmast.call.call import Call, Loss, Ran
 from turmericmast.ids import Seconds
 from turmericmast.units import MILLIS_PER_SECOND
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -140,7 +140,7 @@
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         before = view.eligibility(self._clock.now())
         if loss or sink.head is None or sink.metadata is None:
-            view.eject(self._clock.now())
+            view.lose_path(self._clock.now())
             self.on_result(view, is_lost=True)
             has_responded = False
         else:
@@ -177,6 +177,7 @@
         if metadata.target and metadata.target != view.record.target:
             view.eject_misplaced()
             return False
+        view.confirm_path()
         self.on_statement(view, status, _own_statement(metadata))
         if metadata.load:
             view.update_load(metadata.load, now)
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -5,10 +5,17 @@
 from typing import final
 
 from turmericmast.balance.candidate import Candidate, Requirements
-from turmericmast.balance.openness import has_last_resort, withholdings
+from turmericmast.balance.openness import (
+    Withholding,
+    has_last_resort,
+    withheld_by,
+    withholdings,
+)
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
-from turmericmast.balance.targetview import TargetView, Withholding
+from turmericmast.balance.targetview import TargetView
+from turmericmast.call.call import Call
+from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -44,14 +51,28 @@
         """The best target at the last selection, also if it was too slow."""
         self.withheld_by: Collection[Withholding] = ()
         """Why some targets wanted no requests at the last selection."""
+        self.is_cut_off = False
+        """Whether most targets were out of reach at the last selection."""
+        self._has_lost_path = False
 
     async def select(self, requirements: Requirements) -> Candidate | None:
-        """Return the best target, ``None`` if the request is to be refused."""
-        self._count_withheld(requirements)
-        best = await self._search(requirements)
+        """Return the best target, ``None`` if there is no good one."""
+        views = tuple(
+            self._pool.permitted_targets(
+                dataclasses.replace(requirements, avoid=())
+            )
+        )
+        self._count_withheld(views)
+        self.is_cut_off = is_cut_off(views)
+        best = await (
+            self._search_at_once(requirements)
+            if self.is_cut_off
+            else self._search(requirements)
+        )
+        self._has_lost_path = any(view.is_path_lost for view in views)
         now = self._context.clock.now()
         if best is None and has_last_resort(
-            self._pool.permitted(requirements), now
+            self._pool.permitted_targets(requirements), now
         ):
             best = await self._search(
                 dataclasses.replace(requirements, allows_leaving=True)
@@ -61,6 +82,18 @@
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
 
+    def is_doubtful(self, candidate: Candidate | None, call: Call) -> bool:
+        """Tell whether another instance would serve a call more likely.
+
+        That is so if any path is lost and no target is eligible, or only one
+        that is leaving. Where most paths are lost, those to the other targets
+        are doubtful as well once this call has lost one more.
+        """
+        if self.is_cut_off:
+            return candidate is None or bool(call.losses)
+        has_none = self.last_best is None or self.last_best.is_last_resort
+        return has_none and self._has_lost_path
+
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
         path = self._context.edge.health_path(self._pool.service)
@@ -68,10 +101,8 @@
         if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
-    def _count_withheld(self, requirements: Requirements) -> None:
-        now = self._context.clock.now()
-        permitted = self._pool.permitted(requirements)
-        self.withheld_by = withholdings(permitted, now)
+    def _count_withheld(self, views: Collection[TargetView]) -> None:
+        self.withheld_by = withholdings(views, self._context.clock.now())
         for cause in self.withheld_by:
             self._context.metrics.count('requests_withheld', cause=cause.value)
 
@@ -88,6 +119,21 @@
             best = await self._search_within(requirements, distance)
         return await self._wait_for_probes(requirements, best)
 
+    async def _search_at_once(
+        self, requirements: Requirements
+    ) -> Candidate | None:
+        """Return the best known target without waiting for probes.
+
+        The probes that it starts serve later requests.
+        """
+        now = self._context.clock.now()
+        path = self._context.edge.health_path(self._pool.service)
+        for distance in Distance:
+            stale = self._pool.targets_to_probe(requirements, distance, now)
+            for view in stale if path else ():
+                self._context.prober.start(view, path)
+        return self._pool.best(requirements, Distance.remote, now)
+
     async def _wait_for_probes(
         self, requirements: Requirements, best: Candidate | None
     ) -> Candidate | None:
@@ -105,7 +151,13 @@
             )
             has_probes = time_left > 0 and (
                 await self._context.prober.wait_for_any(
-                    self._pool.unverified_targets(requirements, now), time_left
+                    [
+                        view
+                        for view in self._pool.permitted_targets(requirements)
+                        if withheld_by(view, now, as_last_resort=True) is None
+                        if view.eligibility(now).needs_probe
+                    ],
+                    time_left,
                 )
             )
             best = self._pool.best(requirements, Distance.remote, clock.now())
--- a/tests/test_pausing_targets.py
+++ b/tests/test_pausing_targets.py
@@ -18,6 +18,7 @@
 from tests.test_gossip import Domain
 from tests.test_service import _service as make_service
 from tests.test_target import SPEC
+from turmericmast.balance.openness import withheld_by
 from turmericmast.balance.pause import (
     MAX_PAUSE,
     RAMP,
@@ -288,7 +289,7 @@
         view.pause.begin(PauseRequest(2), Seconds(NOW))
         domain.send(0, domain.gossip(0).share_load(view, Seconds(NOW)))
         other = domain.view(1, '0')
-        self.assertIsNone(other.withheld_by(Seconds(NOW)))
+        self.assertIsNone(withheld_by(other, Seconds(NOW)))
 
     @parameterized.expand(
         [
