--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -2,17 +2,19 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import final
+from typing import TYPE_CHECKING, final
 
 from tornado.httpserver import HTTPServer
 
 from turmericmast.edge.directory import directory_ttl
 from turmericmast.ids import Seconds
-from turmericmast.instancesettings import InstanceSettings
-from turmericmast.programs.runner import Process
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
 
+if TYPE_CHECKING:
+    from turmericmast.instancesettings import InstanceSettings
+    from turmericmast.programs.runner import Process
+
 PROPAGATION_TIME = 0.3
 """Seconds until no directory lists this instance any more."""
 QUIET_TIME = 0.3
@@ -29,7 +31,7 @@
 
     def __init__(
         self,
-        process: Process[InstanceSettings],
+        process: 'Process[InstanceSettings]',
         context: EdgeContext,
         frontends: Iterable[EdgeFrontend],
     ) -> None:
@@ -63,12 +65,18 @@
             if is_propagated and now - quiet_since > QUIET_TIME:
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
-        self._stop_accepting(servers)
+        await self._close_ports(servers, Seconds(ends_at))
         while self._context.running and clock.now() < ends_at:
             await asyncio.sleep(STOP_POLL_INTERVAL)
 
-    def _stop_accepting(self, servers: Iterable[HTTPServer]) -> None:
+    async def _close_ports(
+        self, servers: Iterable[HTTPServer], deadline: Seconds
+    ) -> None:
         for server in servers:
             server.stop()
-        for frontend in self._frontends:
-            frontend.idle_connections.close_older(0)
+        await asyncio.gather(
+            *(
+                frontend.idle_connections.drain(deadline)
+                for frontend in self._frontends
+            )
+        )
