Edges: with a lost path, forwarding comes before a leaving target

An instance whose only staying targets are out of its reach would have used a leaving one as the last resort, although other instances can reach the others. Leaving targets count neither for nor against its reach. Tests: ReachTest (tests/test_leaving_targets.py).

--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -89,10 +89,11 @@
         that is leaving. Where most paths are lost, those to the other targets
         are doubtful as well once this call has lost one more.
         """
+        best = self.last_best
+        has_only_leaving = best is not None and best.is_last_resort
         if self.is_cut_off:
-            return candidate is None or bool(call.losses)
-        has_none = self.last_best is None or self.last_best.is_last_resort
-        return has_none and self._has_lost_path
+            return candidate is None or has_only_leaving or bool(call.losses)
+        return (best is None or has_only_leaving) and self._has_lost_path
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -6,14 +6,14 @@
 
 import asyncio
 import dataclasses
-import unittest
+import unittest.mock
 from collections.abc import Callable
 
 from parameterized import parameterized
 from tornado.httputil import HTTPHeaders
 
 from tests.edge_harness import EdgeHarness, unsplit_document
-from tests.edge_samples import NOW, feed, target
+from tests.edge_samples import NOW, feed, requirements, target
 from tests.test_gossip import SIZES, Domain
 from turmericmast.balance.departure import (
     LAST_RESORT_MARGIN,
@@ -21,8 +21,10 @@
     DepartureStage,
 )
 from turmericmast.balance.news import TargetDeparture
-from turmericmast.ids import Seconds
+from turmericmast.edge.reach import is_cut_off
+from turmericmast.ids import Seconds, ServiceId
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.web.targetselection import TargetSelector
 from turmericmast.wire import codec
 from turmericmast.wire.generated import ttypes
 
@@ -361,6 +363,47 @@
         self.assertEqual(statuses, wanted)
 
 
+class ReachTest(unittest.IsolatedAsyncioTestCase):
+    """Leaving targets beside an instance that loses its paths to targets."""
+
+    @parameterized.expand(
+        [
+            ('all_paths_lost', (), '12', True),
+            ('lost_one_is_leaving', ('1',), '1', False),
+            ('lost_ones_are_leaving', ('1', '2'), '12', False),
+            ('lost_one_stays', ('1',), '2', True),
+        ]
+    )
+    def test_cut_off(
+        self, _name: str, leaving: tuple[str, ...], lost: str, cut_off: bool
+    ) -> None:
+        harness = EdgeHarness(target('1'), target('2'))
+        for name in leaving:
+            harness.view(name).departure.begin(Seconds(NOW))
+        for name in lost:
+            harness.view(name).lose_path(Seconds(NOW))
+        self.assertIs(is_cut_off(harness.edge.views()), cut_off)
+
+    @parameterized.expand([('lost', '2', True), ('in_reach', '', False)])
+    async def test_forwarding_comes_before_the_last_resort(
+        self, _name: str, lost: str, is_doubtful: bool
+    ) -> None:
+        harness = EdgeHarness(*map(target, '123'))
+        for name in '13':
+            harness.view(name).departure.begin(Seconds(NOW))
+        harness.view('2').eject(Seconds(NOW))
+        for name in lost:
+            harness.view(name).lose_path(Seconds(NOW))
+        pool = harness.edge.pool_by_service[ServiceId('stock')]
+        selector = TargetSelector(harness.context, pool)
+        with harness.running():
+            candidate = await selector.select(requirements())
+        assert candidate is not None
+        self.assertTrue(candidate.is_last_resort)
+        call = unittest.mock.Mock(losses=[])
+        self.assertIs(selector.is_doubtful(candidate, call), is_doubtful)
+
+
 class DepartureNewsTest(unittest.TestCase):
     """Instances nearby learn that a target leaves, and since when."""
 
