--- a/src/turmericmast/programs/gracefulshutdown.py
+++ b/src/turmericmast/programs/gracefulshutdown.py
@@ -27,7 +27,11 @@
 
 @final
 class GracefulShutdown:
-    """Drains an edge, so that it stops without cutting off requests."""
+    """Drains an edge, so that it stops without cutting off requests.
+
+    A request is taken if it ends before the grace period does, by its deadline.
+    Other ones are refused before their bodies are read.
+    """
 
     def __init__(
         self,
@@ -56,7 +60,7 @@
         quiet_since = started_at
         while clock.now() < ends_at:
             now = clock.now()
-            if self._context.running:
+            if self._has_requests():
                 quiet_since = now
             is_propagated = (
                 now - started_at
@@ -66,8 +70,13 @@
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
         await self._close_ports(servers, Seconds(ends_at))
-        while self._context.running and clock.now() < ends_at:
-            await asyncio.sleep(STOP_POLL_INTERVAL)
+        # A request that is read from here on is refused.
+        self._context.edge.leave(clock.now())
+
+    def _has_requests(self) -> bool:
+        return any(
+            frontend.idle_connections.has_active for frontend in self._frontends
+        )
 
     async def _close_ports(
         self, servers: Iterable[HTTPServer], deadline: Seconds
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -244,7 +244,7 @@
     )
     if forwarding:
         request = request.forwarded(forwarding)
-    if not edge.can_finish(request.call.deadline, request.began_at):
+    if not edge.can_finish(request.call.deadline):
         return Failure(edgerefusals.leaving())
     return Success(request)
 
