Merge branch 'wt-leaving' (targets that leave or ask for a pause)

A request with a lost path goes to another instance before it goes to a target that is leaving; paths to leaving targets do not count for the reach.

--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -13,6 +13,7 @@
 )
 from turmericmast.balance.candidate import Candidate, Locality, Requirements
 from turmericmast.balance.coldlimit import ColdRateLimiter
+from turmericmast.balance.openness import time_until_open, withheld_by
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.requestrate import RequestRate
 from turmericmast.balance.retrybudget import SharedRetryBudget
@@ -170,7 +171,12 @@
         """Return the eligible target with the best score up to a distance."""
         estimate = self.estimate(requirements, now)
         candidates = (
-            Candidate(view, distance, score(view, distance, estimate, now))
+            Candidate(
+                view,
+                distance,
+                score(view, distance, estimate, now),
+                is_last_resort=view.departure.has_begun,
+            )
             for distance in Distance
             if distance <= max_distance
             for view in self._not_ejected(requirements, distance, now)
@@ -266,16 +272,22 @@
         """Return the seconds after which a refused caller should retry.
 
         It is about the time until ``best``, the best target, has room, and
-        until the first permitted target is no longer ejected without one.
+        until the first permitted target is open again without one.
         """
         if best:
             until_room = self.excess_latency(requirements, best, now)
             return self._retry_delays.next_delay(until_room)
-        ejections = (
-            view.ejected_until() - now
+        staying = [
+            view
             for view in self.permitted_targets(requirements)
+            if not view.departure.has_begun
+        ]
+        until_open = min(
+            (time_until_open(view, now) for view in staying), default=MAX_DELAY
         )
-        return limited_delay(min(ejections, default=MAX_DELAY))
+        if any(view.pause.is_on(now) for view in staying):
+            return self._retry_delays.delay_after(until_open)
+        return limited_delay(until_open)
 
     def _fresh_age(
         self, requirements: Requirements, distance: Distance
@@ -314,14 +326,21 @@
     def _not_ejected(
         self, requirements: Requirements, distance: Distance, now: Seconds
     ) -> Iterator[TargetView]:
+        as_last_resort = requirements.allows_leaving
         return (
             view
             for view in self._permitted(requirements, distance)
+            if withheld_by(view, now, as_last_resort=as_last_resort) is None
             if view.eligibility(now) is not Eligibility.ejected
         )
 
     def _may_send(self, view: TargetView, now: Seconds) -> bool:
         eligibility = view.eligibility(now)
+        is_returning = now < view.pause.returned_at
+        if is_returning and not view.pause.admits(
+            view.in_flight, view.report.slots, now
+        ):
+            return False
         if eligibility is Eligibility.cold:
             is_own = view.record.target in self.cold_targets
             return is_own and self._cold_limiter(view).allows(now)
@@ -334,13 +353,15 @@
         )
 
 
-def _preference(candidate: Candidate) -> tuple[float, float]:
+def _preference(candidate: Candidate) -> tuple[bool, float, float]:
     """Return the sort key of a candidate: its score, then its idle time.
 
-    Among equal scores the least recently used target comes first, so that a
-    new target gets requests too.
+    Any target that stays comes before those that leave. Among equal scores
+    the least recently used target comes first, so that a new target gets
+    requests too.
     """
     return (
+        not candidate.is_last_resort,
         round(candidate.score, SCORE_DIGITS),
         -candidate.view.sent_at,
     )
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -4,10 +4,13 @@
 import math
 from typing import final
 
+from turmericmast.balance.departure import Departure
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.pause import Pause
 from turmericmast.call.call import Loss
 from turmericmast.cluster.records import TargetRecord
 from turmericmast.ids import RegionId, Seconds
+from turmericmast.instancesettings import Bounds
 
 VERIFICATION_LIFETIME = 1.0
 """Seconds for which a target's own statement that it is up remains valid.
@@ -60,8 +63,12 @@
         record: TargetRecord,
         region: RegionId,
         spread_rank: float = 0,
+        drain: Seconds = Bounds.drain,
     ) -> None:
-        """Begin unverified and without a load report."""
+        """Begin unverified and without a load report.
+
+        ``drain`` is how long a leaving target takes requests.
+        """
         self.record = record
         self.region = region
         self.spread_rank = spread_rank
@@ -78,6 +85,8 @@
         """When this instance last sent a request to the target."""
         self.is_unhealthy = False
         """Whether the last health check returned another status than 200."""
+        self.departure = Departure(drain)
+        self.pause = Pause(spread_rank)
         self._is_path_lost = False
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -7,6 +7,7 @@
 
 from turmericmast.balance.affinity import affinity
 from turmericmast.balance.candidate import Locality
+from turmericmast.balance.openness import withheld_by
 from turmericmast.balance.pool import FRESH_REPORT_AGE, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
@@ -155,17 +156,27 @@
         config = self._config(service)
         return config.health_path if config else ''
 
-    def may_send(self, view: TargetView) -> bool:
+    def may_send(
+        self,
+        view: TargetView,
+        now: Seconds,
+        *,
+        as_last_resort: bool = False,
+    ) -> bool:
         """Tell whether a request may still be sent to a chosen target.
 
         The target may have been removed, restarted, drained or evacuated
-        since it was chosen.
+        since it was chosen, or may have asked for no more requests.
         """
         record = view.record
         known = self._view_by_target.get(record.target)
         is_ready = view.record.phase is TargetPhase.ready
+        cause = withheld_by(view, now, as_last_resort=as_last_resort)
         return (
-            known is view and is_ready and (record.domain not in self.evacuated)
+            known is view
+            and is_ready
+            and (record.domain not in self.evacuated)
+            and cause is None
         )
 
     def resolve(
@@ -244,7 +255,7 @@
             return
         region = self._region_by_domain.get(record.domain, RegionId(''))
         spread_rank = affinity(record.target, self.record.instance)
-        view = TargetView(record, region, spread_rank)
+        view = TargetView(record, region, spread_rank, self.bounds.drain)
         self._view_by_target[record.target] = view
         self._pool(record.service).add(view)
         self.membership.assignments.add_target(record, region)
--- a/src/turmericmast/edge/reach.py
+++ b/src/turmericmast/edge/reach.py
@@ -27,6 +27,7 @@
         for view in views
         if view.record.phase is TargetPhase.ready
         and view.record.domain not in evacuated
+        and not view.departure.has_begun
     ]
     return 2 * sum(paths) > len(paths)
 
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -5,8 +5,9 @@
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.statement import TargetStatement
 from turmericmast.ids import Seconds, TargetId
-from turmericmast.numerals import parse_whole
+from turmericmast.numerals import is_decimal
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.headerformat import (
     HeaderFormat,
@@ -14,6 +15,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from turmericmast.web.parse import read_pause
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 """Id that the caller gave to a request; a target sends it back."""
@@ -33,6 +35,8 @@
 """Running and waiting requests, slots and, optionally, slowness."""
 COLD_TIME_HEADER = 'X-Warmup-Ms'
 """Milliseconds that the target stays cold."""
+LEAVING_HEADER = 'Server-Leaving'
+"""Set to ``1`` in each response of a target that is leaving."""
 USUAL_SLOWNESS = 100.0
 """Slowness, the fourth figure of the load, on an undisturbed host."""
 MISDIRECTED_STATUS = 421
@@ -62,7 +66,7 @@
         return RequestMetadata(
             headers.get(REQUEST_ID_HEADER, ''),
             Seconds(float(caller_timeout) / MILLIS_PER_SECOND)
-            if _is_number(caller_timeout)
+            if is_decimal(caller_timeout)
             else None,
         )
 
@@ -99,6 +103,7 @@
             is_not_run=NOT_RUN_HEADER in headers or is_misdirected,
             is_misdirected=is_misdirected,
             load=_load(headers.get(LOAD_HEADER, '')),
+            statement=_statement(headers),
         )
 
     def read_health(self, headers: HTTPHeaders) -> HealthMetadata:
@@ -107,24 +112,28 @@
         return HealthMetadata(
             TargetId(headers.get(TARGET_HEADER, '')),
             Seconds(
-                float(cold_ms) / MILLIS_PER_SECOND if _is_number(cold_ms) else 0
+                float(cold_ms) / MILLIS_PER_SECOND if is_decimal(cold_ms) else 0
             ),
             _load(headers.get(LOAD_HEADER, '')),
             is_not_run=NOT_RUN_HEADER in headers,
             answers_request=REQUEST_ID_HEADER in headers,
+            statement=_statement(headers),
         )
 
 
+def _statement(headers: HTTPHeaders) -> TargetStatement:
+    return TargetStatement(
+        is_leaving='1' in map(str.strip, headers.get_list(LEAVING_HEADER)),
+        pause=read_pause(headers),
+    )
+
+
 def _load(text: str) -> LoadReport | None:
     figures = text.split(',')
-    if len(figures) < _MIN_LOAD_FIGURES or not all(map(_is_number, figures)):
+    if len(figures) < _MIN_LOAD_FIGURES or not all(map(is_decimal, figures)):
         return None
     running, waiting, slots, *more = map(float, figures)
     if max(running, waiting, slots, *more) > MAX_FIGURE:
         return None
     slowness = more[0] / USUAL_SLOWNESS if more else 1
     return LoadReport(int(running), int(waiting), int(slots), slowness)
-
-
-def _is_number(text: str) -> bool:
-    return parse_whole(text.strip().replace('.', '', 1)) is not None
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -130,6 +130,7 @@
         metrics=process.metrics,
         events=process.events,
     )
+    _show_statements(process, edge)
     process.metrics.gauge('requests_running', lambda: context.running)
     process.metrics.gauge('cluster_index', lambda: edge.index)
     process.metrics.gauge(
@@ -138,6 +139,20 @@
     return context
 
 
+def _show_statements(process: Process[InstanceSettings], edge: Edge) -> None:
+    """Show as metrics how many targets want no requests."""
+    process.metrics.gauge(
+        'targets_leaving',
+        lambda: sum(view.departure.has_begun for view in edge.views()),
+    )
+    process.metrics.gauge(
+        'targets_paused',
+        lambda: sum(
+            view.pause.is_on(process.clock.now()) for view in edge.views()
+        ),
+    )
+
+
 def _apply_nothing(settings: Any) -> None:
     """Do nothing: users of settings that may change read them each time."""
 
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -7,6 +7,7 @@
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.statement import NO_STATEMENT, TargetStatement
 from turmericmast.ids import Seconds, TargetId
 
 
@@ -40,6 +41,8 @@
     """Whether a target got the request.
 
     False only if another instance says so."""
+    statement: TargetStatement = NO_STATEMENT
+    """What the target states about itself."""
 
 
 @final
@@ -57,6 +60,8 @@
     """Whether the target was too busy to run the health check."""
     answers_request: bool = False
     """Whether it is the response to an earlier request, not to this check."""
+    statement: TargetStatement = NO_STATEMENT
+    """What the target states about itself."""
 
 
 class HeaderFormat(abc.ABC):
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -1,10 +1,16 @@
 """Selection of a target for a request, with probes of stale targets."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import final
 
 from turmericmast.balance.candidate import Candidate, Requirements
+from turmericmast.balance.openness import (
+    Withholding,
+    has_last_resort,
+    withheld_by,
+    withholdings,
+)
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
@@ -44,6 +50,8 @@
         self._pool = pool
         self.last_best: Candidate | None = None
         """The best target at the last selection, also if it was too slow."""
+        self.withheld_by: Collection[Withholding] = ()
+        """Why some targets wanted no requests at the last selection."""
         self.is_cut_off = False
         """Whether the last selection found targets out of reach.
 
@@ -57,6 +65,7 @@
                 dataclasses.replace(requirements, avoid=())
             )
         )
+        self._count_withheld(views)
         self.is_cut_off = is_cut_off(views)
         best = await (
             self._search_at_once(requirements)
@@ -68,8 +77,15 @@
             self.is_cut_off = any(view.is_path_lost for view in views) or (
                 self._context.edge.record.reach is TargetReach.forwarded
             )
-        self.last_best = best
         now = self._context.clock.now()
+        if best is None and has_last_resort(
+            self._pool.permitted_targets(requirements), now
+        ):
+            best = await self._search(
+                dataclasses.replace(requirements, allows_leaving=True)
+            )
+            now = self._context.clock.now()
+        self.last_best = best
         is_admitted = best and self._pool.admits(requirements, best, now)
         return best if is_admitted else None
 
@@ -77,16 +93,26 @@
         """Tell whether another instance would serve a call more likely.
 
         Where most paths are lost, and one more was lost by this call, those
-        to the other targets are doubtful as well.
+        to the other targets are doubtful as well. Another instance also comes
+        before a target that is leaving.
         """
-        return self.is_cut_off and (candidate is None or bool(call.losses))
+        is_last_resort = candidate is not None and candidate.is_last_resort
+        return self.is_cut_off and (
+            candidate is None or is_last_resort or bool(call.losses)
+        )
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
         path = self._context.edge.health_path(self._pool.service)
-        if path:
+        is_paused = candidate.view.pause.is_on(self._context.clock.now())
+        if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
+    def _count_withheld(self, views: Collection[TargetView]) -> None:
+        self.withheld_by = withholdings(views, self._context.clock.now())
+        for cause in self.withheld_by:
+            self._context.metrics.count('requests_withheld', cause=cause.value)
+
     async def _search(self, requirements: Requirements) -> Candidate | None:
         """Return the best target; probe unless a good one is known."""
         now = self._context.clock.now()
@@ -135,6 +161,7 @@
                     [
                         view
                         for view in self._pool.permitted_targets(requirements)
+                        if withheld_by(view, now, as_last_resort=True) is None
                         if view.eligibility(now).needs_probe
                     ],
                     time_left,
