Crashes: a cut that begins does not make requests suspect

Requests could be refused everywhere for a minute though they had crashed nothing: a request counts as crashing its target if its connection is lost and a probe right after finds the target silent. When links are lost that holds for each request in flight, and until most targets are known to be out of reach each one is reported. Three instances that lose the same path, method and body suffice.

Before a report another target is now probed, of the same domain and another service if there is one. If it is silent too, the links are the likelier cause. Without another target a report is made as before.

--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -1,6 +1,7 @@
 """Detection of targets that crashed while they ran a request."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, TypeAlias, final
 
@@ -60,12 +61,15 @@
         return asyncio.ensure_future(self._check(view, fingerprint))
 
     async def _check(self, view: TargetView, fingerprint: Fingerprint) -> None:
-        path = self._edge.health_path(view.record.service)
-        if not path or await self._prober.start(view, path):
+        if await self._is_answering(view):
             return
         if is_cut_off(self._edge.views(), self._edge.evacuated):
             # The silence says nothing about the target.
             return
+        witness = self._find_witness(view)
+        if witness and not await self._is_answering(witness):
+            # Rather the links were lost: two targets at once.
+            return
         crash = ReportCrash(fingerprint, Millis(self._clock.wall()))
         is_reported = False
         for _ in range(MAX_REPORT_ATTEMPTS):
@@ -76,3 +80,27 @@
             fingerprint=fingerprint,
             is_told=is_reported,
         )
+
+    async def _is_answering(self, view: TargetView) -> bool:
+        """Probe a target; true also where its service has no health check."""
+        path = self._edge.health_path(view.record.service)
+        return not path or await self._prober.start(view, path)
+
+    def _find_witness(self, view: TargetView) -> TargetView | None:
+        """Return the target whose answer tells most about the same links."""
+        others = (
+            other
+            for other in self._edge.views()
+            if other.record.target != view.record.target
+            and not other.is_path_lost
+            and other.ejected_until() < math.inf
+            and self._edge.may_send(other)
+        )
+        return min(
+            others,
+            key=lambda other: (
+                other.record.domain != view.record.domain,
+                other.record.service == view.record.service,
+            ),
+            default=None,
+        )
