Edges: requests that find no open connection to a target are forwarded

Each new connection that was not opened ejected its target, and each answer on an open one at the same time made it count as in reach. Neither the targets nor another instance were then asked: there was no target to send to, and most of them were not out of reach. That a target answers on one connection was taken for a path that the next request can use.

A target whose connection was not opened now counts as lost for requests until its ejection ends, whatever it answers on open ones. A request that has itself lost one path, and has no target left, or has lost two, is forwarded as well.

--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -78,6 +78,9 @@
         """When this instance last sent a request to the target."""
         self.is_unhealthy = False
         """Whether the last health check returned another status than 200."""
+        # The end of the ejection for a lost path. Until then new connections
+        # are expected to fail, though open ones may still be answered.
+        self.path_lost_until: float = -math.inf
         self._is_path_lost = False
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
@@ -176,6 +179,7 @@
         """
         self._is_path_lost = True
         self.eject(now)
+        self.path_lost_until = self._ejected_until
 
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -8,9 +8,8 @@
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
-from turmericmast.call.call import Call
+from turmericmast.call.call import Call, Loss
 from turmericmast.cluster.records import TargetReach
-from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -73,9 +72,13 @@
         """Tell whether another instance would serve a call more likely.
 
         Where most paths are lost, and one more was lost by this call, those
-        to the other targets are doubtful as well.
+        to the other targets are doubtful as well. So they are where this call
+        has lost two.
         """
-        return self.is_cut_off and (candidate is None or bool(call.losses))
+        lost = call.losses.count(Loss.never_sent)
+        if candidate is None:
+            return self.is_cut_off or lost > 0
+        return lost > 1 or (self.is_cut_off and bool(call.losses))
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
@@ -86,7 +89,12 @@
     def _has_lost_most(self, requirements: Requirements) -> bool:
         """Tell whether the paths to most targets of the service are lost."""
         anywhere = dataclasses.replace(requirements, avoid=())
-        return is_cut_off(self._pool.permitted_targets(anywhere))
+        now = self._context.clock.now()
+        are_lost = [
+            view.is_path_lost or now < view.path_lost_until
+            for view in self._pool.permitted_targets(anywhere)
+        ]
+        return 2 * sum(are_lost) > len(are_lost)
 
     async def _search(self, requirements: Requirements) -> Candidate | None:
         """Return the best target; probe unless a good one is known."""
