Edges: a body refused on the way does not say that it was not run

An instance that had begun to send a request on, and then refused its body as too large, said that the request had not run. Where it had the request from another instance, that one took this for a promise and answered 503 (REFUSED), though a target may have run it. This takes a change that lowers the largest size of a body while a longer one is on its way.

The refusal now says "unknown" once sending may have begun; the status stays 413.

--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -99,7 +99,8 @@
         table = self._context.edge.route_table
         max_bytes = table.document.limits.body_bytes if table else 0
         if self._body.size + len(chunk) > max_bytes:
-            self._refuse(edgerefusals.body_too_large(max_bytes))
+            ran = Ran.unknown if self._task else Ran.no
+            self._refuse(edgerefusals.body_too_large(max_bytes, ran))
             self._body.stop_reading()
             return
         if self._body.exceeds_buffer(len(chunk)):
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -76,12 +76,17 @@
     )
 
 
-def body_too_large(limit: int) -> Problem:
-    """Return the problem for a body over the limit, in octets."""
-    return _rejected(
+def body_too_large(limit: int, ran: Ran = Ran.no) -> Problem:
+    """Return the problem for a body over the limit, in octets.
+
+    Its request may have run if the part within the limit was sent on.
+    """
+    return Problem(
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         'Body too large',
         f'at most {limit} octets of body are allowed',
+        'read request',
+        ran,
     )
 
 
