--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -87,6 +87,9 @@
         """Whether the last health check returned another status than 200."""
         self.departure = Departure(drain)
         self.pause = Pause(spread_rank)
+        # The end of the ejection for a lost path. Until then new connections
+        # are expected to fail, though open ones may still be answered.
+        self.path_lost_until: float = -math.inf
         self._is_path_lost = False
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
@@ -185,6 +188,7 @@
         """
         self._is_path_lost = True
         self.eject(now)
+        self.path_lost_until = self._ejected_until
 
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -1,7 +1,7 @@
 """Selection of a target for a request, with probes of stale targets."""
 
 import dataclasses
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import final
 
 from turmericmast.balance.candidate import Candidate, Requirements
@@ -14,9 +14,8 @@
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.scoring import Distance
 from turmericmast.balance.targetview import TargetView
-from turmericmast.call.call import Call
+from turmericmast.call.call import Call, Loss
 from turmericmast.cluster.records import TargetReach
-from turmericmast.edge.reach import is_cut_off
 from turmericmast.web.edgecontext import EdgeContext
 
 PROBE_TIMEOUT_BY_DISTANCE = (0.015, 0.025, 0.06)
@@ -66,7 +65,8 @@
             )
         )
         self._count_withheld(views)
-        self.is_cut_off = is_cut_off(views)
+        lost = self._lost_paths(views)
+        self.is_cut_off = 2 * lost > len(views)
         best = await (
             self._search_at_once(requirements)
             if self.is_cut_off
@@ -74,7 +74,7 @@
         )
         if best is None:
             # Few targets of a service that is rarely used are tried at all.
-            self.is_cut_off = any(view.is_path_lost for view in views) or (
+            self.is_cut_off = self._lost_paths(views) > 0 or (
                 self._context.edge.record.reach is TargetReach.forwarded
             )
         now = self._context.clock.now()
@@ -93,13 +93,15 @@
         """Tell whether another instance would serve a call more likely.
 
         Where most paths are lost, and one more was lost by this call, those
-        to the other targets are doubtful as well. Another instance also comes
-        before a target that is leaving.
+        to the other targets are doubtful as well. So they are where this call
+        has lost two. Another instance also comes before a target that is
+        leaving.
         """
-        is_last_resort = candidate is not None and candidate.is_last_resort
-        return self.is_cut_off and (
-            candidate is None or is_last_resort or bool(call.losses)
-        )
+        lost = call.losses.count(Loss.never_sent)
+        if candidate is None:
+            return self.is_cut_off or lost > 0
+        is_likely_lost = bool(call.losses) or candidate.is_last_resort
+        return lost > 1 or (self.is_cut_off and is_likely_lost)
 
     def start_probe(self, candidate: Candidate) -> None:
         """Probe a target without waiting for the response."""
@@ -108,6 +110,16 @@
         if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
+    def _lost_paths(self, views: Iterable[TargetView]) -> int:
+        """Count targets to which new connections are expected to fail.
+
+        Open connections to them may still be answered.
+        """
+        now = self._context.clock.now()
+        return sum(
+            view.is_path_lost or now < view.path_lost_until for view in views
+        )
+
     def _count_withheld(self, views: Collection[TargetView]) -> None:
         self.withheld_by = withholdings(views, self._context.clock.now())
         for cause in self.withheld_by:
