Edges: a forwarded request has no last resort

Cause, from the lines: that edge and another refused the target in time and, with a path lost, forwarded; the receiver is in another domain, saw the target leave 1.6 s later, and used it as its own last resort. Ruled out: a restart of the target or its removal and return (no such lines, same start).

Change: the receiver considers no leaving target for a forwarded request. Test: test_forwarded_request_has_no_last_resort.

--- a/src/turmericmast/balance/candidate.py
+++ b/src/turmericmast/balance/candidate.py
@@ -49,6 +49,8 @@
     """Targets that were already tried."""
     is_download: bool = False
     """Whether a large answer is expected."""
+    has_last_resort: bool = True
+    """Whether a leaving target may be considered at all."""
     allows_leaving: bool = False
     """Whether a leaving target may serve, since no other one can."""
 
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -64,6 +64,8 @@
             home_regions=self.route.home_regions,
             avoid=avoid,
             is_download=self.route.kind is RouteKind.download,
+            # The sender has its own last resort, which may have ended.
+            has_last_resort=not self.forwarding,
         )
 
     def transfer_request(
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -78,7 +78,8 @@
                 self._context.edge.record.reach is TargetReach.forwarded
             )
         now = self._context.clock.now()
-        if best is None and has_last_resort(
+        is_unserved = best is None and requirements.has_last_resort
+        if is_unserved and has_last_resort(
             self._pool.permitted_targets(requirements), now
         ):
             best = await self._search(
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -405,6 +405,23 @@
         call = unittest.mock.Mock(losses=[])
         self.assertIs(selector.is_doubtful(candidate, call), is_doubtful)
 
+    @parameterized.expand([('of_a_caller', True), ('forwarded', False)])
+    async def test_forwarded_request_has_no_last_resort(
+        self, _name: str, has_last_resort: bool
+    ) -> None:
+        # Its sender may have ended the use of a target that leaves.
+        harness = EdgeHarness(target('1'))
+        harness.view('1').departure.begin(Seconds(NOW))
+        selector = TargetSelector(
+            harness.context, harness.edge.pool_by_service[ServiceId('stock')]
+        )
+        wanted = dataclasses.replace(
+            requirements(), has_last_resort=has_last_resort
+        )
+        with harness.running():
+            candidate = await selector.select(wanted)
+        self.assertIs(candidate is not None, has_last_resort)
+
 
 class DepartureNewsTest(unittest.TestCase):
     """Instances nearby learn that a target leaves, and since when."""
