--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -26,6 +26,7 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.edgefrontend import _read_request
+from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.probing import Prober
 from turmericmast.web.transfer import Progress, ResponseHead, TransferRequest
 
@@ -187,13 +188,18 @@
         ):
             yield
 
-    async def call(self) -> Answer:
-        """Send a request of a caller to the edge."""
+    def read(self) -> EdgeRequest:
+        """Return a request of a caller as the edge reads it."""
         headers = HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'})
         start = RequestStartLine('GET', '/stock/1', 'HTTP/1.1')
         read = _read_request(self.context, start, headers, self.clock.now())
+        incoming: EdgeRequest = read.unwrap()
+        return incoming
+
+    async def call(self) -> Answer:
+        """Send a request of a caller to the edge."""
         connection = unittest.mock.Mock()
-        exchange = EdgeExchange(self.context, connection, read.unwrap())
+        exchange = EdgeExchange(self.context, connection, self.read())
         exchange._body.mark_complete()
         await exchange._run()
         line, answer_headers, *_ = connection.write_headers.call_args.args
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -22,8 +22,9 @@
 )
 from turmericmast.balance.news import TargetDeparture
 from turmericmast.edge.reach import is_cut_off
-from turmericmast.ids import Seconds, ServiceId
+from turmericmast.ids import CallId, Seconds, ServiceId
 from turmericmast.platform.headers import PlatformHeaders
+from turmericmast.web.peerheaders import Forwarding
 from turmericmast.web.targetselection import TargetSelector
 from turmericmast.wire import codec
 from turmericmast.wire.generated import ttypes
@@ -407,7 +408,7 @@
 
     @parameterized.expand([('of_a_caller', True), ('forwarded', False)])
     async def test_forwarded_request_has_no_last_resort(
-        self, _name: str, has_last_resort: bool
+        self, _name: str, is_sent: bool
     ) -> None:
         # Its sender may have ended the use of a target that leaves.
         harness = EdgeHarness(target('1'))
@@ -415,12 +416,14 @@
         selector = TargetSelector(
             harness.context, harness.edge.pool_by_service[ServiceId('stock')]
         )
-        wanted = dataclasses.replace(
-            requirements(), has_last_resort=has_last_resort
-        )
+        incoming = harness.read()
+        if not is_sent:
+            incoming = incoming.forwarded(
+                Forwarding(CallId('r'), 1, ServiceId('stock'))
+            )
         with harness.running():
-            candidate = await selector.select(wanted)
-        self.assertIs(candidate is not None, has_last_resort)
+            candidate = await selector.select(incoming.requirements(()))
+        self.assertIs(candidate is not None, is_sent)
 
 
 class DepartureNewsTest(unittest.TestCase):
