--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,7 +39,9 @@
 SECONDS = flags.DEFINE_float('seconds', 12.0, 'Length of the part with faults.')
 KEEP = flags.DEFINE_string('keep', '', 'Folder for logs of failed seeds.')
 
-REGRESSION_SEEDS: tuple[tuple[int, str], ...] = ()
+REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
+    (12, 'a forwarded request used a leaving target as the last resort'),
+)
 """Seeds that failed before, each with its cause; tests run them again."""
 
 CALLER_COUNT = 8
