Tests of the first probes: the loop's clock is virtual

Bounds and rows are unchanged; the clock now jumps from timer to timer, so that only the delays of the rows pass.

--- a/tests/test_first_probes.py
+++ b/tests/test_first_probes.py
@@ -11,11 +11,11 @@
 
 from tests.edge_samples import (
     NOW,
-    SkewedClock,
     pool,
     requirements,
     target_view,
 )
+from tests.virtual_time import LoopClock, VirtualTimeLoop
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Loss
 from turmericmast.metrics import Metrics
@@ -26,7 +26,7 @@
 LONG_AGO = NOW - 60
 
 
-class FirstProbeTest(unittest.IsolatedAsyncioTestCase):
+class FirstProbeTest(unittest.TestCase):
     """A request waits for the first probe, not for all and not for long."""
 
     @parameterized.expand(
@@ -39,7 +39,7 @@
             ('none_answers', (9.0, 9.0), None, 0.45),
         ]
     )
-    async def test_selection(
+    def test_selection(
         self,
         _name: str,
         delays: tuple[float, float],
@@ -47,18 +47,20 @@
         within: float,
     ) -> None:
         views = [target_view(name, verified_at=LONG_AGO) for name in '12']
-        clock = SkewedClock()
-        clock.offset = NOW - clock.now()
+        clock = LoopClock()
         prober = _SlowProber(clock, dict(zip('12', delays, strict=True)))
         context = unittest.mock.Mock(
             clock=clock, prober=prober.prober, metrics=Metrics()
         )
-        began_at = clock.now()
-        selector = TargetSelector(context, pool(*views))
-        with prober:
+
+        async def select() -> None:
+            selector = TargetSelector(context, pool(*views))
             chosen = await selector.select(requirements())
-        self.assertEqual(chosen and chosen.view.record.target, expected)
-        self.assertLess(clock.now() - began_at, within)
+            self.assertEqual(chosen and chosen.view.record.target, expected)
+            self.assertLess(clock.now() - NOW, within)
+
+        with prober, asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(select())
 
     @parameterized.expand(
         [
@@ -67,7 +69,7 @@
             ('few_requests', (0.01, 0.03, 0.05), 3, 3),
         ]
     )
-    async def test_waiting_requests_do_not_all_take_the_first_target(
+    def test_waiting_requests_do_not_all_take_the_first_target(
         self,
         _name: str,
         delays: tuple[float, ...],
@@ -75,8 +77,7 @@
         most: int,
     ) -> None:
         views = [target_view(name, verified_at=LONG_AGO) for name in '123']
-        clock = SkewedClock()
-        clock.offset = NOW - clock.now()
+        clock = LoopClock()
         prober = _SlowProber(clock, dict(zip('123', delays, strict=True)))
         context = unittest.mock.Mock(
             clock=clock, prober=prober.prober, metrics=Metrics()
@@ -89,10 +90,13 @@
             if chosen:
                 stock_pool.begin_request(chosen.view, clock.now())
 
-        with prober:
+        async def send_all() -> None:
             for view in views:
                 prober.prober.start(view, '/health')
             await asyncio.gather(*(send() for _ in range(requests)))
+
+        with prober, asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(send_all())
         sent = [view.in_flight for view in views]
         self.assertEqual(sum(sent), requests)
         self.assertLessEqual(max(sent), most)
@@ -102,7 +106,7 @@
     """A prober whose probes take as long as is told; below 0 they are lost."""
 
     def __init__(
-        self, clock: SkewedClock, delay_by_target: dict[str, float]
+        self, clock: LoopClock, delay_by_target: dict[str, float]
     ) -> None:
         self._clock = clock
         self._delay_by_target = delay_by_target
