Tests: addresses that nothing listens at lie below the ephemeral range

test_end_of_the_cut_is_found failed once with an address already in use: the port of a closed socket was taken by an outgoing connection before the target listened at it. free_addresses of bench.layout takes ports that this cannot happen to.

--- a/bench/layout.py
+++ b/bench/layout.py
@@ -61,6 +61,11 @@
     return [f'{HOST}:{port}' for port in itertools.islice(free, count)]
 
 
+def free_address() -> str:
+    """Return a loopback address at which no process listens."""
+    return free_addresses(1)[0]
+
+
 def free_block(count: int) -> list[int]:
     """Return consecutive loopback ports on which no process listens."""
     starts = random.sample(range(LOWEST_PORT, HIGHEST_PORT - count), 4 * count)
--- a/tests/test_curl.py
+++ b/tests/test_curl.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from parameterized import parameterized
-from tornado.testing import bind_unused_port
 
+from bench.layout import free_address
 from bench.machines import Upstream
 from turmericmast.call.call import Loss
 from turmericmast.web.curl import CurlClient
@@ -59,9 +59,7 @@
     async def test_transfer_with_the_same_handle_ends(
         self, _name: str, act: Callable[[Transfer], None]
     ) -> None:
-        sock, port = bind_unused_port()
-        sock.close()
-        address = f'127.0.0.1:{port}'
+        address = free_address()
         with CurlClient() as curl, Upstream('1', 'tirol-a', address):
             ended = _transfer(curl)
             await ended.run()
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -14,8 +14,8 @@
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
-from tornado.testing import bind_unused_port
 
+from bench.layout import free_address
 from bench.machines import Upstream
 from tests.edge_samples import (
     NOW,
@@ -178,7 +178,7 @@
     ) -> None:
         with contextlib.ExitStack() as stack:
             running = stack.enter_context(RunningEdge('own'))
-            addresses = {name: _closed_address() for name in '12345'}
+            addresses = {name: free_address() for name in '12345'}
             for name in '1234' if is_answered else '':
                 stack.enter_context(Upstream(name, 'tirol-a', addresses[name]))
             await running.open(
@@ -248,7 +248,7 @@
             self.assertIs(selector.is_doubtful(candidate, call), expected)
 
     async def test_all_instances_are_cut_off(self) -> None:
-        dead = [target_at(name, _closed_address()) for name in '123']
+        dead = [target_at(name, free_address()) for name in '123']
         with RunningEdge('own') as own, RunningEdge('other') as other:
             await own.open(other, targets=dead)
             await other.open(own, targets=dead)
@@ -262,7 +262,7 @@
             self.assertLess(time.monotonic() - began_at, 0.2)
 
     async def test_end_of_the_cut_is_found(self) -> None:
-        address = _closed_address()
+        address = free_address()
         async with _cluster('refused', address) as (cut_off, _, _upstream):
             await _learn(cut_off)
             with Upstream('1', 'tirol-a', address):
@@ -293,13 +293,11 @@
                 for name in ('healthy-1', 'healthy-2')
             ]
             upstreams = [
-                stack.enter_context(
-                    Upstream(name, 'tirol-a', _closed_address())
-                )
+                stack.enter_context(Upstream(name, 'tirol-a', free_address()))
                 for name in names
             ]
             working = [target_at(each.name, each.address) for each in upstreams]
-            dead = [target_at(name, _closed_address()) for name in names]
+            dead = [target_at(name, free_address()) for name in names]
             await cut_off.open(*healthy, targets=dead)
             for running in healthy:
                 await running.open(cut_off, targets=working)
@@ -327,9 +325,9 @@
                 for name in '123'
             ]
             upstream = stack.enter_context(
-                Upstream('1', 'tirol-a', _closed_address())
+                Upstream('1', 'tirol-a', free_address())
             )
-            dead = target_at('1', _closed_address())
+            dead = target_at('1', free_address())
             await cut_off.open(*healthy, targets=[dead])
             for running in healthy:
                 working = target_at('1', upstream.address)
@@ -352,7 +350,7 @@
 
     @parameterized.expand([('tirol-a',), ('tirol-b',), ('wien-a',)])
     async def test_reach_without_callers(self, domain: str) -> None:
-        addresses = {name: _closed_address() for name in '123'}
+        addresses = {name: free_address() for name in '123'}
         targets = [
             dataclasses.replace(target_at(name, address), domain=domain)
             for name, address in addresses.items()
@@ -407,12 +405,6 @@
             pool.retry_budget.try_withdraw(now)
 
 
-def _closed_address() -> str:
-    sock, port = bind_unused_port()
-    sock.close()
-    return f'127.0.0.1:{port}'
-
-
 @contextlib.asynccontextmanager
 async def _dead_address(how: str, address: str) -> AsyncIterator[str]:
     if how == 'hanging':
@@ -422,7 +414,7 @@
         async with ResettingAddress() as resetting:
             yield resetting
     else:
-        yield address or _closed_address()
+        yield address or free_address()
 
 
 @contextlib.asynccontextmanager
@@ -430,9 +422,8 @@
     how: str, address: str = ''
 ) -> AsyncIterator[tuple[RunningEdge, RunningEdge, Upstream]]:
     """Run an instance that reaches no target, one that does, and the target."""
-    sock, port = bind_unused_port()
-    sock.close()
-    working = target_at('1', f'127.0.0.1:{port}')
+    working_address = free_address()
+    working = target_at('1', working_address)
     async with _dead_address(how, address) as dead_address:
         with (
             RunningEdge('cut-off') as cut_off,
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -10,8 +10,8 @@
 
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-from tornado.testing import bind_unused_port
 
+from bench.layout import free_address
 from bench.machines import Upstream
 from tests.running_edge import RunningEdge, target_at
 
@@ -66,9 +66,7 @@
 
 def _serve(stack: contextlib.ExitStack, name: str) -> str:
     """Serve a target; the end of ``stack`` ends new connections only."""
-    sock, port = bind_unused_port()
-    sock.close()
-    address = f'127.0.0.1:{port}'
+    address = free_address()
     stack.enter_context(Upstream(name, 'tirol-a', address))
     return address
 
--- a/tests/test_streamed_bodies.py
+++ b/tests/test_streamed_bodies.py
@@ -7,8 +7,7 @@
 import contextlib
 import unittest
 
-from tornado.testing import bind_unused_port
-
+from bench.layout import free_address
 from bench.machines import Upstream
 from tests.platform_samples import changed, encoded
 from tests.running_edge import ONE_SERVICE, RunningEdge, target_at
@@ -31,9 +30,7 @@
     """
 
     async def test_body_over_the_limit(self) -> None:
-        sock, port = bind_unused_port()
-        sock.close()
-        address = f'127.0.0.1:{port}'
+        address = free_address()
         with contextlib.ExitStack() as stack:
             running = stack.enter_context(RunningEdge('own'))
             stack.enter_context(Upstream('1', 'tirol-a', address))
--- a/tests/test_unused_paths.py
+++ b/tests/test_unused_paths.py
@@ -9,8 +9,8 @@
 
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
-from tornado.testing import bind_unused_port
 
+from bench.layout import free_address
 from bench.machines import Upstream
 from tests.edge_samples import NOW, edge, feed, instance, target
 from tests.running_edge import RunningEdge, target_at
@@ -33,16 +33,16 @@
             cut_off = stack.enter_context(RunningEdge('cut-off'))
             healthy = stack.enter_context(RunningEdge('healthy', 'tirol-b'))
             upstream = stack.enter_context(
-                Upstream('orders-0', 'tirol-a', _closed_address())
+                Upstream('orders-0', 'tirol-a', free_address())
             )
             rare = [
-                target_at(f'orders-{number}', _closed_address(), 'orders')
+                target_at(f'orders-{number}', free_address(), 'orders')
                 for number in range(count)
             ]
             await cut_off.open(
                 healthy,
                 targets=[
-                    *(target_at(name, _closed_address()) for name in NAMES),
+                    *(target_at(name, free_address()) for name in NAMES),
                     *rare,
                 ],
             )
@@ -97,12 +97,6 @@
         self.assertIs(sample.record.reach, expected)
 
 
-def _closed_address() -> str:
-    sock, port = bind_unused_port()
-    sock.close()
-    return f'127.0.0.1:{port}'
-
-
 def _lose(running: RunningEdge, service: str) -> None:
     """Lose the paths to the targets of a service, and notice it."""
     now = running.clock.now()
