Reach: judged by what has just answered, not by all targets

Cause: an instance counted as cut off once it had lost more than half of all targets. It tries a few of 150 in some seconds; the others counted as in reach on the word of its neighbours, and requests were sent to them, some on kept connections that hang until the deadline.

Only targets that have answered this instance in the last 2 s count as reached now; three lost ones that outnumber these make it doubt its links. While it reports so, it sends only to targets that have answered it, forwards the rest, and probes all that have not answered, so that a few crashed neighbours are told from a cut within a second. Rows of test_lost_paths and test_cut_off_instances fail on the old code (few of a large fleet tried; confirmed by others only).

--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -6,6 +6,7 @@
 
 from turmericmast.balance.departure import Departure
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.path import Path
 from turmericmast.balance.pause import Pause
 from turmericmast.call.call import Loss
 from turmericmast.cluster.records import TargetRecord
@@ -87,10 +88,7 @@
         """Whether the last health check returned another status than 200."""
         self.departure = Departure(drain)
         self.pause = Pause(spread_rank)
-        # The end of the ejection for a lost path. Until then new connections
-        # are expected to fail, though open ones may still be answered.
-        self.path_lost_until: float = -math.inf
-        self._is_path_lost = False
+        self.path = Path()
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
         self._verified_at = -math.inf
@@ -105,7 +103,7 @@
         """Return which traffic the target may receive now."""
         if now < self._ejected_until:
             return Eligibility.ejected
-        if self._is_path_lost:
+        if self.path.is_lost:
             return Eligibility.unreachable
         if now < self._cold_until:
             return Eligibility.cold
@@ -113,14 +111,6 @@
             return Eligibility.unverified
         return Eligibility.warm
 
-    @property
-    def is_path_lost(self) -> bool:
-        """Tell whether the last own connection or probe did not get through.
-
-        Other instances may reach the target all the same.
-        """
-        return self._is_path_lost
-
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
         return now - self._verified_at
@@ -168,9 +158,9 @@
             now + cold_time_left if cold_time_left > 0 else -math.inf
         )
 
-    def confirm_path(self) -> None:
-        """Record that the target answered this instance."""
-        self._is_path_lost = False
+    def confirm_path(self, now: Seconds) -> None:
+        """Record that the target answered this instance at ``now``."""
+        self.path.confirm(now)
         self._ejections = 0
 
     def mark_unverified(self) -> None:
@@ -186,9 +176,8 @@
         Confirmations that other instances received do not count until the
         target has answered this one.
         """
-        self._is_path_lost = True
         self.eject(now)
-        self.path_lost_until = self._ejected_until
+        self.path.lose(self._ejected_until)
 
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
@@ -221,14 +210,14 @@
         failed = loss in {Loss.failed, Loss.cut_short, Loss.timed_out}
         self._update_failure_share(failed=failed, now=now)
         if loss is Loss.shed:
-            self.confirm_path()
+            self.confirm_path(now)
             self._ejected_until = max(self._ejected_until, now + OVERLOAD_PAUSE)
         elif loss is Loss.connection_lost:
             self.eject(now)
         elif loss is Loss.never_sent:
             self.lose_path(now)
         elif loss in {None, Loss.failed}:
-            self.confirm_path()
+            self.confirm_path(now)
 
     def drop_request(self) -> None:
         """Stop counting a request whose outcome says nothing of the target.
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -97,7 +97,7 @@
     def update_reach(self, now: Seconds) -> bool:
         """Report to the core how targets are reached; true after a change."""
         has_changed = self._reach_report.update(
-            now, cut_off=is_cut_off(self.views(), self.evacuated)
+            now, cut_off=is_cut_off(self.views(), now, self.evacuated)
         )
         if has_changed:
             self.record = dataclasses.replace(
--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -43,7 +43,7 @@
 An instance of a large fleet is idle most of the time, and waking up is the most
 that it does then."""
 MAX_PATH_PROBES = 4
-"""Targets out of reach that are probed at a time while most of them are.
+"""Targets that a cut-off instance probes at a time to find its links back.
 
 Without them, an instance that the directory no longer names would not notice
 that its links are back."""
@@ -107,8 +107,10 @@
             )
             if self._is_due(view, services_to_probe, now)
         ]
-        lost = (view for view in self._lost_paths(now) if view not in assigned)
-        return [*assigned, *itertools.islice(lost, MAX_PATH_PROBES)]
+        doubtful = (
+            view for view in self._doubtful_paths(now) if view not in assigned
+        )
+        return [*assigned, *itertools.islice(doubtful, MAX_PATH_PROBES)]
 
     def share_load(
         self,
@@ -245,17 +247,18 @@
         )
         return is_stale and self._may_probe(view, now)
 
-    def _lost_paths(self, now: Seconds) -> list[TargetView]:
-        """Return lost targets to probe, if the edge reports to be cut off.
+    def _doubtful_paths(self, now: Seconds) -> list[TargetView]:
+        """Return targets to probe if the edge reports to be cut off.
 
-        The one whose last probe is the longest ago comes first.
+        They are those that have not answered it lately. The one whose last
+        probe is the longest ago comes first.
         """
         if self._edge.record.reach is TargetReach.direct:
             return []
         due = (
             view
             for view in self._edge.views()
-            if view.is_path_lost and self._may_probe(view, now)
+            if not view.path.is_confirmed(now) and self._may_probe(view, now)
         )
         return sorted(due, key=lambda view: view.probed_at)
 
--- a/src/turmericmast/edge/reach.py
+++ b/src/turmericmast/edge/reach.py
@@ -7,6 +7,8 @@
 from turmericmast.cluster.records import TargetPhase, TargetReach
 from turmericmast.ids import DomainId, Seconds
 
+MIN_LOST_PATHS = 3
+"""Targets out of reach from which the links are doubted, if there are more."""
 HOLD_TIME = 1.0
 """Least time in seconds between two changes of the reported state.
 
@@ -14,22 +16,27 @@
 
 
 def is_cut_off(
-    views: Iterable[TargetView], evacuated: Collection[DomainId] = ()
+    views: Iterable[TargetView],
+    now: Seconds,
+    evacuated: Collection[DomainId] = (),
 ) -> bool:
-    """Tell whether the paths to most of the targets that serve are lost.
+    """Tell whether the links of this instance to the targets seem to be lost.
 
-    Single targets are lost when they crash. Most of them at once rather points
-    to the links of this instance. Nothing is sent to those in ``evacuated``
-    domains, so that their paths are not known.
+    Single targets are lost when they crash. Several of them at once, and more
+    than have just answered, rather point to the links. In a large fleet an
+    instance tries few of its targets, so the others say nothing. Nor do those
+    in ``evacuated`` domains, to which nothing is sent.
     """
-    paths = [
-        view.is_path_lost
+    in_use = [
+        view
         for view in views
         if view.record.phase is TargetPhase.ready
         and view.record.domain not in evacuated
         and not view.departure.has_begun
     ]
-    return 2 * sum(paths) > len(paths)
+    lost = sum(view.path.is_lost for view in in_use)
+    reached = sum(view.path.is_confirmed(now) for view in in_use)
+    return lost > reached and lost >= min(MIN_LOST_PATHS, len(in_use))
 
 
 @final
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -63,7 +63,8 @@
     async def _check(self, view: TargetView, fingerprint: Fingerprint) -> None:
         if await self._is_answering(view):
             return
-        if is_cut_off(self._edge.views(), self._edge.evacuated):
+        edge = self._edge
+        if is_cut_off(edge.views(), self._clock.now(), edge.evacuated):
             # The silence says nothing about the target.
             return
         witness = self._find_witness(view)
@@ -92,7 +93,7 @@
             other
             for other in self._edge.views()
             if other.record.target != view.record.target
-            and not other.is_path_lost
+            and not other.path.is_lost
             and other.ejected_until() < math.inf
             and self._edge.may_send(other, self._clock.now())
         )
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -72,11 +72,10 @@
         Losses of an instance that is cut off say nothing about the targets.
         """
         edge = self._edge
-        if is_lost and is_cut_off(edge.views(), edge.evacuated):
+        now = self._clock.now()
+        if is_lost and is_cut_off(edge.views(), now, edge.evacuated):
             return
-        self._send(
-            self._gossip.share_load(view, self._clock.now(), is_lost=is_lost)
-        )
+        self._send(self._gossip.share_load(view, now, is_lost=is_lost))
 
     def announce_request(self, view: TargetView) -> None:
         """Tell the domain that a request is about to be sent."""
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -177,7 +177,7 @@
         if metadata.target and metadata.target != view.record.target:
             view.eject_misplaced()
             return False
-        view.confirm_path()
+        view.confirm_path(self._clock.now())
         self.on_statement(view, status, _own_statement(metadata))
         if metadata.load:
             view.update_load(metadata.load, now)
--- a/src/turmericmast/web/reachwatch.py
+++ b/src/turmericmast/web/reachwatch.py
@@ -16,7 +16,10 @@
         self._context = context
         edge = context.edge
         context.metrics.gauge(
-            'cut_off', lambda: int(is_cut_off(edge.views(), edge.evacuated))
+            'cut_off',
+            lambda: int(
+                is_cut_off(edge.views(), context.clock.now(), edge.evacuated)
+            ),
         )
 
     def check(self) -> None:
@@ -26,6 +29,6 @@
             self._context.events.write(
                 EdgeEvent.reach_changed.value,
                 reach=edge.record.reach.value,
-                lost=sum(view.is_path_lost for view in edge.views()),
+                lost=sum(view.path.is_lost for view in edge.views()),
                 targets=len(tuple(edge.views())),
             )
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -65,8 +65,8 @@
             )
         )
         self._count_withheld(views)
-        lost = self._lost_paths(views)
-        self.is_cut_off = 2 * lost > len(views)
+        has_lost_most = 2 * self._lost_paths(views) > len(views)
+        self.is_cut_off = has_lost_most or self._reports_cut_off()
         best = await (
             self._search_at_once(requirements)
             if self.is_cut_off
@@ -74,9 +74,7 @@
         )
         if best is None:
             # Few targets of a service that is rarely used are tried at all.
-            self.is_cut_off = self._lost_paths(views) > 0 or (
-                self._context.edge.record.reach is TargetReach.forwarded
-            )
+            self.is_cut_off |= self._lost_paths(views) > 0
         now = self._context.clock.now()
         is_unserved = best is None and requirements.has_last_resort
         if is_unserved and has_last_resort(
@@ -95,13 +93,18 @@
 
         Where most paths are lost, and one more was lost by this call, those
         to the other targets are doubtful as well. So they are where this call
-        has lost two. Another instance also comes before a target that is
-        leaving.
+        has lost two. While the instance reports to be cut off, only targets
+        that have just answered it are not. Another instance also comes before
+        a target that is leaving.
         """
         lost = call.losses.count(Loss.never_sent)
         if candidate is None:
             return self.is_cut_off or lost > 0
-        is_likely_lost = bool(call.losses) or candidate.is_last_resort
+        is_likely_lost = (
+            bool(call.losses)
+            or candidate.is_last_resort
+            or (self._reports_cut_off() and not self._is_confirmed(candidate))
+        )
         return lost > 1 or (self.is_cut_off and is_likely_lost)
 
     def start_probe(self, candidate: Candidate) -> None:
@@ -111,15 +114,19 @@
         if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
+    def _reports_cut_off(self) -> bool:
+        return self._context.edge.record.reach is TargetReach.forwarded
+
+    def _is_confirmed(self, candidate: Candidate) -> bool:
+        return candidate.view.path.is_confirmed(self._context.clock.now())
+
     def _lost_paths(self, views: Iterable[TargetView]) -> int:
         """Count targets to which new connections are expected to fail.
 
         Open connections to them may still be answered.
         """
         now = self._context.clock.now()
-        return sum(
-            view.is_path_lost or now < view.path_lost_until for view in views
-        )
+        return sum(view.path.is_doubtful(now) for view in views)
 
     def _count_withheld(self, views: Collection[TargetView]) -> None:
         self.withheld_by = withholdings(views, self._context.clock.now())
--- a/tests/test_cut_off_instances.py
+++ b/tests/test_cut_off_instances.py
@@ -32,11 +32,12 @@
     RunningEdge,
     target_at,
 )
+from turmericmast.balance.load import LoadReport
 from turmericmast.balance.targetview import TargetView
 from turmericmast.call.call import Call, CallRequest, Loss
 from turmericmast.edge import gossip
 from turmericmast.edge.reach import HOLD_TIME, ReachReport, is_cut_off
-from turmericmast.ids import CallId, ServiceId
+from turmericmast.ids import CallId, Seconds, ServiceId
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.peerheaders import (
@@ -247,6 +248,39 @@
             call = Call(CallRequest('c', 'stock', 'GET', '/', '', '', NOW + 1))
             self.assertIs(selector.is_doubtful(candidate, call), expected)
 
+    @parameterized.expand([('by_others_only', False), ('by_this_one', True)])
+    async def test_target_confirmed_while_cut_off(
+        self, _name: str, is_own_answer: bool
+    ) -> None:
+        with RunningEdge('own') as running:
+            names = [str(number) for number in range(50)]
+            await running.open(
+                targets=[target_at(name, DEAD) for name in names]
+            )
+            now = running.clock.now()
+            *others, chosen = running.edge.views()
+            for view in others[:3]:
+                view.lose_path(now)
+            chosen.verify(Seconds(0), now)
+            chosen.update_load(LoadReport(0, 0, 4), now)
+            if is_own_answer:
+                chosen.confirm_path(now)
+            running.edge.update_reach(now)
+            selector = TargetSelector(
+                running.context,
+                running.edge.pool_by_service[ServiceId('stock')],
+            )
+            with unittest.mock.patch.object(Prober, 'start'):
+                candidate = await selector.select(
+                    dataclasses.replace(
+                        requirements(), goal_at=now + 1, deadline=now + 1
+                    )
+                )
+            self.assertIs(candidate and candidate.view, chosen)
+            call = Call(CallRequest('c', 'stock', 'GET', '/', '', '', NOW + 1))
+            is_doubtful = selector.is_doubtful(candidate, call)
+            self.assertIs(is_doubtful, not is_own_answer)
+
     async def test_all_instances_are_cut_off(self) -> None:
         dead = [target_at(name, free_address()) for name in '123']
         with RunningEdge('own') as own, RunningEdge('other') as other:
@@ -267,7 +301,7 @@
             await _learn(cut_off)
             with Upstream('1', 'tirol-a', address):
                 deadline = time.monotonic() + 5
-                while is_cut_off(cut_off.edge.views()):
+                while _is_cut_off(cut_off):
                     self.assertLess(time.monotonic(), deadline)
                     await _request(cut_off.address, 0)
                 forwarded = cut_off.count('forwarded')
@@ -367,7 +401,7 @@
             for name, address in addresses.items():
                 stack.enter_context(Upstream(name, domain, address))
             deadline = time.monotonic() + 5
-            while is_cut_off(running.edge.views()):
+            while _is_cut_off(running):
                 self.assertLess(time.monotonic(), deadline)
                 await asyncio.sleep(0.05)
 
@@ -436,10 +470,14 @@
             yield cut_off, healthy, upstream
 
 
+def _is_cut_off(running: RunningEdge) -> bool:
+    return is_cut_off(running.edge.views(), running.clock.now())
+
+
 async def _learn(running: RunningEdge) -> None:
     """Send requests until an instance knows that its targets are lost."""
     deadline = time.monotonic() + LEARNING_TIME
-    while not is_cut_off(running.edge.views()):
+    while not _is_cut_off(running):
         if time.monotonic() > deadline:
             raise TimeoutError('the targets still count as reachable')
         await _request(running.address, 0)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -385,7 +385,7 @@
             harness.view(name).departure.begin(Seconds(NOW))
         for name in lost:
             harness.view(name).lose_path(Seconds(NOW))
-        self.assertIs(is_cut_off(harness.edge.views()), cut_off)
+        self.assertIs(is_cut_off(harness.edge.views(), NOW), cut_off)
 
     @parameterized.expand([('lost', '2', True), ('in_reach', '', False)])
     async def test_forwarding_comes_before_the_last_resort(
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -36,7 +36,7 @@
         view = _lose(target_view())
         later = NOW + 5
         if is_own_answer:
-            view.confirm_path()
+            view.confirm_path(NOW)
         confirmed = target_view(verified_at=later)
         merge_load(view, describe_load(confirmed, later), later)
         self.assertIs(view.eligibility(later), expected)
@@ -52,17 +52,22 @@
 
     @parameterized.expand(
         [
-            ('none', 0, 4, False),
-            ('half', 2, 4, False),
-            ('most', 3, 4, True),
-            ('all', 4, 4, True),
-            ('no_targets', 0, 0, False),
+            ('none', 0, 4, 4, False),
+            ('half', 2, 2, 4, False),
+            ('most', 3, 1, 4, True),
+            ('all', 4, 0, 4, True),
+            ('no_targets', 0, 0, 0, False),
+            ('single_crash_at_an_idle_instance', 1, 0, 50, False),
+            ('few_of_a_large_fleet_tried', 3, 0, 50, True),
+            ('three_crashed_others_answer', 3, 3, 50, False),
         ]
     )
     def test_cut_off(
-        self, _name: str, lost: int, known: int, expected: bool
+        self, _name: str, lost: int, answered: int, known: int, expected: bool
     ) -> None:
         views = [target_view(str(number)) for number in range(known)]
         for view in views[:lost]:
             _lose(view)
-        self.assertIs(is_cut_off(views), expected)
+        for answering in views[lost : lost + answered]:
+            answering.confirm_path(NOW)
+        self.assertIs(is_cut_off(views, NOW), expected)
