--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -125,7 +125,7 @@
         detector = CrashDetector(
             edge(instance('a'), feed(targets=(target('1'),))),
             prober,
-            unittest.mock.Mock(wall=lambda: NOW),
+            unittest.mock.Mock(wall=lambda: NOW, now=lambda: NOW),
             unittest.mock.Mock(),
             report_to_core,
         )
