Edges: the reach is checked when the load sharing wakes up

A ticker of its own woke an idle edge ten times a second, as often as all else that an idle edge does; in a fleet of hundreds waking up is most of what they do. One ticker now closes idle connections of callers and of instances. No change of what is decided.

--- a/src/turmericmast/programs/edgewatch.py
+++ b/src/turmericmast/programs/edgewatch.py
@@ -1,7 +1,7 @@
 """Periodic checks of an edge."""
 
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from tornado.ioloop import PeriodicCallback
 
@@ -11,8 +11,6 @@
 
 IDLE_SWEEP_INTERVAL_MS = 500
 """Milliseconds between two checks for idle connections."""
-REACH_CHECK_INTERVAL_MS = 100
-"""Milliseconds between two checks whether most targets are out of reach."""
 
 
 def watch_edge(
@@ -20,18 +18,16 @@
     context: EdgeContext,
     frontends: Iterable[EdgeFrontend],
 ) -> None:
-    """Check idle connections and the reach of targets periodically."""
-    for frontend in frontends:
-        _repeat(stack, frontend.close_idle, IDLE_SWEEP_INTERVAL_MS)
-    reach_watch = ReachWatch(context)
-    _repeat(stack, reach_watch.check, REACH_CHECK_INTERVAL_MS)
+    """Check idle connections and the reach of targets until ``stack`` closes.
 
+    The reach is checked whenever the load sharing wakes up anyway.
+    """
+    context.load_sharing.on_check = ReachWatch(context).check
 
-def _repeat(
-    stack: contextlib.ExitStack,
-    action: Callable[[], None],
-    interval_ms: int,
-) -> None:
-    ticker = PeriodicCallback(action, interval_ms)
+    def close_idle() -> None:
+        for frontend in frontends:
+            frontend.close_idle()
+
+    ticker = PeriodicCallback(close_idle, IDLE_SWEEP_INTERVAL_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/web/loadsharing.py
+++ b/src/turmericmast/web/loadsharing.py
@@ -33,6 +33,8 @@
         """Prepare for ``edge``; ``open`` starts."""
         self.on_departure: Callable[[TargetView], None] = _ignore_departure
         """Called when another instance tells that a target is leaving."""
+        self.on_check: Callable[[], None] = _do_nothing
+        """Called with each check for due probes."""
         self._edge = edge
         self._gossip = LoadGossip(edge)
         self._prober = prober
@@ -98,6 +100,7 @@
             if path:
                 self._prober.start(view, path)
         self._send(self._gossip.forward(now))
+        self.on_check()
 
     def _send(self, parcels: Iterable[Parcel]) -> None:
         for parcel in parcels:
@@ -112,3 +115,7 @@
 
 def _ignore_departure(view: TargetView) -> None:
     """Do nothing; the default until a callback is set."""
+
+
+def _do_nothing() -> None:
+    """Do nothing; the default until a callback is set."""
