--- a/bench/chaosproxy.py
+++ b/bench/chaosproxy.py
@@ -98,6 +98,9 @@
             # One side is gone: reset the connection to the other one.
             sink.transport.abort()
             return
+        except asyncio.CancelledError:
+            sink.transport.abort()
+            raise
         sink.close()
 
     async def _forward_chunk(
