--- a/src/turmericmast/edge/reach.py
+++ b/src/turmericmast/edge/reach.py
@@ -8,7 +8,9 @@
 from turmericmast.ids import DomainId, Seconds
 
 MIN_LOST_PATHS = 3
-"""Targets out of reach from which the links are doubted, if there are more."""
+"""Fewest lost paths that cast doubt on the links.
+
+Where there are fewer targets, all of them."""
 HOLD_TIME = 1.0
 """Least time in seconds between two changes of the reported state.
 
