--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -108,7 +108,7 @@
     def leave(self, stops_at: Seconds) -> None:
         """Stop attracting new callers; the process ends at ``stops_at``.
 
-        From then on no request is taken.
+        No request is taken that may run longer.
         """
         self._stops_at = stops_at
         self.record = dataclasses.replace(
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -7,7 +7,6 @@
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
-from turmericmast.ids import Seconds, ServiceId
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
@@ -49,15 +48,6 @@
         self.prober.on_statement = self.statements.apply_health
         self.load_sharing.on_departure = self.statements.apply_news
 
-    def record_outcome(
-        self, service: ServiceId, began_at: Seconds, outcome: str
-    ) -> None:
-        """Count a request that has ended, and record how long it took."""
-        self.metrics.count('requests', outcome=outcome)
-        self.metrics.record(
-            'request', self.clock.now() - began_at, service=service
-        )
-
     def connection_headers(self) -> Mapping[str, str]:
         """Return the headers that tell a caller how long to use a connection.
 
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -5,7 +5,7 @@
 
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.targetview import TargetView
-from turmericmast.events import EventLog, Field
+from turmericmast.events import Field
 from turmericmast.ids import Seconds
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.problem import Problem
@@ -70,17 +70,3 @@
         'ran': problem.ran.value,
         'retry_after_ms': problem.retry_after_ms,
     }
-
-
-@final
-class RequestLog:
-    """Logs the events of one request with their common fields."""
-
-    def __init__(self, events: EventLog, **common: Field) -> None:
-        """Add the fields ``common``, such as the request id, to each event."""
-        self._events = events
-        self._common = common
-
-    def write(self, event: EdgeEvent, **fields: Field) -> None:
-        """Log an event."""
-        self._events.write(event.value, **self._common, **fields)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -17,19 +17,11 @@
     NextStep,
     Ran,
 )
-from turmericmast.events import Field
 from turmericmast.ids import Seconds, TargetId
-from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import RequestBody
 from turmericmast.web.edgeattempt import EdgeAttempt
 from turmericmast.web.edgecontext import EdgeContext
-from turmericmast.web.edgeevents import (
-    EdgeEvent,
-    RequestLog,
-    describe_candidate,
-    describe_problem,
-)
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.hedgedattempts import HedgedAttempts
@@ -37,6 +29,7 @@
 from turmericmast.web.problem import Problem
 from turmericmast.web.quarantinecheck import QuarantineCheck
 from turmericmast.web.relay import Relay, RelayState
+from turmericmast.web.requestreport import RequestReport
 from turmericmast.web.targetselection import TargetSelector
 from turmericmast.web.transfer import TransferRequest
 
@@ -61,12 +54,6 @@
         self._incoming = incoming
         self._pool = incoming.pool
         self._call = Call(incoming.call)
-        self._log = RequestLog(
-            context.events,
-            request=incoming.request_id,
-            route=incoming.route.name,
-            service=incoming.pool.service,
-        )
         self._selector = TargetSelector(context, incoming.pool)
         self._body = RequestBody()
         self._quarantine_check = QuarantineCheck(
@@ -91,6 +78,7 @@
         """
         self._task: asyncio.Task[None] | None = None
         self._tried: set[TargetId] = set()
+        self._report = RequestReport(context, incoming, self._call, self._tried)
         self._is_finished = False
         """Whether the caller has its response or has disconnected."""
 
@@ -115,8 +103,7 @@
     def on_connection_close(self) -> None:
         """Cancel all attempts, since the caller has disconnected."""
         if not self._is_finished:
-            self._context.metrics.count('requests', outcome='left')
-            self._log.write(EdgeEvent.caller_left, **self._progress())
+            self._report.caller_left()
         self._is_finished = True
         self._body.stop_reading()
         self._attempts.cancel()
@@ -201,11 +188,7 @@
     async def _try_peer(self) -> bool:
         """Forward to another instance; tell whether to try another one."""
         self._relay.resume = self._forwarder.resume
-        self._log.write(
-            EdgeEvent.forwarded,
-            peer=self._forwarder.peer,
-            **self._progress(),
-        )
+        self._report.forwarded(self._forwarder.peer)
         response = self._forwarder.make_response(self._relay, self._claim)
         loss = await self._forwarder.forward(response)
         if loss is None:
@@ -271,12 +254,7 @@
         ):
             return True
         if self._pool.retry_budget.try_withdraw(now):
-            self._context.metrics.count('repeats', loss='slow')
-            self._log.write(
-                EdgeEvent.hedged,
-                **describe_candidate(second, now),
-                **self._progress(),
-            )
+            self._report.hedged(second)
             self._start_attempt(second)
             return False
         return True
@@ -309,28 +287,14 @@
         now = self._context.clock.now()
         if self._relay.state is RelayState.streaming:
             self._is_finished = True
-            self._context.metrics.count('requests', outcome='broken_off')
-            self._log.write(
-                EdgeEvent.aborted,
-                loss=loss.value,
-                **self._progress(),
-            )
+            self._report.broken_off(loss)
             self._relay.abort()
             return False
         step = self._call.next_step(now, can_replay=self._body.can_replay)
         if step is NextStep.retry and (
             not has_reached_target or self._pool.retry_budget.try_withdraw(now)
         ):
-            self._context.metrics.count('repeats', loss=loss.value)
-            self._log.write(
-                EdgeEvent.retried,
-                loss=loss.value,
-                **describe_candidate(
-                    self._selector.last_best,
-                    self._context.clock.now(),
-                ),
-                **self._progress(),
-            )
+            self._report.retried(loss, self._selector.last_best)
             self._claimed = None
             self._relay.discard()
             return True
@@ -342,8 +306,7 @@
         response = self._failed_response
         self._relay.discard()
         if response and response.forward_buffered():
-            self._log.write(EdgeEvent.target_failed, **self._progress())
-            self._finish('target_failed')
+            self._finish(self._report.failed_at_target)
             return
         now = self._context.clock.now()
         retry_delay = self._pool.retry_delay(
@@ -377,32 +340,18 @@
             self._is_finished = True
             self._relay.abort()
             return
-        self._finish('answered')
+        self._finish(self._report.answered)
 
-    def _finish(self, outcome: str) -> None:
+    def _finish(self, report: Callable[[], None]) -> None:
         if not self._is_finished:
             self._is_finished = True
-            self._context.record_outcome(
-                self._pool.service, self._incoming.began_at, outcome
-            )
+            report()
             self._relay.finish()
 
     def _refuse(self, problem: Problem) -> None:
         if not self._is_finished:
             self._is_finished = True
-            self._context.record_outcome(
-                self._pool.service,
-                self._incoming.began_at,
-                f'refused_{problem.status:d}',
-            )
-            self._log.write(
-                EdgeEvent.refused,
-                **describe_problem(problem),
-                **describe_candidate(
-                    self._selector.last_best, self._context.clock.now()
-                ),
-                **self._progress(),
-            )
+            self._report.refused(problem, self._selector.last_best)
             if self._relay.state is RelayState.streaming:
                 self._relay.abort()
                 return
@@ -411,20 +360,3 @@
                     problem, has_reached_target=self._call.has_reached_target
                 )
             )
-
-    def _progress(self) -> dict[str, Field]:
-        """Return the attempts and times so far, as fields of events."""
-        now = self._context.clock.now()
-        requirements = self._incoming.requirements(self._tried)
-        return {
-            'tried': ','.join(sorted(self._tried)),
-            'losses': ','.join(loss.value for loss in self._call.losses),
-            'waited_ms': int(
-                (now - self._incoming.began_at) * MILLIS_PER_SECOND
-            ),
-            'goal_left_ms': int(
-                (requirements.goal_at - now) * MILLIS_PER_SECOND
-            ),
-            'left_ms': int((requirements.deadline - now) * MILLIS_PER_SECOND),
-            'cluster_index': self._context.edge.index,
-        }
--- /dev/null
+++ b/src/turmericmast/web/requestreport.py
@@ -0,0 +1,118 @@
+"""Log lines and metrics of one request at an edge."""
+
+from collections.abc import Collection
+from typing import final
+
+from turmericmast.balance.candidate import Candidate
+from turmericmast.call.call import Call, Loss
+from turmericmast.events import Field
+from turmericmast.ids import InstanceId, TargetId
+from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.edgecontext import EdgeContext
+from turmericmast.web.edgeevents import (
+    EdgeEvent,
+    describe_candidate,
+    describe_problem,
+)
+from turmericmast.web.edgerequest import EdgeRequest
+from turmericmast.web.problem import Problem
+
+
+@final
+class RequestReport:
+    """Tells what is decided about a request, with what decided it."""
+
+    def __init__(
+        self,
+        context: EdgeContext,
+        incoming: EdgeRequest,
+        call: Call,
+        tried: Collection[TargetId],
+    ) -> None:
+        """Report on ``incoming``.
+
+        The attempts are read from ``call`` and ``tried`` at each line.
+        """
+        self._context = context
+        self._incoming = incoming
+        self._call = call
+        self._tried = tried
+
+    def caller_left(self) -> None:
+        """Report that the caller has disconnected."""
+        self._context.metrics.count('requests', outcome='left')
+        self._write(EdgeEvent.caller_left)
+
+    def hedged(self, second: Candidate) -> None:
+        """Report a second attempt at a target while the first one runs."""
+        self._context.metrics.count('repeats', loss='slow')
+        self._write(EdgeEvent.hedged, **self._describe(second))
+
+    def forwarded(self, peer: InstanceId) -> None:
+        """Report that another instance gets the request."""
+        self._write(EdgeEvent.forwarded, peer=peer)
+
+    def retried(self, loss: Loss, best: Candidate | None) -> None:
+        """Report a further attempt after one that failed by ``loss``."""
+        self._context.metrics.count('repeats', loss=loss.value)
+        self._write(EdgeEvent.retried, loss=loss.value, **self._describe(best))
+
+    def broken_off(self, loss: Loss) -> None:
+        """Report that a response that has begun cannot be completed."""
+        self._context.metrics.count('requests', outcome='broken_off')
+        self._write(EdgeEvent.aborted, loss=loss.value)
+
+    def refused(self, problem: Problem, best: Candidate | None) -> None:
+        """Report an error response; ``best`` is the best target known."""
+        self._end(f'refused_{problem.status:d}')
+        self._write(
+            EdgeEvent.refused,
+            **describe_problem(problem),
+            **self._describe(best),
+        )
+
+    def failed_at_target(self) -> None:
+        """Report that a failure of a target is passed on to the caller."""
+        self._write(EdgeEvent.target_failed)
+        self._end('target_failed')
+
+    def answered(self) -> None:
+        """Report a response; only metrics tell of it."""
+        self._end('answered')
+
+    def _end(self, outcome: str) -> None:
+        metrics = self._context.metrics
+        metrics.count('requests', outcome=outcome)
+        metrics.record(
+            'request',
+            self._context.clock.now() - self._incoming.began_at,
+            service=self._incoming.pool.service,
+        )
+
+    def _describe(self, candidate: Candidate | None) -> dict[str, Field]:
+        return describe_candidate(candidate, self._context.clock.now())
+
+    def _write(self, event: EdgeEvent, **fields: Field) -> None:
+        incoming = self._incoming
+        self._context.events.write(
+            event.value,
+            request=incoming.request_id,
+            route=incoming.route.name,
+            service=incoming.pool.service,
+            **fields,
+            **self._progress(),
+        )
+
+    def _progress(self) -> dict[str, Field]:
+        """Return the attempts and times so far, as fields of events."""
+        incoming = self._incoming
+        now = self._context.clock.now()
+        goal_at = incoming.requirements(()).goal_at
+        return {
+            'tried': ','.join(sorted(self._tried)),
+            'losses': ','.join(loss.value for loss in self._call.losses),
+            'waited_ms': int((now - incoming.began_at) * MILLIS_PER_SECOND),
+            'goal_left_ms': int((goal_at - now) * MILLIS_PER_SECOND),
+            'left_ms': int((incoming.call.deadline - now) * MILLIS_PER_SECOND),
+            'cluster_index': self._context.edge.index,
+        }
