--- a/bench/bench.py
+++ b/bench/bench.py
@@ -20,6 +20,7 @@
 
 from absl import app, flags
 
+from bench import decisions
 from bench.blockinghttp import request
 from bench.callers import Caller, CallResult, call_to, run_open_loop
 from bench.fleet import Fleet
@@ -532,6 +533,11 @@
     return rows
 
 
+async def fleet_size() -> list[Row]:
+    """Measure what one edge's decisions take, by the size of the fleet."""
+    return decisions.measure()
+
+
 def _usage_columns(role: str, used: Any) -> Row:
     return {
         f'{role} core %': round(used.cpu_percent, 2),
@@ -598,7 +604,16 @@
 BENCHMARK_BY_NAME: MappingProxyType[str, Benchmark] = MappingProxyType(
     {
         benchmark.__name__: benchmark
-        for benchmark in (shift, added, domain, overload, pause, control, keyed)
+        for benchmark in (
+            shift,
+            added,
+            domain,
+            overload,
+            pause,
+            control,
+            keyed,
+            fleet_size,
+        )
     },
 )
 
