--- a/review/1/case.py
+++ b/review/1/case.py
@@ -96,6 +96,9 @@
                     request_headers(HOST, f'q-{zone}-{number}', 1200),
                 )
                 served += answer.status == 200
+                record.write(
+                    'answered', id=f'q-{zone}-{number}', status=answer.status
+                )
                 await asyncio.sleep(0.05)
             return served
 
