--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -7,6 +7,7 @@
 from turmericmast.cluster import commands
 from turmericmast.cluster.changetable import ChangeTable
 from turmericmast.cluster.crashes import ReportCrash
+from turmericmast.cluster.evacuations import Evacuations
 from turmericmast.cluster.records import (
     ClusterFeed,
     ClusterSnapshot,
@@ -18,7 +19,7 @@
 from turmericmast.cluster.suspects import SuspectRegistry
 from turmericmast.cluster.targets import TargetRegistry
 from turmericmast.exceptions import TurmericmastError
-from turmericmast.ids import DomainId, Index, InstanceId
+from turmericmast.ids import Index, InstanceId
 
 
 @final
@@ -35,7 +36,7 @@
         self.route_versions = RouteVersions()
         self.registry = TargetRegistry()
         self.edges: ChangeTable[InstanceId, EdgeRecord] = ChangeTable()
-        self.evacuated: set[DomainId] = set()
+        self.evacuations = Evacuations()
         self.suspects = SuspectRegistry()
 
     def edge(self, instance: InstanceId) -> EdgeRecord | None:
@@ -53,6 +54,23 @@
             self.index = index
         return changed
 
+    def is_overtaken(
+        self, command: commands.ClusterCommand, known: Index
+    ) -> bool:
+        """Tell whether carrying out an order would undo a later one.
+
+        ``known`` is an index that had been applied before the order was sent.
+        This is asked before an order is appended to the log, not when it is
+        applied: all members apply an entry alike, whatever their version.
+        """
+        if not isinstance(command, commands.SetEvacuation):
+            return False
+        is_done = self.evacuations.is_set(
+            command.domain, evacuated=command.evacuated
+        )
+        changed_at = self.evacuations.changed_at(command.domain)
+        return not is_done and changed_at > known
+
     def build_feed(self, known: Index) -> ClusterFeed:
         """Return the changes since the index that a reader knows.
 
@@ -74,7 +92,7 @@
             index=self.index,
             complete=since == 0,
             routes=self.route_versions.current if has_routes else None,
-            evacuated=tuple(sorted(self.evacuated)),
+            evacuated=tuple(sorted(self.evacuations.domains)),
             targets=tuple(table.changed(since)),
             removed_targets=tuple(table.removed(since) if since else ()),
             edges=tuple(self.edges.changed(since)),
@@ -93,7 +111,7 @@
                     self.route_versions.digest_by_version.items()
                 )
             ),
-            evacuated=tuple(sorted(self.evacuated)),
+            evacuated=tuple(sorted(self.evacuations.domains)),
             targets=tuple(self.registry.table.record_by_key.values()),
             tombstones=tuple(
                 Tombstone(target, born)
@@ -112,7 +130,7 @@
         self.edges.restore(
             {edge.instance: edge for edge in snapshot.edges}, index
         )
-        self.evacuated = set(snapshot.evacuated)
+        self.evacuations.restore(snapshot.evacuated, index)
         self.suspects.restore(snapshot.suspects, index)
 
     def _empty_feed(self) -> ClusterFeed:
@@ -120,7 +138,7 @@
             index=self.index,
             complete=False,
             routes=None,
-            evacuated=tuple(sorted(self.evacuated)),
+            evacuated=tuple(sorted(self.evacuations.domains)),
             targets=(),
             removed_targets=(),
             edges=(),
@@ -143,7 +161,11 @@
             case commands.ProposeRoutes():
                 return self.route_versions.propose(command, index)
             case commands.SetEvacuation(domain=domain, evacuated=evacuated):
-                return Success(self._evacuate(domain, evacuated=evacuated))
+                return Success(
+                    self.evacuations.set(
+                        domain, evacuated=evacuated, index=index
+                    ),
+                )
             case commands.SetEdge(edge=edge):
                 return Success(self._set_edge(edge, index))
             case ReportCrash():
@@ -153,12 +175,6 @@
         ]
         return Success(any(dropped))
 
-    def _evacuate(self, domain: DomainId, *, evacuated: bool) -> bool:
-        if (domain in self.evacuated) == evacuated:
-            return False
-        self.evacuated ^= {domain}
-        return True
-
     def _set_edge(self, edge: EdgeRecord, index: Index) -> bool:
         if self.edges.record_by_key.get(edge.instance) == edge:
             return False
--- /dev/null
+++ b/src/turmericmast/cluster/evacuations.py
@@ -0,0 +1,44 @@
+"""Failure domains that operators take out of service."""
+
+from collections.abc import Iterable
+from typing import final
+
+from turmericmast.ids import DomainId, Index
+
+
+@final
+class Evacuations:
+    """The evacuated failure domains, and when each domain last changed."""
+
+    def __init__(self) -> None:
+        """Begin with all domains in service."""
+        self.domains: frozenset[DomainId] = frozenset()
+        """The evacuated domains."""
+        self._index_by_domain: dict[DomainId, Index] = {}
+        self._restored_at = Index(0)
+
+    def restore(self, domains: Iterable[DomainId], index: Index) -> None:
+        """Replace the state by that of a snapshot.
+
+        Snapshots don't say when a domain changed. All count as changed at
+        ``index``.
+        """
+        self.domains = frozenset(domains)
+        self._index_by_domain.clear()
+        self._restored_at = index
+
+    def set(self, domain: DomainId, *, evacuated: bool, index: Index) -> bool:
+        """Begin or end an evacuation; return whether that is a change."""
+        if self.is_set(domain, evacuated=evacuated):
+            return False
+        self.domains ^= {domain}
+        self._index_by_domain[domain] = index
+        return True
+
+    def is_set(self, domain: DomainId, *, evacuated: bool) -> bool:
+        """Tell whether a domain is in the given state."""
+        return (domain in self.domains) == evacuated
+
+    def changed_at(self, domain: DomainId) -> Index:
+        """Return the index of the last change of a domain."""
+        return self._index_by_domain.get(domain, self._restored_at)
--- /dev/null
+++ b/src/turmericmast/cluster/pendingcommands.py
@@ -0,0 +1,47 @@
+"""Commands that were appended to the log and aren't applied yet."""
+
+import collections
+import contextlib
+from collections.abc import Hashable, Iterator
+from typing import TypeAlias, final
+
+from turmericmast.cluster import commands
+
+Subject: TypeAlias = tuple[type, Hashable]
+"""What a command changes: the kind of a record, and its id."""
+
+
+@final
+class PendingCommands:
+    """Counts the pending commands by what they change.
+
+    An order is checked against the applied state, so it waits for commands
+    that precede it in the log and change the same.
+    """
+
+    def __init__(self) -> None:
+        """Begin without pending commands."""
+        self._count_by_subject: collections.Counter[Subject] = (
+            collections.Counter()
+        )
+
+    @contextlib.contextmanager
+    def track(self, command: commands.ClusterCommand) -> Iterator[None]:
+        """Count a command as pending within the context."""
+        subjects = _subjects(command)
+        self._count_by_subject.update(subjects)
+        try:
+            yield
+        finally:
+            self._count_by_subject.subtract(subjects)
+            self._count_by_subject += collections.Counter()
+
+    def precede(self, command: commands.ClusterCommand) -> bool:
+        """Tell whether pending commands change what ``command`` changes."""
+        return not self._count_by_subject.keys().isdisjoint(_subjects(command))
+
+
+def _subjects(command: commands.ClusterCommand) -> tuple[Subject, ...]:
+    if isinstance(command, commands.SetEvacuation):
+        return ((commands.SetEvacuation, command.domain),)
+    return ()
--- a/src/turmericmast/exceptions.py
+++ b/src/turmericmast/exceptions.py
@@ -2,6 +2,8 @@
 
 from typing import final
 
+from turmericmast.ids import Index
+
 
 class TurmericmastError(Exception):
     """Base class of all errors.
@@ -65,3 +67,21 @@
 @final
 class ConflictError(RefusedError):
     """A change is based on a version that is no longer current."""
+
+
+@final
+class OvertakenError(TurmericmastError):
+    """An order may have been sent before a later one that it would undo.
+
+    ``index`` covers the later order. A sender that is still there can send its
+    order again, and show by this index that it did so afterwards.
+    """
+
+    def __init__(self, message: str, index: Index, *, step: str) -> None:
+        """Store the index."""
+        super().__init__(
+            message,
+            step=step,
+            hint='follow the redirection if the order still holds',
+        )
+        self.index = index
--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -3,20 +3,23 @@
 import http
 import json
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
-from returns.result import Result, Success
-from tornado.web import Application, RequestHandler
+from returns.result import Failure, Result, Success
+from tornado.web import RequestHandler
 
 from turmericmast.exceptions import (
     ConflictError,
+    OvertakenError,
     RefusedError,
     SettingsError,
     TurmericmastError,
 )
-from turmericmast.ids import DomainId, TargetId
+from turmericmast.ids import DomainId, Index, TargetId
 from turmericmast.metrics import Metrics
+from turmericmast.numerals import parse_whole
 from turmericmast.platform.documents import parse_report
+from turmericmast.web.datedrequests import DatedApplication
 from turmericmast.web.metricspage import (
     METRICS_PATH,
     MetricsPage,
@@ -31,11 +34,16 @@
         SettingsError: http.HTTPStatus.BAD_REQUEST,
         ConflictError: http.HTTPStatus.PRECONDITION_FAILED,
         RefusedError: http.HTTPStatus.SERVICE_UNAVAILABLE,
+        OvertakenError: http.HTTPStatus.TEMPORARY_REDIRECT,
     },
 )
 """Statuses by class of error; all others get 503, since a retry may succeed."""
 
 
+KNOWN_ARGUMENT = 'known'
+"""Query argument of a redirection: an index that its sender had seen."""
+
+
 class _Page(RequestHandler):
     """Base of the request handlers of a core member.
 
@@ -72,8 +80,40 @@
         self.set_header('Content-Type', 'application/json')
         if isinstance(outcome, Success):
             self.finish(json.dumps(document or {}))
-        else:
-            self.finish(json.dumps({'error': outcome.failure().show()}))
+            return
+        error = outcome.failure()
+        if isinstance(error, OvertakenError):
+            address = self.operations.address
+            path = f'{self.request.path}?{KNOWN_ARGUMENT}={error.index}'
+            self.set_header('Location', f'http://{address}{path}')
+        self.finish(json.dumps({'error': error.show()}))
+
+    def prepare(self) -> None:
+        """Refuse a request with a malformed index."""
+        text = self.get_query_argument(KNOWN_ARGUMENT, '0')
+        if parse_whole(text) is None:
+            self.answer(
+                Failure(
+                    SettingsError(
+                        f'{KNOWN_ARGUMENT}: write a whole number',
+                        step='read query',
+                        hint='follow the redirection, or leave it out',
+                    )
+                )
+            )
+
+    def known_index(self) -> Index:
+        """Return an index that had been applied before the request was sent.
+
+        A client that follows a redirection shows by its argument that it had
+        seen a later one.
+        """
+        text = self.get_query_argument(KNOWN_ARGUMENT, '0')
+        application = cast('DatedApplication', self.application)
+        return max(
+            application.known_before(self.request),
+            Index(parse_whole(text) or 0),
+        )
 
 
 class Instances(_Page):
@@ -119,7 +159,7 @@
         """Evacuate a failure domain."""
         self.answer(
             await self.operations.set_evacuation(
-                DomainId(domain), evacuated=True
+                DomainId(domain), evacuated=True, known=self.known_index()
             ),
         )
 
@@ -127,22 +167,23 @@
         """Return a failure domain to service."""
         self.answer(
             await self.operations.set_evacuation(
-                DomainId(domain), evacuated=False
+                DomainId(domain), evacuated=False, known=self.known_index()
             ),
         )
 
 
 def make_application(
     operations: 'ClusterOperations', metrics: Metrics
-) -> Application:
+) -> DatedApplication:
     """Return the HTTP application of a core member."""
     shared = {'operations': operations, 'metrics': metrics}
-    return Application(
+    return DatedApplication(
         [
             ('/-/instances/([^/]+)', Instances, shared),
             ('/-/config', Routes, shared),
             ('/-/evacuations/([^/]+)', Evacuations, shared),
             (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
+        operations.committer.known_index,
         log_function=skip_request_log,
     )
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -1,6 +1,5 @@
 """Operations on the cluster that a core member offers."""
 
-import asyncio
 import hashlib
 import zlib
 from typing import TYPE_CHECKING, Any, final
@@ -8,15 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from turmericmast.cluster import commands
-from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.cluster.records import RoutesRecord, TargetRecord
 from turmericmast.exceptions import (
-    ConflictError,
-    NotLeaderError,
     RefusedError,
     SettingsError,
     TurmericmastError,
-    WireError,
 )
 from turmericmast.ids import (
     Digest,
@@ -27,23 +22,15 @@
     Version,
 )
 from turmericmast.instancesettings import InstanceSettings
+from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
-from turmericmast.programs.groupsetup import error_reply, flatten_result
 from turmericmast.route.document import RouteFormat
-from turmericmast.wire import clusterrequests, replies, watchrequests
+from turmericmast.wire import watchrequests
 
 if TYPE_CHECKING:
     from turmericmast.programs.runner import Process
 
-CHANGE_TIMEOUT = 0.9
-"""Seconds for a change or a read.
-
-Clients turn to another member after one second."""
-RETRY_INTERVAL = 0.1
-"""Seconds between two attempts at a change while there is no leader."""
-APPLY_POLL_INTERVAL = 0.02
-"""Seconds between two checks whether an index has been applied."""
 DIGEST_LENGTH = 16
 """Hexadecimal digits in the digest of a route document."""
 MAX_REASON_LENGTH = 300
@@ -69,6 +56,12 @@
         self._state_machine = state_machine
         self._route_format = route_format
         self._reporting_targets: set[TargetId] = set()
+        self.committer = ClusterCommitter(process, group, state_machine)
+
+    @property
+    def address(self) -> str:
+        """Return the address at which this member serves operators."""
+        return self._process.settings.listening.operators
 
     def take_reporting_targets(self) -> set[TargetId]:
         """Return the targets that reported since the last call."""
@@ -140,11 +133,9 @@
         if this member cannot learn the leader's commit index or apply the log
         up to it in time, since its version might be stale.
         """
-        index = await self._fetch_commit_index()
-        if not isinstance(index, Success):
-            return Failure(index.failure())
-        if not await self._wait_until_applied(index.unwrap()):
-            return Failure(self._timeout_error('apply the log'))
+        caught_up = await self.committer.catch_up()
+        if not isinstance(caught_up, Success):
+            return Failure(caught_up.failure())
         current = self._state_machine.cluster.route_versions.current
         if not current.source:
             return Failure(
@@ -161,11 +152,14 @@
         domain: DomainId,
         *,
         evacuated: bool,
+        known: Index,
     ) -> Result[bool, TurmericmastError]:
         """Evacuate a failure domain, or return it to service.
 
+        ``known`` is an index that had been applied before the order was sent.
         Returns what ``change`` does. Fails with ``SettingsError`` for an
-        unknown domain.
+        unknown domain, and with ``OvertakenError`` if the domain has changed
+        since ``known``.
         """
         if domain not in self._process.settings.region_by_domain:
             known_domains = ', '.join(self._process.settings.region_by_domain)
@@ -176,56 +170,27 @@
                     hint=f'use one of {known_domains}',
                 ),
             )
-        return await self.change(commands.SetEvacuation(domain, evacuated))
+        ordered = await self.committer.order(
+            commands.SetEvacuation(domain, evacuated), known
+        )
+        self._process.events.write(
+            'evacuation_ordered',
+            domain=domain,
+            evacuated=evacuated,
+            known=known,
+            accepted=isinstance(ordered, Success),
+            reason=''
+            if isinstance(ordered, Success)
+            else ordered.failure().show(),
+        )
+        return ordered
 
     async def change(
         self,
         command: commands.ClusterCommand,
     ) -> Result[bool, TurmericmastError]:
-        """Commit a command, here or through the leader.
-
-        Tries again while there is no leader, within ``CHANGE_TIMEOUT``.
-        Returns whether the command changed the cluster; always true if another
-        member is the leader.
-        """
-        deadline = self._process.clock.now() + CHANGE_TIMEOUT
-        while True:
-            time_left = deadline - self._process.clock.now()
-            outcome = await self._change_once(command, time_left)
-            is_retryable = not isinstance(outcome, Success) and isinstance(
-                outcome.failure(),
-                NotLeaderError,
-            )
-            if not is_retryable or time_left < 2 * RETRY_INTERVAL:
-                return outcome
-            await asyncio.sleep(RETRY_INTERVAL)
-
-    async def serve_crash_report(self, crash: ReportCrash) -> Any:
-        """Answer an edge that reports a request whose target crashed."""
-        recorded = await self.change(crash)
-        if isinstance(recorded, Success):
-            return self._commit_index_reply()
-        return error_reply(recorded.failure())
-
-    async def serve_change(self, command: commands.ClusterCommand) -> Any:
-        """Commit a change that a member forwards, if this one is the leader."""
-        if not self._group.is_leader:
-            return error_reply(self._group.not_leader_error())
-        answer = flatten_result(
-            await self._group.propose(command, CHANGE_TIMEOUT)
-        )
-        if isinstance(answer, Success):
-            return self._commit_index_reply()
-        error = answer.failure()
-        if isinstance(error, ConflictError):
-            return replies.Conflict(error.step, error.message, error.hint)
-        return error_reply(error)
-
-    def serve_commit_index(self) -> Any:
-        """Answer a member that requests the leader's commit index."""
-        if not self._group.is_leader:
-            return error_reply(self._group.not_leader_error())
-        return self._commit_index_reply()
+        """Commit a command, as ``ClusterCommitter.change`` does."""
+        return await self.committer.change(command)
 
     def serve_near_member(
         self, question: watchrequests.AskMember
@@ -249,53 +214,6 @@
             **versions,
         )
 
-    def _commit_index_reply(self) -> watchrequests.TellIndex:
-        return watchrequests.TellIndex(self._group.replica.state.commit)
-
-    async def _change_once(
-        self,
-        command: commands.ClusterCommand,
-        timeout: float,
-    ) -> Result[bool, TurmericmastError]:
-        if self._group.is_leader:
-            outcome: Result[bool, TurmericmastError] = flatten_result(
-                await self._group.propose(command, timeout),
-            )
-            return outcome
-        leader = self._group.replica.leader
-        if not leader:
-            return Failure(self._group.not_leader_error())
-        answer = await self._group.links.to(leader).request(
-            clusterrequests.ChangeCluster(command),
-            timeout,
-        )
-        if isinstance(answer, Success):
-            return _parse_change_reply(answer.unwrap())
-        return Failure(answer.failure())
-
-    async def _fetch_commit_index(self) -> Result[Index, TurmericmastError]:
-        """Return an index that covers all changes acknowledged so far."""
-        if self._group.is_leader:
-            return Success(self._group.replica.state.commit)
-        leader = self._group.replica.leader
-        if not leader:
-            return Failure(self._group.not_leader_error())
-        answer = await self._group.links.to(leader).request(
-            clusterrequests.AskIndex(),
-            CHANGE_TIMEOUT,
-        )
-        if isinstance(answer, Success):
-            return _parse_index_reply(answer.unwrap())
-        return Failure(answer.failure())
-
-    async def _wait_until_applied(self, index: Index) -> bool:
-        deadline = self._process.clock.now() + CHANGE_TIMEOUT
-        while self._group.applied_index < index:
-            if self._process.clock.now() > deadline:
-                return False
-            await asyncio.sleep(APPLY_POLL_INTERVAL)
-        return True
-
     def _report_address(self, domain: DomainId) -> str:
         """Return the address of the member that a target should report to.
 
@@ -318,36 +236,3 @@
             ),
             MemberId(''),
         )
-
-    def _timeout_error(self, step: str) -> WireError:
-        return WireError(
-            'this member did not apply the latest changes in time',
-            step=step,
-            hint='try again, or try another member',
-        )
-
-
-def _parse_change_reply(answer: Any) -> Result[bool, TurmericmastError]:
-    match answer:
-        case watchrequests.TellIndex():
-            return Success(True)
-        case replies.Conflict(step=step, message=message, hint=hint):
-            return Failure(ConflictError(message, step=step, hint=hint))
-        case replies.Refusal(step=step, message=message, hint=hint):
-            return Failure(RefusedError(message, step=step, hint=hint))
-    return Failure(_not_leader_error(answer))
-
-
-def _parse_index_reply(answer: Any) -> Result[Index, TurmericmastError]:
-    if isinstance(answer, watchrequests.TellIndex):
-        return Success(answer.index)
-    return Failure(_not_leader_error(answer))
-
-
-def _not_leader_error(answer: Any) -> TurmericmastError:
-    return NotLeaderError(
-        str(getattr(answer, 'message', answer)),
-        step='ask leader',
-        peer=getattr(answer, 'leader', ''),
-        hint='try again, or try another member',
-    )
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -67,6 +67,7 @@
         self.operations = ClusterOperations(
             process, group, state_machine, DocumentFormat()
         )
+        self._committer = self.operations.committer
         self._process = process
         self._group = group
         self._state_machine = state_machine
@@ -90,13 +91,13 @@
             case watchrequests.WatchCluster():
                 return await self._watch(body)
             case clusterrequests.ChangeCluster():
-                return await self.operations.serve_change(body.command)
+                return await self._committer.serve_change(body)
             case ReportCrash():
-                return await self.operations.serve_crash_report(body)
+                return await self._committer.serve_crash_report(body)
             case watchrequests.AskMember():
                 return self.operations.serve_near_member(body)
             case clusterrequests.AskIndex():
-                return self.operations.serve_commit_index()
+                return self._committer.serve_commit_index()
             case clusterrequests.Heard():
                 return self._record_alive(body)
         return replies.Refusal(
--- a/src/turmericmast/programs/groupmember.py
+++ b/src/turmericmast/programs/groupmember.py
@@ -19,6 +19,7 @@
 )
 from turmericmast.ids import Incarnation, Index, MemberId, Term
 from turmericmast.programs.disksync import DiskSync
+from turmericmast.replica.appliedhistory import AppliedHistory
 from turmericmast.replica.messages import (
     Entry,
     EntryKind,
@@ -78,6 +79,7 @@
         self.state_machine = state_machine
         self.config = config
         self.applied_index = Index(0)
+        self.history = AppliedHistory()
         self._context = context
         self._disk_sync = DiskSync(store, context.metrics, events)
         self._clock = clock
@@ -203,8 +205,10 @@
         )
 
     def _tick(self) -> None:
+        now = self._clock.now()
+        self.history.record(now, self.applied_index)
         self._close_stale_links()
-        self.replica.tick(self._clock.now())
+        self.replica.tick(now)
         self._flush()
 
     def _schedule_flush(self) -> None:
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -95,6 +95,7 @@
             'Refusal',
             'NotNow',
             'Conflict',
+            'Overtaken',
         ),
     },
 )
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from turmericmast.cluster.commands import ClusterCommand
-from turmericmast.ids import InstanceId, TargetId
+from turmericmast.ids import Index, InstanceId, TargetId
 
 
 @final
@@ -13,6 +13,11 @@
     """A command for the core group, sent to its leader."""
 
     command: ClusterCommand
+    known: Index | None = None
+    """An index that had been applied before an operator sent the order.
+
+    Members of older versions don't send it: nothing is known of the age of
+    their orders."""
 
 
 @final
--- a/src/turmericmast/wire/replies.py
+++ b/src/turmericmast/wire/replies.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import final
 
-from turmericmast.ids import MemberId
+from turmericmast.ids import Index, MemberId
 
 
 @final
@@ -34,3 +34,12 @@
     step: str
     message: str
     hint: str
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Overtaken:
+    """The order may have been sent before a later one that it would undo."""
+
+    index: Index
+    """Index that covers the later order."""
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -606,6 +606,11 @@
   3: string hint
 }
 
+/** The order may have been sent before a later one that it would undo. */
+struct Overtaken {
+  1: i64 index
+}
+
 /** An edge reports that it runs and requests all changes after an index. */
 struct WatchCluster {
   1: EdgeRecord edge
@@ -729,6 +734,7 @@
   61: optional PackedCluster packed_cluster
   62: optional AskMember ask_member
   63: optional TellMember tell_member
+  64: optional Overtaken overtaken
 }
 
 /** A command for the control group. */
@@ -745,6 +751,7 @@
 /** A command for the core group. */
 struct ChangeCluster {
   1: Body command
+  2: optional i64 known
 }
 
 /** The content of one frame between two processes. */
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -59,7 +59,7 @@
     """
 
     async def test_end_to_end(self) -> None:
-        async with _run_cluster() as (cluster, upstreams):
+        async with run_cluster() as (cluster, upstreams):
             await self._check_forwarding(cluster)
             await self._check_route_updates(cluster)
             await self._check_failure_events(cluster)
@@ -187,7 +187,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_cluster() -> AsyncIterator[
+async def run_cluster() -> AsyncIterator[
     tuple[LocalCluster, dict[str, Upstream]]
 ]:
     with contextlib.ExitStack() as stack:
