--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -69,8 +69,6 @@
         )
         self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
-        self._claimed: EdgeResponse | None = None
-        """The response that may be written to the caller."""
         self._failed_response: EdgeResponse | None = None
         """The last response with a status of 500 or above.
 
@@ -224,14 +222,8 @@
         return attempt
 
     def _claim(self, response: EdgeResponse) -> bool:
-        """Tell whether a response may be written to the caller.
-
-        Only the first successful response of concurrent attempts may.
-        """
-        if self._is_finished or self._claimed is not None:
-            return False
-        self._claimed = response
-        return True
+        """Tell whether a response may be written to the caller."""
+        return not self._is_finished and self._relay.claim(response)
 
     def _hedge_if_useful(self, first: EdgeAttempt) -> bool:
         """Start a second attempt if it helps; tell whether to check again."""
@@ -239,7 +231,7 @@
         is_possible = call.is_idempotent and self._body.can_replay
         if not is_possible or self._call.attempts >= call.max_attempts:
             return False
-        if self._claimed or self._is_finished:
+        if self._relay.source or self._is_finished:
             return False
         requirements = self._incoming.requirements(self._tried)
         now = self._context.clock.now()
@@ -295,7 +287,6 @@
             not has_reached_target or self._pool.retry_budget.try_withdraw(now)
         ):
             self._report.retried(loss, self._selector.last_best)
-            self._claimed = None
             self._relay.discard()
             return True
         self._fail()
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -9,7 +9,7 @@
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.call.call import Loss
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
-from turmericmast.web.relay import Relay
+from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.transfer import ResponseHead, ResponseSink
 
 MAX_BUFFERED_BYTES = 65_536
@@ -140,12 +140,42 @@
         return loss
 
     def forward_buffered(self) -> bool:
-        """Write a buffered response to the relay; false if it is too long."""
-        if self._head is None or self.octets > MAX_BUFFERED_BYTES:
+        """Write a buffered response to the relay.
+
+        Return false if it is too long, or if another response is written.
+        """
+        if not self.is_deliverable or not self._claim(self):
             return False
+        self._is_forwarded = True
         self._forward_buffer()
         return True
 
+    def release(self) -> None:
+        """Let another response take the place of one that failed.
+
+        One that is being streamed stays.
+        """
+        if self._is_forwarded and not self.is_streamed:
+            self._is_forwarded = False
+            self._relay.discard()
+
+    @property
+    def is_forwarded(self) -> bool:
+        """Tell whether the caller gets this response and no other one."""
+        return self._is_forwarded
+
+    @property
+    def is_streamed(self) -> bool:
+        """Tell whether the caller has got a part of it."""
+        return self._is_forwarded and (
+            self._relay.state is RelayState.streaming
+        )
+
+    @property
+    def is_deliverable(self) -> bool:
+        """Tell whether its head and all that came of its body are kept."""
+        return self._head is not None and self.octets <= MAX_BUFFERED_BYTES
+
     @property
     def is_buffered(self) -> bool:
         """Tell whether a valid response was received but not forwarded."""
--- a/src/turmericmast/web/hedgedattempts.py
+++ b/src/turmericmast/web/hedgedattempts.py
@@ -10,7 +10,12 @@
 
 @final
 class HedgedAttempts:
-    """Awaits concurrent attempts until one succeeds or all have failed."""
+    """Awaits concurrent attempts until one succeeds or all have failed.
+
+    While the caller gets the response of one attempt, that attempt alone
+    decides: another one may take its place only if it fails before any part
+    of its response was sent.
+    """
 
     def __init__(self, profile: RouteProfile) -> None:
         """Create an empty set for a route with ``profile``."""
@@ -18,6 +23,8 @@
         """Attempts that failed while another one was still running."""
         self._profile = profile
         self._running: list[EdgeAttempt] = []
+        self._spare: EdgeAttempt | None = None
+        """One whose whole response waits for the attempt that is forwarded."""
 
     def add(self, attempt: EdgeAttempt) -> None:
         """Add an attempt that has been started."""
@@ -54,13 +61,28 @@
     def _find_decisive(self) -> EdgeAttempt | None:
         """Return the attempt whose result counts, ``None`` if undecided."""
         ended = [attempt for attempt in self._running if attempt.task.done()]
-        for attempt in ended:
-            loss = attempt.task.result()
-            if loss is None or len(self._running) == 1:
-                return attempt
-            self._running.remove(attempt)
-            self.failed.append(attempt)
-        return None
+        return next(filter(None, map(self._decide, ended)), None)
+
+    def _decide(self, ended: EdgeAttempt) -> EdgeAttempt | None:
+        """Return the attempt whose result counts after one has ended."""
+        response = ended.response
+        is_success = ended.task.result() is None
+        if response.is_streamed or (is_success and response.is_forwarded):
+            return ended
+        if is_success and not self._is_any_forwarded():
+            return ended
+        if len(self._running) == 1 and not self._spare:
+            return ended
+        self._running.remove(ended)
+        if is_success:
+            self._spare = ended if response.is_deliverable else self._spare
+            return None
+        response.release()
+        self.failed.append(ended)
+        return None if self._running else self._spare
+
+    def _is_any_forwarded(self) -> bool:
+        return any(attempt.response.is_forwarded for attempt in self._running)
 
     def _is_any_done(self) -> bool:
         return any(attempt.task.done() for attempt in self._running)
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -41,7 +41,8 @@
     """Sends a caller one complete response, or closes the connection within it.
 
     A response that fails while it is still buffered can be replaced by that of
-    another attempt.
+    another attempt. Concurrent attempts claim the relay first: one of them
+    alone may write, until ``discard``.
     """
 
     def __init__(
@@ -68,13 +69,27 @@
         self._buffered_bytes = 0
         self._is_blocked = False
         self._is_resuming = False
+        self.source: object | None = None
+        """The only one that may write the response; ``None`` if unclaimed."""
+
+    def claim(self, source: object) -> bool:
+        """Make ``source`` the only one that may write, unless another is."""
+        if self.source is None:
+            self.source = source
+        return self.source is source
 
     def on_head(self, head: ResponseHead) -> bool:
-        """Receive the head; a resumed response must continue the first one."""
+        """Receive the head; a resumed response must continue the first one.
+
+        Return false if it comes within a response that is being sent.
+        """
         if self._is_resuming:
             if not self._is_continuation(head):
                 self.state = RelayState.broken
             return True
+        if self.state is RelayState.streaming:
+            return False
+        self._discard_body()
         self.head = head
         self.state = RelayState.buffered
         return True
@@ -99,12 +114,12 @@
         return b''.join(self._buffer)
 
     def discard(self) -> None:
-        """Discard a buffered response; a streamed one stays."""
+        """Discard a buffered response and its claim; a streamed one stays."""
         if self.state is not RelayState.streaming:
             self.head = None
             self.state = RelayState.empty
-            self._buffer = []
-            self._buffered_bytes = 0
+            self.source = None
+            self._discard_body()
 
     @property
     def loss(self) -> Loss | None:
@@ -226,6 +241,10 @@
             and head.headers.get('Content-Range') == expected_range
         )
 
+    def _discard_body(self) -> None:
+        self._buffer = []
+        self._buffered_bytes = 0
+
     def _start_streaming(self) -> None:
         if self.head is None:
             return
