--- a/src/turmericmast/call/call.py
+++ b/src/turmericmast/call/call.py
@@ -112,11 +112,15 @@
 
     def fingerprint(self, body: bytes) -> Fingerprint:
         """Return a digest that is equal for resends of the same request."""
-        parts = (self.service, self.method, self.path, self.tenant, self.key)
-        digest = hashlib.sha256('\0'.join(parts).encode())
+        digest = hashlib.sha256(self.identity())
         digest.update(body)
         return Fingerprint(digest.hexdigest()[:FINGERPRINT_LENGTH])
 
+    def identity(self, *labels: str) -> bytes:
+        """Return what identifies the request, but for its body."""
+        parts = (self.service, self.method, self.path, self.tenant, self.key)
+        return '\0'.join((*parts, *labels)).encode()
+
 
 @final
 class Call:
--- a/src/turmericmast/edge/quarantine.py
+++ b/src/turmericmast/edge/quarantine.py
@@ -42,6 +42,10 @@
             self._suspect_by_fingerprint.pop(fingerprint)
         return bool(self._suspect_by_fingerprint)
 
+    def is_suspect(self, request: Fingerprint) -> bool:
+        """Tell whether a target has crashed on a request."""
+        return request in self._suspect_by_fingerprint
+
     def time_left(self, request: Fingerprint, wall_ms: Millis) -> float:
         """Return the seconds for which a request is refused, 0 if it is not."""
         suspect = self._suspect_by_fingerprint.get(request)
--- a/src/turmericmast/web/body.py
+++ b/src/turmericmast/web/body.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import final
 
+from turmericmast.web.heldbytes import HeldBytes
+
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
 """Methods whose requests have a body, though it may be empty."""
 MAX_BUFFERED_BYTES = 65_536
@@ -24,6 +26,10 @@
         self._buffer: list[bytes] = []
         self._stream: collections.deque[bytes] = collections.deque()
         self._stream_bytes = 0
+        self._room: HeldBytes | None = None
+        self._held_bytes = 0
+        self._is_held = False
+        self._is_end_held = False
         self._has_room = asyncio.Event()
         self._has_room.set()
         self._on_data: Callable[[], None] | None = None
@@ -58,18 +64,51 @@
         self._stream.append(chunk)
         self._stream_bytes += len(chunk)
         self._notify_reader()
-        if self._stream_bytes > HIGH_WATER_BYTES:
+        if self._stream_bytes > HIGH_WATER_BYTES and not self._is_held:
             self._has_room.clear()
             await self._has_room.wait()
 
+    def hold(self, size: int, room: HeldBytes) -> bool:
+        """Queue the next ``size`` bytes without waiting for a reader.
+
+        They take ``room`` until reading stops. Return whether there was room.
+        """
+        if not room.try_take(size):
+            return False
+        self._room = room
+        self._held_bytes += size
+        self._is_held = True
+        return True
+
+    def hold_end(self) -> None:
+        """Send the body, but for the last chunk that has arrived."""
+        self._is_held = False
+        self._is_end_held = True
+
+    def release_end(self) -> None:
+        """Send the last chunk, too."""
+        self._is_end_held = False
+        self._notify_reader()
+
+    @property
+    def is_end_held(self) -> bool:
+        """Tell whether the last chunk is held."""
+        return self._is_end_held
+
     def mark_complete(self) -> None:
         """Note that the caller has sent the whole body."""
         self.is_complete = True
         self._notify_reader()
 
     def stop_reading(self) -> None:
-        """Release a ``push`` that waits; its bytes are not sent any more."""
+        """Release a ``push`` that waits, and the room that the body took.
+
+        What has arrived is not sent any more.
+        """
         self._has_room.set()
+        if self._room:
+            self._room.release(self._held_bytes)
+            self._room = None
 
     def open_reader(self, on_data: Callable[[], None]) -> 'BodyReader':
         """Return a reader for one attempt; new data calls ``on_data``."""
@@ -82,6 +121,8 @@
         They are empty at the end of the body, ``None`` if none have arrived
         yet.
         """
+        if self._is_end_held and len(self._stream) <= 1:
+            return None
         if not self._stream:
             return b'' if self.is_complete else None
         chunk = self._stream.popleft()
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -51,16 +51,18 @@
     def check(
         self,
         view: TargetView,
-        fingerprint: Fingerprint,
+        *fingerprints: Fingerprint,
     ) -> 'asyncio.Task[None]':
         """Probe a target whose connection was lost while it ran a request.
 
         Return the task, which reports a crash unless the target responds.
-        ``fingerprint`` is that of the request.
+        ``fingerprints`` are those of the request, each counted by itself.
         """
-        return asyncio.ensure_future(self._check(view, fingerprint))
+        return asyncio.ensure_future(self._check(view, fingerprints))
 
-    async def _check(self, view: TargetView, fingerprint: Fingerprint) -> None:
+    async def _check(
+        self, view: TargetView, fingerprints: tuple[Fingerprint, ...]
+    ) -> None:
         if await self._is_answering(view):
             return
         edge = self._edge
@@ -71,6 +73,10 @@
         if witness and not await self._is_answering(witness):
             # Rather the links were lost: two targets at once.
             return
+        for fingerprint in fingerprints:
+            await self._report(view, fingerprint)
+
+    async def _report(self, view: TargetView, fingerprint: Fingerprint) -> None:
         crash = ReportCrash(fingerprint, Millis(self._clock.wall()))
         is_reported = False
         for _ in range(MAX_REPORT_ATTEMPTS):
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -12,6 +12,7 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.firstroutes import FirstRoutes
 from turmericmast.web.headerformat import HeaderFormat
+from turmericmast.web.heldbytes import HeldBytes
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
 from turmericmast.web.targetstatements import TargetStatements
@@ -32,6 +33,7 @@
     metrics: Metrics
     events: EventLog
     first_routes: FirstRoutes = dataclasses.field(default_factory=FirstRoutes)
+    held_bytes: HeldBytes = dataclasses.field(default_factory=HeldBytes)
     statements: TargetStatements = dataclasses.field(init=False)
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -90,12 +90,16 @@
             self._body.stop_reading()
             return
         if self._body.exceeds_buffer(len(chunk)):
-            self._start()
+            has_begun = self._task is not None
+            if not self._quarantine_check.holds(chunk, has_begun=has_begun):
+                self._start()
         await self._body.push(chunk)
 
     def finish(self) -> None:
         """Mark the body as complete and begin to send."""
         self._body.mark_complete()
+        if self._body.is_end_held:
+            self._decide_about_end()
         self._start()
 
     def on_connection_close(self) -> None:
@@ -107,6 +111,15 @@
         self._attempts.cancel()
         self._forwarder.cancel()
 
+    def _decide_about_end(self) -> None:
+        """Send the end of a body that was held, or refuse the request."""
+        if self._quarantine_check.time_left():
+            self._refuse(edgerefusals.quarantined_within_body())
+            self._attempts.cancel()
+            self._forwarder.cancel()
+        else:
+            self._body.release_end()
+
     def _start(self) -> None:
         if self._task is not None or self._is_finished:
             return
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -58,6 +58,17 @@
     )
 
 
+def quarantined_within_body() -> Problem:
+    """Return the problem for a quarantined request that was sent in part."""
+    return Problem(
+        HTTPStatus.BAD_GATEWAY,
+        'Quarantined',
+        'the request is quarantined: targets crashed while they ran it',
+        'check suspects',
+        ran=Ran.unknown,
+    )
+
+
 def quarantined(time_left: float) -> Problem:
     """Return the problem for a request that repeatedly crashed targets."""
     return _unavailable(
