--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -19,6 +19,7 @@
     TargetPhase,
     TargetRecord,
 )
+from turmericmast.edge.crashdoubts import CrashDoubts
 from turmericmast.edge.directory import (
     DirectoryAnswer,
     choose_instances,
@@ -78,6 +79,7 @@
         self.unusable_targets: set[TargetId] = set()
         """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
+        self.crash_doubts = CrashDoubts()
         self._splitter = TrafficSplitter()
         self._reach_report = ReachReport()
         self._stops_at = math.inf
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -263,6 +263,7 @@
         routes = watched.feed.routes
         document = self._parse_routes(routes) if routes else None
         self._edge.apply(watched.feed, document)
+        self._edge.crash_doubts.settle(watched.feed.targets, self._clock.now())
         if document:
             self.on_routes()
         if watched.seats:
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -8,6 +8,7 @@
 from turmericmast.balance.targetview import TargetView
 from turmericmast.clock import Clock
 from turmericmast.cluster.crashes import ReportCrash
+from turmericmast.edge.crashdoubts import COMMON_LOSS_TIME, LostRequest
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.reach import is_cut_off
 from turmericmast.events import EventLog
@@ -30,7 +31,8 @@
 
     A lost connection alone is no evidence, since the response may have been
     lost on the network. A target counts as crashed if it does not respond to
-    a probe right after.
+    a probe right after and others do. If they don't, it counts as crashed once
+    it starts again.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self._clock = clock
         self._events = events
         self._report_to_core = report_to_core
+        edge.crash_doubts.on_crash = self._on_crash
 
     def check(
         self,
@@ -58,32 +61,56 @@
         Return the task, which reports a crash unless the target responds.
         ``fingerprints`` are those of the request, each counted by itself.
         """
-        return asyncio.ensure_future(self._check(view, fingerprints))
+        lost = LostRequest(
+            view.record,
+            fingerprints,
+            self._clock.now(),
+            Millis(self._clock.wall()),
+        )
+        self._edge.crash_doubts.note_loss(lost)
+        return asyncio.ensure_future(self._check(view, lost))
 
-    async def _check(
-        self, view: TargetView, fingerprints: tuple[Fingerprint, ...]
-    ) -> None:
+    async def _check(self, view: TargetView, lost: LostRequest) -> None:
         if await self._is_answering(view):
             return
+        if await self._are_links_doubtful(view):
+            await self._keep_in_doubt(lost)
+        else:
+            await self._report(lost)
+
+    async def _are_links_doubtful(self, view: TargetView) -> bool:
+        """Tell whether the silence of a target may be that of the links."""
         edge = self._edge
         if is_cut_off(edge.views(), self._clock.now(), edge.evacuated):
-            # The silence says nothing about the target.
-            return
+            return True
         witness = self._find_witness(view)
-        if witness and not await self._is_answering(witness):
-            # Rather the links were lost: two targets at once.
-            return
-        for fingerprint in fingerprints:
-            await self._report(view, fingerprint)
+        return witness is not None and not await self._is_answering(witness)
 
-    async def _report(self, view: TargetView, fingerprint: Fingerprint) -> None:
-        crash = ReportCrash(fingerprint, Millis(self._clock.wall()))
+    async def _keep_in_doubt(self, lost: LostRequest) -> None:
+        await asyncio.sleep(COMMON_LOSS_TIME)
+        doubts = self._edge.crash_doubts
+        doubts.add(lost)
+        # The target may have started again meanwhile.
+        records = [view.record for view in self._edge.views()]
+        doubts.settle(records, self._clock.now())
+
+    def _on_crash(self, lost: LostRequest) -> None:
+        asyncio.ensure_future(self._report(lost))
+
+    async def _report(self, lost: LostRequest) -> None:
+        for fingerprint in lost.fingerprints:
+            await self._report_one(lost, fingerprint)
+
+    async def _report_one(
+        self, lost: LostRequest, fingerprint: Fingerprint
+    ) -> None:
+        crash = ReportCrash(fingerprint, lost.at_ms)
         is_reported = False
         for _ in range(MAX_REPORT_ATTEMPTS):
             is_reported = is_reported or await self._report_to_core(crash)
         self._events.write(
             EdgeEvent.target_crashed.value,
-            target=view.record.target,
+            target=lost.record.target,
             fingerprint=fingerprint,
             is_told=is_reported,
         )
