Soak: an older build runs beside this one

At the end both builds read each disk and apply its log; the check same_state fails if they reach different states.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -223,9 +223,17 @@
 class LocalCluster:
     """Three simulated machines, one per zone, each with a core and an edge."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Use ``folder`` for settings, data and output of the processes."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        roots: tuple[pathlib.Path, ...] = (ROOT,),
+    ) -> None:
+        """Use ``folder`` for settings, data and output of the processes.
+
+        ``roots`` are the sources that they may run, the first ones first.
+        """
         self.folder = folder
+        self.roots = roots
         self.ports = free_block(PORT_COUNT)
         """Ports of every machine, by position.
 
@@ -261,11 +269,20 @@
             process.kill()
             process.wait()
 
-    def start(self, role: str, zone: str, *, bootstrap: bool = False) -> None:
+    def start(
+        self,
+        role: str,
+        zone: str,
+        *,
+        bootstrap: bool = False,
+        root: pathlib.Path | None = None,
+    ) -> None:
         """Start one process with newly written settings.
 
-        ``bootstrap`` allows a core member to bootstrap the group.
+        ``bootstrap`` allows a core member to bootstrap the group. ``root`` has
+        the sources, by default those of the first start.
         """
+        source = root or self.roots[0]
         name = f'{role}-{zone}'
         settings = self.folder / f'{name}.json'
         settings.write_text(
@@ -274,7 +291,7 @@
         )
         with (self.folder / f'{name}.log').open('ab') as output:
             self._process_by_name[name] = subprocess.Popen(
-                [sys.executable, str(ROOT / 'deploy' / 'launch.py'), role],
+                [sys.executable, str(source / 'deploy' / 'launch.py'), role],
                 env={
                     **os.environ,
                     'TURMERICMAST_NODE_FILE': str(settings),
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -25,10 +25,12 @@
     HTTPResponse,
 )
 
+from bench.builds import differing_states, extract_build
 from bench.chaosproxy import ChaosProxy, ConnectionFault
 from bench.machines import (
     NO_ANSWER_STATUS,
     REGION_BY_ZONE,
+    ROOT,
     LocalCluster,
     Upstream,
 )
@@ -37,6 +39,11 @@
 
 SEEDS = flags.DEFINE_string('seeds', '1-3', 'Seeds to run: FIRST-LAST.')
 SECONDS = flags.DEFINE_float('seconds', 12.0, 'Length of the part with faults.')
+OLDER = flags.DEFINE_string(
+    'older',
+    '',
+    'Commit whose build runs at the start and, as often as this one, later.',
+)
 KEEP = flags.DEFINE_string('keep', '', 'Folder for logs of failed seeds.')
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
@@ -131,10 +138,19 @@
 class Soak:
     """One run: cluster, targets behind proxies, callers, operator, faults."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        """Seed all random choices; keep logs and data in ``folder``."""
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        roots: tuple[pathlib.Path, ...] = (ROOT,),
+    ) -> None:
+        """Seed all random choices; keep logs and data in ``folder``.
+
+        Processes run the sources of the first of ``roots`` at first, and those
+        of any of them after a restart.
+        """
         self.record = SoakRecord()
-        self.cluster = LocalCluster(folder)
+        self.cluster = LocalCluster(folder, roots)
         self._random = random.Random(seed)
         self._client = AsyncHTTPClient(force_instance=True, max_clients=64)
         self._ends_at = float(0)
@@ -224,7 +240,7 @@
             if process:
                 await self._end_process(*process, signal.SIGKILL)
                 await asyncio.sleep(self._random.uniform(0, MAX_RESTART_DELAY))
-                self.cluster.start(*process)
+                self._start_any_build(*process)
 
     async def _stop_process(self) -> None:
         with self._reserve_process(
@@ -232,18 +248,23 @@
         ) as process:
             if process:
                 await self._end_process(*process, signal.SIGTERM)
-                self.cluster.start(*process)
+                self._start_any_build(*process)
 
     async def _wipe_disk(self) -> None:
         with self._reserve_process('core') as process:
             if process:
                 await self._end_process(*process, signal.SIGKILL)
                 self.cluster.wipe(*process)
-                self.cluster.start(*process)
+                self._start_any_build(*process)
                 # A group of three may lose committed entries if another member
                 # loses its disk before this one has caught up.
                 await asyncio.sleep(RECOVERY_TIME)
 
+    def _start_any_build(self, role: str, zone: str) -> None:
+        roots = self.cluster.roots
+        root = self._random.choice(roots) if len(roots) > 1 else roots[0]
+        self.cluster.start(role, zone, root=root)
+
     async def _disturb_connections(self) -> None:
         position = self._random.randrange(len(self._proxies))
         proxy = self._proxies[position]
@@ -447,15 +468,19 @@
     handle.setopt(pycurl.FRESH_CONNECT, 1)
 
 
-def run_seed(seed: int, seconds: float, keep: str = '') -> dict[str, list[str]]:
+def run_seed(
+    seed: int, seconds: float, keep: str = '', older: str = ''
+) -> dict[str, list[str]]:
     """Run one seed; return the guarantees that were violated, with cases.
 
-    Copies the logs of a failed seed to a folder in ``keep``, if given.
+    Copies the logs of a failed seed to a folder in ``keep``, if given. With
+    the commit ``older``, its build and this one run side by side, and both
+    must read the same state from each disk.
     """
     AsyncHTTPClient.configure('tornado.curl_httpclient.CurlAsyncHTTPClient')
     with tempfile.TemporaryDirectory() as folder:
         soak, violations = asyncio.run(
-            _run(seed, pathlib.Path(folder), seconds)
+            _run(seed, pathlib.Path(folder), seconds, older)
         )
         violated = {name: cases for name, cases in violations.items() if cases}
         if violated and keep:
@@ -475,17 +500,24 @@
     seed: int,
     folder: pathlib.Path,
     seconds: float,
+    older: str,
 ) -> tuple[Soak, dict[str, list[str]]]:
+    roots = (extract_build(older, folder), ROOT) if older else (ROOT,)
     # The HTTP client must be created in the running event loop.
-    soak = Soak(seed, folder)
-    return soak, await soak.run(seconds)
+    soak = Soak(seed, folder, roots)
+    violations = await soak.run(seconds)
+    if older:
+        violations['same_state'] = differing_states(roots, folder)
+    return soak, violations
 
 
 def _main(_arguments: Sequence[str]) -> int:
     first, _, last = SEEDS.value.partition('-')
     seeds = range(int(first), int(last or first) + 1)
     failed_seeds = [
-        seed for seed in seeds if run_seed(seed, SECONDS.value, KEEP.value)
+        seed
+        for seed in seeds
+        if run_seed(seed, SECONDS.value, KEEP.value, OLDER.value)
     ]
     sys.stdout.write(f'{len(seeds)} seeds, failed: {failed_seeds or "none"}\n')
     return int(bool(failed_seeds))
