--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -63,13 +63,13 @@
         This is asked before an order is appended to the log, not when it is
         applied: all members apply an entry alike, whatever their version.
         """
-        if not isinstance(command, commands.SetEvacuation):
-            return False
-        is_done = self.evacuations.is_set(
-            command.domain, evacuated=command.evacuated
-        )
-        changed_at = self.evacuations.changed_at(command.domain)
-        return not is_done and changed_at > known
+        match command:
+            case commands.SetEvacuation():
+                return self.evacuations.is_overtaken(command, known)
+            case commands.RemoveTargets(targets=targets):
+                starts = map(self.registry.started_at, targets)
+                return any(started_at > known for started_at in starts)
+        return False
 
     def build_feed(self, known: Index) -> ClusterFeed:
         """Return the changes since the index that a reader knows.
--- a/src/turmericmast/cluster/evacuations.py
+++ b/src/turmericmast/cluster/evacuations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
+from turmericmast.cluster.commands import SetEvacuation
 from turmericmast.ids import DomainId, Index
 
 
@@ -39,6 +40,9 @@
         """Tell whether a domain is in the given state."""
         return (domain in self.domains) == evacuated
 
-    def changed_at(self, domain: DomainId) -> Index:
-        """Return the index of the last change of a domain."""
-        return self._index_by_domain.get(domain, self._restored_at)
+    def is_overtaken(self, order: SetEvacuation, known: Index) -> bool:
+        """Tell whether an order would undo a change after ``known``."""
+        if self.is_set(order.domain, evacuated=order.evacuated):
+            return False
+        changed_at = self._index_by_domain.get(order.domain, self._restored_at)
+        return changed_at > known
--- a/src/turmericmast/cluster/pendingcommands.py
+++ b/src/turmericmast/cluster/pendingcommands.py
@@ -8,7 +8,7 @@
 from turmericmast.cluster import commands
 
 Subject: TypeAlias = tuple[type, Hashable]
-"""What a command changes: the kind of a record, and its id."""
+"""What a command changes: the kind of orders about it, and its id."""
 
 
 @final
@@ -42,6 +42,11 @@
 
 
 def _subjects(command: commands.ClusterCommand) -> tuple[Subject, ...]:
-    if isinstance(command, commands.SetEvacuation):
-        return ((commands.SetEvacuation, command.domain),)
+    match command:
+        case commands.SetEvacuation(domain=domain):
+            return ((commands.SetEvacuation, domain),)
+        case commands.ReportTarget(record=record):
+            return ((commands.RemoveTargets, record.target),)
+        case commands.RemoveTargets(targets=targets):
+            return tuple((commands.RemoveTargets, target) for target in targets)
     return ()
--- a/src/turmericmast/cluster/targets.py
+++ b/src/turmericmast/cluster/targets.py
@@ -21,6 +21,7 @@
         self.born_by_removed_target: dict[TargetId, Born] = {}
         """Last known start of each removed target."""
         self._target_by_address: dict[str, TargetId] = {}
+        self._start_index_by_target: dict[TargetId, Index] = {}
 
     def restore(
         self,
@@ -37,12 +38,21 @@
         self._target_by_address = {
             record.address: target for target, record in by_target.items()
         }
+        self._start_index_by_target = dict.fromkeys(by_target, index)
 
     @property
     def targets(self) -> tuple[TargetId, ...]:
         """Return the ids of all targets."""
         return tuple(self.table.record_by_key)
 
+    def started_at(self, target: TargetId) -> Index:
+        """Return the index of the first report since its start.
+
+        That is 0 if the target is unknown, and the index of the snapshot if
+        the report was part of one.
+        """
+        return self._start_index_by_target.get(target, Index(0))
+
     def would_change(self, record: TargetRecord) -> bool:
         """Tell whether a report would change the registry."""
         if record.born <= self.born_by_removed_target.get(
@@ -66,6 +76,8 @@
         known = self.table.record_by_key.get(record.target)
         if known:
             self._target_by_address.pop(known.address, None)
+        if known is None or known.born != record.born:
+            self._start_index_by_target[record.target] = index
         self.table.set(record.target, record, index)
         self._target_by_address[record.address] = record.target
         return True
@@ -77,6 +89,7 @@
             return False
         self.table.remove(target, index)
         self._target_by_address.pop(record.address, None)
+        self._start_index_by_target.pop(target, None)
         self.born_by_removed_target.pop(target, None)
         self.born_by_removed_target[target] = record.born
         if len(self.born_by_removed_target) > MAX_TOMBSTONES:
--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -132,7 +132,11 @@
 
     async def delete(self, target: str) -> None:
         """Remove a target."""
-        self.answer(await self.operations.remove_target(TargetId(target)))
+        self.answer(
+            await self.operations.remove_target(
+                TargetId(target), self.known_index()
+            ),
+        )
 
 
 class Routes(_Page):
--- a/src/turmericmast/programs/clustercommitter.py
+++ b/src/turmericmast/programs/clustercommitter.py
@@ -137,15 +137,18 @@
         """Commit a change that a member forwards, if this one is the leader.
 
         An order of a member of an older version may have been sent up to
-        ``MAX_ORDER_AGE`` ago. If it would undo a later one, it is refused as
-        if this member weren't the leader.
+        ``MAX_ORDER_AGE`` ago, but counts as sent under this leader. If it would
+        undo a later one, it is refused as if this member weren't the leader.
         """
         if not self._group.is_leader:
             return error_reply(self._group.not_leader_error())
         known = change.known
         if known is None:
-            known = self._group.history.applied_at(
-                self._process.clock.now() - MAX_ORDER_AGE
+            known = max(
+                self._group.history.applied_at(
+                    self._process.clock.now() - MAX_ORDER_AGE
+                ),
+                self._group.led_since,
             )
         answer = await self._commit(change.command, known, CHANGE_TIMEOUT)
         if isinstance(answer, Success):
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -89,13 +89,18 @@
     async def remove_target(
         self,
         target: TargetId,
+        known: Index,
     ) -> Result[bool, TurmericmastError]:
         """Remove a target that leaves and sends no more reports.
 
-        Returns what ``change`` does.
+        ``known`` is an index that had been applied before the order was sent.
+        Returns what ``change`` does. Fails with ``OvertakenError`` if the
+        target has started since ``known``.
         """
         self._reporting_targets.discard(target)
-        return await self.change(commands.RemoveTargets((target,)))
+        return await self.committer.order(
+            commands.RemoveTargets((target,)), known
+        )
 
     async def propose_routes(
         self,
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -159,7 +159,12 @@
                 'targets_silent',
                 targets=','.join(targets),
             )
-            self._start_change(commands.RemoveTargets(targets))
+            # One of them may be starting again at this moment.
+            asyncio.ensure_future(
+                self._committer.order(
+                    commands.RemoveTargets(targets), self._group.applied_index
+                )
+            )
 
     def _start_change(self, command: commands.ClusterCommand) -> None:
         asyncio.ensure_future(self.operations.change(command))
--- a/src/turmericmast/programs/groupmember.py
+++ b/src/turmericmast/programs/groupmember.py
@@ -80,6 +80,8 @@
         self.config = config
         self.applied_index = Index(0)
         self.history = AppliedHistory()
+        self.led_since = Index(0)
+        """Last index of the log when this member became the leader."""
         self._context = context
         self._disk_sync = DiskSync(store, context.metrics, events)
         self._clock = clock
@@ -320,6 +322,8 @@
             self._fail_pending_from(
                 Index(0), 'this member is no longer the leader'
             )
+        if role_and_leader[0] is Role.leader:
+            self.led_since = Index(self.replica.state.log.last_index)
         self._logged_role = role_and_leader
         self._events.write(
             'replica',
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -1,13 +1,10 @@
 """Orders of operators that reach a core member late."""
 
 import asyncio
-import contextlib
 import http
 import signal
-import socket
 import time
 import unittest.mock
-from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
@@ -15,10 +12,20 @@
 from returns.result import Success
 from tornado.testing import AsyncHTTPTestCase
 
-from bench.machines import LocalCluster
+from bench.lateorders import (
+    FROZEN_DOMAIN,
+    SETTLE_SECONDS,
+    WORKING_DOMAIN,
+    is_served_at_home,
+    play_late_orders,
+    send_order,
+    send_without_answer,
+)
+from tests.test_cluster import record
 from tests.test_machines import run_cluster
 from turmericmast.cluster import commands
 from turmericmast.cluster.pendingcommands import PendingCommands
+from turmericmast.cluster.records import TargetPhase
 from turmericmast.ids import Index, Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.coreapi import make_application
@@ -33,40 +40,15 @@
 from turmericmast.wire import codec, replies, watchrequests
 from turmericmast.wire.clusterrequests import ChangeCluster
 
-FROZEN_DOMAIN = 'kaernten-a'
-"""Failure domain of the core member that freezes."""
-WORKING_DOMAIN = 'tirol-a'
-SETTLE_SECONDS = 1.5
-"""Seconds in which a member that wakes handles what has arrived, and in which
-edges follow."""
-
-
-@dataclass(frozen=True)
-class LateOrder:
-    """An order that a member reads after it was undone through another one."""
-
-    domain: str
-    is_withdrawal: bool
-    has_closed: bool
-    """Whether the sender has closed its connection before the member wakes."""
-
-    @property
-    def methods(self) -> tuple[str, str]:
-        """Return the methods of the late order and of the one after it."""
-        return ('DELETE', 'POST') if self.is_withdrawal else ('POST', 'DELETE')
-
-    @property
-    def path(self) -> str:
-        """Return the path of the evacuation."""
-        return f'/-/evacuations/{self.domain}'
-
-
 NOW = Seconds(1000)
 EVACUATE = commands.SetEvacuation('wien-a', evacuated=True)
 WITHDRAW = commands.SetEvacuation('wien-a', evacuated=False)
 OLD_WITHDRAWAL = bytes.fromhex('0c661c0c5c18067769656e2d611200000000')
 """``ChangeCluster(WITHDRAW)`` as 750d29e encodes it."""
 
+OLD_REMOVAL = bytes.fromhex('0c661c0c58191803752d3100000000')
+"""``ChangeCluster(RemoveTargets(('u-1',)))`` as it encodes it."""
+
 FORWARDED = [
     ('undoes_a_later_one', ChangeCluster(WITHDRAW, 6), replies.Overtaken),
     ('sent_after_it', ChangeCluster(WITHDRAW, 7), watchrequests.TellIndex),
@@ -76,10 +58,37 @@
         ChangeCluster(commands.SetEvacuation('tirol-a', evacuated=True), 0),
         watchrequests.TellIndex,
     ),
+    (
+        'removal_from_before_the_start',
+        ChangeCluster(commands.RemoveTargets(('b', 'a')), 6),
+        replies.Overtaken,
+    ),
+    (
+        'removal_after_the_start',
+        ChangeCluster(commands.RemoveTargets(('a',)), 7),
+        watchrequests.TellIndex,
+    ),
+    (
+        'removal_of_an_unknown_target',
+        ChangeCluster(commands.RemoveTargets(('b',)), 0),
+        watchrequests.TellIndex,
+    ),
+    (
+        'removal_by_an_older_version',
+        codec.decode(OLD_REMOVAL).unwrap(),
+        replies.NotNow,
+    ),
     ('of_unknown_age', ChangeCluster(WITHDRAW), replies.NotNow),
+    (
+        'of_unknown_age_after_changes_of_an_earlier_leader',
+        ChangeCluster(commands.SetEvacuation('kaernten-a', evacuated=False)),
+        watchrequests.TellIndex,
+    ),
     ('older_version', codec.decode(OLD_WITHDRAWAL).unwrap(), replies.NotNow),
 ]
-"""Orders that reach a leader; the last evacuation is at index 7."""
+"""Orders that reach a leader.
+
+The last evacuation and the last starts of ``a`` and ``u-1`` are at index 7."""
 
 SAMPLES = [
     ('none', [], 0),
@@ -88,12 +97,6 @@
     ('later_on', [3, 9, 9], 9),
 ]
 
-LATE_ORDERS = [
-    LateOrder('wien-a', is_withdrawal=True, has_closed=True),
-    LateOrder('kaernten-a', is_withdrawal=True, has_closed=False),
-    LateOrder('tirol-a', is_withdrawal=False, has_closed=True),
-]
-
 
 class FrozenMemberTest(unittest.IsolatedAsyncioTestCase):
     """A core member that wakes from a freeze carries out no undone order."""
@@ -102,58 +105,29 @@
     # undone by an order from before it (review/1, EVAC).
     async def test_orders_from_before_the_freeze(self) -> None:
         async with run_cluster() as (cluster, _upstreams):
-            with contextlib.ExitStack() as connections:
-                await self._send_orders(cluster, connections)
-                await asyncio.sleep(SETTLE_SECONDS)
-                evacuated = [
-                    await _is_evacuated(cluster, late.domain)
-                    for late in LATE_ORDERS
-                ]
-        for late, is_evacuated in zip(LATE_ORDERS, evacuated, strict=True):
+            outcome = await play_late_orders(cluster, '/stock/1')
+        for late, is_carried_out in outcome.items():
             with self.subTest(late):
-                self.assertEqual(is_evacuated, late.is_withdrawal)
-
-    async def _send_orders(
-        self, cluster: LocalCluster, connections: contextlib.ExitStack
-    ) -> None:
-        """Send each late order, carry it out elsewhere, and undo it."""
-        for late in LATE_ORDERS:
-            if late.is_withdrawal:
-                await _order(cluster, 'POST', late.path)
-        cluster.signal('core', FROZEN_DOMAIN, signal.SIGSTOP)
-        for late in LATE_ORDERS:
-            connection = _send_without_answer(cluster, late)
-            connections.callback(connection.close)
-            if late.has_closed:
-                connection.close()
-        for method_number in range(2):
-            for late in LATE_ORDERS:
-                await _order(cluster, late.methods[method_number], late.path)
-        cluster.signal('core', FROZEN_DOMAIN, signal.SIGCONT)
-
-
-def _send_without_answer(
-    cluster: LocalCluster, late: LateOrder
-) -> socket.socket:
-    connection = socket.create_connection(
-        (cluster.ip_by_zone[FROZEN_DOMAIN], cluster.ports[3])
-    )
-    head = f'{late.methods[0]} {late.path} HTTP/1.1\r\nHost: core\r\n'
-    connection.sendall(f'{head}Content-Length: 0\r\n\r\n'.encode())
-    return connection
-
-
-async def _order(cluster: LocalCluster, method: str, path: str) -> None:
-    async def is_acknowledged() -> bool:
-        answer = await cluster.request_core(WORKING_DOMAIN, method, path)
-        return answer.code == 200
-
-    await cluster.wait_until(is_acknowledged)
-
-
-async def _is_evacuated(cluster: LocalCluster, domain: str) -> bool:
-    answer = await cluster.request_as_caller(domain, '/stock/1', f'r-{domain}')
-    return f'u-{domain}'.encode() not in answer.body
+                self.assertFalse(is_carried_out)
+
+    # Guards against a target that is shut out for good by its own removal
+    # from before its last start.
+    async def test_removal_from_before_the_freeze(self) -> None:
+        async with run_cluster() as (cluster, upstreams):
+            upstream = upstreams[WORKING_DOMAIN]
+            path = f'/-/instances/{upstream.name}'
+            cluster.signal('core', FROZEN_DOMAIN, signal.SIGSTOP)
+            send_without_answer(cluster, 'DELETE', path).close()
+            await send_order(cluster, 'DELETE', path)
+            upstream.restart()
+            report = upstream.next_report()
+            await send_order(cluster, 'PUT', path, report)
+            cluster.signal('core', FROZEN_DOMAIN, signal.SIGCONT)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await send_order(cluster, 'PUT', path, upstream.next_report())
+            self.assertTrue(
+                await is_served_at_home(cluster, WORKING_DOMAIN, '/stock/1')
+            )
 
 
 class ForwardedOrderTest(unittest.IsolatedAsyncioTestCase):
@@ -166,10 +140,31 @@
         self, _name: str, change: ChangeCluster, reply_class: type
     ) -> None:
         committer, state_machine = _leader()
-        state_machine.apply(Index(7), EVACUATE)
+        state_machine.apply(
+            Index(4), commands.SetEvacuation('kaernten-a', evacuated=True)
+        )
+        for command in (
+            EVACUATE,
+            commands.ReportTarget(record('a')),
+            commands.ReportTarget(record('u-1', address='10.0.0.2:80')),
+        ):
+            state_machine.apply(Index(7), command)
         reply = await committer.serve_change(change)
         self.assertIsInstance(reply, reply_class)
 
+    async def test_later_reports_of_one_start_do_not_count(self) -> None:
+        committer, state_machine = _leader()
+        state_machine.apply(Index(6), commands.ReportTarget(record('a')))
+        state_machine.apply(
+            Index(7),
+            commands.ReportTarget(
+                record('a', sequence=2, phase=TargetPhase.draining)
+            ),
+        )
+        removal = commands.RemoveTargets(('a',))
+        reply = await committer.serve_change(ChangeCluster(removal, Index(6)))
+        self.assertIsInstance(reply, watchrequests.TellIndex)
+
     async def test_unknown_age_of_an_order_after_a_long_time(self) -> None:
         committer, state_machine = _leader(MAX_ORDER_AGE)
         state_machine.apply(Index(7), EVACUATE)
@@ -222,6 +217,7 @@
             ('opposite', WITHDRAW, True),
             ('same', EVACUATE, True),
             ('other', commands.SetEvacuation('tirol-a', True), False),
+            ('removal', commands.RemoveTargets(('a',)), False),
         ]
     )
     def test_precede(self, _name: str, command: Any, precedes: bool) -> None:
@@ -230,6 +226,13 @@
             self.assertIs(pending.precede(command), precedes)
         self.assertFalse(pending.precede(command))
 
+    def test_removal_waits_for_the_report_of_a_start(self) -> None:
+        pending = PendingCommands()
+        with pending.track(commands.ReportTarget(record('a'))):
+            for target, precedes in (('a', True), ('b', False)):
+                removal = commands.RemoveTargets((target,))
+                self.assertIs(pending.precede(removal), precedes)
+
 
 class RedirectionTest(AsyncHTTPTestCase):
     """A sender that is still there follows a redirection and is served."""
@@ -270,6 +273,7 @@
         self, state_machine: Any, applied_for: float, is_waiting: bool
     ) -> None:
         self.is_leader = True
+        self.led_since = Index(5)
         self.history = AppliedHistory()
         if applied_for:
             self.history.record(Seconds(_now() - applied_for), Index(7))
