--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -165,7 +165,7 @@
     def _prepare(self) -> None:
         handle = self.handle
         request = self._request
-        handle.setopt(pycurl.URL, request.url)
+        self._set_url()
         handle.setopt(pycurl.HTTPGET, 1)
         if request.body is not None:
             handle.setopt(pycurl.UPLOAD, 1)
@@ -177,6 +177,14 @@
         handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         self._set_callbacks()
 
+    def _set_url(self) -> None:
+        """Send the path as it is, while curl normalises that of a URL."""
+        scheme, _, rest = self._request.url.partition('://')
+        address, _, path = rest.partition('/')
+        self.handle.setopt(pycurl.URL, f'{scheme}://{address}/')
+        # Tornado decodes the octets of a path as Latin-1.
+        self.handle.setopt(pycurl.REQUEST_TARGET, f'/{path}'.encode('latin-1'))
+
     def _set_connection_use(self) -> None:
         is_single_use = int(not self._request.uses_kept_connection)
         self.handle.setopt(pycurl.FRESH_CONNECT, is_single_use)
