--- a/src/turmericmast/programs/requestport.py
+++ b/src/turmericmast/programs/requestport.py
@@ -21,7 +21,9 @@
 
 Exceeds the limits of all routes, which are checked separately."""
 BODY_TIMEOUT = 60.0
-"""Seconds within which a request body must arrive."""
+"""Seconds within which the body of a refused request must arrive.
+
+Others have until the deadline of their request."""
 
 
 @final
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -102,6 +102,15 @@
             self._decide_about_end()
         self._start()
 
+    def on_deadline(self) -> None:
+        """Refuse the request if its body still arrives and none was sent.
+
+        Attempts end at the deadline by themselves.
+        """
+        if self._task is None:
+            self._refuse(edgerefusals.body_too_slow())
+            self._body.stop_reading()
+
     def on_connection_close(self) -> None:
         """Cancel all attempts, since the caller has disconnected."""
         if not self._is_finished:
@@ -153,8 +162,11 @@
     async def _try_once(self) -> bool:
         """Send the request somewhere, or refuse it; tell whether to retry."""
         time_left = self._quarantine_check.time_left()
+        if time_left and self._call.ran is Ran.no:
+            self._refuse(edgerefusals.quarantined(time_left))
+            return False
         if time_left:
-            self._refuse_quarantined(time_left)
+            self._fail()
             return False
         candidate = await self._selector.select(
             self._incoming.requirements(self._tried)
@@ -318,12 +330,6 @@
         )
         self._refuse(edgerefusals.attempts_failed(self._call, now, retry_delay))
 
-    def _refuse_quarantined(self, time_left: float) -> None:
-        if self._call.ran is Ran.no:
-            self._refuse(edgerefusals.quarantined(time_left))
-        else:
-            self._fail()
-
     def _refuse_without_target(self) -> None:
         if self._call.losses:
             self._fail()
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -1,5 +1,6 @@
 """HTTP front end of an edge: parses request headers and finds the route."""
 
+import asyncio
 import enum
 import itertools
 import secrets
@@ -36,6 +37,10 @@
 """Seconds after which an idle connection of another instance is closed.
 
 Instances stop using it earlier, so that no request crosses the close."""
+BODY_GRACE = 1.0
+"""Seconds after the deadline of a request until its connection is closed.
+
+A response is written meanwhile, if the body has not been complete in time."""
 MAX_SHOWN_LENGTH = 20
 """Characters of a malformed Content-Length that a refusal repeats."""
 
@@ -117,6 +122,7 @@
         self._exchange: EdgeExchange | None = None
         self._is_closed = False
         """Whether the caller has disconnected."""
+        self._deadline_timer: asyncio.TimerHandle | None = None
 
     def headers_received(
         self, start_line: Any, headers: HTTPHeaders
@@ -143,15 +149,21 @@
 
     def finish(self) -> None:
         """Tell the exchange that the body is complete."""
+        self._stop_timer()
         if self._exchange:
             self._exchange.finish()
 
     def on_connection_close(self) -> None:
         """Tell the exchange that the caller has disconnected."""
         self._is_closed = True
+        self._stop_timer()
         if self._exchange:
             self._exchange.on_connection_close()
 
+    def _stop_timer(self) -> None:
+        if self._deadline_timer:
+            self._deadline_timer.cancel()
+
     async def _start_with_routes(
         self, start_line: Any, headers: HTTPHeaders, received_at: Seconds
     ) -> None:
@@ -185,7 +197,13 @@
             self._context, self._connection, parsed.unwrap()
         )
         self._exchange = exchange
+        time_left = parsed.unwrap().call.deadline - self._context.clock.now()
+        if _has_body(headers):
+            self._deadline_timer = asyncio.get_running_loop().call_later(
+                time_left, exchange.on_deadline
+            )
         if isinstance(self._connection, HTTP1Connection):
+            self._connection.set_body_timeout(time_left + BODY_GRACE)
             # Tornado calls on_connection_close() only while it reads the body.
             self._connection.set_close_callback(exchange.on_connection_close)
 
@@ -207,6 +225,11 @@
         refuse_request(self._connection, problem, start_line.method, headers)
 
 
+def _has_body(headers: HTTPHeaders) -> bool:
+    has_length = headers.get('Content-Length', '0') != '0'
+    return has_length or 'Transfer-Encoding' in headers
+
+
 def _is_closed(connection: HTTPConnection) -> bool:
     return isinstance(connection, HTTP1Connection) and (
         connection.stream.closed()
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -112,6 +112,18 @@
     )
 
 
+def body_too_slow() -> Problem:
+    """Return the problem for a body that is not complete in time."""
+    return Problem(
+        HTTPStatus.REQUEST_TIMEOUT,
+        'Body too slow',
+        'the body was not complete at the deadline of the request',
+        'read request',
+        Ran.no,
+        closes_connection=True,
+    )
+
+
 def bad_content_length(text: str) -> Problem:
     """Return the problem for a Content-Length that is not a number."""
     return _rejected(
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -336,6 +336,9 @@
     def on_connection_close(self) -> None:
         """Do nothing: there is nothing to cancel."""
 
+    def on_deadline(self) -> None:
+        """Do nothing: the tests are about connections."""
+
     def finish(self) -> None:
         self._relay.on_head(ResponseHead(200, 'OK', HTTPHeaders()))
         self._relay.on_chunk(b'answer')
