Targets that were silent serve again with their next report

Targets whose reports didn't arrive for 12 s served nobody until their next start, while all their reports were acknowledged.

Cause: the leader removed a silent target like one that leaves, and the reports of a removed start are ignored, since they may be late ones.

Change: the leader retires a silent target: it commits a report in its place that says that it drains, which the next report overrides. Failure detection has a module of its own.

--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -21,6 +21,8 @@
 )
 from turmericmast.names import is_token
 
+MAX_SEQUENCE = 9_223_372_036_854_775_807
+"""Largest number of a report that the log holds."""
 MAX_SLOTS = 1_000_000
 """Requests that a target can process at a time, at most."""
 
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -8,6 +8,7 @@
 
 from turmericmast.addresses import MAX_PORT, is_unicast_address
 from turmericmast.cluster.records import (
+    MAX_SEQUENCE,
     MAX_SLOTS,
     TargetPhase,
     TargetRecord,
@@ -42,8 +43,6 @@
 """Base of the numbers that versions are written in."""
 MAX_VERSION_DIGITS = 15
 """Digits of a version; the log holds 63 bits."""
-MAX_SEQUENCE = 9_223_372_036_854_775_807
-"""Largest number of a report that the log holds."""
 
 
 @final
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -8,9 +8,8 @@
 
 from turmericmast.cluster import commands
 from turmericmast.cluster.crashes import ReportCrash
-from turmericmast.cluster.liveness import LivenessTracker
 from turmericmast.cluster.registrations import PendingRegistrations
-from turmericmast.ids import InstanceId, TargetId
+from turmericmast.ids import InstanceId
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.platform.coreapi import make_application
 from turmericmast.platform.documents import DocumentFormat
@@ -18,6 +17,7 @@
 from turmericmast.programs.clusteroperations import ClusterOperations
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.coregroup import contacts_of, open_core_member
+from turmericmast.programs.failuredetector import FailureDetector
 from turmericmast.programs.groupmember import GroupMember
 from turmericmast.programs.groupsetup import (
     LEADERSHIP_TRANSFER_TIMEOUT,
@@ -41,13 +41,6 @@
 """Seconds without contact to a quorum after which a watch does not wait."""
 TICK_INTERVAL_MS = 250
 """Milliseconds between two checks for silent edges and targets."""
-EDGE_TIMEOUT = 1.5
-"""Seconds of silence after which an edge is removed from the directory.
-
-Callers must not be directed to a lost edge for longer than the contact window
-plus three seconds."""
-TARGET_TIMEOUT_INTERVALS = 8
-"""Report intervals of silence after which a target is removed."""
 STALL_THRESHOLD = 1.0
 """Seconds between two ticks after which reports may have been missed."""
 
@@ -63,7 +56,6 @@
         state_machine: ClusterStateMachine,
     ) -> None:
         """Serve the cluster of ``state_machine``, replicated by ``group``."""
-        bounds = process.settings.bounds
         self.operations = ClusterOperations(
             process, group, state_machine, DocumentFormat()
         )
@@ -71,11 +63,8 @@
         self._process = process
         self._group = group
         self._state_machine = state_machine
-        self._edge_liveness: LivenessTracker[InstanceId] = LivenessTracker(
-            EDGE_TIMEOUT
-        )
-        self._target_liveness: LivenessTracker[TargetId] = LivenessTracker(
-            TARGET_TIMEOUT_INTERVALS * bounds.report_interval,
+        self._failure_detector = FailureDetector(
+            process, self._committer, state_machine.cluster
         )
         self._watching_edges: set[InstanceId] = set()
         self._registrations = PendingRegistrations()
@@ -99,7 +88,7 @@
             case clusterrequests.AskIndex():
                 return self._committer.serve_commit_index()
             case clusterrequests.Heard():
-                return self._record_alive(body)
+                return self._failure_detector.record_alive(body)
         return replies.Refusal(
             'handle', f'message of unexpected type {type(body)}', ''
         )
@@ -109,7 +98,7 @@
         return self._state_machine.pages()
 
     def tick(self) -> None:
-        """Run failure detection: the leader removes silent edges and targets.
+        """Run failure detection: the leader retires silent edges and targets.
 
         Other members tell the leader who reported to them. A new leader, or one
         that stalled, first treats all edges and targets as alive.
@@ -124,51 +113,14 @@
         self._watching_edges.clear()
         is_leader = self._group.is_leader
         if is_leader and (has_stalled or not self._was_leading):
-            cluster = self._state_machine.cluster
-            self._edge_liveness.start_leadership(
-                cluster.edges.record_by_key, now
-            )
-            self._target_liveness.start_leadership(
-                cluster.registry.targets, now
-            )
+            self._failure_detector.start_leadership()
         self._was_leading = is_leader
         if is_leader:
-            self._record_alive(heard)
-            self._remove_silent()
+            self._failure_detector.record_alive(heard)
+            self._failure_detector.retire_silent()
         elif self._group.replica.leader and (heard.targets or heard.instances):
             self._group.links.to(self._group.replica.leader).send(heard)
 
-    def _record_alive(self, heard: clusterrequests.Heard) -> None:
-        now = self._process.clock.now()
-        self._edge_liveness.record_alive(heard.instances, now)
-        self._target_liveness.record_alive(heard.targets, now)
-
-    def _remove_silent(self) -> None:
-        now = self._process.clock.now()
-        cluster = self._state_machine.cluster
-        edges = self._edge_liveness.silent(
-            tuple(cluster.edges.record_by_key), now
-        )
-        if edges:
-            self._process.events.write('edges_lost', edges=','.join(edges))
-            self._start_change(commands.DropEdges(edges))
-        known_targets = tuple(cluster.registry.targets)
-        targets = self._target_liveness.silent(known_targets, now)
-        if targets:
-            self._process.events.write(
-                'targets_silent',
-                targets=','.join(targets),
-            )
-            # One of them may be starting again at this moment.
-            asyncio.ensure_future(
-                self._committer.order(
-                    commands.RemoveTargets(targets), self._group.applied_index
-                )
-            )
-
-    def _start_change(self, command: commands.ClusterCommand) -> None:
-        asyncio.ensure_future(self.operations.change(command))
-
     def _register(self, watch: watchrequests.WatchCluster) -> None:
         edge = watch.edge
         known = self._state_machine.cluster.edge(edge.instance)
