Late orders: only orders wait for pending commands

Pending commands are released one by one; all were copied at the end of each. Found by reading; no caller saw it. Tests as before.

--- a/src/turmericmast/cluster/commands.py
+++ b/src/turmericmast/cluster/commands.py
@@ -70,6 +70,8 @@
     instances: tuple[InstanceId, ...]
 
 
+Order: TypeAlias = SetEvacuation | RemoveTargets
+"""Commands that could undo later ones, if they are carried out late."""
 ClusterCommand: TypeAlias = (
     ReportTarget
     | RemoveTargets
--- a/src/turmericmast/cluster/pendingcommands.py
+++ b/src/turmericmast/cluster/pendingcommands.py
@@ -33,12 +33,17 @@
         try:
             yield
         finally:
-            self._count_by_subject.subtract(subjects)
-            self._count_by_subject += collections.Counter()
+            for subject in subjects:
+                self._release(subject)
 
-    def precede(self, command: commands.ClusterCommand) -> bool:
-        """Tell whether pending commands change what ``command`` changes."""
-        return not self._count_by_subject.keys().isdisjoint(_subjects(command))
+    def precede(self, order: commands.Order) -> bool:
+        """Tell whether pending commands change what ``order`` changes."""
+        return not self._count_by_subject.keys().isdisjoint(_subjects(order))
+
+    def _release(self, subject: Subject) -> None:
+        self._count_by_subject[subject] -= 1
+        if not self._count_by_subject[subject]:
+            self._count_by_subject.pop(subject)
 
 
 def _subjects(command: commands.ClusterCommand) -> tuple[Subject, ...]:
--- a/src/turmericmast/exceptions.py
+++ b/src/turmericmast/exceptions.py
@@ -77,10 +77,10 @@
     order again, and show by this index that it did so afterwards.
     """
 
-    def __init__(self, message: str, index: Index, *, step: str) -> None:
+    def __init__(self, index: Index, *, step: str) -> None:
         """Store the index."""
         super().__init__(
-            message,
+            'the cluster has changed since the order may have been sent',
             step=step,
             hint='follow the redirection if the order still holds',
         )
--- a/src/turmericmast/programs/clustercommitter.py
+++ b/src/turmericmast/programs/clustercommitter.py
@@ -143,13 +143,8 @@
         if not self._group.is_leader:
             return error_reply(self._group.not_leader_error())
         known = change.known
-        if known is None:
-            known = max(
-                self._group.history.applied_at(
-                    self._process.clock.now() - MAX_ORDER_AGE
-                ),
-                self._group.led_since,
-            )
+        if known is None and isinstance(change.command, commands.Order):
+            known = self._known_by_any_order()
         answer = await self._commit(change.command, known, CHANGE_TIMEOUT)
         if isinstance(answer, Success):
             return self._commit_index_reply()
@@ -170,6 +165,13 @@
             return error_reply(self._group.not_leader_error())
         return self._commit_index_reply()
 
+    def _known_by_any_order(self) -> Index:
+        """Return an index applied before any order in transit was sent."""
+        applied = self._group.history.applied_at(
+            self._process.clock.now() - MAX_ORDER_AGE
+        )
+        return max(applied, self._group.led_since)
+
     def _commit_index_reply(self) -> watchrequests.TellIndex:
         return watchrequests.TellIndex(self._group.replica.state.commit)
 
@@ -214,12 +216,16 @@
         known: Index | None,
         timeout: float,
     ) -> Result[bool, TurmericmastError]:
-        """Commit a command as the leader."""
+        """Commit a command as the leader.
+
+        An order is checked after the commands that precede it in the log.
+        """
         deadline = self._process.clock.now() + timeout
-        while known is not None and self._pending.precede(command):
-            if self._process.clock.now() > deadline:
-                return Failure(self._timeout_error('commit earlier changes'))
-            await asyncio.sleep(APPLY_POLL_INTERVAL)
+        if isinstance(command, commands.Order):
+            while self._pending.precede(command):
+                if self._process.clock.now() > deadline:
+                    return Failure(self._timeout_error('await other changes'))
+                await asyncio.sleep(APPLY_POLL_INTERVAL)
         overtaken = self._check_order(command, known)
         if overtaken:
             return Failure(overtaken)
@@ -244,11 +250,7 @@
             known=known,
             index=cluster.index,
         )
-        return OvertakenError(
-            'the cluster has changed since the order may have been sent',
-            cluster.index,
-            step='check order',
-        )
+        return OvertakenError(cluster.index, step='check order')
 
     async def _change_once(
         self,
@@ -286,14 +288,7 @@
         case replies.Refusal(step=step, message=message, hint=hint):
             return Failure(RefusedError(message, step=step, hint=hint))
         case replies.Overtaken(index=index):
-            return Failure(
-                OvertakenError(
-                    'the cluster has changed since the order may have been '
-                    'sent',
-                    index,
-                    step='ask leader',
-                )
-            )
+            return Failure(OvertakenError(index, step='ask leader'))
     return Failure(_not_leader_error(answer))
 
 
