Bootstrap: an incarnation is stored before it is reported

Operators whose core processes were all killed some 0.35 s after their first start never got a configuration acknowledged.

Cause: the first log entry names the incarnations that members report, and a member without state took a new one at each start. Where only one member had the entry, it named members that were gone, and no quorum was possible.

Change: a member stores its incarnation before it reports it, and keeps it until it has voted or stored an entry. It asks for the first entry after a restart, whatever its settings; it forms a group only if these allow it.

Evidence: test_all_are_killed_when_one_has_the_first_entry, both rows failed before.

--- a/src/turmericmast/replica/bootstrap.py
+++ b/src/turmericmast/replica/bootstrap.py
@@ -39,14 +39,20 @@
         self._state = state
         self._empty_seat_by_member: dict[MemberId, tuple[Seat, float]] = {}
         """Seat of each member without state, and the time of its report."""
+        self._is_incarnation_stored = False
         self._next_probe = float(0)
 
     def tick(self, now: Seconds) -> None:
-        """Probe at each interval while this member has no state."""
-        may_bootstrap = (
-            self._state.config.may_bootstrap and self._state.log.is_empty
+        """Probe at each interval while this member has no state.
+
+        A member that may not bootstrap the group does so as well if it has
+        reported its incarnation before: the group may have been formed then.
+        """
+        state = self._state
+        may_probe = state.log.is_empty and (
+            state.config.may_bootstrap or state.has_reported
         )
-        if not may_bootstrap or now < self._next_probe:
+        if not may_probe or now < self._next_probe:
             return
         self._next_probe = now + PROBE_INTERVAL
         for member in self._state.peers:
@@ -71,6 +77,11 @@
 
     def _build_probe(self, *, question: bool) -> Probe:
         state = self._state
+        if state.log.is_empty and not self._is_incarnation_stored:
+            # The first entry of the group may name it, so it must be the same
+            # after a restart. Messages are sent after the next sync.
+            state.store.save_vote(state.vote)
+            self._is_incarnation_stored = True
         bootstrap_entries = (
             state.log.between(1, 1) if state.log.snapshot_index == 0 else []
         )
--- a/src/turmericmast/replica/state.py
+++ b/src/turmericmast/replica/state.py
@@ -122,13 +122,27 @@
         self.leader_heard_at = float(0)
         self.random = random.Random(incarnation)  # noqa: S311
         self.vote = recovered.vote
-        if self.log.is_empty or not self.vote.incarnation:
+        has_voted = self.vote != Vote(incarnation=self.vote.incarnation)
+        self._has_reported = (
+            self.log.is_empty and bool(self.vote.incarnation) and not has_voted
+        )
+        has_state = not self.log.is_empty and bool(self.vote.incarnation)
+        if not has_state and not self._has_reported:
             # A replica that lost its log may have voted before: under a new
             # incarnation, the group does not count its votes.
             self.vote = Vote(incarnation=incarnation)
         self.membership = Membership(self.log.seats_at(self.log.last_index))
         self.role = self.passive_role()
 
+    @property
+    def has_reported(self) -> bool:
+        """Tell whether it only reported its incarnation before this start.
+
+        It has neither voted nor stored an entry then, and the first entry of
+        the group may name this incarnation.
+        """
+        return self._has_reported
+
     @property
     def is_voter(self) -> bool:
         """Tell whether this incarnation of the member has a vote."""
--- a/tests/test_dynamic_membership.py
+++ b/tests/test_dynamic_membership.py
@@ -75,6 +75,33 @@
         simulation.run(10)
         self.assertEqual(_seats(simulation), [])
 
+    # Guards against a group that never forms, since its first log entry names
+    # incarnations that are gone.
+    @parameterized.expand([('first_start', True), ('later_start', False)])
+    def test_all_are_killed_when_one_has_the_first_entry(
+        self, _name: str, is_first_start: bool
+    ) -> None:
+        simulation = _simulation()
+        founder = simulation.member_by_name[CONTACTS[0]]
+        while not founder.store.load().entries:
+            simulation.tick()
+            for _ in range(len(simulation.in_flight)):
+                simulation.deliver(0)
+            simulation.flush(founder)
+        for name, member in simulation.member_by_name.items():
+            simulation.crash(name)
+            has_entry = bool(member.store.load().entries)
+            self.assertIs(has_entry, member is founder)
+        simulation.in_flight.clear()
+        for restarted in CONTACTS:
+            if is_first_start:
+                simulation.restart(restarted)
+            else:
+                _restart_without_bootstrap(simulation, restarted)
+        simulation.run(6)
+        self.assertEqual(_seats(simulation), sorted(CONTACTS))
+        self.assertTrue(simulation.propose(b'first'))
+
     @parameterized.expand(
         [(f'm{number}', number) for number in range(6)],
     )
