Start: SIGHUP doesn't end a process that starts

An edge or core process that got SIGHUP within some 0.3 s of its start ended.

Cause: the handler is set once the program runs; until then the default action ends the process. A change of the settings after they were read and before their file was watched was missed, too.

Change: the launcher ignores the signal first of all. The file is compared with its version from before it was read, so that nothing is missed.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -4,6 +4,7 @@
 import importlib
 import os
 import pathlib
+import signal
 import sys
 
 SETTINGS_VARIABLE = 'TURMERICMAST_NODE_FILE'
@@ -12,6 +13,9 @@
 
 def main() -> None:
     """Run the program that the first argument names."""
+    # The program has yet to read its settings, and would end by this signal
+    # until it watches for it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Importing modules creates no garbage, so collections would only slow the
     # start down. The program turns them on again.
     gc.disable()
--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -74,6 +74,10 @@
 LoadSettings: TypeAlias = Callable[[pathlib.Path], Result[Any, SettingsError]]
 
 
+FileVersion: TypeAlias = tuple[int, int]
+"""A file's modification time in ns and its size; zeros if it is missing."""
+
+
 @final
 class Process(Generic[SettingsT]):
     """Settings, clock, metrics and events of a running process."""
@@ -83,11 +87,14 @@
         settings: SettingsT,
         events: EventLog,
         load: LoadSettings,
+        settings_version: FileVersion,
     ) -> None:
         """Create the clock, the metrics and a random incarnation.
 
-        ``load`` reads the settings again when they change.
+        ``load`` reads the settings again when their file is no longer at
+        ``settings_version``.
         """
+        self.settings_version = settings_version
         self.settings = settings
         self.events = events
         self.load = load
@@ -115,12 +122,23 @@
     return pathlib.Path(SETTINGS.value)
 
 
+def file_version(path: pathlib.Path) -> FileVersion:
+    """Return the present version of a file."""
+    try:
+        file_status = path.stat()
+    except OSError:
+        # The file counts as changed once it exists again.
+        return (0, 0)
+    return (file_status.st_mtime_ns, file_status.st_size)
+
+
 def _start(
     main: ProgramMain, load: LoadSettings, arguments: Sequence[str]
 ) -> int:
     if VERSION_FLAG.value:
         sys.stdout.write(f'turmericmast {VERSION}\n')
         return 0
+    version = file_version(settings_path())
     loaded = load(settings_path())
     if not isinstance(loaded, Success):
         return _report_error(loaded.failure())
@@ -132,7 +150,7 @@
     gc.set_threshold(GC_THRESHOLD)
     gc.enable()
     try:
-        asyncio.run(_run(main, loaded.unwrap(), load))
+        asyncio.run(_run(main, loaded.unwrap(), load, version))
     except TurmericmastError as error:
         return _report_error(error)
     except OSError as error:
@@ -173,7 +191,12 @@
         stack.callback(server.stop)
 
 
-async def _run(main: ProgramMain, settings: Any, load: LoadSettings) -> None:
+async def _run(
+    main: ProgramMain,
+    settings: Any,
+    load: LoadSettings,
+    version: FileVersion,
+) -> None:
     clock = HybridClock(SystemClock())
     with contextlib.ExitStack() as stack:
         writer = (
@@ -184,7 +207,7 @@
         events = stack.enter_context(
             EventLog(settings.name, settings.events, clock, writer),
         )
-        process = Process(settings, events, load)
+        process = Process(settings, events, load, version)
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, process.stop.set)
--- a/src/turmericmast/programs/settingsreloader.py
+++ b/src/turmericmast/programs/settingsreloader.py
@@ -1,7 +1,6 @@
 """Applies changes of the settings file while the process runs."""
 
 import asyncio
-import pathlib
 import signal
 from collections.abc import Callable
 from types import TracebackType
@@ -11,7 +10,11 @@
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.programs.runner import Process, settings_path
+from turmericmast.programs.runner import (
+    Process,
+    file_version,
+    settings_path,
+)
 
 CHECK_INTERVAL_MS = 1000
 """Milliseconds between two checks of the file, which can change unannounced."""
@@ -30,7 +33,7 @@
         self._process = process
         self._apply = apply
         self._path = settings_path()
-        self._loaded_version = _file_version(self._path)
+        self._loaded_version = process.settings_version
         self._ticker = PeriodicCallback(self._check_file, CHECK_INTERVAL_MS)
 
     def __enter__(self) -> Self:
@@ -51,12 +54,12 @@
         asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
 
     def _check_file(self) -> None:
-        version = _file_version(self._path)
+        version = file_version(self._path)
         if version != self._loaded_version:
             self._reload()
 
     def _reload(self) -> None:
-        self._loaded_version = _file_version(self._path)
+        self._loaded_version = file_version(self._path)
         loaded = self._process.load(self._path)
         if isinstance(loaded, Success):
             self._process.settings = loaded.unwrap()
@@ -67,13 +70,3 @@
                 'settings_refused',
                 reason=loaded.failure().show(),
             )
-
-
-def _file_version(path: pathlib.Path) -> tuple[int, int]:
-    """Return a file's modification time in ns and size; zeros if missing."""
-    try:
-        file_status = path.stat()
-    except OSError:
-        # The file counts as changed once it exists again.
-        return (0, 0)
-    return (file_status.st_mtime_ns, file_status.st_size)
