Attempts: one that raises an error doesn't count as running

A path that raised an error in an attempt left its request counted as running: the target seemed to have one slot less until its next start.

Evidence: BrokenAttemptTest failed before (1 running request instead of 0).

--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -101,9 +101,13 @@
             self._transfer.cancel()
 
     async def _run(self, transfer: Transfer) -> Loss | None:
-        loss = self.response.final_loss(await transfer.run())
-        now = self._context.clock.now()
         view = self.candidate.view
+        try:
+            loss = self.response.final_loss(await transfer.run())
+        except Exception:
+            view.drop_request()
+            raise
+        now = self._context.clock.now()
         if self.response.load:
             view.update_load(self.response.load, now)
         is_unsent = transfer.progress is Progress.vetoed
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -9,6 +9,7 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from tests.edge_harness import EdgeHarness
 from tests.edge_samples import NOW, edge, feed, instance, target
 from tests.platform_samples import ROUTES, changed, encoded
 from turmericmast.balance.load import LoadReport
@@ -311,6 +312,31 @@
         )
 
 
+class BrokenAttemptTest(unittest.IsolatedAsyncioTestCase):
+    """An attempt that raises an error doesn't count as running for good.
+
+    The target would seem to have one slot less until its next start.
+    """
+
+    async def test_unexpected_error(self) -> None:
+        harness = EdgeHarness(target('1'))
+        connection = unittest.mock.Mock()
+        exchange = EdgeExchange(harness.context, connection, harness.read())
+        exchange._body.mark_complete()
+        broken = unittest.mock.Mock(side_effect=UnicodeError('no header'))
+        with (
+            unittest.mock.patch(
+                'turmericmast.web.edgeattempt.Transfer',
+                return_value=unittest.mock.Mock(run=broken),
+            ),
+            self.assertRaises(UnicodeError),
+        ):
+            await exchange._run()
+        self.assertEqual(harness.view('1').in_flight, 0)
+        status = connection.write_headers.call_args.args[0].code
+        self.assertEqual(status, 500)
+
+
 class RefusalWithinResponseTest(unittest.IsolatedAsyncioTestCase):
     """A refusal is not written into a response that has begun.
 
