Start: the settings file has a class of its own

The file and the version that was read are one object now, which the reloader gets from the process.

--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -20,6 +20,7 @@
 from turmericmast.ids import Incarnation
 from turmericmast.linewriter import LineWriter
 from turmericmast.metrics import Metrics
+from turmericmast.programs.settingsfile import SettingsFile
 from turmericmast.version import VERSION
 from turmericmast.web.metricspage import make_metrics_server
 from turmericmast.web.pageserver import (
@@ -74,10 +75,6 @@
 LoadSettings: TypeAlias = Callable[[pathlib.Path], Result[Any, SettingsError]]
 
 
-FileVersion: TypeAlias = tuple[int, int]
-"""A file's modification time in ns and its size; zeros if it is missing."""
-
-
 @final
 class Process(Generic[SettingsT]):
     """Settings, clock, metrics and events of a running process."""
@@ -87,14 +84,13 @@
         settings: SettingsT,
         events: EventLog,
         load: LoadSettings,
-        settings_version: FileVersion,
+        settings_file: SettingsFile,
     ) -> None:
         """Create the clock, the metrics and a random incarnation.
 
-        ``load`` reads the settings again when their file is no longer at
-        ``settings_version``.
+        ``load`` reads the settings again when ``settings_file`` changes.
         """
-        self.settings_version = settings_version
+        self.settings_file = settings_file
         self.settings = settings
         self.events = events
         self.load = load
@@ -117,29 +113,15 @@
     app.run(lambda arguments: _start(main, load, arguments))
 
 
-def settings_path() -> pathlib.Path:
-    """Return the path of the settings file, from the ``--settings`` flag."""
-    return pathlib.Path(SETTINGS.value)
-
-
-def file_version(path: pathlib.Path) -> FileVersion:
-    """Return the present version of a file."""
-    try:
-        file_status = path.stat()
-    except OSError:
-        # The file counts as changed once it exists again.
-        return (0, 0)
-    return (file_status.st_mtime_ns, file_status.st_size)
-
-
 def _start(
     main: ProgramMain, load: LoadSettings, arguments: Sequence[str]
 ) -> int:
     if VERSION_FLAG.value:
         sys.stdout.write(f'turmericmast {VERSION}\n')
         return 0
-    version = file_version(settings_path())
-    loaded = load(settings_path())
+    settings_file = SettingsFile(pathlib.Path(SETTINGS.value))
+    settings_file.mark_read()
+    loaded = load(settings_file.path)
     if not isinstance(loaded, Success):
         return _report_error(loaded.failure())
     if CHECK.value:
@@ -150,7 +132,7 @@
     gc.set_threshold(GC_THRESHOLD)
     gc.enable()
     try:
-        asyncio.run(_run(main, loaded.unwrap(), load, version))
+        asyncio.run(_run(main, loaded.unwrap(), load, settings_file))
     except TurmericmastError as error:
         return _report_error(error)
     except OSError as error:
@@ -195,7 +177,7 @@
     main: ProgramMain,
     settings: Any,
     load: LoadSettings,
-    version: FileVersion,
+    settings_file: SettingsFile,
 ) -> None:
     clock = HybridClock(SystemClock())
     with contextlib.ExitStack() as stack:
@@ -207,7 +189,7 @@
         events = stack.enter_context(
             EventLog(settings.name, settings.events, clock, writer),
         )
-        process = Process(settings, events, load, version)
+        process = Process(settings, events, load, settings_file)
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, process.stop.set)
--- a/src/turmericmast/programs/settingsreloader.py
+++ b/src/turmericmast/programs/settingsreloader.py
@@ -4,17 +4,15 @@
 import signal
 from collections.abc import Callable
 from types import TracebackType
-from typing import Self, final
+from typing import TYPE_CHECKING, Self, final
 
 from returns.result import Success
 from tornado.ioloop import PeriodicCallback
 
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.programs.runner import (
-    Process,
-    file_version,
-    settings_path,
-)
+
+if TYPE_CHECKING:
+    from turmericmast.programs.runner import Process
 
 CHECK_INTERVAL_MS = 1000
 """Milliseconds between two checks of the file, which can change unannounced."""
@@ -26,14 +24,13 @@
 
     def __init__(
         self,
-        process: Process[InstanceSettings],
+        process: 'Process[InstanceSettings]',
         apply: Callable[[InstanceSettings], object],
     ) -> None:
         """Call ``apply`` with new settings; ignore invalid ones."""
         self._process = process
         self._apply = apply
-        self._path = settings_path()
-        self._loaded_version = process.settings_version
+        self._settings_file = process.settings_file
         self._ticker = PeriodicCallback(self._check_file, CHECK_INTERVAL_MS)
 
     def __enter__(self) -> Self:
@@ -54,13 +51,12 @@
         asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
 
     def _check_file(self) -> None:
-        version = file_version(self._path)
-        if version != self._loaded_version:
+        if self._settings_file.has_changed():
             self._reload()
 
     def _reload(self) -> None:
-        self._loaded_version = file_version(self._path)
-        loaded = self._process.load(self._path)
+        self._settings_file.mark_read()
+        loaded = self._process.load(self._settings_file.path)
         if isinstance(loaded, Success):
             self._process.settings = loaded.unwrap()
             self._apply(self._process.settings)
--- a/tests/test_early_reload.py
+++ b/tests/test_early_reload.py
@@ -1,6 +1,5 @@
 """A reload of the settings while a process starts."""
 
-import asyncio
 import contextlib
 import os
 import pathlib
@@ -13,7 +12,8 @@
 from returns.result import Success
 
 from deploy import launch
-from turmericmast.programs import settingsreloader
+from turmericmast.programs.settingsfile import SettingsFile
+from turmericmast.programs.settingsreloader import SettingsReloader
 
 
 class EarlyReloadTest(unittest.IsolatedAsyncioTestCase):
@@ -50,25 +50,14 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / 'settings.json'
             path.write_text('old', encoding='utf-8')
-            version = (path.stat().st_mtime_ns, path.stat().st_size)
-            os.utime(path, ns=(0, version[0] + 1))
+            settings_file = SettingsFile(path)
+            settings_file.mark_read()
+            os.utime(path, ns=(0, 1))
             process = unittest.mock.Mock(
-                settings_version=version, load=lambda _: Success('new')
+                settings_file=settings_file, load=lambda _: Success('new')
             )
             applied: list[Any] = []
-            with unittest.mock.patch.object(
-                settingsreloader, 'settings_path', lambda: path
-            ):
-                reloader = settingsreloader.SettingsReloader(
-                    process, applied.append
-                )
-            with (
-                unittest.mock.patch.object(
-                    settingsreloader, 'CHECK_INTERVAL_MS', 1
-                ),
-                reloader,
-            ):
+            with SettingsReloader(process, applied.append) as reloader:
                 reloader._check_file()
                 reloader._check_file()
-            await asyncio.sleep(0)
         self.assertEqual(applied, ['new'])
