Attempts: a response that came second is no sign of a crash

An instance that ended the slower of two successes probed its target as one that may have crashed. Since losses are compared by their time, that could also keep a real crash from being counted.

Evidence: test_slower_success_is_no_crash failed before.

A body that is no longer read returns its room once, whatever arrives later.

--- a/src/turmericmast/web/body.py
+++ b/src/turmericmast/web/body.py
@@ -108,6 +108,7 @@
         self._has_room.set()
         if self._room:
             self._room.release(self._held_bytes)
+            self._held_bytes = 0
             self._room = None
 
     def open_reader(self, on_data: Callable[[], None]) -> 'BodyReader':
--- a/src/turmericmast/web/hedgedattempts.py
+++ b/src/turmericmast/web/hedgedattempts.py
@@ -78,7 +78,8 @@
             self._spare = ended if response.is_deliverable else self._spare
             return None
         response.release()
-        self.failed.append(ended)
+        if not response.is_superseded:
+            self.failed.append(ended)
         return None if self._running else self._spare
 
     def _is_any_forwarded(self) -> bool:
--- a/tests/test_single_response.py
+++ b/tests/test_single_response.py
@@ -125,6 +125,18 @@
         self, _name: str, steps: list[Step], wanted: Received
     ) -> None:
         harness = EdgeHarness(target('1'), target('2'))
+        self.assertEqual(await self._play(harness, steps), wanted)
+
+    # Guards against a target that seems to have crashed because this instance
+    # has ended its response.
+    async def test_slower_success_is_no_crash(self) -> None:
+        harness = EdgeHarness(target('1'), target('2'))
+        steps = [*FIRST_STREAMS, (1, 200), TURN, *FIRST_ENDS]
+        await self._play(harness, steps)
+        crash_detector: Any = harness.context.crash_detector
+        self.assertFalse(crash_detector.check.called)
+
+    async def _play(self, harness: EdgeHarness, steps: list[Step]) -> Received:
         connection = unittest.mock.Mock(spec=HTTP1Connection)
         exchange = EdgeExchange(harness.context, connection, harness.read())
         transfers: list[_ScriptedTransfer] = []
@@ -154,7 +166,7 @@
                 else:
                     transfers[number].act(action)
             await asyncio.wait_for(trial, 1)
-        self.assertEqual(_received(connection), wanted)
+        return _received(connection)
 
 
 class _ScriptedTransfer:
