Incident EVAC: an order that changed nothing is not undone by an earlier one

An evacuation that was ordered while an earlier withdrawal of it had got no answer was acknowledged, since the domain was evacuated. The withdrawal then came late and was carried out: only changes of the domain counted as later.

The redirection names the applied index, which covers it.

Evidence: test_order_from_before_one_that_changed_nothing failed before.

--- a/src/turmericmast/cluster/pendingcommands.py
+++ b/src/turmericmast/cluster/pendingcommands.py
@@ -1,4 +1,4 @@
-"""Commands that were appended to the log and aren't applied yet."""
+"""Commands that were appended to the log and are not applied yet."""
 
 import collections
 import contextlib
--- a/src/turmericmast/edge/crashdoubts.py
+++ b/src/turmericmast/edge/crashdoubts.py
@@ -35,9 +35,9 @@
 class CrashDoubts:
     """Decides by the restart of a target that a request has crashed it.
 
-    Where most targets are silent, an instance can't tell a crash from the loss
+    Where most targets are silent, an instance cannot tell a crash from the loss
     of its links. A target that then starts again has crashed: the loss of a
-    link leaves it as it was. If other targets that didn't run the request were
+    link leaves it as it was. If other targets that did not run the request were
     lost at the same time, the request is not the cause.
     """
 
@@ -95,7 +95,7 @@
             self.on_crash(dataclasses.replace(lost, fingerprints=fingerprints))
 
     def _has_common_cause(self, lost: LostRequest) -> bool:
-        """Tell whether targets that didn't run the request were lost, too."""
+        """Tell whether targets that did not run the request were lost, too."""
         lost_at_that_time = [
             other
             for other in self._losses
--- a/src/turmericmast/programs/clustercommitter.py
+++ b/src/turmericmast/programs/clustercommitter.py
@@ -97,7 +97,7 @@
 
         ``known`` is an index that had been applied before the order was sent.
         Returns what ``change`` does. After an ``OvertakenError``, this member
-        has caught up with the later order, so that another attempt isn't
+        has caught up with the later order, so that another attempt is not
         overtaken by the same one.
         """
         outcome = await self.change(command, known)
@@ -113,8 +113,8 @@
     ) -> Result[Index, TurmericmastError]:
         """Apply all that was acknowledged before this call.
 
-        Returns the index up to which that reaches. Fails if it can't be
-        learnt from the leader or isn't applied in ``timeout`` seconds.
+        Returns the index up to which that reaches. Fails if it cannot be
+        learnt from the leader or is not applied in ``timeout`` seconds.
         """
         index = await self._fetch_commit_index(timeout)
         if not isinstance(index, Success):
@@ -138,7 +138,7 @@
 
         An order of a member of an older version may have been sent up to
         ``MAX_ORDER_AGE`` ago, but counts as sent under this leader. If it would
-        undo a later one, it is refused as if this member weren't the leader.
+        undo a later one, it is refused as if this member were not the leader.
         """
         if not self._group.is_leader:
             return error_reply(self._group.not_leader_error())
@@ -244,13 +244,16 @@
         cluster = self._state_machine.cluster
         if known is None or not cluster.is_overtaken(command, known):
             return None
+        # The later order may have changed nothing, and the cluster's own index
+        # is that of the last change.
+        index = self._group.applied_index
         self._process.events.write(
             'order_overtaken',
             order=repr(command),
             known=known,
-            index=cluster.index,
+            index=index,
         )
-        return OvertakenError(cluster.index, step='check order')
+        return OvertakenError(index, step='check order')
 
     async def _change_once(
         self,
@@ -265,7 +268,7 @@
         if not leader:
             return Failure(self._group.not_leader_error())
         if known is not None:
-            # Leaders of older versions don't check orders.
+            # Leaders of older versions do not check orders.
             await self.catch_up(CATCH_UP_TIMEOUT)
             overtaken = self._check_order(command, known)
             if overtaken:
--- a/src/turmericmast/web/crashdetection.py
+++ b/src/turmericmast/web/crashdetection.py
@@ -31,7 +31,7 @@
 
     A lost connection alone is no evidence, since the response may have been
     lost on the network. A target counts as crashed if it does not respond to
-    a probe right after and others do. If they don't, it counts as crashed once
+    a probe right after and others do. If they do not, it counts as crashed once
     it starts again.
     """
 
--- a/src/turmericmast/web/datedrequests.py
+++ b/src/turmericmast/web/datedrequests.py
@@ -19,8 +19,8 @@
     """Notes which index had been applied before a request can have been sent.
 
     A client sends a request after its connection is accepted or, on a kept
-    connection, after the last response. A closed connection isn't looked for:
-    where its end was lost, it can't be told from an open one.
+    connection, after the last response. A closed connection is not looked for:
+    where its end was lost, it cannot be told from an open one.
     """
 
     def __init__(
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -16,7 +16,7 @@
     known: Index | None = None
     """An index that had been applied before an operator sent the order.
 
-    Members of older versions don't send it: nothing is known of the age of
+    Members of older versions do not send it: nothing is known of the age of
     their orders."""
 
 
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -313,7 +313,7 @@
 
 
 class BrokenAttemptTest(unittest.IsolatedAsyncioTestCase):
-    """An attempt that raises an error doesn't count as running for good.
+    """An attempt that raises an error does not count as running for good.
 
     The target would seem to have one slot less until its next start.
     """
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -152,6 +152,16 @@
         reply = await committer.serve_change(change)
         self.assertIsInstance(reply, reply_class)
 
+    # Guards against an order that got no answer and undoes the next one, which
+    # found its domain as it was to be.
+    async def test_order_from_before_one_that_changed_nothing(self) -> None:
+        committer, state_machine = _leader()
+        for index in (5, 7):
+            state_machine.apply(Index(index), EVACUATE)
+        reply = await committer.serve_change(ChangeCluster(WITHDRAW, Index(6)))
+        # A sender that has seen this index is no longer overtaken.
+        self.assertEqual(reply, replies.Overtaken(Index(7)))
+
     async def test_later_reports_of_one_start_do_not_count(self) -> None:
         committer, state_machine = _leader()
         state_machine.apply(Index(6), commands.ReportTarget(record('a')))
@@ -274,6 +284,7 @@
     ) -> None:
         self.is_leader = True
         self.led_since = Index(5)
+        self.applied_index = Index(7)
         self.history = AppliedHistory()
         if applied_for:
             self.history.record(Seconds(_now() - applied_for), Index(7))
