Soak: one evacuation of a domain at a time

The lines evacuation_ordered show that two of the soak's evacuations of wien-a overlapped: the second was acknowledged 49 ms before the withdrawal of the first one, which ended both. The withdrawal was in order, and the check took the second evacuation for one that still held.

The soak doesn't begin an evacuation of a domain while one is under way. The check and its bound are as before.

--- a/bench/builds.py
+++ b/bench/builds.py
@@ -14,7 +14,7 @@
 def extract_build(commit: str, folder: pathlib.Path) -> pathlib.Path:
     """Return a new folder with the sources of a commit of this repository.
 
-    Raises ``CalledProcessError`` if the repository doesn't have the commit.
+    Raises ``CalledProcessError`` if the repository does not have the commit.
     """
     root = folder / f'build-{commit}'
     archive = folder / f'build-{commit}.tar'
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -157,7 +157,9 @@
         self._request_count = 0
         self._version = 0
         self._reserved: set[str] = set()
-        """Processes with a fault: ``edge-ZONE``, or ``core`` for any member."""
+        """Processes with a fault: ``edge-ZONE``, or ``core`` for any member.
+
+        Also the paths of the evacuations that are under way."""
         self._upstreams: list[Upstream] = []
         self._proxies: list[ChaosProxy] = []
 
@@ -293,14 +295,22 @@
         await asyncio.sleep(length)
 
     async def _evacuate_domain(self) -> None:
+        """Evacuate a domain for a while, unless that is under way.
+
+        The end of one evacuation would end another one of the same domain.
+        """
         zone = self._random.choice(list(REGION_BY_ZONE))
-        if not await self._request_any_core('POST', f'/-/evacuations/{zone}'):
+        path = f'/-/evacuations/{zone}'
+        if path in self._reserved:
             return
-        since = time.monotonic()
-        await asyncio.sleep(self._random.uniform(0, 2 * MEAN_EVACUATION))
-        until = time.monotonic()
-        self.record.evacuations.append((zone, since, until))
-        await self._request_any_core('DELETE', f'/-/evacuations/{zone}')
+        self._reserved.add(path)
+        if await self._request_any_core('POST', path):
+            since = time.monotonic()
+            await asyncio.sleep(self._random.uniform(0, 2 * MEAN_EVACUATION))
+            until = time.monotonic()
+            self.record.evacuations.append((zone, since, until))
+            await self._request_any_core('DELETE', path)
+        self._reserved.discard(path)
 
     @contextlib.contextmanager
     def _reserve_process(self, role: str) -> Iterator[tuple[str, str] | None]:
