Lines: which attempt a caller's response came from

A request that took more than one attempt now writes request_answered with target, status and outcome of each attempt that ended; a rejected response writes response_rejected with the id that it names. A request that is answered at its first attempt writes no line, as before.

--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -14,9 +14,12 @@
 from turmericmast.call.call import Loss
 from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
-from turmericmast.web.edgeresponse import EdgeResponse
+from turmericmast.web.edgeevents import EdgeEvent
+from turmericmast.web.edgeresponse import EdgeResponse, Rejection
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
+MAX_SHOWN_ID = 40
+"""Characters of the id in a rejected response that are logged."""
 MakeRequest = Callable[[Candidate, Callable[[], None]], TransferRequest]
 """Builds the request to a candidate; the callback resumes its transfer."""
 
@@ -134,12 +137,23 @@
         if self.response.is_misdirected:
             view.eject_misplaced()
         if self.response.rejection:
-            self._context.metrics.count(
-                'responses_rejected', reason=self.response.rejection.value
-            )
+            self._report_rejection(self.response.rejection)
         if loss is None:
             self._learn(Seconds(now - self.began_at))
 
+    def _report_rejection(self, rejection: Rejection) -> None:
+        self._context.metrics.count(
+            'responses_rejected', reason=rejection.value
+        )
+        self._context.events.write(
+            EdgeEvent.response_rejected.value,
+            request=self.response.request_id,
+            target=self.candidate.view.record.target,
+            reason=rejection.value,
+            status=self.response.status,
+            names=self.response.named_request[:MAX_SHOWN_ID],
+        )
+
     def _learn(self, latency: Seconds) -> None:
         octets = self._sent_octets + self.response.octets
         if self._had_free_slot:
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -194,12 +194,14 @@
         self._attempts = HedgedAttempts(self._profile)
         for attempt in failed:
             attempt_loss = attempt.task.result()
+            self._report.attempt_ended(attempt)
             self._quarantine_check.on_attempt_end(
                 attempt.candidate.view, attempt_loss
             )
             if attempt_loss:
                 self._call.record_failure(attempt_loss)
         if loss is None:
+            self._report.attempt_ended(decisive)
             self._deliver(decisive.response)
             return False
         return self._retry_or_fail(
@@ -214,6 +216,7 @@
         self._report.forwarded(self._forwarder.peer)
         response = self._forwarder.make_response(self._relay, self._claim)
         loss = await self._forwarder.forward(response)
+        self._report.forwarding_ended(self._forwarder.peer, response, loss)
         if loss is None:
             self._deliver(response)
             return False
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -61,7 +61,7 @@
         Another response was faster, or the caller has disconnected.
         """
         self._header_format = header_format
-        self._request_id = request_id
+        self.request_id = request_id
         self._relay = relay
         self._head: ResponseHead | None = None
         self._metadata: ResponseMetadata | None = None
@@ -71,6 +71,10 @@
         )
         """Called with the status and the statement of the target's response."""
         self.rejection: Rejection | None = None
+        self.status = 0
+        """Status of the head, rejected or not; 0 if none has arrived."""
+        self.named_request = ''
+        """Id of the request that the response names."""
         self._buffered: list[bytes] = []
 
     @property
@@ -92,6 +96,8 @@
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.headers)
         is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        self.status = head.status
+        self.named_request = metadata.request_id
         self.rejection = self._find_rejection(head, metadata)
         if self.rejection:
             return False
@@ -185,7 +191,7 @@
         self, head: ResponseHead, metadata: ResponseMetadata
     ) -> Rejection | None:
         # A target may send an earlier response once more, refusals included.
-        if metadata.request_id != self._request_id:
+        if metadata.request_id != self.request_id:
             return Rejection.other_request
         if 'Content-Encoding' in head.headers:
             return Rejection.encoded
--- a/src/turmericmast/web/requestreport.py
+++ b/src/turmericmast/web/requestreport.py
@@ -8,6 +8,7 @@
 from turmericmast.events import Field
 from turmericmast.ids import InstanceId, TargetId
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.edgeattempt import EdgeAttempt
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import (
     EdgeEvent,
@@ -15,6 +16,7 @@
     describe_problem,
 )
 from turmericmast.web.edgerequest import EdgeRequest
+from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.problem import Problem
 
 
@@ -37,6 +39,21 @@
         self._incoming = incoming
         self._call = call
         self._tried = tried
+        self._ended: list[str] = []
+
+    def attempt_ended(self, attempt: EdgeAttempt) -> None:
+        """Note how an attempt at a target ended."""
+        self._note_end(
+            attempt.candidate.view.record.target,
+            attempt.response,
+            attempt.task.result(),
+        )
+
+    def forwarding_ended(
+        self, peer: InstanceId, response: EdgeResponse, loss: Loss | None
+    ) -> None:
+        """Note how an attempt at another instance ended."""
+        self._note_end(peer, response, loss)
 
     def caller_left(self) -> None:
         """Report that the caller has disconnected."""
@@ -77,9 +94,20 @@
         self._end('target_failed')
 
     def answered(self) -> None:
-        """Report a response; only metrics tell of it."""
+        """Report a response; only metrics tell of one at the first attempt."""
+        if self._call.attempts > 1:
+            self._write(EdgeEvent.answered)
         self._end('answered')
 
+    def _note_end(
+        self,
+        place: TargetId | InstanceId,
+        response: EdgeResponse,
+        loss: Loss | None,
+    ) -> None:
+        outcome = loss.value if loss else 'whole'
+        self._ended.append(f'{place}:{response.status}:{outcome}')
+
     def _end(self, outcome: str) -> None:
         metrics = self._context.metrics
         metrics.count('requests', outcome=outcome)
@@ -111,6 +139,7 @@
         return {
             'tried': ','.join(sorted(self._tried)),
             'losses': ','.join(loss.value for loss in self._call.losses),
+            'ended': ','.join(self._ended),
             'waited_ms': int((now - incoming.began_at) * MILLIS_PER_SECOND),
             'goal_left_ms': int((goal_at - now) * MILLIS_PER_SECOND),
             'left_ms': int((incoming.call.deadline - now) * MILLIS_PER_SECOND),
