News of targets: ages are rounded up

What an instance tells of a target has its age in whole milliseconds, rounded down. Ages are rounded up. tests/test_gossip.py, NewsAgeTest: three of three failed before. The message is the same on the wire.

--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -121,6 +121,9 @@
 
 
 def _millis(seconds: float) -> Millis:
+    # Rounded up, since what an instance tells must not come back as newer.
     if not math.isfinite(seconds):
         return Millis(MAX_AGE_MS)
-    return Millis(min(max(int(seconds * MILLIS_PER_SECOND), 0), MAX_AGE_MS))
+    return Millis(
+        min(max(math.ceil(seconds * MILLIS_PER_SECOND), 0), MAX_AGE_MS)
+    )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -6,14 +6,23 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 import unittest
 from collections.abc import Iterable
 
 from parameterized import parameterized
 
-from tests.edge_samples import NOW, edge, feed, instance, target
+from tests.edge_samples import (
+    NOW,
+    edge,
+    feed,
+    instance,
+    target,
+    target_view,
+)
 from turmericmast.balance.load import LoadReport
+from turmericmast.balance.news import describe_load, merge_load
 from turmericmast.balance.targetview import TargetView
 from turmericmast.edge.gossip import (
     MAX_DIRECT_PEERS,
@@ -21,7 +30,8 @@
     LoadGossip,
     Parcel,
 )
-from turmericmast.ids import ServiceId
+from turmericmast.ids import Seconds, ServiceId
+from turmericmast.units import MILLIS_PER_SECOND
 
 TICK = 0.03
 SIZES = [('single', 1), ('few', 3), ('direct', 9), ('dozens', 35), ('100', 97)]
@@ -78,6 +88,22 @@
             self.tick()
 
 
+class NewsAgeTest(unittest.TestCase):
+    """What an instance tells doesn't come back as newer."""
+
+    # Guards against a verification that never ages where instances tell each
+    # other of it again and again.
+    @parameterized.expand([(f'after_{ms}_ms', ms) for ms in (0.2, 1.5, 99.9)])
+    def test_verification_keeps_its_age(self, _name: str, ms: float) -> None:
+        views = [target_view(), target_view()]
+        views[0].verify(Seconds(0), Seconds(NOW + 1))
+        now = Seconds(NOW + 1 + ms / MILLIS_PER_SECOND)
+        merge_load(views[1], describe_load(views[0], now), now)
+        for told, telling in itertools.permutations(views):
+            is_new = merge_load(told, describe_load(telling, now), now)
+            self.assertFalse(is_new)
+
+
 class LoadGossipTest(unittest.TestCase):
     """Every instance learns of loads, losses and requests exactly once."""
 
