Heads that contain a status line are malformed

What callers saw: a 200, signed, for a target that had answered 500, 404 or 204; also the reverse, and a 200 with the body of a 500.

Cause: `Transfer._on_header` restarted the head at each line that begins with `HTTP/`, wherever it stood. curl rejects a status line within a head unless it has a colon, as in `HTTP/1.1 200 OK: found`: then it takes it for a header. curl framed the body by the first status line and all headers, while the transfer passed on the status and headers after the last one.

Ruled out: status lines without a colon, in lower case or after a carriage return (curl rejects them), as trailers, in folded headers and in bodies, interim heads before the response, two ids.

Now: a head begins with its first line and ends with a blank line; only the head of an interim response is followed by another one. A status line within it isn't a valid header, so the attempt fails like with any other malformed head, and curl closes the connection.

--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -217,25 +217,25 @@
         if not line.endswith(b'\n'):
             # The connection ended within this line.
             return ABORT_TRANSFER
+        if self.progress is Progress.head:
+            # This is a trailer after the body, which is not passed on.
+            return None
         text = line.decode('latin-1').rstrip('\r\n')
-        if text.startswith('HTTP/'):
-            self._head_lines = [text]
-        elif text:
+        if text:
             self._head_lines.append(text)
-        elif not self._on_head():
+        elif not (self._head_lines and self._on_head()):
             return ABORT_TRANSFER
         return None
 
     def _on_head(self) -> bool:
-        if self.progress is Progress.head or not self._head_lines:
-            # These are trailers after the body, which are not passed on.
-            return True
         try:
             head = _parse_head(self._head_lines)
         except HTTPInputError:
-            # curl passes on some lines that are not valid.
+            # curl passes on some lines that are not valid, such as a status
+            # line within the head.
             return False
         if head.status < HTTPStatus.OK:
+            # The head of an interim response; another head follows.
             self._head_lines = []
             return True
         self.progress = Progress.head
