--- a/src/turmericmast/edge/peers.py
+++ b/src/turmericmast/edge/peers.py
@@ -47,6 +47,8 @@
     """A target's response came back."""
     refused = 'refused'
     """The instance has not run it: it has no target for it either."""
+    declined = 'declined'
+    """It has no target for it but those that were tried before."""
     unreached = 'unreached'
     """No connection to the instance could be opened."""
     failed = 'failed'
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -17,7 +17,8 @@
     NextStep,
     Ran,
 )
-from turmericmast.ids import Seconds, TargetId
+from turmericmast.call.triedtargets import TriedTargets
+from turmericmast.ids import Seconds
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import RequestBody
 from turmericmast.web.edgeattempt import EdgeAttempt
@@ -64,8 +65,11 @@
             incoming.call.method,
             context.connection_headers,
         )
+        self._tried = TriedTargets(
+            incoming.forwarding.tried if incoming.forwarding else ()
+        )
         self._forwarder = PeerForwarder(
-            context, incoming, self._call, self._body
+            context, incoming, self._call, self._body, self._tried
         )
         self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
@@ -75,7 +79,6 @@
         The caller gets it if no other attempt succeeds.
         """
         self._task: asyncio.Task[None] | None = None
-        self._tried: set[TargetId] = set()
         self._report = RequestReport(context, incoming, self._call, self._tried)
         self._is_finished = False
         """Whether the caller has its response or has disconnected."""
@@ -199,6 +202,8 @@
             )
             if attempt_loss:
                 self._call.record_failure(attempt_loss)
+            if attempt_loss is Loss.never_sent:
+                self._tried.mark_unreached(attempt.candidate.view.record.target)
         if loss is None:
             self._deliver(decisive.response)
             return False
@@ -227,7 +232,7 @@
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
         self._call.start_attempt()
-        self._tried.add(candidate.view.record.target)
+        self._tried.begin(candidate.view.record.target)
         response = EdgeResponse(
             self._context.header_format,
             self._incoming.request_id,
@@ -367,6 +372,8 @@
                 return
             self._relay.send_problem(
                 self._incoming.answer_with(
-                    problem, has_reached_target=self._call.has_reached_target
+                    problem,
+                    self._tried,
+                    has_reached_target=self._call.has_reached_target,
                 )
             )
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -9,6 +9,7 @@
 from turmericmast.balance.candidate import Requirements
 from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
+from turmericmast.call.triedtargets import TriedTargets
 from turmericmast.cluster.records import EdgeRecord, TargetRecord
 from turmericmast.ids import Seconds, TargetId
 from turmericmast.route.document import Route, RouteKind
@@ -46,11 +47,19 @@
         )
 
     def answer_with(
-        self, problem: Problem, *, has_reached_target: bool
+        self,
+        problem: Problem,
+        tried: TriedTargets,
+        *,
+        has_reached_target: bool,
     ) -> Problem:
         """Return a problem as the sender of this request expects it."""
         return address_problem(
-            dataclasses.replace(problem, has_reached_target=has_reached_target),
+            dataclasses.replace(
+                problem,
+                has_reached_target=has_reached_target,
+                tried=tried.reached,
+            ),
             self.forwarding,
         )
 
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -8,6 +8,7 @@
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.call.call import Loss
+from turmericmast.ids import TargetId
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
 from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.transfer import ResponseHead, ResponseSink
@@ -88,6 +89,11 @@
         """Tell whether a target may have got the request."""
         return self._metadata is None or self._metadata.has_reached_target
 
+    @property
+    def tried_targets(self) -> tuple[TargetId, ...]:
+        """Return the targets that another instance has tried."""
+        return self._metadata.tried if self._metadata else ()
+
     def on_head(self, head: ResponseHead) -> bool:
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.headers)
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -41,6 +41,8 @@
     """Whether a target got the request.
 
     False only if another instance says so."""
+    tried: tuple[TargetId, ...] = ()
+    """Targets that may have got the request, if another instance says so."""
     statement: TargetStatement = NO_STATEMENT
     """What the target states about itself."""
 
--- a/src/turmericmast/web/parse.py
+++ b/src/turmericmast/web/parse.py
@@ -26,6 +26,7 @@
     REFUSAL_HEADER,
     Problem,
 )
+from turmericmast.web.triedheader import TRIED_HEADER
 
 if TYPE_CHECKING:
     from turmericmast.fleet.values import Values
@@ -87,6 +88,7 @@
         REACHED_HEADER.lower(),
         REFUSAL_HEADER.lower(),
         SERVICE_HEADER.lower(),
+        TRIED_HEADER.lower(),
     ),
 )
 """Lower-case names of headers that are not passed on.
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from turmericmast.call.call import Call, Loss
+from turmericmast.call.triedtargets import TriedTargets
 from turmericmast.cluster.records import EdgeRecord
 from turmericmast.edge.peers import PeerOutcome
 from turmericmast.ids import InstanceId, Seconds
@@ -39,12 +40,18 @@
         incoming: EdgeRequest,
         call: Call,
         body: RequestBody,
+        tried_targets: TriedTargets,
     ) -> None:
-        """Forward ``incoming``, whose attempts ``call`` counts."""
+        """Forward ``incoming``, whose attempts ``call`` counts.
+
+        The other instances leave out ``tried_targets``, as far as they were
+        reached, and add to them.
+        """
         self._context = context
         self._incoming = incoming
         self._call = call
         self._body = body
+        self._tried_targets = tried_targets
         self._peers = context.edge.peers
         self._tried: set[InstanceId] = set()
         self._chosen: EdgeRecord | None = None
@@ -57,7 +64,7 @@
 
     def find_peer(self) -> bool:
         """Choose the instance to forward to; tell whether there is one."""
-        if self._incoming.forwarding:
+        if self._incoming.forwarding or not self._has_target_left():
             return False
         self._chosen = self._peers.choose(
             self._incoming.pool.service,
@@ -101,9 +108,10 @@
         self._peers.end(
             peer.instance,
             self._incoming.pool.service,
-            _OUTCOME_BY_LOSS.get(loss, PeerOutcome.failed),
+            self._outcome(loss),
             self._context.clock.now(),
         )
+        self._tried_targets.add_reached(response.tried_targets)
         self._context.metrics.count(
             'forwarded', outcome=loss.value if loss else 'answered'
         )
@@ -119,10 +127,26 @@
         if self._transfer:
             self._transfer.cancel()
 
+    def _has_target_left(self) -> bool:
+        """Tell whether some target has certainly not got the request."""
+        reached = self._tried_targets.reached
+        left = self._incoming.pool.permitted_targets(
+            self._incoming.requirements(reached)
+        )
+        return not reached or any(True for _ in left)
+
+    def _outcome(self, loss: Loss | None) -> PeerOutcome:
+        if loss is Loss.shed and self._tried_targets.reached:
+            return PeerOutcome.declined
+        return _OUTCOME_BY_LOSS.get(loss, PeerOutcome.failed)
+
     def _header_format(self) -> PeerHeaders:
         request = self._call.request
         forwarding = Forwarding(
-            request.call, self._call.attempts_left, request.service
+            request.call,
+            self._call.attempts_left,
+            request.service,
+            self._tried_targets.reached,
         )
         return PeerHeaders(
             self._context.header_format, self._incoming.request_id, forwarding
--- a/src/turmericmast/web/peerheaders.py
+++ b/src/turmericmast/web/peerheaders.py
@@ -24,6 +24,7 @@
     REACHED_HEADER,
     REFUSAL_HEADER,
 )
+from turmericmast.web.triedheader import read_tried, tried_headers
 
 MAX_ATTEMPTS = 100
 """Largest number of attempts that is read from a header."""
@@ -40,18 +41,22 @@
     """Targets to which the request may still be sent."""
     service: ServiceId
     """Service that was picked, so that its share of the route holds."""
+    tried: tuple[TargetId, ...] = ()
+    """Targets that may have got the request, none if that is not known."""
 
 
 def read_forwarding(headers: HTTPHeaders) -> Forwarding:
     """Return what the headers of a forwarded request tell.
 
-    Malformed values count as one attempt, and as an id that matches none.
+    Malformed values count as one attempt, as an id that matches none, and as
+    no target that was tried.
     """
     attempts_left = parse_whole(headers.get(ATTEMPTS_HEADER, '1')) or 1
     return Forwarding(
         CallId(headers.get(FORWARD_HEADER, '')),
         min(attempts_left, MAX_ATTEMPTS),
         ServiceId(headers.get(SERVICE_HEADER, '')),
+        read_tried(headers),
     )
 
 
@@ -101,6 +106,7 @@
             (FORWARD_HEADER, self._forwarding.call),
             (ATTEMPTS_HEADER, str(self._forwarding.attempts_left)),
             (SERVICE_HEADER, self._forwarding.service),
+            *tried_headers(self._forwarding.tried),
         )
 
     def read_response(
@@ -109,7 +115,8 @@
         """Return the metadata of a target's response, or of an error.
 
         An error that the other instance itself generated names the forwarded
-        request, and tells whether a target has run it or only got it.
+        request, and tells whether a target has run it or only got it, and
+        which ones.
         """
         if headers.get(REFUSAL_HEADER) != self._forwarding.call:
             return self._platform_format.read_response(status, headers)
@@ -120,6 +127,7 @@
             is_misdirected=False,
             load=None,
             has_reached_target=headers.get(REACHED_HEADER) != '0',
+            tried=read_tried(headers),
         )
 
     def read_health(self, headers: HTTPHeaders) -> HealthMetadata:
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -16,7 +16,9 @@
 from tornado.util import TimeoutError as TornadoTimeoutError
 
 from turmericmast.call.call import Ran
+from turmericmast.ids import TargetId
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.triedheader import tried_headers
 
 LINGER_SECONDS = 1
 """Seconds that each read after an early refusal waits for the caller."""
@@ -63,6 +65,8 @@
     """Id of the request if another instance has forwarded it."""
     has_reached_target: bool = False
     """Whether a target got the request; told to that instance only."""
+    tried: tuple[TargetId, ...] = ()
+    """Targets that may have got the request; told likewise."""
 
     def body(self) -> bytes:
         """Return the JSON document."""
@@ -96,6 +100,7 @@
         if self.forwarded_call:
             headers[REFUSAL_HEADER] = self.forwarded_call
             headers[REACHED_HEADER] = str(int(self.has_reached_target))
+            headers.update(tried_headers(self.tried))
         return headers
 
     @property
