--- a/src/turmericmast/call/triedtargets.py
+++ b/src/turmericmast/call/triedtargets.py
@@ -1,5 +1,6 @@
 """The targets that one request was sent to, at this instance and elsewhere."""
 
+import collections
 from collections.abc import Collection, Iterable, Iterator
 from typing import final
 
@@ -18,6 +19,9 @@
         """Begin with the targets that other instances have reached."""
         self._reached = dict.fromkeys(reached_elsewhere)
         self._unreached: set[TargetId] = set()
+        self._attempts_by_address: collections.Counter[str] = (
+            collections.Counter()
+        )
 
     def __contains__(self, target: object) -> bool:
         """Tell whether a target was tried."""
@@ -37,9 +41,19 @@
         """Return the targets that may have got the request, oldest first."""
         return tuple(self._reached)
 
-    def begin(self, target: TargetId) -> None:
+    def begin(self, target: TargetId, address: str) -> None:
         """Add a target to which the request is about to be sent."""
         self._reached[target] = None
+        self._attempts_by_address[address] += 1
+
+    def has_single_attempt_at(self, address: str) -> bool:
+        """Tell whether at most one attempt goes to an address.
+
+        Two targets are known at one address if the former has just ended. A
+        response to the first attempt that comes late, on a kept connection,
+        would be taken for that to the second one: both bear the same id.
+        """
+        return self._attempts_by_address[address] <= 1
 
     def mark_unreached(self, target: TargetId) -> None:
         """Record that no byte of the request was sent to a target.
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -1,6 +1,7 @@
 """Handling of one request at an edge, from its headers to the response."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import final
 
@@ -232,7 +233,8 @@
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
         self._call.start_attempt()
-        self._tried.begin(candidate.view.record.target)
+        record = candidate.view.record
+        self._tried.begin(record.target, record.address)
         response = EdgeResponse(
             self._context.header_format,
             self._incoming.request_id,
@@ -286,13 +288,20 @@
         candidate: Candidate,
         resume: Callable[[], None],
     ) -> TransferRequest:
-        return self._incoming.transfer_request(
-            candidate.view.record,
+        record = candidate.view.record
+        request = self._incoming.transfer_request(
+            record,
             self._body,
             resume,
             Seconds(self._incoming.call.deadline - self._context.clock.now()),
             self._context.header_format,
         )
+        return dataclasses.replace(
+            request,
+            uses_kept_connection=self._tried.has_single_attempt_at(
+                record.address
+            ),
+        )
 
     def _retry_or_fail(
         self, loss: Loss, response: EdgeResponse, *, has_reached_target: bool
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import itertools
+from collections.abc import Collection
 from types import TracebackType
 from typing import Self, final
 
@@ -31,6 +32,14 @@
     """The connection is reset within the body of a success."""
 
 
+@final
+class Kind(enum.Enum):
+    """What a response answers."""
+
+    request = 'request'
+    health_check = 'health_check'
+
+
 _STATUS_BY_REPLY = {
     Reply.fail: '500 Failed',
     Reply.reject: '503 Full',
@@ -54,12 +63,17 @@
     """
 
     def __init__(
-        self, name: str, *replies: Reply, echoes_late: bool = False
+        self,
+        name: str,
+        *replies: Reply,
+        repeated: Collection[Kind] = (),
+        health_headers: str = '',
     ) -> None:
         """Prepare the target; it listens while the context is open.
 
-        With ``echoes_late``, it writes each response once more before the
-        next one on the same connection.
+        It writes each ``repeated`` response once more, late, before the next
+        one on the same connection. ``health_headers`` has further header lines
+        of the responses to health checks.
         """
         self.name = name
         self.address = free_address()
@@ -73,7 +87,8 @@
             replies[:-1],
             itertools.repeat(replies[-1] if replies else Reply.answer),
         )
-        self._echoes_late = echoes_late
+        self._repeated = repeated
+        self._health_headers = health_headers
         self._numbers = itertools.count()
         self._server: asyncio.Server | None = None
 
@@ -105,17 +120,24 @@
             while not writer.is_closing():
                 head = await reader.readuntil(b'\r\n\r\n')
                 await _read_body(reader, head)
-                response = self._respond(head, number, writer)
+                is_health_check = b' /health ' in head
+                response = (
+                    self._health()
+                    if is_health_check
+                    else self._respond(head, number, writer)
+                )
                 writer.write(late + response)
                 await writer.drain()
-                late = response if self._echoes_late else b''
+                kind = Kind.health_check if is_health_check else Kind.request
+                late = response if kind in self._repeated else b''
+
+    def _health(self) -> bytes:
+        own = f'X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,4\r\n'
+        return _response('200 OK', f'{own}{self._health_headers}', b'')
 
     def _respond(
         self, head: bytes, number: int, writer: asyncio.StreamWriter
     ) -> bytes:
-        if b' /health ' in head:
-            own = f'X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,4\r\n'
-            return _response('200 OK', own, b'')
         request_id = _field(head, b'x-request-id')
         self.request_ids.append(request_id)
         self.heads.append(head)
--- a/tests/test_targets_tried_elsewhere.py
+++ b/tests/test_targets_tried_elsewhere.py
@@ -226,7 +226,7 @@
     def test_reached(self) -> None:
         tried = TriedTargets(map(TargetId, ('a', 'b')))
         for name in 'cd':
-            tried.begin(TargetId(name))
+            tried.begin(TargetId(name), f'{name}:80')
         tried.mark_unreached(TargetId('c'))
         self.assertEqual(tried.reached, ('a', 'b', 'd'))
         self.assertEqual(sorted(tried), ['a', 'b', 'c', 'd'])
