--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -1,6 +1,7 @@
 """Handling of one request at an edge, from its headers to the response."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from typing import final
 
@@ -17,7 +18,8 @@
     NextStep,
     Ran,
 )
-from turmericmast.ids import Seconds, TargetId
+from turmericmast.call.triedtargets import TriedTargets
+from turmericmast.ids import Seconds
 from turmericmast.web import edgerefusals
 from turmericmast.web.body import RequestBody
 from turmericmast.web.edgeattempt import EdgeAttempt
@@ -64,8 +66,11 @@
             incoming.call.method,
             context.connection_headers,
         )
+        self._tried = TriedTargets(
+            incoming.forwarding.tried if incoming.forwarding else ()
+        )
         self._forwarder = PeerForwarder(
-            context, incoming, self._call, self._body
+            context, incoming, self._call, self._body, self._tried
         )
         self._profile = incoming.pool.profile_for(incoming.requirements(()))
         self._attempts = HedgedAttempts(self._profile)
@@ -75,7 +80,6 @@
         The caller gets it if no other attempt succeeds.
         """
         self._task: asyncio.Task[None] | None = None
-        self._tried: set[TargetId] = set()
         self._report = RequestReport(context, incoming, self._call, self._tried)
         self._is_finished = False
         """Whether the caller has its response or has disconnected."""
@@ -200,6 +204,8 @@
             )
             if attempt_loss:
                 self._call.record_failure(attempt_loss)
+            if attempt_loss is Loss.never_sent:
+                self._tried.mark_unreached(attempt.candidate.view.record.target)
         if loss is None:
             self._report.attempt_ended(decisive)
             self._deliver(decisive.response)
@@ -230,7 +236,8 @@
 
     def _start_attempt(self, candidate: Candidate) -> EdgeAttempt:
         self._call.start_attempt()
-        self._tried.add(candidate.view.record.target)
+        record = candidate.view.record
+        self._tried.begin(record.target, record.address)
         response = EdgeResponse(
             self._context.header_format,
             self._incoming.request_id,
@@ -284,13 +291,20 @@
         candidate: Candidate,
         resume: Callable[[], None],
     ) -> TransferRequest:
-        return self._incoming.transfer_request(
-            candidate.view.record,
+        record = candidate.view.record
+        request = self._incoming.transfer_request(
+            record,
             self._body,
             resume,
             Seconds(self._incoming.call.deadline - self._context.clock.now()),
             self._context.header_format,
         )
+        return dataclasses.replace(
+            request,
+            uses_kept_connection=self._tried.has_single_attempt_at(
+                record.address
+            ),
+        )
 
     def _retry_or_fail(
         self, loss: Loss, response: EdgeResponse, *, has_reached_target: bool
@@ -370,6 +384,8 @@
                 return
             self._relay.send_problem(
                 self._incoming.answer_with(
-                    problem, has_reached_target=self._call.has_reached_target
+                    problem,
+                    self._tried,
+                    has_reached_target=self._call.has_reached_target,
                 )
             )
