Heads and trailers of responses: a limit of our own

What callers saw: a target that sent a head or trailers without end was cut off by limits of curl only, which no test of ours held. Empty interim heads (102) were read up to 307 KB in one iteration of the loop; each costs a call from curl and a parse, so one such response held up all other requests of the edge.

With the limits set out of reach all six rows of test_part_over_its_limit failed.

Why this works: lines and bytes of all heads and trailers of a response are counted (1,024 and 64 KiB); over that the transfer ends, which closes its connection, and responses_oversized{part} counts. The caller gets what a lost connection or a cut answer gives: another target, or a true refusal.

--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -107,7 +107,9 @@
     edge: Edge,
     report_crash: ReportToCore,
 ) -> EdgeContext:
-    curl = stack.enter_context(CurlClient(CONNECT_TIMEOUT_MS, MAX_IDLE_SECONDS))
+    curl = stack.enter_context(
+        CurlClient(CONNECT_TIMEOUT_MS, MAX_IDLE_SECONDS, process.metrics)
+    )
     header_format = PlatformHeaders()
     prober = Prober(
         curl,
--- a/src/turmericmast/programs/entry.py
+++ b/src/turmericmast/programs/entry.py
@@ -269,7 +269,7 @@
     )
     context = EntryContext(
         entry,
-        stack.enter_context(CurlClient()),
+        stack.enter_context(CurlClient(metrics=process.metrics)),
         _open_clients(process, stack),
         process.clock,
         process.metrics,
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -11,7 +11,9 @@
 import pycurl
 from tornado.ioloop import IOLoop
 
+from turmericmast.metrics import Metrics
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.responselimits import OversizedPart, count_oversized
 
 if TYPE_CHECKING:
     from turmericmast.web.transfer import Transfer
@@ -39,11 +41,14 @@
         self,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         idle_seconds: int = MAX_IDLE_SECONDS,
+        metrics: Metrics | None = None,
     ) -> None:
         """Attach to the current event loop.
 
         Connections that were idle for ``idle_seconds`` are not used again.
+        Responses that exceed a limit are counted in ``metrics``.
         """
+        self._metrics = metrics or Metrics()
         self._connect_timeout_ms = connect_timeout_ms
         self._idle_seconds = idle_seconds
         self._loop = IOLoop.current()
@@ -132,6 +137,10 @@
             transfer.handle.pause(pycurl.PAUSE_CONT)
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
+    def count_oversized(self, part: OversizedPart) -> None:
+        """Count a response that exceeds a limit."""
+        count_oversized(self._metrics, part)
+
     def _is_running(self, transfer: 'Transfer') -> bool:
         return self._transfer_by_handle.get(transfer.handle) is transfer
 
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -19,6 +19,7 @@
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.responselimits import HeadSize, OversizedPart
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
@@ -116,6 +117,7 @@
         self._sink = sink
         self._may_send = may_send
         self._head_lines: list[str] = []
+        self._head_size = HeadSize()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
 
@@ -217,6 +219,8 @@
         if not line.endswith(b'\n'):
             # The connection ended within this line.
             return ABORT_TRANSFER
+        if not self._is_within_limits(line):
+            return ABORT_TRANSFER
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/'):
             self._head_lines = [text]
@@ -226,6 +230,15 @@
             return ABORT_TRANSFER
         return None
 
+    def _is_within_limits(self, line: bytes) -> bool:
+        if self._head_size.add(line):
+            return True
+        is_trailer = self.progress is Progress.head
+        self._curl.count_oversized(
+            OversizedPart.trailers if is_trailer else OversizedPart.head
+        )
+        return False
+
     def _on_head(self) -> bool:
         if self.progress is Progress.head or not self._head_lines:
             # These are trailers after the body, which are not passed on.
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -360,7 +360,7 @@
         clients = GroupClients(self.group, {REGION: self.group}, REGION)
         self.context = EntryContext(
             self.entry,
-            self._stack.enter_context(CurlClient()),
+            self._stack.enter_context(CurlClient(metrics=self.metrics)),
             clients,
             self.clock,
             self.metrics,
--- a/tests/running_edge.py
+++ b/tests/running_edge.py
@@ -80,7 +80,7 @@
         """Serve callers and instances."""
         self.report_crash = unittest.mock.AsyncMock(return_value=True)
         curl = self._stack.enter_context(
-            CurlClient(CONNECT_TIMEOUT_MS, MAX_IDLE_SECONDS)
+            CurlClient(CONNECT_TIMEOUT_MS, MAX_IDLE_SECONDS, self.metrics)
         )
         prober = Prober(
             curl, PlatformHeaders(), self.clock, self.metrics, self.events
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -16,6 +16,7 @@
 from turmericmast.web.edgeresponse import MAX_BUFFERED_BYTES, EdgeResponse
 from turmericmast.web.probing import Prober
 from turmericmast.web.relay import Relay
+from turmericmast.web.responselimits import MAX_HEAD_LINES, OversizedPart
 from turmericmast.web.transfer import Transfer, TransferRequest
 
 TIMEOUT = 3.0
@@ -53,6 +54,65 @@
 ]
 """Bytes once, bytes again and again, and how the attempt may fail."""
 
+OVERSIZED = [
+    (
+        'few_long_headers',
+        b'HTTP/1.1 200 OK\r\n',
+        b'A: ' + b'b' * 8000 + b'\r\n',
+        OversizedPart.head,
+    ),
+    (
+        'many_short_headers',
+        b'HTTP/1.1 200 OK\r\n',
+        b'A: b\r\n',
+        OversizedPart.head,
+    ),
+    ('interim_heads', b'', b'HTTP/1.1 102 P\r\n\r\n', OversizedPart.head),
+    (
+        'interim_heads_with_headers',
+        b'',
+        b'HTTP/1.1 103 Hints\r\n' + b'A: b\r\n' * 50 + b'\r\n',
+        OversizedPart.head,
+    ),
+    (
+        'many_short_trailers',
+        SIGNED + CHUNKED + b'0\r\n',
+        b'A: b\r\n',
+        OversizedPart.trailers,
+    ),
+    (
+        'few_long_trailers',
+        SIGNED + CHUNKED + b'0\r\n',
+        b'A: ' + b'b' * 4000 + b'\r\n',
+        OversizedPart.trailers,
+    ),
+]
+"""Bytes once, bytes again and again, and what is over its limit."""
+
+WITHIN_LIMITS = [
+    (
+        'lines',
+        SIGNED
+        + b'A: b\r\n' * (MAX_HEAD_LINES - 9)
+        + CHUNKED
+        + b'1\r\na\r\n0\r\nA: b\r\n\r\n',
+    ),
+    (
+        'bytes',
+        SIGNED
+        + (b'A: ' + b'b' * 4091 + b'\r\n') * 15
+        + CHUNKED
+        + b'1\r\na\r\n0\r\n\r\n',
+    ),
+    (
+        'interim_heads',
+        b'HTTP/1.1 102 P\r\n\r\n' * 64
+        + SIGNED
+        + CHUNKED
+        + b'1\r\na\r\n0\r\n\r\n',
+    ),
+]
+
 
 class EndlessTarget:
     """A target that answers everything with bytes without end."""
@@ -83,6 +143,34 @@
         self.is_closed.set()
 
 
+class _OneAnswer:
+    """A target that sends the same answer to everything."""
+
+    def __init__(self, sent: bytes) -> None:
+        self._sent = sent
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[str]:
+        """Serve on loopback, and return the address."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        async with server:
+            yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._sent)
+        writer.close()
+
+
+def _transfer(
+    curl: CurlClient, address: str, response: EdgeResponse, timeout: float
+) -> Transfer:
+    request = TransferRequest(f'http://{address}/', 'GET', (), timeout, None, 0)
+    return Transfer(curl, request, response, lambda: True)
+
+
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     """An attempt ends after few bytes, and closes the connection."""
 
@@ -104,6 +192,42 @@
         self.assertIn(response.final_loss(loss), losses)
         self.assertLess(target.sent_bytes, MOST_BYTES)
 
+    # Guards against heads and trailers whose memory only curl limits.
+    @parameterized.expand(OVERSIZED)
+    async def test_part_over_its_limit(
+        self, _name: str, once: bytes, again: bytes, part: OversizedPart
+    ) -> None:
+        target = EndlessTarget(once, again)
+        relay = unittest.mock.Mock()
+        response = EdgeResponse(PlatformHeaders(), 'r', relay, lambda _: True)
+        metrics = Metrics()
+        async with target.run() as address:
+            with CurlClient(metrics=metrics) as curl:
+                transfer = _transfer(curl, address, response, TIMEOUT)
+                loss = await asyncio.wait_for(transfer.run(), TIMEOUT / 2)
+                await asyncio.wait_for(target.is_closed.wait(), 1)
+        has_begun = part is not OversizedPart.head and relay.on_head.called
+        self.assertIs(
+            loss, Loss.cut_short if has_begun else Loss.connection_lost
+        )
+        self.assertFalse(relay.on_chunk.called)
+        self.assertEqual(
+            dict(metrics.count_by_name),
+            {('responses_oversized', (('part', part.value),)): 1},
+        )
+        self.assertLess(target.sent_bytes, MOST_BYTES)
+
+    @parameterized.expand(WITHIN_LIMITS)
+    async def test_part_within_its_limit(self, _name: str, sent: bytes) -> None:
+        relay = unittest.mock.Mock()
+        response = EdgeResponse(PlatformHeaders(), 'r', relay, lambda _: True)
+        metrics = Metrics()
+        async with _OneAnswer(sent).run() as address:
+            with CurlClient(metrics=metrics) as curl:
+                transfer = _transfer(curl, address, response, TIMEOUT)
+                self.assertIsNone(await transfer.run())
+        self.assertFalse(metrics.count_by_name)
+
     async def test_chunk_extension_ends_with_the_time_of_the_request(
         self,
     ) -> None:
