Chunk extensions without end: cut off after 64 KiB

What callers saw: a response whose chunk extension had no end took all the time of its request (504), and its edge read at full speed meanwhile. A route may allow ten minutes.

Why this works: the kernel counts what a connection has received. After a read on which curl passed nothing on, that count is compared with the one at the first such read; over 64 KiB the transfer ends, its connection is closed, and responses_oversized{part=framing} counts. A read with progress costs no system call. A kernel that does not tell the count leaves only the deadline.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -14,6 +14,7 @@
 from turmericmast.metrics import Metrics
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.responselimits import OversizedPart, count_oversized
+from turmericmast.web.unseenbytes import UnseenBytes
 
 if TYPE_CHECKING:
     from turmericmast.web.transfer import Transfer
@@ -64,6 +65,7 @@
         self._idle: collections.deque[Any] = collections.deque()
         self._transfer_by_handle: dict[Any, 'Transfer'] = {}
         self._is_closed = False
+        self._unseen = UnseenBytes()
 
     def __enter__(self) -> Self:
         """Return the client."""
@@ -137,6 +139,10 @@
             transfer.handle.pause(pycurl.PAUSE_CONT)
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
+    def note_progress(self) -> None:
+        """Note that curl has passed on a line or a part of a body."""
+        self._unseen.note_progress()
+
     def count_oversized(self, part: OversizedPart) -> None:
         """Count a response that exceeds a limit."""
         count_oversized(self._metrics, part)
@@ -156,6 +162,7 @@
             if registered_events is not None:
                 self._loop.remove_handler(fd)
                 self._events_by_fd.pop(fd)
+                self._unseen.forget(fd)
         elif registered_events is None:
             self._loop.add_handler(fd, self._on_ready, wanted_events)
             self._events_by_fd[fd] = wanted_events
@@ -174,7 +181,21 @@
             action |= pycurl.CSELECT_OUT
         if events & IOLoop.ERROR:
             action |= pycurl.CSELECT_ERR
+        self._unseen.begin()
         self._socket_action(fd, action)
+        if fd in self._events_by_fd and self._unseen.is_excessive(fd):
+            self._end_oversized(fd)
+
+    def _end_oversized(self, fd: int) -> None:
+        """End the transfers on a connection; this closes it."""
+        handles = [
+            handle
+            for handle in self._transfer_by_handle
+            if handle.getinfo(pycurl.ACTIVESOCKET) == fd
+        ]
+        for handle in handles:
+            self.count_oversized(OversizedPart.framing)
+            self._finish(handle, pycurl.E_RECV_ERROR)
 
     def _on_timer(self, delay_ms: int) -> None:
         """Set the time at which curl must be called next.
--- a/src/turmericmast/web/responselimits.py
+++ b/src/turmericmast/web/responselimits.py
@@ -11,6 +11,9 @@
 """Lines of all heads and trailers of one response, empty lines included.
 
 Each line costs time, and each header memory, however short it is."""
+MAX_FRAMING_BYTES = 65_536
+"""Bytes of one response that may follow each other without completing a line
+or a part of the body, as in an extension of a chunk."""
 
 
 @final
@@ -19,6 +22,7 @@
 
     head = 'head'
     trailers = 'trailers'
+    framing = 'framing'
 
 
 @final
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -231,6 +231,7 @@
         return None
 
     def _is_within_limits(self, line: bytes) -> bool:
+        self._curl.note_progress()
         if self._head_size.add(line):
             return True
         is_trailer = self.progress is Progress.head
@@ -255,6 +256,7 @@
         return self._sink.on_head(head)
 
     def _on_write(self, chunk: bytes) -> int:
+        self._curl.note_progress()
         if self._sink.on_chunk(chunk):
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
