Skipped bytes: counted after reads only, and only where the kernel tells

A connection that was opening or being written to cost a system call, too, and a kernel that refuses TCP_INFO would have raised an error in a callback of the loop.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -183,7 +183,8 @@
             action |= pycurl.CSELECT_ERR
         self._unseen.begin()
         self._socket_action(fd, action)
-        if fd in self._events_by_fd and self._unseen.is_excessive(fd):
+        has_read = events & IOLoop.READ and fd in self._events_by_fd
+        if has_read and self._unseen.is_excessive(fd):
             self._end_oversized(fd)
 
     def _end_oversized(self, fd: int) -> None:
--- a/src/turmericmast/web/unseenbytes.py
+++ b/src/turmericmast/web/unseenbytes.py
@@ -53,11 +53,18 @@
     It is 0 where the kernel does not tell; then only time limits them.
     """
     with contextlib.closing(socket.socket(fileno=fd)) as borrowed:
-        octets = borrowed.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED_BYTES.size
-        )
+        octets = _read_info(borrowed)
         # curl owns the descriptor, so the socket object must not close it.
         borrowed.detach()
     if len(octets) < RECEIVED_BYTES.size:
         return 0
     return int(RECEIVED_BYTES.unpack(octets)[0])
+
+
+def _read_info(connection: socket.socket) -> bytes:
+    try:
+        return connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED_BYTES.size
+        )
+    except OSError:
+        return b''
