A refusal cancels the attempts that still run

What callers saw: nothing so far; found by reading. A request whose body became too long while a target was answering got 413, and then the head and body of the target's success, once that exceeded the buffer. The connection is closed after the 413, so by reading of tornado the second head is sent only if the 413 itself waits for a slow caller. After an internal error it was 500 and then 200, on a connection that stays open.

Cause: `EdgeExchange._refuse` wrote an error beside an attempt that had claimed the response and was buffered. The attempt went on, and held its slot at the target until the deadline, since its body never ended.

Evidence: two of the three rows of `test_refused_body` failed before (413 and 200 as two heads; an attempt that did not end within 1 s), and so did `test_internal_error` (500 and 200). Not shown on a socket.

Now: refusing cancels all attempts, as for a caller that leaves, so nothing else can write.

--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -124,8 +124,6 @@
         """Send the end of a body that was held, or refuse the request."""
         if self._quarantine_check.time_left():
             self._refuse(edgerefusals.quarantined_within_body())
-            self._attempts.cancel()
-            self._forwarder.cancel()
         else:
             self._body.release_end()
 
@@ -359,8 +357,11 @@
             self._relay.finish()
 
     def _refuse(self, problem: Problem) -> None:
+        """Respond with an error; attempts that still run are cancelled."""
         if not self._is_finished:
             self._is_finished = True
+            self._attempts.cancel()
+            self._forwarder.cancel()
             self._report.refused(problem, self._selector.last_best)
             if self._relay.state is RelayState.streaming:
                 self._relay.abort()
--- a/tests/test_single_response.py
+++ b/tests/test_single_response.py
@@ -26,6 +26,9 @@
 """
 
 TURN: Step = (0, 'turn')
+TOO_LONG: Step = (0, 'too long')
+"""The body of the request exceeds the limit."""
+MORE_THAN_ANY_LIMIT = 2**40
 LONG = b'a' * (MAX_BUFFERED_BYTES + 1)
 """More than is buffered, so that the response is streamed."""
 FIRST_STREAMS = [(0, 200), (0, LONG), TURN]
@@ -136,6 +139,48 @@
         crash_detector: Any = harness.context.crash_detector
         self.assertFalse(crash_detector.check.called)
 
+    # Guards against a success that is written after the refusal of the same
+    # request, to a caller whose body became too long while it was answered.
+    @parameterized.expand(
+        [
+            ('success', [(0, 200), (0, b'ab')], [(0, LONG), (0, None)]),
+            ('rejection', [(0, 404), (0, b'ab')], [(0, LONG), (0, None)]),
+            ('no_head', [], [(0, 200), (0, LONG), (0, None)]),
+        ]
+    )
+    async def test_refused_body(
+        self, _name: str, before: list[Step], after: list[Step]
+    ) -> None:
+        harness = EdgeHarness(target('1'), target('2'))
+        steps = [*before, TURN, TOO_LONG, *after]
+        received = await self._play(harness, steps)
+        self.assertEqual(received.statuses, [413])
+
+    # Guards against a success that is written after an internal error.
+    async def test_internal_error(self) -> None:
+        harness = EdgeHarness(target('1'))
+        connection = unittest.mock.Mock(spec=HTTP1Connection)
+        exchange = EdgeExchange(harness.context, connection, harness.read())
+        transfers: list[_ScriptedTransfer] = []
+        with (
+            unittest.mock.patch(
+                'turmericmast.web.edgeattempt.Transfer',
+                lambda *arguments: _ScriptedTransfer(transfers, arguments[2]),
+            ),
+            unittest.mock.patch.object(
+                exchange, '_hedge_if_useful', side_effect=[True, RuntimeError]
+            ),
+        ):
+            exchange._body.mark_complete()
+            served = asyncio.ensure_future(exchange._run())
+            await asyncio.sleep(0.01)
+            transfers[0].act(200)
+            transfers[0].act(b'ab')
+            with self.assertRaises(RuntimeError):
+                await asyncio.wait_for(served, 1)
+            transfers[0].act(LONG)
+        self.assertEqual(_received(connection).statuses, [500])
+
     async def _play(self, harness: EdgeHarness, steps: list[Step]) -> Received:
         connection = unittest.mock.Mock(spec=HTTP1Connection)
         exchange = EdgeExchange(harness.context, connection, harness.read())
@@ -163,6 +208,9 @@
             for number, action in steps:
                 if action == 'turn':
                     await asyncio.sleep(0.001)
+                elif action == 'too long':
+                    exchange._body.size = MORE_THAN_ANY_LIMIT
+                    await exchange.data_received(b'x')
                 else:
                     transfers[number].act(action)
             await asyncio.wait_for(trial, 1)
