Entries: a failure does not end a download that another target can resume

What callers saw: a download that broke off and was not resumed, if the target that was asked for the rest failed or rejected the request. No caller got bytes of another run: a head that does not continue the response was never written.

Cause: after such a head the relay counted as neither streaming nor empty. The next attempt asked for the whole body instead of the rest, a target ran it, and its response was dropped.

Fix: after a failure the rest is requested again, within the retry budget; after a success that does not continue the response nothing is requested.

--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -69,6 +69,8 @@
         self._buffered_bytes = 0
         self._is_blocked = False
         self._is_resuming = False
+        self._has_changed = False
+        """Whether a success did not continue the interrupted response."""
         self.source: object | None = None
         """The only one that may write the response; ``None`` if unclaimed."""
 
@@ -86,6 +88,7 @@
         if self._is_resuming:
             if not self._is_continuation(head):
                 self.state = RelayState.broken
+                self._has_changed |= head.status < HTTPStatus.MULTIPLE_CHOICES
             return True
         if self.state is RelayState.streaming:
             return False
@@ -165,11 +168,13 @@
         """Return headers that request the rest of the body, if possible.
 
         It takes a GET request, status 200, a strong entity tag and a known
-        length. The next head must then continue this response.
+        length. The next head must then continue this response. If the last one
+        was a failure instead, another target may continue it.
         """
         head = self.head
         if (
             head is None
+            or self._has_changed
             or self._method != 'GET'
             or head.status != HTTPStatus.OK
         ):
@@ -178,6 +183,7 @@
         if not tag.startswith('"') or 'Content-Length' not in head.headers:
             return None
         self._is_resuming = True
+        self.state = RelayState.streaming
         return (('Range', f'bytes={self.sent_bytes}-'), ('If-Range', tag))
 
     def finish(self) -> None:
