--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -113,6 +113,8 @@
         self.name = name
         self.runs: list[tuple[str, str, bytes]] = []
         """Method, path and body of each request received."""
+        self.attempts: list[str] = []
+        """Ids of the attempts that brought them, empty for none."""
         self.cancelled = 0
         """Slow requests whose connection the entry closed."""
         self.crashes = True
@@ -175,6 +177,7 @@
         }
         body = await _read_body(reader, headers)
         self.runs.append((method, path, body))
+        self.attempts.append(headers.get('turmericmast-call', ''))
         return await self._answer(method, path, headers, body, reader)
 
     async def _answer(
