--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -198,6 +198,7 @@
         self._attempts = HedgedAttempts(self._profile)
         for attempt in failed:
             attempt_loss = attempt.task.result()
+            self._report.attempt_ended(attempt)
             self._quarantine_check.on_attempt_end(
                 attempt.candidate.view, attempt_loss
             )
@@ -206,6 +207,7 @@
             if attempt_loss is Loss.never_sent:
                 self._tried.mark_unreached(attempt.candidate.view.record.target)
         if loss is None:
+            self._report.attempt_ended(decisive)
             self._deliver(decisive.response)
             return False
         return self._retry_or_fail(
@@ -220,6 +222,7 @@
         self._report.forwarded(self._forwarder.peer)
         response = self._forwarder.make_response(self._relay, self._claim)
         loss = await self._forwarder.forward(response)
+        self._report.forwarding_ended(self._forwarder.peer, response, loss)
         if loss is None:
             self._deliver(response)
             return False
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -19,6 +19,7 @@
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.responselimits import HeadSize, OversizedPart
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
@@ -116,6 +117,7 @@
         self._sink = sink
         self._may_send = may_send
         self._head_lines: list[str] = []
+        self._head_size = HeadSize()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
 
@@ -217,31 +219,44 @@
         if not line.endswith(b'\n'):
             # The connection ended within this line.
             return ABORT_TRANSFER
+        if not self._is_within_limits(line):
+            return ABORT_TRANSFER
+        if self.progress is Progress.head:
+            # This is a trailer after the body, which is not passed on.
+            return None
         text = line.decode('latin-1').rstrip('\r\n')
-        if text.startswith('HTTP/'):
-            self._head_lines = [text]
-        elif text:
+        if text:
             self._head_lines.append(text)
-        elif not self._on_head():
+        elif not (self._head_lines and self._on_head()):
             return ABORT_TRANSFER
         return None
 
-    def _on_head(self) -> bool:
-        if self.progress is Progress.head or not self._head_lines:
-            # These are trailers after the body, which are not passed on.
+    def _is_within_limits(self, line: bytes) -> bool:
+        self._curl.note_progress()
+        if self._head_size.add(line):
             return True
+        is_trailer = self.progress is Progress.head
+        self._curl.count_oversized(
+            OversizedPart.trailers if is_trailer else OversizedPart.head
+        )
+        return False
+
+    def _on_head(self) -> bool:
         try:
             head = _parse_head(self._head_lines)
         except HTTPInputError:
-            # curl passes on some lines that are not valid.
+            # curl passes on some lines that are not valid, such as a status
+            # line within the head.
             return False
         if head.status < HTTPStatus.OK:
+            # The head of an interim response; another head follows.
             self._head_lines = []
             return True
         self.progress = Progress.head
         return self._sink.on_head(head)
 
     def _on_write(self, chunk: bytes) -> int:
+        self._curl.note_progress()
         if self._sink.on_chunk(chunk):
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
