One response at a time no longer holds up the loop

What callers saw: while one target sent a body without end in chunks of one byte, all other requests of its edge waited for seconds, and its memory grew by 180 to 220 MB. Beside long parts, many were refused with 503 'No target in time'.

Cause: curl reads up to 360 KB of a connection in one call, and calls back for each chunk: 58,800 times for chunks of one byte. Each part is written to the caller at once, which costs 41 us and a future that lives until the next iteration of the loop.

Without the limits the three rows of test_parts_in_one_turn fail with 58,794, 88 and 44 parts in one iteration.

Why this works: a transfer passes on 16 parts and 64 KiB each time that curl reads it, then pauses until the next iteration of the loop; curl joins the rest of what it has read into one part.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -64,6 +64,8 @@
         """When curl must be called next, in seconds of the loop's clock."""
         self._idle: collections.deque[Any] = collections.deque()
         self._transfer_by_handle: dict[Any, 'Transfer'] = {}
+        self.turn = 0
+        """Number of the current call into curl, which reads and writes."""
         self._is_closed = False
         self._unseen = UnseenBytes()
 
@@ -136,6 +138,7 @@
     def resume(self, transfer: 'Transfer') -> None:
         """Resume a paused transfer."""
         if self._is_running(transfer):
+            self.turn += 1
             transfer.handle.pause(pycurl.PAUSE_CONT)
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
@@ -231,6 +234,7 @@
     def _socket_action(self, fd: int, action: int) -> None:
         if self._is_closed:
             return
+        self.turn += 1
         self._multi.socket_action(fd, action)
         more = True
         while more:
--- a/src/turmericmast/web/responselimits.py
+++ b/src/turmericmast/web/responselimits.py
@@ -15,6 +15,13 @@
 """Bytes of one response that may follow each other without completing a line
 or a part of the body, as in an extension of a chunk."""
 
+MAX_CHUNKS_PER_TURN = 16
+"""Parts of a body that a transfer passes on each time that curl reads.
+
+A part may be one byte, while hundreds of kilobytes may have arrived."""
+MAX_BYTES_PER_TURN = 65_536
+"""Bytes of a body that a transfer passes on each time that curl reads."""
+
 
 @final
 class OversizedPart(enum.Enum):
@@ -41,6 +48,29 @@
         return self._octets <= MAX_HEAD_BYTES and self._lines <= MAX_HEAD_LINES
 
 
+@final
+class TurnShare:
+    """Parts of a body that one transfer has passed on in a turn."""
+
+    def __init__(self) -> None:
+        """Start in no turn."""
+        self._turn = 0
+        self._chunks = 0
+        self._octets = 0
+
+    def take(self, turn: int, octets: int) -> bool:
+        """Take one part in ``turn``; return whether the share allows it."""
+        if turn != self._turn:
+            self._turn = turn
+            self._chunks = 0
+            self._octets = 0
+        if self._octets >= MAX_BYTES_PER_TURN:
+            return False
+        self._chunks += 1
+        self._octets += octets
+        return self._chunks <= MAX_CHUNKS_PER_TURN
+
+
 def count_oversized(metrics: Metrics, part: OversizedPart) -> None:
     """Count a response that was cut off."""
     metrics.count('responses_oversized', part=part.value)
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -19,7 +19,11 @@
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import CurlClient
-from turmericmast.web.responselimits import HeadSize, OversizedPart
+from turmericmast.web.responselimits import (
+    HeadSize,
+    OversizedPart,
+    TurnShare,
+)
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
@@ -118,6 +122,7 @@
         self._may_send = may_send
         self._head_lines: list[str] = []
         self._head_size = HeadSize()
+        self._share = TurnShare()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
 
@@ -257,7 +262,11 @@
 
     def _on_write(self, chunk: bytes) -> int:
         self._curl.note_progress()
-        if self._sink.on_chunk(chunk):
+        if not self._share.take(self._curl.turn, len(chunk)):
+            # Other transfers and callers get their turn first. curl joins
+            # what it has already read of the body meanwhile.
+            asyncio.get_running_loop().call_soon(self.resume)
+        elif self._sink.on_chunk(chunk):
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Targets that send bytes without end, until their caller closes."""
 
 import asyncio
+import collections
 import contextlib
 import unittest.mock
 from collections.abc import AsyncIterator
@@ -16,8 +17,18 @@
 from turmericmast.web.edgeresponse import MAX_BUFFERED_BYTES, EdgeResponse
 from turmericmast.web.probing import Prober
 from turmericmast.web.relay import Relay
-from turmericmast.web.responselimits import MAX_HEAD_LINES, OversizedPart
-from turmericmast.web.transfer import Transfer, TransferRequest
+from turmericmast.web.responselimits import (
+    MAX_BYTES_PER_TURN,
+    MAX_CHUNKS_PER_TURN,
+    MAX_HEAD_LINES,
+    OversizedPart,
+)
+from turmericmast.web.transfer import (
+    ResponseHead,
+    ResponseSink,
+    Transfer,
+    TransferRequest,
+)
 
 TIMEOUT = 3.0
 """Seconds for one transfer; each must end long before."""
@@ -172,7 +183,7 @@
 
 
 def _transfer(
-    curl: CurlClient, address: str, response: EdgeResponse, timeout: float
+    curl: CurlClient, address: str, response: ResponseSink, timeout: float
 ) -> Transfer:
     request = TransferRequest(f'http://{address}/', 'GET', (), timeout, None, 0)
     return Transfer(curl, request, response, lambda: True)
@@ -283,3 +294,82 @@
         with unittest.mock.patch.object(view, 'record', url_of):
             await prober.start(view, '/')
         return view
+
+
+class _TurnSink(ResponseSink):
+    """Notes what arrives in each iteration of the loop."""
+
+    def __init__(self) -> None:
+        self.body = b''
+        self.chunks_by_turn: collections.Counter[int] = collections.Counter()
+        self.octets_by_turn: collections.Counter[int] = collections.Counter()
+        self._turn = 0
+
+    async def count_turns(self) -> None:
+        """Count the iterations of the loop."""
+        while True:
+            await asyncio.sleep(0)
+            self._turn += 1
+
+    def on_head(self, head: ResponseHead) -> bool:
+        """Accept the head."""
+        return True
+
+    def on_chunk(self, chunk: bytes) -> bool:
+        """Accept a part of the body."""
+        self.chunks_by_turn[self._turn] += 1
+        self.octets_by_turn[self._turn] += len(chunk)
+        self.body += chunk[: LONG_BODY - len(self.body)]
+        return True
+
+
+LONG_BODY = 200_000
+"""Bytes of a body that arrives in parts of one byte."""
+MOST_TURNS = 2
+"""Times that curl may read one transfer in one iteration of the loop."""
+BUFFER_BYTES = 16_384
+"""Bytes that curl reads from a connection at once."""
+
+
+class SharedLoopTest(unittest.IsolatedAsyncioTestCase):
+    """A body that arrives at full speed leaves the loop to others."""
+
+    # Guards against a body in tiny chunks that holds up all other requests
+    # of its edge for seconds.
+    @parameterized.expand(
+        [
+            ('tiny_chunks', CHUNKED, b'1\r\na\r\n'),
+            ('long_chunks', CHUNKED, b'4000\r\n' + b'a' * 0x4000 + b'\r\n'),
+            ('without_chunks', b'\r\n', b'a'),
+        ]
+    )
+    async def test_parts_in_one_turn(
+        self, _name: str, head: bytes, again: bytes
+    ) -> None:
+        target = EndlessTarget(SIGNED + head, again)
+        sink = _TurnSink()
+        async with target.run() as address:
+            with CurlClient() as curl:
+                turns = asyncio.ensure_future(sink.count_turns())
+                await _transfer(curl, address, sink, 0.3).run()
+                turns.cancel()
+        self.assertGreater(len(sink.chunks_by_turn), 1)
+        self.assertLessEqual(
+            max(sink.chunks_by_turn.values()),
+            MOST_TURNS * MAX_CHUNKS_PER_TURN,
+        )
+        self.assertLessEqual(
+            max(sink.octets_by_turn.values()),
+            MOST_TURNS * (MAX_BYTES_PER_TURN + BUFFER_BYTES),
+        )
+
+    async def test_body_of_many_turns_is_complete(self) -> None:
+        body = bytes(octet % 251 for octet in range(LONG_BODY))
+        chunks = b''.join(b'1\r\n%c\r\n' % octet for octet in body)
+        answer = _OneAnswer(SIGNED + CHUNKED + chunks + b'0\r\n\r\n')
+        sink = _TurnSink()
+        async with answer.run() as address:
+            with CurlClient() as curl:
+                transfer = _transfer(curl, address, sink, TIMEOUT)
+                self.assertIsNone(await transfer.run())
+        self.assertEqual(sink.body, body)
