Frames that arrive at full speed leave the loop to others

What callers would see: an instance or a core member whose peer sends valid frames without end does nothing else: no requests, no health checks, no elections, for as long as the peer goes on.

Cause: reading a frame that has arrived already does not suspend the task, so Link._read_answers ran on while the socket had bytes; PeerServer._serve ran on for 256 requests.

Why this works: a connection hands over to the loop after 16 frames.

--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from typing import final
 
 from returns.result import Failure, Result
 from tornado.iostream import IOStream
@@ -18,6 +19,8 @@
 """Bytes of the longest first frame on an incoming connection.
 
 Until a frame has been decoded, the peer may be any client."""
+MAX_FRAMES_PER_TURN = 16
+"""Frames of one connection that are read before the loop turns to others."""
 FRAME_TIMEOUT = 10.0
 """Seconds after its length in which a frame must be complete."""
 USER_TIMEOUT_MS = 1500
@@ -37,6 +40,28 @@
     return LENGTH_PREFIX.pack(len(octets)) + octets
 
 
+@final
+class FrameReader:
+    """Reads the frames of one connection, and leaves the loop to others."""
+
+    def __init__(self, stream: IOStream, peer: str) -> None:
+        """Read from ``stream``, which is connected to ``peer``."""
+        self._stream = stream
+        self._peer = peer
+        self._frames = 0
+
+    async def read(self, limit: int) -> Result[Envelope, WireError]:
+        """Read one frame of at most ``limit`` bytes.
+
+        Raises ``StreamClosedError`` when the connection ends.
+        """
+        self._frames += 1
+        if self._frames % MAX_FRAMES_PER_TURN == 0:
+            # Frames that have arrived are read without suspending the task.
+            await asyncio.sleep(0)
+        return await read_frame(self._stream, self._peer, limit)
+
+
 async def read_frame(
     stream: IOStream,
     peer: str,
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -18,8 +18,8 @@
 from turmericmast.wire.codec import Envelope
 from turmericmast.wire.frame import (
     MAX_FRAME_BYTES,
+    FrameReader,
     pack_frame,
-    read_frame,
     set_socket_options,
 )
 
@@ -194,8 +194,9 @@
             stream.close()
 
     async def _read_answers(self, stream: IOStream) -> None:
+        reader = FrameReader(stream, self.address)
         while True:
-            frame = await read_frame(stream, self.address, MAX_FRAME_BYTES)
+            frame = await reader.read(MAX_FRAME_BYTES)
             if not isinstance(frame, Success):
                 self._context.metrics.count('frames_bad', peer=self.address)
                 stream.close()
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -13,8 +13,8 @@
 from turmericmast.wire.frame import (
     MAX_FIRST_FRAME_BYTES,
     MAX_FRAME_BYTES,
+    FrameReader,
     pack_frame,
-    read_frame,
     set_socket_options,
 )
 from turmericmast.wire.link import ProcessContext
@@ -70,8 +70,9 @@
     async def _serve(self, stream: IOStream, peer: str) -> None:
         limit = MAX_FIRST_FRAME_BYTES
         semaphore = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        reader = FrameReader(stream, peer)
         while True:
-            frame = await read_frame(stream, peer, limit)
+            frame = await reader.read(limit)
             if not isinstance(frame, Success):
                 self._context.metrics.count('frames_bad')
                 return
