--- a/tests/test_targets_tried_elsewhere.py
+++ b/tests/test_targets_tried_elsewhere.py
@@ -129,6 +129,32 @@
         self.assertEqual(other.request_ids, ['r-1'])
         self.assertEqual((answer.code, answer.body), (200, b'2'))
 
+    # Guards against BUDGET: a request that reaches more targets than its route
+    # permits, since the other instance does not count those that it leaves out.
+    @parameterized.expand([('fail', Reply.fail), ('reset', Reply.reset)])
+    async def test_attempts_that_are_left(
+        self, _name: str, reply: Reply
+    ) -> None:
+        async with _cluster(reply) as cluster:
+            own, peer = cluster.own, cluster.peer
+            async with ScriptedTarget('2', reply) as second:
+                await own.open(
+                    peer, targets=[cluster.known, target_at('2', DEAD)]
+                )
+                await peer.open(
+                    own,
+                    targets=[
+                        cluster.known,
+                        target_at('2', second.address),
+                        target_at('3', cluster.other.address),
+                    ],
+                )
+                _lose_paths(own, '2')
+                await _request(own.address)
+        self.assertEqual(cluster.tried.request_ids, ['r-1'])
+        reached = second.request_ids + cluster.other.request_ids
+        self.assertEqual(reached, ['r-1'])
+
     # Guards against requests that fail since their only target was tried by
     # an instance that could not open a connection to it.
     async def test_unreached_target_is_left(self) -> None:
