Tests: addresses are resolved without threads

Symptom: test_no_other_target_is_left (tests/test_targets_tried_elsewhere.py) had "Timeout while connecting" in one of 40 runs of the module, beside load 26, and in another run a test had an error whose output was not kept.

Cause, from the debug log of asyncio in the first of them: one step of Tornado's DefaultLoopResolver.resolve, in the client of the test, took 2.8 s, more than the 2 s that the test waits. It resolves a literal address in an executor, and starting its thread blocks the loop. The code under test does not use it. The other error is not traced; it came within the same minute.

Fix: bin/test configures the resolver that runs in the loop. No bound is changed.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,6 +12,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+from tornado.netutil import Resolver
 
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_FAILURES_PATH = ROOT / 'KNOWN-RED.txt'
@@ -50,6 +51,15 @@
     )
 
 
+def _prepare_resolver() -> None:
+    """Resolve the addresses of the tests in their loops.
+
+    By default, Tornado's client starts a thread even for a literal address. On
+    a busy machine that takes longer than a test waits for a response.
+    """
+    Resolver.configure('tornado.netutil.BlockingResolver')
+
+
 def _run(names: list[str]) -> int:
     loader = unittest.TestLoader()
     suite = (
@@ -58,6 +68,7 @@
         else loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
     )
     _prepare_hypothesis()
+    _prepare_resolver()
     known_failures = _read_known_failures()
     known_failure_ids = {
         line.partition('|')[0].strip() for line in known_failures
