Long frames of all peers together have a bound

What callers would see: an instance or a core member whose peer claims long frames, after one valid frame, grows until its memory is full.

Cause: a connection could claim 256 MiB. Its stream buffers 100 MiB at most, and the error of a full buffer was caught nowhere: it kept the buffer of the ended connection alive, and the peer connected again. Nothing bounded the connections together.

Why this works: a frame over 4 MiB takes room until it has been decoded; a process has 128 MiB of it, and without room the connection ends; the protocols on top send again. The longest frame has 96 MiB, so it fits the buffer of its stream. Frames of over 100 MiB could not be received before either.

Open: to decode one frame of 96 MiB without meaning stopped the loop for 1.7 to 1.9 s.

--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -1,8 +1,10 @@
 """Frames on a TCP stream: a length, then an envelope of that many bytes."""
 
 import asyncio
+import contextlib
 import socket
 import struct
+from collections.abc import Iterator
 from typing import final
 
 from returns.result import Failure, Result
@@ -13,8 +15,14 @@
 
 LENGTH_PREFIX = struct.Struct('>I')
 """Length of the envelope in bytes, an unsigned 32-bit big-endian integer."""
-MAX_FRAME_BYTES = 268_435_456
-"""Bytes of the longest frame; only snapshots come near to it."""
+MAX_FRAME_BYTES = 100_663_296
+"""Bytes of the longest frame; only snapshots come near to it.
+
+A stream buffers 104,857,600 bytes at most."""
+MAX_LONG_FRAME_BYTES = 134_217_728
+"""Bytes of the long frames that a process receives at the same time.
+
+They are those that exceed ``MAX_FIRST_FRAME_BYTES``."""
 MAX_FIRST_FRAME_BYTES = 4_194_304
 """Bytes of the longest first frame on an incoming connection.
 
@@ -40,14 +48,42 @@
     return LENGTH_PREFIX.pack(len(octets)) + octets
 
 
+@final
+class LongFrames:
+    """Room for the long frames that a process receives at the same time."""
+
+    def __init__(self) -> None:
+        """Start with no frame."""
+        self._octets = 0
+
+    @contextlib.contextmanager
+    def receive(self, length: int) -> Iterator[bool]:
+        """Take room for a frame of ``length`` bytes, if there is enough.
+
+        It is given back on exit. Short frames need none.
+        """
+        taken = length if length > MAX_FIRST_FRAME_BYTES else 0
+        if self._octets + taken > MAX_LONG_FRAME_BYTES:
+            yield False
+            return
+        self._octets += taken
+        try:
+            yield True
+        finally:
+            self._octets -= taken
+
+
 @final
 class FrameReader:
     """Reads the frames of one connection, and leaves the loop to others."""
 
-    def __init__(self, stream: IOStream, peer: str) -> None:
+    def __init__(
+        self, stream: IOStream, peer: str, long_frames: LongFrames
+    ) -> None:
         """Read from ``stream``, which is connected to ``peer``."""
         self._stream = stream
         self._peer = peer
+        self._long_frames = long_frames
         self._frames = 0
 
     async def read(self, limit: int) -> Result[Envelope, WireError]:
@@ -59,42 +95,38 @@
         if self._frames % MAX_FRAMES_PER_TURN == 0:
             # Frames that have arrived are read without suspending the task.
             await asyncio.sleep(0)
-        return await read_frame(self._stream, self._peer, limit)
-
-
-async def read_frame(
-    stream: IOStream,
-    peer: str,
-    limit: int,
-) -> Result[Envelope, WireError]:
-    """Read one frame of at most ``limit`` bytes.
-
-    Raises ``StreamClosedError`` when the connection ends.
-    """
-    length = LENGTH_PREFIX.unpack(await stream.read_bytes(LENGTH_PREFIX.size))[
-        0
-    ]
-    if length > limit:
-        return Failure(
-            WireError(
+        return await self._read_frame(limit)
+
+    async def _read_frame(self, limit: int) -> Result[Envelope, WireError]:
+        prefix = await self._stream.read_bytes(LENGTH_PREFIX.size)
+        length = LENGTH_PREFIX.unpack(prefix)[0]
+        if length > limit:
+            return self._failure(
                 f'the frame has {length} bytes, the limit is {limit}',
-                step='read frame',
-                peer=peer,
-                hint='check that the peer is a turmericmast process',
-            ),
-        )
-    try:
-        octets = await _read_in_time(stream, length)
-    except TimeoutError:
-        return Failure(
-            WireError(
+                'check that the peer is a turmericmast process',
+            )
+        with self._long_frames.receive(length) as has_room:
+            if not has_room:
+                return self._failure(
+                    f'no room for {length} bytes beside other long frames',
+                    'the peer sends it again; check which peer sends most',
+                )
+            return await self._read_envelope(length)
+
+    async def _read_envelope(self, length: int) -> Result[Envelope, WireError]:
+        try:
+            octets = await _read_in_time(self._stream, length)
+        except TimeoutError:
+            return self._failure(
                 f'the frame was not complete after {FRAME_TIMEOUT:g} s',
-                step='read frame',
-                peer=peer,
-                hint='check the network between this host and the peer',
-            ),
+                'check the network between this host and the peer',
+            )
+        return decode_envelope(octets)
+
+    def _failure(self, message: str, hint: str) -> Result[Envelope, WireError]:
+        return Failure(
+            WireError(message, step='read frame', peer=self._peer, hint=hint)
         )
-    return decode_envelope(octets)
 
 
 async def _read_in_time(stream: IOStream, length: int) -> bytes:
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -19,6 +19,7 @@
 from turmericmast.wire.frame import (
     MAX_FRAME_BYTES,
     FrameReader,
+    LongFrames,
     pack_frame,
     set_socket_options,
 )
@@ -45,6 +46,7 @@
     name: str
     clock: HybridClock
     metrics: Metrics
+    long_frames: LongFrames = dataclasses.field(default_factory=LongFrames)
 
 
 @final
@@ -194,7 +196,7 @@
             stream.close()
 
     async def _read_answers(self, stream: IOStream) -> None:
-        reader = FrameReader(stream, self.address)
+        reader = FrameReader(stream, self.address, self._context.long_frames)
         while True:
             frame = await reader.read(MAX_FRAME_BYTES)
             if not isinstance(frame, Success):
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -70,7 +70,7 @@
     async def _serve(self, stream: IOStream, peer: str) -> None:
         limit = MAX_FIRST_FRAME_BYTES
         semaphore = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
-        reader = FrameReader(stream, peer)
+        reader = FrameReader(stream, peer, self._context.long_frames)
         while True:
             frame = await reader.read(limit)
             if not isinstance(frame, Success):
