Forwarding: instances that decline repeats are left out for a while

What callers saw: 503 "not run" at an instance that had lost the paths to most targets, though others of its own would have served the request.

Cause: an instance that refused a request some target had got (`declined`) got no back-off, since it may serve first tries by the target that was left out. So each repeat asked the other instances again, and in vain spent the attempts that a request has while it has not run.

Fix: a declined request backs an instance off as a refused one does, but for repeats only. First tries, and instances that serve, are asked as before.

--- a/src/turmericmast/edge/peers.py
+++ b/src/turmericmast/edge/peers.py
@@ -48,7 +48,7 @@
     refused = 'refused'
     """The instance has not run it: it has no target for it either."""
     declined = 'declined'
-    """It has no target for it but those that were tried before."""
+    """It has no target for it but, maybe, those that were tried before."""
     unreached = 'unreached'
     """No connection to the instance could be opened."""
     failed = 'failed'
@@ -68,6 +68,9 @@
     refused_until_by_service: dict[ServiceId, float] = dataclasses.field(
         default_factory=dict
     )
+    declined_until_by_service: dict[ServiceId, float] = dataclasses.field(
+        default_factory=dict
+    )
     answered_at_by_service: dict[ServiceId, float] = dataclasses.field(
         default_factory=dict
     )
@@ -78,9 +81,19 @@
         was_just_tried = now - self.failed_at < SILENCE_BACKOFF
         return has_failed and (was_just_tried or self.in_flight > 0)
 
-    def refuses(self, service: ServiceId, now: Seconds) -> bool:
-        """Tell whether it has just refused a request for a service."""
-        return now < self.refused_until_by_service.get(service, LONG_AGO)
+    def refuses(
+        self, service: ServiceId, now: Seconds, *, is_repeat: bool
+    ) -> bool:
+        """Tell whether it has just refused such a request for a service."""
+        refused_until = self.refused_until_by_service.get(service, LONG_AGO)
+        declined_until = self.declined_until_by_service.get(service, LONG_AGO)
+        return now < refused_until or (is_repeat and now < declined_until)
+
+    def backed_off_until(self, service: ServiceId, now: Seconds) -> float:
+        """Return until when it is left out after a refusal."""
+        is_busy = self.serves(service, now)
+        backoff = BUSY_BACKOFF if is_busy else REFUSAL_BACKOFF
+        return now + backoff
 
     def serves(self, service: ServiceId, now: Seconds) -> bool:
         """Tell whether it has just answered a request for a service."""
@@ -110,25 +123,30 @@
         home_regions: Collection[RegionId],
         avoid: Collection[InstanceId],
         now: Seconds,
+        *,
+        is_repeat: bool = False,
     ) -> EdgeRecord | None:
         """Return the instance to forward a request to, ``None`` without one.
 
         Only instances in ``home_regions`` may get it, if there are any, and
-        none of ``avoid``.
+        none of ``avoid``. With ``is_repeat``, some target may have got the
+        request, so that instances that declined others like it are left out.
         """
-        if self._is_refused_everywhere(service, now):
+        if self._is_refused_everywhere(service, now, is_repeat=is_repeat):
             return None
         refusing_domains = {
             edge.domain
             for edge in self._others()
-            if self._peer_by_instance[edge.instance].refuses(service, now)
+            if self._peer_by_instance[edge.instance].refuses(
+                service, now, is_repeat=is_repeat
+            )
         }
         candidates = (
             edge
             for edge in self._others()
             if edge.instance not in avoid
             and _may_serve(edge, home_regions)
-            and not self._is_backed_off(edge, service, now)
+            and not self._is_backed_off(edge, service, now, is_repeat=is_repeat)
         )
         return min(
             candidates,
@@ -156,10 +174,15 @@
         if outcome is PeerOutcome.answered:
             peer.answered_at_by_service[service] = now
             peer.refused_until_by_service.pop(service, None)
+            peer.declined_until_by_service.pop(service, None)
         elif outcome is PeerOutcome.refused:
-            is_busy = peer.serves(service, now)
-            backoff = BUSY_BACKOFF if is_busy else REFUSAL_BACKOFF
-            peer.refused_until_by_service[service] = now + backoff
+            peer.refused_until_by_service[service] = peer.backed_off_until(
+                service, now
+            )
+        elif outcome is PeerOutcome.declined:
+            peer.declined_until_by_service[service] = peer.backed_off_until(
+                service, now
+            )
         elif outcome is PeerOutcome.unreached:
             peer.lost_until = now + LOSS_BACKOFF
             peer.answered_at_by_service.clear()
@@ -178,20 +201,33 @@
             if edge.instance != self._own_record.instance
         )
 
-    def _is_refused_everywhere(self, service: ServiceId, now: Seconds) -> bool:
+    def _is_refused_everywhere(
+        self, service: ServiceId, now: Seconds, *, is_repeat: bool
+    ) -> bool:
         peers = self._peer_by_instance.values()
         if any(peer.serves(service, now) for peer in peers):
             return False
-        refusing = (peer for peer in peers if peer.refuses(service, now))
+        refusing = (
+            peer
+            for peer in peers
+            if peer.refuses(service, now, is_repeat=is_repeat)
+        )
         return len(tuple(itertools.islice(refusing, MAX_REFUSALS))) == (
             MAX_REFUSALS
         )
 
     def _is_backed_off(
-        self, edge: EdgeRecord, service: ServiceId, now: Seconds
+        self,
+        edge: EdgeRecord,
+        service: ServiceId,
+        now: Seconds,
+        *,
+        is_repeat: bool,
     ) -> bool:
         peer = self._peer_by_instance[edge.instance]
-        return now < peer.lost_until or peer.refuses(service, now)
+        return now < peer.lost_until or peer.refuses(
+            service, now, is_repeat=is_repeat
+        )
 
     def _rank(
         self,
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -71,6 +71,7 @@
             self._incoming.route.home_regions,
             self._tried,
             self._context.clock.now(),
+            is_repeat=bool(self._tried_targets.reached),
         )
         return self._chosen is not None
 
