Requests whose target names the host are served

The host in it takes the place of the Host header, and targets get the path. tests/test_unchanged_paths.py, AbsoluteFormTest: two of its three rows failed before.

--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -26,7 +26,11 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgerequest import EdgeRequest, address_problem
+from turmericmast.web.edgerequest import (
+    EdgeRequest,
+    address_problem,
+    use_origin_form,
+)
 from turmericmast.web.firstroutes import routes_wait
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.idle import IdleConnections
@@ -138,6 +142,7 @@
             self._context.metrics.count('requests', outcome='closed_unread')
             return None
         now = self._context.clock.now()
+        start_line = use_origin_form(start_line, headers)
         if self._context.edge.route_table is None:
             return self._start_with_routes(start_line, headers, now)
         self._start(start_line, headers, now)
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -1,6 +1,7 @@
 """A caller's request at an edge, with its route and pool."""
 
 import dataclasses
+import re
 from collections.abc import Callable, Collection
 from typing import final
 
@@ -20,6 +21,8 @@
 from turmericmast.web.problem import Problem
 from turmericmast.web.transfer import TransferRequest
 
+_ABSOLUTE_FORM = re.compile('https?://([^/?#]+)(.*)', re.IGNORECASE)
+
 
 @final
 @dataclasses.dataclass(frozen=True)
@@ -155,3 +158,19 @@
     if forwarding is None:
         return problem
     return dataclasses.replace(problem, forwarded_call=forwarding.call)
+
+
+def use_origin_form(
+    start: RequestStartLine, headers: HTTPHeaders
+) -> RequestStartLine:
+    """Return the start line with the path alone.
+
+    The host in an absolute request target takes the place of the ``Host``
+    header (RFC 9112, 3.2.2).
+    """
+    absolute = _ABSOLUTE_FORM.fullmatch(start.path)
+    if absolute is None:
+        return start
+    host, path = absolute.groups()
+    headers['Host'] = host
+    return start._replace(path=path if path[:1] == '/' else f'/{path}')
--- a/tests/test_unchanged_paths.py
+++ b/tests/test_unchanged_paths.py
@@ -43,7 +43,30 @@
             self.assertEqual(received, [b'%s %s HTTP/1.1' % (method, path)])
 
 
-async def _send(method: bytes, path: bytes) -> list[bytes]:
+ABSOLUTE = [
+    ('path', b'http://shop.example/stock/a%2f?b', b'/stock/a%2f?b'),
+    ('upper_case_scheme', b'HTTP://shop.example/stock/a', b'/stock/a'),
+    ('address_in_the_path', b'/stock/http://a/b', b'/stock/http://a/b'),
+]
+
+
+class AbsoluteFormTest(unittest.IsolatedAsyncioTestCase):
+    """A target gets the path of a request whose target names the host."""
+
+    # Guards against 404 for absolute request targets, which are valid HTTP
+    # (review/REPORT.md).
+    @parameterized.expand(ABSOLUTE)
+    async def test_absolute_form(
+        self, _name: str, sent: bytes, path: bytes
+    ) -> None:
+        received = await _send(b'GET', sent, host=b'other.example')
+        wanted = [] if sent == path else [b'GET %s HTTP/1.1' % path]
+        self.assertEqual(received, wanted)
+
+
+async def _send(
+    method: bytes, path: bytes, host: bytes = b'shop.example'
+) -> list[bytes]:
     """Send a request through an edge; return what its target has received."""
     received: list[bytes] = []
     writers: list[asyncio.StreamWriter] = []
@@ -66,14 +89,14 @@
     with contextlib.ExitStack() as stack:
         stack.callback(server.close)
         running = stack.enter_context(RunningEdge('own'))
-        host, port = server.sockets[0].getsockname()
-        await running.open(targets=[target_at('1', f'{host}:{port}')])
+        own_ip, port = server.sockets[0].getsockname()
+        await running.open(targets=[target_at('1', f'{own_ip}:{port}')])
         own_host, _, own_port = running.address.rpartition(':')
         reader, writer = await asyncio.open_connection(own_host, int(own_port))
         stack.callback(writer.close)
         writer.write(
-            b'%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r\r\n'
-            b'Content-Length: 0\r\n\r\n' % (method, path)
+            b'%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r\r\n'
+            b'Content-Length: 0\r\n\r\n' % (method, path, host)
         )
         await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 5)
         for target_writer in writers:
