A sink that aborts a resumed transfer ends it

What operators saw: 'pause/unpause failed' as an unhandled error of the loop, since a body in tiny chunks pauses between two iterations; possible before for any sink that paused and then aborted.

Cause: curl passes on what it has kept while it resumes a transfer. If the sink aborts then, pause() raises, and the transfer went on until curl had read more.

Why this works: the transfer ends with the code of the error, as it does when the sink aborts at any other moment.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -139,7 +139,12 @@
         """Resume a paused transfer."""
         if self._is_running(transfer):
             self.turn += 1
-            transfer.handle.pause(pycurl.PAUSE_CONT)
+            try:
+                transfer.handle.pause(pycurl.PAUSE_CONT)
+            except pycurl.error as error:
+                # The sink has aborted the transfer while curl passed on what
+                # it had kept; curl itself would let the transfer go on.
+                self._finish(transfer.handle, error.args[0])
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
     def note_progress(self) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 import contextlib
 import unittest.mock
 from collections.abc import AsyncIterator
+from typing import Any
 
 from parameterized import parameterized
 
@@ -55,6 +56,12 @@
         b'5\r\naaaaa\r\n',
         {Loss.failed},
     ),
+    (
+        'failure_in_tiny_chunks',
+        b'HTTP/1.1 500 Error\r\n' + CHUNKED,
+        b'1\r\na\r\n',
+        {Loss.failed},
+    ),
     (
         'refusal',
         b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n' + CHUNKED,
@@ -196,6 +203,10 @@
     async def test_attempt(
         self, _name: str, once: bytes, again: bytes, losses: set[Loss]
     ) -> None:
+        errors: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: errors.append(context)
+        )
         target = EndlessTarget(once, again)
         relay = unittest.mock.Mock()
         response = EdgeResponse(PlatformHeaders(), 'r', relay, lambda _: True)
@@ -208,6 +219,7 @@
                 loss = await asyncio.wait_for(transfer.run(), TIMEOUT / 2)
                 await asyncio.wait_for(target.is_closed.wait(), 1)
         self.assertIn(response.final_loss(loss), losses)
+        self.assertFalse(errors)
         self.assertLess(target.sent_bytes, MOST_BYTES)
 
     # Guards against heads and trailers whose memory only curl limits.
