Tests of late responses: no health check gets them before the request

Cause: with load reports older than 0.1 s the instance checks the second target first, on the kept connection, and the check gets the late response.

Fix: no health checks are sent while the request runs, also in tests/test_shared_connections.py.

--- a/tests/running_edge.py
+++ b/tests/running_edge.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 import unittest.mock
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from types import TracebackType
 from typing import Self, final
 
@@ -52,6 +52,22 @@
     )
 
 
+@contextlib.contextmanager
+def without_probes() -> Iterator[None]:
+    """Send no health checks, so that none gets a late response before."""
+    with (
+        unittest.mock.patch.object(Prober, 'probe'),
+        unittest.mock.patch.object(Prober, 'start', _lose_probe),
+    ):
+        yield
+
+
+def _lose_probe(*_probed: object) -> 'asyncio.Future[bool]':
+    lost: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+    lost.set_result(False)
+    return lost
+
+
 @final
 class RunningEdge:
     """An edge with the ports for callers and instances, without a core."""
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -10,7 +10,7 @@
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from tests.running_edge import RunningEdge, target_at
+from tests.running_edge import RunningEdge, target_at, without_probes
 from tests.scripted_target import Kind, Reply, ScriptedTarget
 from turmericmast.balance.load import LoadReport
 from turmericmast.ids import Seconds
@@ -46,7 +46,8 @@
                 for view in own.edge.views():
                     view.verify(Seconds(0), now)
                     view.update_load(LoadReport(0, 0, 4), now)
-                status = await _status(own.address, method, url)
+                with without_probes():
+                    status = await _status(own.address, method, url)
         self.assertEqual(target.request_ids, ['r-1', 'r-1'])
         self.assertEqual(len(set(target.connections)), 2)
         self.assertEqual(status, 200)
--- a/tests/test_shared_connections.py
+++ b/tests/test_shared_connections.py
@@ -11,7 +11,7 @@
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from tests.running_edge import RunningEdge, target_at
+from tests.running_edge import RunningEdge, target_at, without_probes
 from tests.scripted_target import Kind, Reply, ScriptedTarget
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.targetview import Eligibility, TargetView
@@ -146,18 +146,17 @@
     own: RunningEdge, method: str, request_id: str = 'r-1'
 ) -> tuple[int, bytes]:
     host, path, _ = PATH_BY_METHOD[method]
-    answer = await AsyncHTTPClient().fetch(
-        HTTPRequest(
-            f'http://{own.address}{path}',
-            method=method,
-            body=b'x' if method == 'POST' else None,
-            headers={
-                'Host': host,
-                'X-Request-Id': request_id,
-                'X-Deadline-Ms': '800',
-            },
-            request_timeout=2,
-        ),
-        raise_error=False,
+    request = HTTPRequest(
+        f'http://{own.address}{path}',
+        method=method,
+        body=b'x' if method == 'POST' else None,
+        headers={
+            'Host': host,
+            'X-Request-Id': request_id,
+            'X-Deadline-Ms': '800',
+        },
+        request_timeout=2,
     )
+    with without_probes():
+        answer = await AsyncHTTPClient().fetch(request, raise_error=False)
     return answer.code, answer.body
