Tried targets: the header names the request that it is about

While builds are mixed, an older instance passes a caller's own Turmericmast-Tried on, since it doesn't know the name (shown in the review), and a newer one refused the request as not run. The header begins with the id of the forwarded request, which callers can't know; without it no target counts as tried. test_names_of_a_caller: its first two rows named targets before.

--- a/src/turmericmast/web/peerheaders.py
+++ b/src/turmericmast/web/peerheaders.py
@@ -52,11 +52,12 @@
     no target that was tried.
     """
     attempts_left = parse_whole(headers.get(ATTEMPTS_HEADER, '1')) or 1
+    call = CallId(headers.get(FORWARD_HEADER, ''))
     return Forwarding(
-        CallId(headers.get(FORWARD_HEADER, '')),
+        call,
         min(attempts_left, MAX_ATTEMPTS),
         ServiceId(headers.get(SERVICE_HEADER, '')),
-        read_tried(headers),
+        read_tried(headers, call),
     )
 
 
@@ -106,7 +107,7 @@
             (FORWARD_HEADER, self._forwarding.call),
             (ATTEMPTS_HEADER, str(self._forwarding.attempts_left)),
             (SERVICE_HEADER, self._forwarding.service),
-            *tried_headers(self._forwarding.tried),
+            *tried_headers(self._forwarding.call, self._forwarding.tried),
         )
 
     def read_response(
@@ -127,7 +128,7 @@
             is_misdirected=False,
             load=None,
             has_reached_target=headers.get(REACHED_HEADER) != '0',
-            tried=read_tried(headers),
+            tried=read_tried(headers, self._forwarding.call),
         )
 
     def read_health(self, headers: HTTPHeaders) -> HealthMetadata:
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -16,7 +16,7 @@
 from tornado.util import TimeoutError as TornadoTimeoutError
 
 from turmericmast.call.call import Ran
-from turmericmast.ids import TargetId
+from turmericmast.ids import CallId, TargetId
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.triedheader import tried_headers
 
@@ -100,7 +100,9 @@
         if self.forwarded_call:
             headers[REFUSAL_HEADER] = self.forwarded_call
             headers[REACHED_HEADER] = str(int(self.has_reached_target))
-            headers.update(tried_headers(self.tried))
+            headers.update(
+                tried_headers(CallId(self.forwarded_call), self.tried)
+            )
         return headers
 
     @property
--- a/tests/test_targets_tried_elsewhere.py
+++ b/tests/test_targets_tried_elsewhere.py
@@ -66,6 +66,7 @@
 status for the caller if no other target is left."""
 REJECTED = [('rejected', Reply.reject), ('misdirected', Reply.misdirect)]
 """What targets of another instance do so that the first one goes on."""
+CALL = CallId('0123456789abcdef')
 HEADERS = [
     ('absent', None, ()),
     ('empty', '', ()),
@@ -217,15 +218,31 @@
         self, _name: str, text: str | None, expected: tuple[str, ...]
     ) -> None:
         headers = HTTPHeaders() if text is None else _tried_header(text)
-        self.assertEqual(read_tried(headers), expected)
+        self.assertEqual(read_tried(headers, CALL), expected)
+
+    # Guards against targets that a caller names through an older instance,
+    # which passes unknown headers on.
+    @parameterized.expand(
+        [
+            ('names_alone', 'a,b', CALL),
+            ('another_request', 'ffff,a,b', CALL),
+            ('no_request', ',a,b', CallId('')),
+        ]
+    )
+    def test_names_of_a_caller(
+        self, _name: str, text: str, call: CallId
+    ) -> None:
+        headers = HTTPHeaders({TRIED_HEADER: text})
+        self.assertEqual(read_tried(headers, call), ())
 
     # Guards against a header that grows beyond what the receiver accepts.
     @parameterized.expand(TARGETS)
     def test_write(
         self, _name: str, targets: Sequence[str], expected: Sequence[str]
     ) -> None:
-        written = tried_headers(tuple(map(TargetId, targets)))
-        self.assertEqual(list(read_tried(HTTPHeaders(written))), expected)
+        written = tried_headers(CALL, tuple(map(TargetId, targets)))
+        headers = HTTPHeaders(written)
+        self.assertEqual(list(read_tried(headers, CALL)), expected)
 
     # Guards against instances that cannot read what an older one writes.
     def test_older_instance(self) -> None:
@@ -341,7 +358,7 @@
 
 
 def _tried_header(text: str) -> HTTPHeaders:
-    return HTTPHeaders({TRIED_HEADER: text})
+    return HTTPHeaders({TRIED_HEADER: f'{CALL},{text}'})
 
 
 async def _request(address: str) -> HTTPResponse:
