Frames: the longest one is as long as a stream can buffer

With 96 MiB, states of up to 100 MiB that an older build sends, and that were just possible to receive, would have been refused while builds are mixed. The limit is what the buffer of a stream holds, less two reads, which may belong to the next frame.

--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -15,10 +15,11 @@
 
 LENGTH_PREFIX = struct.Struct('>I')
 """Length of the envelope in bytes, an unsigned 32-bit big-endian integer."""
-MAX_FRAME_BYTES = 100_663_296
+MAX_FRAME_BYTES = 104_726_528
 """Bytes of the longest frame; only snapshots come near to it.
 
-A stream buffers 104,857,600 bytes at most."""
+A stream buffers 131,072 bytes more at most, some of which may belong to the
+next frame."""
 MAX_LONG_FRAME_BYTES = 134_217_728
 """Bytes of the long frames that a process receives at the same time.
 
