--- a/src/turmericmast/wire/datagrams.py
+++ b/src/turmericmast/wire/datagrams.py
@@ -35,9 +35,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Close the socket."""
+        """Close the socket; nothing is sent any more."""
         if self._transport:
             self._transport.close()
+            self._transport = None
 
     async def open(self, address: str) -> None:
         """Bind the socket to ``address``, IP address and port."""
@@ -65,7 +66,7 @@
         self._metrics.count('datagrams_refused', error=type(error).__name__)
 
     def send(self, message: object, addresses: Iterable[str]) -> None:
-        """Send a message to each of ``addresses``; nothing before ``open``."""
+        """Send a message to each of ``addresses``; none while it is closed."""
         octets = encode(message)
         for address in addresses:
             self._metrics.count('datagram_bytes', len(octets))
