--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -337,7 +337,11 @@
             (exchange._pool, 'retry_budget', unittest.mock.Mock()),
             (exchange._selector, 'select', select),
             (exchange._selector, 'is_doubtful', _is_missing),
-            (harness.edge.peers, 'choose', lambda *_: next(peers, None)),
+            (
+                harness.edge.peers,
+                'choose',
+                lambda *_, is_repeat: next(peers, None),
+            ),
             (edgeattempt, 'Transfer', transfer),
             (peerforwarder, 'Transfer', transfer),
         )
