--- /dev/null
+++ b/tests/test_endless_entries.py
@@ -0,0 +1,113 @@
+"""Entries whose target sends bytes without end."""
+
+import asyncio
+import contextlib
+import dataclasses
+import unittest
+
+from parameterized import parameterized
+
+from tests.entry_harness import EntryHarness
+from tests.test_endless_answers import MOST_BYTES, TIMEOUT, EndlessTarget
+from tests.test_target import SPEC
+from turmericmast.ids import ServiceId, TargetId
+from turmericmast.region.commands import PlaceTarget
+from turmericmast.web.responselimits import OversizedPart
+
+STREAM_MS = 300
+"""Milliseconds for a response that goes on to its caller."""
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+SUCCESS = b'HTTP/1.1 200 OK\r\n'
+OVERSIZED = [
+    ('headers', SUCCESS, b'A: b\r\n', OversizedPart.head),
+    ('interim_heads', b'', b'HTTP/1.1 102 P\r\n\r\n', OversizedPart.head),
+    (
+        'trailers',
+        SUCCESS + CHUNKED + b'0\r\n',
+        b'A: b\r\n',
+        OversizedPart.trailers,
+    ),
+    ('extension', SUCCESS + CHUNKED + b'5;', b'a', OversizedPart.framing),
+]
+"""Bytes once, bytes again and again, and what is over its limit."""
+STREAMED = [
+    ('success', SUCCESS + CHUNKED, b'1\r\na\r\n', 200),
+    ('without_length', SUCCESS + b'\r\n', b'a', 200),
+    ('failure', b'HTTP/1.1 500 E\r\n' + CHUNKED, b'1\r\na\r\n', 500),
+    (
+        'refusal',
+        b'HTTP/1.1 503 B\r\nTurmericmast-Ran: no\r\n' + CHUNKED,
+        b'1\r\na\r\n',
+        503,
+    ),
+]
+"""Bytes once, bytes again and again, and the status that the caller gets."""
+
+
+class EndlessEntryTest(unittest.IsolatedAsyncioTestCase):
+    """A call at an entry ends, and the connection to its target is closed."""
+
+    # Guards against an entry that keeps, or waits for, what a target sends
+    # beside its body, until the deadline of the call.
+    @parameterized.expand(OVERSIZED)
+    async def test_part_over_its_limit(
+        self, _name: str, once: bytes, again: bytes, part: OversizedPart
+    ) -> None:
+        target = EndlessTarget(once, again)
+        async with EntryHarness(targets=0) as harness:
+            # The test fails long before this timeout.
+            answer = await _call(harness, target, int(TIMEOUT * 1000))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 502'), answer[:80])
+        self.assertEqual(
+            harness.metrics.count_by_name[
+                'responses_oversized', (('part', part.value),)
+            ],
+            1,
+        )
+        self.assertLess(target.sent_bytes, MOST_BYTES)
+
+    # Guards against a body that outlives the deadline of its call, and against
+    # a response that its caller takes for complete.
+    @parameterized.expand(STREAMED)
+    async def test_body_ends_at_the_deadline(
+        self, _name: str, once: bytes, again: bytes, status: int
+    ) -> None:
+        target = EndlessTarget(once, again)
+        async with EntryHarness(targets=0) as harness:
+            answer = await _call(harness, target, STREAM_MS)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 %d' % status))
+        self.assertFalse(answer.endswith(b'0\r\n\r\n'))
+        self.assertEqual(
+            harness.metrics.count_by_name[
+                'calls', (('outcome', 'broken_off'),)
+            ],
+            1,
+        )
+        self.assertFalse(harness.context.running)
+
+
+async def _call(
+    harness: EntryHarness, target: EndlessTarget, timeout_ms: int
+) -> bytes:
+    """Return what a caller gets, once the target's connection is closed."""
+    async with target.run() as address:
+        spec = dataclasses.replace(
+            SPEC,
+            target=TargetId('endless'),
+            address=address,
+            cold_slots=4,
+            service=ServiceId('stock'),
+        )
+        harness.group.apply(PlaceTarget(spec))
+        harness.renew()
+        host, _, port = harness.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with contextlib.closing(writer):
+            writer.write(
+                b'POST /stock/x HTTP/1.1\r\nHost: shop.example\r\n'
+                b'Connection: close\r\nContent-Length: 0\r\n'
+                b'Turmericmast-Timeout-Ms: %d\r\n\r\n' % timeout_ms
+            )
+            answer = await asyncio.wait_for(reader.read(-1), TIMEOUT / 2)
+        await asyncio.wait_for(target.is_closed.wait(), 1)
+    return answer
