Entries: a long refusal is no answer to stream

What callers saw: a target, or the next entry, that refused a call with 503 and Turmericmast-Ran: no, and then sent a body without end, had its refusal streamed to the caller until the deadline, and cut off there, while another target could have served the call. Memory was bounded, since the transfer waits for the caller.

Cause: a relay streamed any body of over 64 KiB, while a refusal is decided about when it is complete.

Evidence: the six rows on long refusals in tests/test_endless_entries.py and test_another_entry_serves_after_a_long_refusal failed before with timeouts.

Why it works: a relay keeps a refusal, and ends its transfer when the buffer is full; the sender then reports the refusal that the head has stated, and the call goes on as after a short one.

--- a/src/turmericmast/web/forwarding.py
+++ b/src/turmericmast/web/forwarding.py
@@ -54,7 +54,7 @@
     def _has_not_run(self, loss: Loss | None) -> bool:
         """Tell whether the request certainly did not run at an entry."""
         is_refused = loss is None and self._relay.loss is Loss.shed
-        return is_refused or loss is Loss.never_sent
+        return is_refused or loss in {Loss.never_sent, Loss.shed}
 
     async def _forward_to(self, call: Call, address: str) -> Loss | None:
         self._relay.discard()
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -108,10 +108,20 @@
             return True
         self._buffer.append(chunk)
         self._buffered_bytes += len(chunk)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self._is_buffer_full and not _is_refusal(self.head):
             self._start_streaming()
         return True
 
+    @property
+    def is_overfull(self) -> bool:
+        """Tell whether a refusal is too long to be kept.
+
+        It is not streamed, since another target may succeed.
+        """
+        if self.state is not RelayState.buffered:
+            return False
+        return self._is_buffer_full and _is_refusal(self.head)
+
     def buffered_body(self) -> bytes:
         """Return the buffered bytes of the body."""
         return b''.join(self._buffer)
@@ -136,9 +146,7 @@
             return Loss.cut_short
         if not self.is_delimited:
             return Loss.cut_short
-        ran = head.headers.get(RAN_HEADER, '')
-        is_busy = head.status == HTTPStatus.SERVICE_UNAVAILABLE
-        return Loss.shed if is_busy and ran == Ran.no.value else None
+        return Loss.shed if _is_refusal(head) else None
 
     @property
     def is_failure(self) -> bool:
@@ -236,6 +244,10 @@
         if isinstance(self._connection, HTTP1Connection):
             self._connection.close()
 
+    @property
+    def _is_buffer_full(self) -> bool:
+        return self._buffered_bytes > MAX_BUFFERED_BYTES
+
     def _is_continuation(self, head: ResponseHead) -> bool:
         first = self.head
         if first is None or head.status != HTTPStatus.PARTIAL_CONTENT:
@@ -287,6 +299,13 @@
             self.resume()
 
 
+def _is_refusal(head: ResponseHead | None) -> bool:
+    """Tell whether the target says that it has not run the request."""
+    if head is None or head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return head.headers.get(RAN_HEADER, '') == Ran.no.value
+
+
 def _ignore_error(written: 'asyncio.Future[None]') -> None:
     # The close callback of the connection handles a caller that disconnected.
     if not written.cancelled():
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -132,7 +132,9 @@
         )
         self._transfer = transfer
         self._relay.resume = transfer.resume
-        return await transfer.run()
+        loss = await transfer.run()
+        # The transfer of a refusal that is too long was aborted on purpose.
+        return Loss.shed if self._relay.is_overfull else loss
 
     def _transfer_request(self, destination: Destination) -> TransferRequest:
         request = self._incoming.request
