Downloads: a wrong continuation ends at its head

What callers saw: a download was interrupted, and the target that was asked for the rest sent something else without end. The entry read and dropped it until the deadline, and the download was broken off, although a further target could have had the rest.

Cause: the relay noted the wrong head, but accepted the transfer.

Evidence: the three rows of EndlessContinuationTest failed before with timeouts.

Why it works: the relay refuses the head, so the transfer ends at once and its connection is closed; how the attempt counts is unchanged (cut short).

--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -83,13 +83,15 @@
     def on_head(self, head: ResponseHead) -> bool:
         """Receive the head; a resumed response must continue the first one.
 
-        Return false if it comes within a response that is being sent.
+        Return false if it does not, or comes within a response that is being
+        sent.
         """
         if self._is_resuming:
-            if not self._is_continuation(head):
+            is_continuation = self._is_continuation(head)
+            if not is_continuation:
                 self.state = RelayState.broken
                 self._has_changed |= head.status < HTTPStatus.MULTIPLE_CHOICES
-            return True
+            return is_continuation
         if self.state is RelayState.streaming:
             return False
         self._discard_body()
--- a/tests/test_endless_entries.py
+++ b/tests/test_endless_entries.py
@@ -3,16 +3,21 @@
 import asyncio
 import contextlib
 import dataclasses
-import unittest
+import unittest.mock
 
 from parameterized import parameterized
+from tornado.httputil import HTTPHeaders
 
 from tests.entry_harness import EntryHarness
 from tests.test_endless_answers import MOST_BYTES, TIMEOUT, EndlessTarget
 from tests.test_target import SPEC
+from turmericmast.call.call import Loss
 from turmericmast.ids import ServiceId, TargetId
 from turmericmast.region.commands import PlaceTarget
+from turmericmast.web.curl import CurlClient
+from turmericmast.web.relay import Relay
 from turmericmast.web.responselimits import OversizedPart
+from turmericmast.web.transfer import ResponseHead, Transfer, TransferRequest
 
 STREAM_MS = 300
 """Milliseconds for a response that goes on to its caller."""
@@ -121,6 +126,49 @@
         self.assertEqual(statuses, {b'HTTP/1.1 201 Reason'})
 
 
+LENGTH = 1_000_000
+FIRST = ResponseHead(
+    200, 'OK', HTTPHeaders({'ETag': '"v1"', 'Content-Length': str(LENGTH)})
+)
+"""Head of a response that is interrupted after its first part."""
+CONTINUATIONS = [
+    ('other_status', SUCCESS + CHUNKED, b'1\r\na\r\n'),
+    ('failure', b'HTTP/1.1 500 E\r\n\r\n', b'a'),
+    (
+        'other_tag',
+        b'HTTP/1.1 206 P\r\nETag: "v2"\r\n' + CHUNKED,
+        b'1\r\na\r\n',
+    ),
+]
+
+
+class EndlessContinuationTest(unittest.IsolatedAsyncioTestCase):
+    """The rest of a download is asked of a target that sends something else."""
+
+    # Guards against a body that is read until the deadline, though its head
+    # has shown that it is of no use, while another target has the rest.
+    @parameterized.expand(CONTINUATIONS)
+    async def test_continuation(
+        self, _name: str, once: bytes, again: bytes
+    ) -> None:
+        relay = Relay(unittest.mock.Mock(), 'GET')
+        relay.on_head(FIRST)
+        relay.on_chunk(b'a' * (LENGTH // 2))
+        self.assertTrue(relay.range_headers())
+        target = EndlessTarget(once, again)
+        async with target.run() as address:
+            with CurlClient() as curl:
+                request = TransferRequest(
+                    f'http://{address}/', 'GET', (), TIMEOUT, None, 0
+                )
+                transfer = Transfer(curl, request, relay, lambda: True)
+                loss = await asyncio.wait_for(transfer.run(), TIMEOUT / 2)
+                await asyncio.wait_for(target.is_closed.wait(), 1)
+        self.assertIs(loss, Loss.cut_short)
+        self.assertEqual(relay.sent_bytes, LENGTH // 2)
+        self.assertLess(target.sent_bytes, MOST_BYTES)
+
+
 async def _call(
     harness: EntryHarness, target: EndlessTarget, timeout_ms: int
 ) -> bytes:
