--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -83,13 +83,15 @@
     def on_head(self, head: ResponseHead) -> bool:
         """Receive the head; a resumed response must continue the first one.
 
-        Return false if it comes within a response that is being sent.
+        Return false if it does not, or comes within a response that is being
+        sent.
         """
         if self._is_resuming:
-            if not self._is_continuation(head):
+            is_continuation = self._is_continuation(head)
+            if not is_continuation:
                 self.state = RelayState.broken
                 self._has_changed |= head.status < HTTPStatus.MULTIPLE_CHOICES
-            return True
+            return is_continuation
         if self.state is RelayState.streaming:
             return False
         self._discard_body()
@@ -108,10 +110,20 @@
             return True
         self._buffer.append(chunk)
         self._buffered_bytes += len(chunk)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if self._is_buffer_full and not _is_refusal(self.head):
             self._start_streaming()
         return True
 
+    @property
+    def is_overfull(self) -> bool:
+        """Tell whether a refusal is too long to be kept.
+
+        It is not streamed, since another target may succeed.
+        """
+        if self.state is not RelayState.buffered:
+            return False
+        return self._is_buffer_full and _is_refusal(self.head)
+
     def buffered_body(self) -> bytes:
         """Return the buffered bytes of the body."""
         return b''.join(self._buffer)
@@ -136,9 +148,7 @@
             return Loss.cut_short
         if not self.is_delimited:
             return Loss.cut_short
-        ran = head.headers.get(RAN_HEADER, '')
-        is_busy = head.status == HTTPStatus.SERVICE_UNAVAILABLE
-        return Loss.shed if is_busy and ran == Ran.no.value else None
+        return Loss.shed if _is_refusal(head) else None
 
     @property
     def is_failure(self) -> bool:
@@ -236,6 +246,10 @@
         if isinstance(self._connection, HTTP1Connection):
             self._connection.close()
 
+    @property
+    def _is_buffer_full(self) -> bool:
+        return self._buffered_bytes > MAX_BUFFERED_BYTES
+
     def _is_continuation(self, head: ResponseHead) -> bool:
         first = self.head
         if first is None or head.status != HTTPStatus.PARTIAL_CONTENT:
@@ -287,6 +301,13 @@
             self.resume()
 
 
+def _is_refusal(head: ResponseHead | None) -> bool:
+    """Tell whether the target says that it has not run the request."""
+    if head is None or head.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    return head.headers.get(RAN_HEADER, '') == Ran.no.value
+
+
 def _ignore_error(written: 'asyncio.Future[None]') -> None:
     # The close callback of the connection handles a caller that disconnected.
     if not written.cancelled():
