--- a/src/turmericmast/web/unseenbytes.py
+++ b/src/turmericmast/web/unseenbytes.py
@@ -1,7 +1,7 @@
 """Bytes that curl receives on a connection without passing anything on.
 
-curl skips extensions of chunks, and tells neither its callbacks nor its
-progress meter of them; the kernel counts them.
+curl skips extensions of chunks and calls no callback for them; the kernel
+counts them.
 """
 
 import contextlib
