--- /dev/null
+++ b/src/turmericmast/web/connections.py
@@ -0,0 +1,90 @@
+"""The connections that curl has opened, known by their two addresses."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import NewType, final
+
+Descriptor = NewType('Descriptor', int)
+"""File descriptor of a socket that curl owns."""
+AddressPair = tuple[str, int, str, int]
+"""Local and remote address of a connection: IP and port of each."""
+
+
+@final
+class Connection:
+    """One connection to a target or another instance."""
+
+    def __init__(self, descriptor: Descriptor) -> None:
+        """Describe a connection that was just opened."""
+        self.descriptor = descriptor
+        self.served = 0
+        """Requests that were sent on it."""
+
+
+@final
+class Connections:
+    """Finds the connection of a transfer before its first byte is sent.
+
+    curl tells the descriptor when it opens a socket, and only the addresses
+    when it is about to send. It doesn't tell when it closes a connection; the
+    entry is dropped when its descriptor is used again.
+    """
+
+    def __init__(self) -> None:
+        """Start with no connection."""
+        self._unbound: dict[Descriptor, Connection] = {}
+        """Opened, but not yet used for a request."""
+        self._connection_by_pair: dict[AddressPair, Connection] = {}
+        self._pair_by_descriptor: dict[Descriptor, AddressPair] = {}
+
+    def add(self, descriptor: Descriptor) -> None:
+        """Add a socket that is about to be connected."""
+        self._drop(descriptor)
+        self._unbound[descriptor] = Connection(descriptor)
+
+    def find(self, pair: AddressPair) -> Connection | None:
+        """Return the connection with these addresses, if it is known."""
+        for descriptor, connection in tuple(self._unbound.items()):
+            if _addresses(descriptor) == pair:
+                self._bind(connection, pair)
+        return self._connection_by_pair.get(pair)
+
+    def _bind(self, connection: Connection, pair: AddressPair) -> None:
+        self._unbound.pop(connection.descriptor)
+        former = self._connection_by_pair.get(pair)
+        if former:
+            self._drop(former.descriptor)
+        self._connection_by_pair[pair] = connection
+        self._pair_by_descriptor[connection.descriptor] = pair
+
+    def _drop(self, descriptor: Descriptor) -> None:
+        self._unbound.pop(descriptor, None)
+        pair = self._pair_by_descriptor.pop(descriptor, None)
+        if pair:
+            self._connection_by_pair.pop(pair)
+
+
+@contextlib.contextmanager
+def borrowed_socket(descriptor: int) -> Iterator[socket.socket]:
+    """Yield a socket object for a descriptor that curl owns.
+
+    Raises:
+        OSError: if the descriptor is not a socket.
+
+    """
+    borrowed = socket.socket(fileno=descriptor)
+    try:
+        yield borrowed
+    finally:
+        # curl owns the descriptor, so the socket object must not close it.
+        borrowed.detach()
+
+
+def _addresses(descriptor: Descriptor) -> AddressPair | None:
+    """Return both addresses, ``None`` if the socket is not connected."""
+    try:
+        with borrowed_socket(descriptor) as borrowed:
+            return (*borrowed.getsockname()[:2], *borrowed.getpeername()[:2])
+    except OSError:
+        return None
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import math
 import socket
 from types import TracebackType
@@ -13,6 +12,11 @@
 
 from turmericmast.metrics import Metrics
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.connections import (
+    Connections,
+    Descriptor,
+    borrowed_socket,
+)
 from turmericmast.web.responselimits import OversizedPart, count_oversized
 from turmericmast.web.unseenbytes import UnseenBytes
 
@@ -68,6 +72,8 @@
         """Number of the current call into curl, which reads and writes."""
         self._is_closed = False
         self._unseen = UnseenBytes()
+        self.connections = Connections()
+        """The connections that were opened."""
 
     def __enter__(self) -> Self:
         """Return the client."""
@@ -102,7 +108,7 @@
         handle.setopt(pycurl.PROXY, '')
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._connect_timeout_ms)
         handle.setopt(pycurl.MAXAGE_CONN, self._idle_seconds)
-        handle.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket_opened)
         handle.setopt(pycurl.PATH_AS_IS, 1)
         handle.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         return handle
@@ -158,6 +164,11 @@
     def _is_running(self, transfer: 'Transfer') -> bool:
         return self._transfer_by_handle.get(transfer.handle) is transfer
 
+    def _on_socket_opened(self, descriptor: int, _purpose: int) -> int:
+        _set_user_timeout(descriptor)
+        self.connections.add(Descriptor(descriptor))
+        return int(pycurl.SOCKOPT_OK)
+
     def _on_socket(self, event: int, fd: int, multi: Any, token: Any) -> None:
         wanted_events = {
             pycurl.POLL_NONE: 0,
@@ -258,14 +269,11 @@
             transfer.finish(code)
 
 
-def _set_socket_options(descriptor: int, purpose: int) -> int:
+def _set_user_timeout(descriptor: int) -> None:
     """Limit the time until a connection to an unreachable host ends."""
-    with contextlib.closing(socket.socket(fileno=descriptor)) as borrowed:
+    with borrowed_socket(descriptor) as borrowed:
         borrowed.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
             USER_TIMEOUT_MS,
         )
-        # curl owns the descriptor, so the socket object must not close it.
-        borrowed.detach()
-    return int(pycurl.SOCKOPT_OK)
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -18,6 +18,7 @@
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
+from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.responselimits import (
     HeadSize,
@@ -125,6 +126,8 @@
         self._share = TurnShare()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
+        self._connection: Connection | None = None
+        """The connection that the request was sent on, once it is known."""
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -204,13 +207,23 @@
         handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
         handle.setopt(pycurl.WRITEFUNCTION, self._on_write)
 
-    def _on_send(self, *_addresses: Any) -> int:
+    def _on_send(
+        self,
+        remote_ip: str,
+        local_ip: str,
+        remote_port: int,
+        local_port: int,
+    ) -> int:
         if self.progress is not Progress.new:
             return int(pycurl.PREREQFUNC_ABORT)
         if not self._may_send():
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
+        pair = (local_ip, local_port, remote_ip, remote_port)
+        self._connection = self._curl.connections.find(pair)
+        if self._connection:
+            self._connection.served += 1
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_read(self, size: int) -> Any:
--- a/src/turmericmast/web/unseenbytes.py
+++ b/src/turmericmast/web/unseenbytes.py
@@ -4,11 +4,11 @@
 counts them.
 """
 
-import contextlib
 import socket
 import struct
 from typing import final
 
+from turmericmast.web.connections import borrowed_socket
 from turmericmast.web.responselimits import MAX_FRAMING_BYTES
 
 RECEIVED_BYTES = struct.Struct('=128xQ')
@@ -52,10 +52,8 @@
 
     It is 0 where the kernel does not tell; then only time limits them.
     """
-    with contextlib.closing(socket.socket(fileno=fd)) as borrowed:
+    with borrowed_socket(fd) as borrowed:
         octets = _read_info(borrowed)
-        # curl owns the descriptor, so the socket object must not close it.
-        borrowed.detach()
     if len(octets) < RECEIVED_BYTES.size:
         return 0
     return int(RECEIVED_BYTES.unpack(octets)[0])
