Lines: bytes on a connection that has no request

Now an epoll object of the client holds the idle connections, and the loop watches that object. Bytes of no request are counted (stutters_total) and written at once as a stray_bytes line, with the peer, the targets at its address and the last request that was sent there. No decision changes.

Weighed: the loop's own handler for each idle connection costs two calls of tornado a request; a check right before the next request is sent would be one system call, but is no sooner than the next request; curl's callback for closing a socket isn't run by pycurl once the first handle has ended.

--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -20,6 +20,12 @@
         self.descriptor = descriptor
         self.served = 0
         """Requests that were sent on it."""
+        self.address = ''
+        """Host and port of the peer, as the last request named them."""
+        self.last_request = ''
+        """Id of the last request, empty for a health check."""
+        self.is_watched = False
+        """Whether it was idle before."""
 
 
 @final
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -17,6 +17,7 @@
     Descriptor,
     borrowed_socket,
 )
+from turmericmast.web.keptconnections import KeptConnections
 from turmericmast.web.responselimits import OversizedPart, count_oversized
 from turmericmast.web.unseenbytes import UnseenBytes
 
@@ -74,9 +75,11 @@
         self._unseen = UnseenBytes()
         self.connections = Connections()
         """The connections that were opened."""
+        self.kept_connections = KeptConnections()
 
     def __enter__(self) -> Self:
-        """Return the client."""
+        """Return the client; begin to watch idle connections."""
+        self.kept_connections.__enter__()
         return self
 
     def __exit__(
@@ -96,6 +99,7 @@
         self._events_by_fd.clear()
         while self._idle:
             self._idle.pop().close()
+        self.kept_connections.__exit__(kind, error, trace)
         self._multi.close()
 
     def acquire_handle(self) -> Any:
@@ -265,7 +269,11 @@
     def _finish(self, handle: Any, code: int) -> None:
         transfer = self._transfer_by_handle.get(handle)
         if transfer:
+            is_kept = code == pycurl.E_OK and (
+                handle.getinfo(pycurl.ACTIVESOCKET) >= 0
+            )
             self.remove(transfer)
+            transfer.end_use(is_kept=is_kept)
             transfer.finish(code)
 
 
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -11,6 +11,7 @@
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.firstroutes import FirstRoutes
+from turmericmast.web.framingreports import FramingReports
 from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.heldbytes import HeldBytes
 from turmericmast.web.loadsharing import LoadSharing
@@ -35,6 +36,7 @@
     first_routes: FirstRoutes = dataclasses.field(default_factory=FirstRoutes)
     held_bytes: HeldBytes = dataclasses.field(default_factory=HeldBytes)
     statements: TargetStatements = dataclasses.field(init=False)
+    framing: FramingReports = dataclasses.field(init=False)
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
@@ -47,6 +49,8 @@
             self.metrics,
             self.events,
         )
+        self.framing = FramingReports(self.edge, self.metrics, self.events)
+        self.curl.kept_connections.on_stray = self.framing.apply_stray
         self.prober.on_statement = self.statements.apply_health
         self.load_sharing.on_departure = self.statements.apply_news
 
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -24,6 +24,7 @@
     target_failed = 'request_failed_at_target'
     eligibility_changed = 'target_trust'
     response_rejected = 'response_rejected'
+    stray_bytes = 'stray_bytes'
     target_crashed = 'target_crashed'
     target_leaving = 'target_leaving'
     target_paused = 'target_paused'
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -147,6 +147,7 @@
             timeout=time_left,
             body=body.open_reader(resume) if has_body else None,
             body_size=int(length) if length else known_size,
+            name=self.request_id,
         )
 
 
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -56,6 +56,8 @@
     uses_kept_connection: bool = True
     """Whether the connection may have served an earlier request, and may be
     kept for a later one."""
+    name: str = ''
+    """Id of the request in log lines, empty for a health check."""
 
 
 class ResponseSink(abc.ABC):
@@ -126,6 +128,7 @@
         self._share = TurnShare()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
+        self._address = ''
         self._connection: Connection | None = None
         """The connection that the request was sent on, once it is known."""
 
@@ -150,6 +153,14 @@
             self._is_paused = False
             self._curl.resume(self)
 
+    def end_use(self, *, is_kept: bool) -> None:
+        """Note that the transfer has ended, and what becomes of its connection.
+
+        ``is_kept`` tells whether curl keeps it for a later transfer.
+        """
+        if is_kept and self._connection:
+            self._curl.kept_connections.end_use(self._connection)
+
     def finish(self, code: int) -> None:
         """Receive the result code of curl."""
         # curl also reports success if the connection ends within the head.
@@ -191,6 +202,7 @@
         """Send the path as it is, while curl normalises that of a URL."""
         scheme, _, rest = self._request.url.partition('://')
         address, _, path = rest.partition('/')
+        self._address = address
         self.handle.setopt(pycurl.URL, f'{scheme}://{address}/')
         # Tornado decodes the octets of a path as Latin-1.
         self.handle.setopt(pycurl.REQUEST_TARGET, f'/{path}'.encode('latin-1'))
@@ -223,7 +235,9 @@
         pair = (local_ip, local_port, remote_ip, remote_port)
         self._connection = self._curl.connections.find(pair)
         if self._connection:
-            self._connection.served += 1
+            self._curl.kept_connections.begin_use(
+                self._connection, self._address, self._request.name
+            )
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_read(self, size: int) -> Any:
