Connections: none is used again that got bytes or was ended

Callers saw: an order that failed with 502 although its target works, when the connection of the request before had got a second response, or its end, less than a second ago.

Cause: curl looks at an idle connection only when it wants to use it, and not at all if it was used within the last second; it closes one with unread bytes at once, which resets it. So does each connection that is not kept, and each one whose response is rejected.

Change: a connection that got bytes or its end while it was idle is retired. If curl chooses it, the transfer ends before its first byte and begins on a new connection. A target whose response was rejected is told at once that nothing more is sent, so that it drops the request as before. A cancelled transfer closes at once as before.

--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -53,8 +53,7 @@
         """
         self.has_echoed = False
         """Whether the response bore the id of the attempt."""
-        self.is_foreign = False
-        """Whether a response to another request has arrived."""
+        self._is_foreign = False
         self._sink = sink
         self._attempt = attempt
         self._must_echo = must_echo
@@ -64,13 +63,18 @@
         echoed = head.headers.get(CALL_HEADER)
         self.has_echoed = echoed == self._attempt
         may_lack_id = echoed is None and not self._must_echo
-        self.is_foreign = not self.has_echoed and not may_lack_id
-        return not self.is_foreign and self._sink.on_head(head)
+        self._is_foreign = not self.has_echoed and not may_lack_id
+        return not self._is_foreign and self._sink.on_head(head)
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Pass on a part of the body; false to get it again later."""
         return self._sink.on_chunk(chunk)
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether a response to another request has arrived."""
+        return self._is_foreign
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether the body exceeds what the sink can use."""
--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -24,6 +24,8 @@
         """Host and port of the peer, as the last request named them."""
         self.last_request = ''
         """Id of the last request, empty for a health check."""
+        self.is_retired = False
+        """Whether no further request may be sent on it."""
         self.is_watched = False
         """Whether it was idle before."""
 
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -273,7 +273,7 @@
                 handle.getinfo(pycurl.ACTIVESOCKET) >= 0
             )
             self.remove(transfer)
-            transfer.end_use(is_kept=is_kept)
+            transfer.end_use(code, is_kept=is_kept)
             transfer.finish(code)
 
 
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -137,6 +137,11 @@
         """Tell whether the response can be neither buffered nor forwarded."""
         return not self._is_forwarded and self.octets > MAX_BUFFERED_BYTES
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether the response was rejected."""
+        return self.rejection is not None
+
     def final_loss(self, loss: Loss | None) -> Loss | None:
         """Return how the attempt failed; ``loss`` is that of the transfer."""
         if loss is Loss.never_sent:
--- a/src/turmericmast/web/idlewatch.py
+++ b/src/turmericmast/web/idlewatch.py
@@ -6,6 +6,7 @@
 
 import fcntl
 import select
+import socket
 import struct
 import termios
 from collections.abc import Callable
@@ -14,7 +15,11 @@
 
 from tornado.ioloop import IOLoop
 
-from turmericmast.web.connections import Connection, Descriptor
+from turmericmast.web.connections import (
+    Connection,
+    Descriptor,
+    borrowed_socket,
+)
 
 UNREAD = struct.Struct('=i')
 """The number of unread bytes, as the kernel returns it."""
@@ -93,3 +98,14 @@
     """Return how many bytes of a connection wait to be read."""
     octets = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(UNREAD.size))
     return int(UNREAD.unpack(octets)[0])
+
+
+def has_ended(descriptor: Descriptor) -> bool:
+    """Tell whether a connection without unread bytes was ended by the peer."""
+    with borrowed_socket(descriptor) as borrowed:
+        try:
+            return not borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -1,5 +1,6 @@
-"""Connections between two requests: whether the next one may use them."""
+"""Connections between two requests, and after the last one."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable
 from types import TracebackType
@@ -7,7 +8,8 @@
 
 from turmericmast.balance.framing import Stutter
 from turmericmast.web.connections import Connection
-from turmericmast.web.idlewatch import IdleWatch, unread_bytes
+from turmericmast.web.idlewatch import IdleWatch, has_ended, unread_bytes
+from turmericmast.web.lingering import Duplicate, Lingering
 
 
 @final
@@ -28,17 +30,25 @@
 
 @final
 class KeptConnections:
-    """Follows connections from the end of one request to the next one."""
+    """Decides whether a connection that curl keeps may be used again.
+
+    One that got bytes while it was idle, or that was ended, is not. What still
+    comes on a connection that is used no more is read and dropped for a while,
+    since closing it at once may interrupt the peer.
+    """
 
     def __init__(self) -> None:
         """Begin without connections."""
+        self._stack = contextlib.ExitStack()
         self._idle = IdleWatch(self._on_idle_ready)
+        self._lingering = Lingering()
         self.on_stray: Callable[[StrayBytes], None] = _ignore_stray
         """Called when a peer has sent bytes that answer no request."""
 
     def __enter__(self) -> Self:
         """Begin to watch connections."""
-        self._idle.__enter__()
+        self._stack.enter_context(self._idle)
+        self._stack.enter_context(self._lingering)
         return self
 
     def __exit__(
@@ -47,26 +57,66 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Watch nothing any more."""
-        self._idle.__exit__(kind, error, trace)
+        """Watch nothing any more, and end what lingers."""
+        self._stack.close()
+
+    def __len__(self) -> int:
+        """Return the number of connections that are held or that linger."""
+        return len(self._lingering)
 
     def begin_use(
         self, connection: Connection, address: str, request: str
-    ) -> None:
-        """Note that ``request`` is about to be sent on a connection."""
+    ) -> bool:
+        """Note that ``request`` is about to be sent on a connection.
+
+        Return whether it may be.
+        """
         self._idle.remove(connection)
+        if connection.is_retired:
+            return False
         connection.served += 1
         connection.address = address
         connection.last_request = request
+        return True
 
-    def end_use(self, connection: Connection) -> None:
+    def keep(self, connection: Connection) -> None:
         """Note that a request has ended, and that curl keeps its connection."""
         self._idle.add(connection)
 
+    def hold(self, connection: Connection) -> Duplicate | None:
+        """Keep a connection open while curl may close it.
+
+        Return ``None`` if too many are held. Each one ends with ``release`` or
+        ``linger``.
+        """
+        return self._lingering.duplicate(connection.descriptor)
+
+    def release(self, held: Duplicate) -> None:
+        """Leave a connection to curl alone, which may have closed it."""
+        self._lingering.release(held)
+
+    def linger(self, held: Duplicate) -> None:
+        """Close a connection when the peer has stopped to write.
+
+        The peer is told at once that it gets nothing more.
+        """
+        held.stop_sending()
+        self._lingering.linger(held)
+
     def _on_idle_ready(self, connection: Connection) -> None:
         octets = unread_bytes(connection.descriptor)
+        if not octets and not has_ended(connection.descriptor):
+            # The event was of an earlier connection with this descriptor.
+            self._idle.add(connection)
+            return
+        connection.is_retired = True
         if octets:
             self._report(Stutter.idle, connection, octets)
+            held = self.hold(connection)
+            if held:
+                # It is ended only when the peer is silent: the peer may take
+                # an end for one of the request that it still writes about.
+                self._lingering.linger(held)
 
     def _report(
         self, stutter: Stutter, connection: Connection, octets: int
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -213,6 +213,11 @@
         self._octets += len(chunk)
         return True
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether the response belongs to an earlier request."""
+        return self.metadata is not None and self.metadata.answers_request
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether the body is longer than any health response."""
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -20,6 +20,7 @@
 from turmericmast.web.body import BodyReader
 from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.lingering import Duplicate
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -80,6 +81,14 @@
         """Tell whether to abort: the body exceeds what the sink can use."""
         return False
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether the response was rejected as not that to the request.
+
+        Another, earlier one may have been whole, and may still be written.
+        """
+        return False
+
 
 @final
 class Progress(enum.Enum):
@@ -131,6 +140,10 @@
         self._address = ''
         self._connection: Connection | None = None
         """The connection that the request was sent on, once it is known."""
+        self._needs_new_connection = False
+        """Whether curl chose a connection that must not be used again."""
+        self._held: Duplicate | None = None
+        """Keeps the connection open until the end of the transfer."""
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -145,6 +158,7 @@
         ``run`` returns ``Loss.timed_out``.
         """
         self._curl.remove(self)
+        self._release(lingers=False)
         self._settle(Loss.timed_out)
 
     def resume(self) -> None:
@@ -153,16 +167,22 @@
             self._is_paused = False
             self._curl.resume(self)
 
-    def end_use(self, *, is_kept: bool) -> None:
-        """Note that the transfer has ended, and what becomes of its connection.
+    def end_use(self, code: int, *, is_kept: bool) -> None:
+        """Note that curl has ended the transfer with a result code.
 
-        ``is_kept`` tells whether curl keeps it for a later transfer.
+        ``is_kept`` tells whether it keeps the connection for a later one.
         """
         if is_kept and self._connection:
-            self._curl.kept_connections.end_use(self._connection)
+            self._curl.kept_connections.keep(self._connection)
+        # Otherwise the target may be writing a second response, after a whole
+        # one or within one that was rejected.
+        self._release(lingers=not is_kept and self._may_continue(code))
 
     def finish(self, code: int) -> None:
         """Receive the result code of curl."""
+        if self._needs_new_connection:
+            self._begin_anew()
+            return
         # curl also reports success if the connection ends within the head.
         if code == pycurl.E_OK and self.progress is Progress.head:
             self.progress = Progress.whole
@@ -170,6 +190,30 @@
         else:
             self._settle(self._loss(code))
 
+    def _may_continue(self, code: int) -> bool:
+        is_whole = code == pycurl.E_OK and self.progress is Progress.head
+        is_rejected = self.progress is Progress.sending
+        return is_whole or is_rejected or self._sink.is_foreign
+
+    def _release(self, *, lingers: bool) -> None:
+        held = self._held
+        self._held = None
+        if held and lingers:
+            self._curl.kept_connections.linger(held)
+        elif held:
+            self._curl.kept_connections.release(held)
+
+    def _begin_anew(self) -> None:
+        """Begin on a new connection; the one that curl chose is not used.
+
+        No byte was sent there.
+        """
+        self.handle = self._curl.acquire_handle()
+        self._prepare()
+        self._set_connection_use()
+        self._needs_new_connection = False
+        self._curl.start(self)
+
     def _loss(self, code: int) -> Loss:
         if self.progress in {Progress.new, Progress.vetoed}:
             return Loss.never_sent
@@ -209,7 +253,8 @@
 
     def _set_connection_use(self) -> None:
         is_single_use = int(not self._request.uses_kept_connection)
-        self.handle.setopt(pycurl.FRESH_CONNECT, is_single_use)
+        is_new = int(is_single_use or self._needs_new_connection)
+        self.handle.setopt(pycurl.FRESH_CONNECT, is_new)
         self.handle.setopt(pycurl.FORBID_REUSE, is_single_use)
 
     def _set_callbacks(self) -> None:
@@ -228,17 +273,23 @@
     ) -> int:
         if self.progress is not Progress.new:
             return int(pycurl.PREREQFUNC_ABORT)
+        pair = (local_ip, local_port, remote_ip, remote_port)
+        self._connection = self._curl.connections.find(pair)
+        if not self._begin_use():
+            self._needs_new_connection = True
+            return int(pycurl.PREREQFUNC_ABORT)
         if not self._may_send():
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
-        pair = (local_ip, local_port, remote_ip, remote_port)
-        self._connection = self._curl.connections.find(pair)
-        if self._connection:
+        return int(pycurl.PREREQFUNC_OK)
+
+    def _begin_use(self) -> bool:
+        return self._connection is None or (
             self._curl.kept_connections.begin_use(
                 self._connection, self._address, self._request.name
             )
-        return int(pycurl.PREREQFUNC_OK)
+        )
 
     def _on_read(self, size: int) -> Any:
         chunk = self._request.body.read(size) if self._request.body else b''
@@ -274,6 +325,8 @@
         return False
 
     def _on_head(self) -> bool:
+        if self._connection and not self._held:
+            self._held = self._curl.kept_connections.hold(self._connection)
         try:
             head = _parse_head(self._head_lines)
         except HTTPInputError:
