Wire: one message can't stop the process that receives it

Worse, found on the way: a first frame of 3.8 MiB, which any client may send, with lists of empty records stopped it for 4.5 s of processor time.

Cause, measured: of 1.0 s of processor time for a frame of 96 MiB (fields of numbers), the longest stop while reading and joining was 0.08 s, and decoding took 0.92 s. Thrift skips unknown fields to the end of the frame (up to 16 ns a byte) and makes an object of each record, even an empty one (1.1 us for a byte on the wire). Decoding text that isn't UTF-8 takes 9 ns a byte.

Change: what a peer sent is decoded within limits that follow from the kinds of messages: 16,384 records, 4 MiB beside strings that reach beyond a piece of 256 KiB, 4 MiB of text. Classes that count stand in for the generated ones while Thrift decodes. The bytes are read in pieces, with a turn of the loop after each, and aren't joined but for long strings. A frame has 68 MiB at most, the longest string and what may be around it: a longer one was never decoded. Records of our own disk and log keep the limits that they had.

Why it works: decoding ends at the first limit, so its time no longer depends on the length of the frame but for copying strings. The bound is the quarter of a second from which a held request costs.

--- a/src/turmericmast/wire/codec.py
+++ b/src/turmericmast/wire/codec.py
@@ -11,11 +11,19 @@
 from turmericmast.exceptions import WireError
 from turmericmast.wire.generated import ttypes
 from turmericmast.wire.mapping import message_from_body, message_to_body
+from turmericmast.wire.receiving import (
+    MAX_TEXT_BYTES,
+    LongReceivedStruct,
+    Pieces,
+    ReceivedStruct,
+    ShortReceivedStruct,
+    split,
+)
 
-MAX_STRING_BYTES = 67_108_864
-"""Bytes of the longest string or binary field that is decoded."""
-MAX_CONTAINER_LENGTH = 1_000_000
-"""Elements of the longest list that is decoded."""
+MAX_STORED_STRING_BYTES = 67_108_864
+"""Bytes of the longest string or binary field in a stored record."""
+MAX_STORED_CONTAINER_LENGTH = 1_000_000
+"""Elements of the longest list in a stored record."""
 DECODE_ERRORS = (
     TException,
     EOFError,
@@ -27,6 +35,11 @@
 )
 """Exceptions that decoding raises on bytes that are no valid message."""
 
+_SHORT_BODY = ShortReceivedStruct(ttypes.Body)
+_LONG_BODY = LongReceivedStruct(ttypes.Body)
+_SHORT_ENVELOPE = ShortReceivedStruct(ttypes.Envelope)
+_LONG_ENVELOPE = LongReceivedStruct(ttypes.Envelope)
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,8 +64,14 @@
 
 
 def decode(octets: bytes) -> Result[Any, WireError]:
-    """Return the message in an encoded ``Body``."""
-    return _read(ttypes.Body, octets).bind(_message_from)
+    """Return the message in an encoded ``Body`` of our own disk or log."""
+    return _read_stored(octets).bind(_message_from)
+
+
+def decode_received(octets: bytes) -> Result[Any, WireError]:
+    """Return the message in an encoded ``Body`` that a peer sent."""
+    decoder = _SHORT_BODY if len(octets) <= MAX_TEXT_BYTES else _LONG_BODY
+    return _read_received(decoder, split(octets)).bind(_message_from)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -70,7 +89,14 @@
 
 def decode_envelope(octets: bytes) -> Result[Envelope, WireError]:
     """Return the envelope that a frame holds."""
-    return _read(ttypes.Envelope, octets).bind(_envelope_from)
+    return decode_envelope_pieces(split(octets))
+
+
+def decode_envelope_pieces(pieces: Pieces) -> Result[Envelope, WireError]:
+    """Return the envelope that a frame holds, and take out its pieces."""
+    is_short = sum(map(len, pieces)) <= MAX_TEXT_BYTES
+    decoder = _SHORT_ENVELOPE if is_short else _LONG_ENVELOPE
+    return _read_received(decoder, pieces).bind(_envelope_from)
 
 
 def _write(struct: Any) -> bytes:
@@ -80,12 +106,12 @@
     return octets
 
 
-def _read(struct_class: Any, octets: bytes) -> Result[Any, WireError]:
-    struct = struct_class()
+def _read_stored(octets: bytes) -> Result[Any, WireError]:
+    struct = ttypes.Body()
     protocol = TCompactProtocolAccelerated(
         TMemoryBuffer(octets),
-        string_length_limit=MAX_STRING_BYTES,
-        container_length_limit=MAX_CONTAINER_LENGTH,
+        string_length_limit=MAX_STORED_STRING_BYTES,
+        container_length_limit=MAX_STORED_CONTAINER_LENGTH,
     )
     try:
         struct.read(protocol)
@@ -94,6 +120,15 @@
     return Success(struct)
 
 
+def _read_received(
+    decoder: ReceivedStruct, pieces: Pieces
+) -> Result[Any, WireError]:
+    try:
+        return Success(decoder.decode(pieces))
+    except DECODE_ERRORS as error:
+        return Failure(_decode_error(repr(error)))
+
+
 def _envelope_from(struct: Any) -> Result[Envelope, WireError]:
     if struct.body is None:
         return Failure(_decode_error('the envelope has no body'))
--- a/src/turmericmast/wire/datagrams.py
+++ b/src/turmericmast/wire/datagrams.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from turmericmast.metrics import Metrics
-from turmericmast.wire.codec import decode, encode
+from turmericmast.wire.codec import decode_received, encode
 
 
 @final
@@ -55,7 +55,7 @@
 
     def datagram_received(self, octets: bytes, address: Any) -> None:
         """Pass on a message; drop and count one that cannot be decoded."""
-        message = decode(octets)
+        message = decode_received(octets)
         if isinstance(message, Success):
             self._receive(message.unwrap())
         else:
--- a/src/turmericmast/wire/feedpacking.py
+++ b/src/turmericmast/wire/feedpacking.py
@@ -10,7 +10,7 @@
 
 from turmericmast.cluster.records import ClusterFeed
 from turmericmast.exceptions import WireError
-from turmericmast.wire.codec import decode, encode
+from turmericmast.wire.codec import decode_received, encode
 
 COMPRESSION_LEVEL = 1
 """Level of zlib; higher ones save little on feeds and take longer."""
@@ -34,7 +34,7 @@
         return Failure(
             _error(f'it is cut off or has over {MAX_FEED_BYTES} bytes')
         )
-    return decode(encoded).bind(_checked)
+    return decode_received(encoded).bind(_checked)
 
 
 def _checked(feed: object) -> Result[ClusterFeed, WireError]:
--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -1,6 +1,7 @@
 """Frames on a TCP stream: a length, then an envelope of that many bytes."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 import struct
@@ -11,15 +12,22 @@
 from tornado.iostream import IOStream
 
 from turmericmast.exceptions import WireError
-from turmericmast.wire.codec import Envelope, decode_envelope, encode_envelope
+from turmericmast.wire.codec import (
+    Envelope,
+    decode_envelope_pieces,
+    encode_envelope,
+)
+from turmericmast.wire.receiving import (
+    MAX_STRING_BYTES,
+    MAX_STRUCTURE_BYTES,
+    PIECE_BYTES,
+    Pieces,
+)
 
 LENGTH_PREFIX = struct.Struct('>I')
 """Length of the envelope in bytes, an unsigned 32-bit big-endian integer."""
-MAX_FRAME_BYTES = 104_726_528
-"""Bytes of the longest frame; only snapshots come near to it.
-
-A stream buffers 131,072 bytes more at most, some of which may belong to the
-next frame."""
+MAX_FRAME_BYTES = MAX_STRING_BYTES + MAX_STRUCTURE_BYTES
+"""Bytes of the longest frame: the longest snapshot, and what is around it."""
 MAX_LONG_FRAME_BYTES = 134_217_728
 """Bytes of the long frames that a process receives at the same time.
 
@@ -116,13 +124,13 @@
 
     async def _read_envelope(self, length: int) -> Result[Envelope, WireError]:
         try:
-            octets = await _read_in_time(self._stream, length)
+            pieces = await _read_in_time(self._stream, length)
         except TimeoutError:
             return self._failure(
                 f'the frame was not complete after {FRAME_TIMEOUT:g} s',
                 'check the network between this host and the peer',
             )
-        return decode_envelope(octets)
+        return decode_envelope_pieces(pieces)
 
     def _failure(self, message: str, hint: str) -> Result[Envelope, WireError]:
         return Failure(
@@ -130,9 +138,17 @@
         )
 
 
-async def _read_in_time(stream: IOStream, length: int) -> bytes:
+async def _read_in_time(stream: IOStream, length: int) -> Pieces:
+    pieces: Pieces = collections.deque()
+    missing = length
     async with asyncio.timeout(FRAME_TIMEOUT):
-        return await stream.read_bytes(length)
+        while missing > PIECE_BYTES:
+            pieces.append(await stream.read_bytes(PIECE_BYTES))
+            missing -= PIECE_BYTES
+            # Bytes that have arrived are read without suspending the task.
+            await asyncio.sleep(0)
+        pieces.append(await stream.read_bytes(missing))
+    return pieces
 
 
 def set_socket_options(stream: IOStream) -> None:
