--- a/bench/httpclient.py
+++ b/bench/httpclient.py
@@ -7,7 +7,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, final
 
 MAX_IDLE = 256
@@ -83,16 +83,18 @@
 
     def _read_head(self, head: bytes) -> None:
         lines = head.decode('latin-1').split('\r\n')
-        headers = {
-            name.title(): text
-            for name, _, text in map(_split_header, lines[1:])
-        }
+        headers = headers_by_name(lines[1:])
         self._head = (int(lines[0].split(' ')[1]), headers)
         self._body_octets_left = int(headers.get('Content-Length', '0'))
         if headers.get('Connection') == 'close':
             self.is_closed = True
 
 
+def headers_by_name(lines: Iterable[str]) -> dict[str, str]:
+    """Return the values of header lines by name, in title case."""
+    return {name.title(): text for name, _, text in map(_split_header, lines)}
+
+
 def _split_header(line: str) -> tuple[str, str, str]:
     return line.partition(': ')
 
--- a/bench/machines.py
+++ b/bench/machines.py
@@ -28,6 +28,7 @@
 from tornado.web import Application, RequestHandler
 
 from bench.layout import free_block
+from bench.measurements import processor_seconds
 from bench.targetwishes import Arrival
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -282,13 +283,38 @@
         ``bootstrap`` allows a core member to bootstrap the group. ``root`` has
         the sources, by default those of the first start.
         """
-        source = root or self.roots[0]
-        name = f'{role}-{zone}'
-        settings = self.folder / f'{name}.json'
-        settings.write_text(
-            json.dumps(self._settings(role, zone, bootstrap=bootstrap)),
-            encoding='utf-8',
+        self._launch(
+            role,
+            f'{role}-{zone}',
+            self._settings(role, zone, bootstrap=bootstrap),
+            root or self.roots[0],
         )
+
+    def add_edge(self, zone: str, number: int) -> str:
+        """Start one more edge in a zone; return its address for callers.
+
+        ``number`` is 2 or higher.
+        """
+        settings = self._settings('edge', zone, bootstrap=True, number=number)
+        self._launch('edge', f'edge-{zone}-{number}', settings, self.roots[0])
+        return str(settings['listen']['front'])
+
+    def processor_seconds(self) -> dict[str, float]:
+        """Return the processor time of each running process, in seconds."""
+        return {
+            name: processor_seconds(process.pid)
+            for name, process in self._process_by_name.items()
+        }
+
+    def _launch(
+        self,
+        role: str,
+        name: str,
+        document: dict[str, Any],
+        source: pathlib.Path,
+    ) -> None:
+        settings = self.folder / f'{name}.json'
+        settings.write_text(json.dumps(document), encoding='utf-8')
         with (self.folder / f'{name}.log').open('ab') as output:
             self._process_by_name[name] = subprocess.Popen(
                 [sys.executable, str(source / 'deploy' / 'launch.py'), role],
@@ -415,8 +441,13 @@
         zone: str,
         *,
         bootstrap: bool,
+        number: int = 1,
     ) -> dict[str, Any]:
         ip = self.ip_by_zone[zone]
+        suffix = ''
+        if number > 1:
+            suffix = f'-{number}'
+            ip = ip.replace('127.0.0.', f'127.0.{number}.')
         listen = (
             {'control': f'{ip}:{self.ports[3]}'}
             if role == 'core'
@@ -427,7 +458,7 @@
             }
         )
         return {
-            'node_name': f'front-{zone}-1',
+            'node_name': f'front-{zone}-{number}',
             'role': role,
             'ip': ip,
             'zone': zone,
@@ -440,7 +471,7 @@
                 for seed_ip in self.ip_by_zone.values()
             ],
             'bootstrap': bootstrap,
-            'data_dir': str(self.folder / f'data-{role}-{zone}'),
+            'data_dir': str(self.folder / f'data-{role}-{zone}{suffix}'),
             'heartbeat_interval_s': 1.5,
             'bounds': {'grace_s': 3, 'ttl_max_s': 1},
         }
--- a/bench/measurements.py
+++ b/bench/measurements.py
@@ -53,21 +53,28 @@
 
     Octets sent are 0 for targets, which have no metrics.
     """
-    process = pathlib.Path('/proc') / str(fleet.process_by_name[name].pid)
-    # The fields after the name of the program; 11 and 12 of them are the CPU
-    # time in user and in system mode.
-    fields = (process / 'stat').read_text().rpartition(')')[2].split()
+    pid = fleet.process_by_name[name].pid
+    process = pathlib.Path('/proc') / str(pid)
     pages = int((process / 'statm').read_text().split()[1])
     plan = fleet.plan_by_name.get(name)
     counters = fetch_metrics(plan.http) if plan else {}
     return ProcessSample(
         time.monotonic(),
-        (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND,
+        processor_seconds(pid),
         pages * os.sysconf('SC_PAGE_SIZE') / 1024**2,
         int(counters.get('turmericmast_bytes_sent_total', 0)),
     )
 
 
+def processor_seconds(pid: int) -> float:
+    """Return the CPU time of a running process since its start."""
+    stat = pathlib.Path('/proc') / str(pid) / 'stat'
+    # The fields after the name of the program; 11 and 12 of them are the CPU
+    # time in user and in system mode.
+    fields = stat.read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
 def usage_between(before: ProcessSample, after: ProcessSample) -> ResourceUsage:
     """Return the resources used between two samples."""
     seconds = after.taken_at - before.taken_at
