Edge: status and id of a response come from one head

Callers got the status of one response with id, headers and signature of another, when a late second response was cut within its head and the next one followed in the same line: a signed 200 for a target's 500, and a 503 that promises "not run" for an order that had run.

Cause: a head was read as one list of lines. A status line was looked for at the begin of a line only, and the id proved the whole head, though the id can come from another response than the status.

Change: web/responsehead.py reads the lines of a head and knows which part of it certainly belongs to the status: the lines before the first one in which another status line may begin. Id, signature, promise, load and statements are read from that part only. What follows may hold no id, signature or promise, and for a success no length: these would be of another response or of both. An interim head that may hold another head ends the transfer at once, instead of waiting for a head that has already come.

The attempt fails as one with a response to another request does.

Weighed: to reject any status line within a head would be the simplest, but headers may quote one (tests/test_interleaved_heads.py has one after the id). To go by the id alone would let a response that is cut after its id take the length, and so the body, of a response without id, as those to health checks are. So a success that quotes a whole status line between its id and its length is rejected; one that merely names the protocol is not. Not told apart: a failure with a proven id, cut in a later header, and a response without an id after it; its status is its own, its body may not be.

--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -9,7 +9,8 @@
 
 from turmericmast.ids import AttemptId
 from turmericmast.web.parse import CALL_HEADER
-from turmericmast.web.transfer import ResponseHead, ResponseSink
+from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.transfer import ResponseSink
 
 MAX_TARGETS = 4096
 """Addresses that are remembered to send the id back."""
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -11,7 +11,8 @@
 from turmericmast.ids import TargetId
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
 from turmericmast.web.relay import Relay, RelayState
-from turmericmast.web.transfer import ResponseHead, ResponseSink
+from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.transfer import ResponseSink
 
 MAX_BUFFERED_BYTES = 65_536
 """Bytes buffered of a response whose status is 300 or above.
@@ -31,6 +32,8 @@
     """It was encoded on the way."""
     unsigned = 'unsigned'
     """It reports success without the target's signature."""
+    joined_head = 'joined_head'
+    """Its status may belong to another response than its headers."""
 
 
 @final
@@ -100,8 +103,7 @@
 
     def on_head(self, head: ResponseHead) -> bool:
         """Forward, buffer or reject the response; false ends the transfer."""
-        metadata = self._header_format.read_response(head.status, head.headers)
-        is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
+        metadata = self._header_format.read_response(head.status, head.certain)
         self.status = head.status
         self.named_request = metadata.request_id
         self.rejection = self._find_rejection(head, metadata)
@@ -111,7 +113,7 @@
         self._metadata = metadata
         if not metadata.is_misdirected:
             self.on_statement(head.status, metadata.statement)
-        if not is_success:
+        if not head.is_success:
             return True
         self._is_forwarded = self._claim(self)
         self.is_superseded = not self._is_forwarded
@@ -196,16 +198,32 @@
     def _find_rejection(
         self, head: ResponseHead, metadata: ResponseMetadata
     ) -> Rejection | None:
+        if self._is_joined(head, metadata):
+            return Rejection.joined_head
         # A target may send an earlier response once more, refusals included.
         if metadata.request_id != self.request_id:
             return Rejection.other_request
         if 'Content-Encoding' in head.headers:
             return Rejection.encoded
-        is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
-        if is_success and not metadata.is_signed:
+        if head.is_success and not metadata.is_signed:
             return Rejection.unsigned
         return None
 
+    def _is_joined(
+        self, head: ResponseHead, metadata: ResponseMetadata
+    ) -> bool:
+        """Tell whether id, signature, promise or length may not be its own."""
+        if head.join is None:
+            return False
+        doubtful = self._header_format.read_response(
+            head.status, head.join.doubtful
+        )
+        if metadata.request_id != self.request_id or doubtful.request_id:
+            return True
+        if doubtful.is_signed or doubtful.is_not_run or head.is_interim:
+            return True
+        return head.is_success and head.join.has_doubtful_length
+
     def _forward_buffer(self) -> None:
         if self._head:
             self._relay.on_head(self._head)
--- a/src/turmericmast/web/keyedrequest.py
+++ b/src/turmericmast/web/keyedrequest.py
@@ -15,7 +15,7 @@
 from turmericmast.web.body import RequestBody
 from turmericmast.web.parse import response_headers
 from turmericmast.web.problem import Problem
-from turmericmast.web.transfer import ResponseHead
+from turmericmast.web.responsehead import ResponseHead
 
 if TYPE_CHECKING:
     from turmericmast.web.entrycontext import EntryContext
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -16,9 +16,9 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
+from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import (
     Progress,
-    ResponseHead,
     ResponseSink,
     Transfer,
     TransferRequest,
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -13,7 +13,8 @@
 from turmericmast.web.body import MAX_BUFFERED_BYTES
 from turmericmast.web.parse import response_headers
 from turmericmast.web.problem import RAN_HEADER, Problem, respond
-from turmericmast.web.transfer import ResponseHead, ResponseSink
+from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.transfer import ResponseSink
 
 if TYPE_CHECKING:
     from turmericmast.ledger.record import KeptAnswer
@@ -83,9 +84,11 @@
     def on_head(self, head: ResponseHead) -> bool:
         """Receive the head; a resumed response must continue the first one.
 
-        Return false if it does not, or comes within a response that is being
-        sent.
+        Return false if it does not, comes within a response that is being
+        sent, or is an interim one that holds another head.
         """
+        if head.is_interim:
+            return False
         if self._is_resuming:
             is_continuation = self._is_continuation(head)
             if not is_continuation:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -5,20 +5,16 @@
 import dataclasses
 import enum
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any, final
 
 import pycurl
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    parse_response_start_line,
-)
+from tornado.httputil import HTTPInputError
 
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.responsehead import ResponseHead, read_head
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -29,16 +25,6 @@
 """Return value of a header or body callback that aborts the transfer."""
 
 
-@final
-@dataclasses.dataclass(frozen=True)
-class ResponseHead:
-    """Status code, reason phrase and headers of a response."""
-
-    status: int
-    reason: str
-    headers: HTTPHeaders
-
-
 @final
 @dataclasses.dataclass(frozen=True)
 class TransferRequest:
@@ -62,7 +48,11 @@
 
     @abc.abstractmethod
     def on_head(self, head: ResponseHead) -> bool:
-        """Receive the head; return false to abort the transfer."""
+        """Receive the head; return false to abort the transfer.
+
+        An interim head is passed only if it may hold another head. Must
+        return false then.
+        """
 
     @abc.abstractmethod
     def on_chunk(self, chunk: bytes) -> bool:
@@ -248,13 +238,13 @@
 
     def _on_head(self) -> bool:
         try:
-            head = _parse_head(self._head_lines)
+            head = read_head(self._head_lines)
         except HTTPInputError:
             # curl passes on some lines that are not valid, such as a status
             # line within the head.
             return False
-        if head.status < HTTPStatus.OK:
-            # The head of an interim response; another head follows.
+        if head.is_interim and head.join is None:
+            # Another head follows, unless it is a part of this one.
             self._head_lines = []
             return True
         self.progress = Progress.head
@@ -270,23 +260,3 @@
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
-
-
-def _parse_head(lines: list[str]) -> ResponseHead:
-    start = parse_response_start_line(lines[0])
-    headers = HTTPHeaders()
-    for line in lines[1:]:
-        headers.parse_line(line)
-    _keep_one_length(headers)
-    return ResponseHead(start.code, start.reason, headers)
-
-
-def _keep_one_length(headers: HTTPHeaders) -> None:
-    """Leave the length that frames the body; chunks override any length."""
-    length = headers.pop('Content-Length', None)
-    if length is None or 'Transfer-Encoding' in headers:
-        return
-    first, *others = map(str.strip, length.split(','))
-    if any(other != first for other in others):
-        raise HTTPInputError('the response has several lengths')
-    headers['Content-Length'] = first
