Transfer: a head that ends within a line fails at once

A response that is cut after the carriage return of its blank line, with the next one behind it, kept a request waiting until its deadline.

Cause: curl ends a head at a line that begins with a carriage return, whatever follows it in this line, and reads on within the body.

Change: such a line is malformed and ends the transfer.

Evidence: two tests of tests/test_joined_heads.py timed out before and pass now; 358 tests of heads, cuts and framing passed.

--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -211,10 +211,7 @@
         return chunk
 
     def _on_header(self, line: bytes) -> int | None:
-        if not line.endswith(b'\n'):
-            # The connection ended within this line.
-            return ABORT_TRANSFER
-        if not self._is_within_limits(line):
+        if _is_broken(line) or not self._is_within_limits(line):
             return ABORT_TRANSFER
         if self.progress is Progress.head:
             # This is a trailer after the body, which is not passed on.
@@ -260,3 +257,13 @@
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
+
+
+def _is_broken(line: bytes) -> bool:
+    """Tell whether a line has no end, or goes on after that of the head.
+
+    curl ends a head at a line that begins with a carriage return.
+    """
+    return not line.endswith(b'\n') or (
+        line.startswith(b'\r') and not line.isspace()
+    )
