Health checks: status, load and name come from one head

A response to a health check that was cut within its head and joined with the next one made a target healthy, unhealthy or loaded by two responses. One that held two names counted as another target, which was then left out.

Cause: as with requests, one list of lines was read as one head.

Change: name, load, warm-up and statements are read from the part of the head that certainly belongs to its status. A head that may be joined counts only with the name of the target in that part, and without a name or a request id after it. Any other one ends the check as a lost one, and is counted and logged as joined_head.

Evidence: tests/test_joined_heads.py, every cut of six responses before three whole ones: five of six rows failed before, none now; valid headers around the name in all orders pass before and after.

--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -15,6 +15,7 @@
 from turmericmast.metrics import Metrics
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
+from turmericmast.web.edgeresponse import Rejection
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import (
@@ -138,6 +139,8 @@
         if transfer.progress is Progress.vetoed:
             return True
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
+        if sink.is_joined:
+            self._report_joined_head(view, sink)
         before = view.eligibility(self._clock.now())
         if loss or sink.head is None or sink.metadata is None:
             view.lose_path(self._clock.now())
@@ -150,6 +153,18 @@
         self._log_change(view, before, loss)
         return has_responded
 
+    def _report_joined_head(
+        self, view: TargetView, sink: '_HealthSink'
+    ) -> None:
+        rejection = Rejection.joined_head
+        self._metrics.count('responses_rejected', reason=rejection.value)
+        self._events.write(
+            EdgeEvent.response_rejected.value,
+            target=view.record.target,
+            reason=rejection.value,
+            status=sink.head.status if sink.head else 0,
+        )
+
     def _log_change(
         self,
         view: TargetView,
@@ -195,6 +210,8 @@
     def __init__(self, header_format: HeaderFormat) -> None:
         self.head: ResponseHead | None = None
         self.metadata: HealthMetadata | None = None
+        self.is_joined = False
+        """Whether the status may not be that of the named target."""
         self._header_format = header_format
         self._octets = 0
 
@@ -205,8 +222,9 @@
         once more.
         """
         self.head = head
-        self.metadata = self._header_format.read_health(head.headers)
-        return not self.metadata.answers_request
+        self.metadata = self._header_format.read_health(head.certain)
+        self.is_joined = self._may_be_joined(head, self.metadata)
+        return not (self.is_joined or self.metadata.answers_request)
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Drop a part of the body."""
@@ -218,6 +236,19 @@
         """Tell whether the body is longer than any health response."""
         return self._octets > MAX_BODY_BYTES
 
+    def _may_be_joined(
+        self, head: ResponseHead, metadata: HealthMetadata
+    ) -> bool:
+        if head.join is None:
+            return False
+        doubtful = self._header_format.read_health(head.join.doubtful)
+        return (
+            head.is_interim
+            or not metadata.target
+            or bool(doubtful.target)
+            or doubtful.answers_request
+        )
+
 
 def _own_statement(metadata: HealthMetadata) -> TargetStatement:
     """Return the statement in a response, for what it says for sure.
--- a/tests/test_joined_heads.py
+++ b/tests/test_joined_heads.py
@@ -88,6 +88,8 @@
     + b'fail',
     'elsewhere': head(b'200 OK', LENGTH, b'X-Instance-Id: 3') + b'good',
 }
+REJECTED = ('responses_rejected', (('reason', 'joined_head'),))
+"""Name and labels of the counter of joined heads."""
 QUOTE = b'X-Note: HTTP/1.1 500 Internal Server Error'
 SPOKEN = [
     ('via', b'Via: HTTP/1.1 cache'),
@@ -269,6 +271,12 @@
         ]
         self.assertEqual(faults[:2], [])
 
+    # Guards against a response to a health check that is refused untold.
+    async def test_refusal_is_counted(self) -> None:
+        metrics = Metrics()
+        await _probe_all([(b'HTTP/1.1 200 O', OWN_HEALTH['healthy'])], metrics)
+        self.assertEqual(metrics.count_by_name[REJECTED], 1)
+
     # Guards against healthy targets that are left out for what they say.
     @parameterized.expand(SPOKEN)
     async def test_single_head(self, _name: str, field: bytes) -> None:
@@ -315,9 +323,7 @@
         self.assertEqual(second.code, 502)
         self.assertNotIn('X-Response-Signature', second.headers)
         self.assertEqual(
-            own.metrics.count_by_name[
-                'responses_rejected', (('reason', 'joined_head'),)
-            ],
+            own.metrics.count_by_name[REJECTED],
             1,
         )
 
@@ -344,9 +350,7 @@
         self.assertNotIn('X-Target', received.headers)
         self.assertEqual(harness.targets[0].runs[1:], [('POST', '/busy', b'x')])
         self.assertEqual(
-            harness.metrics.count_by_name[
-                'responses_rejected', (('reason', 'joined_head'),)
-            ],
+            harness.metrics.count_by_name[REJECTED],
             1,
         )
 
@@ -370,7 +374,9 @@
     ]
 
 
-async def _probe_all(responses: Sequence[Sequence[bytes]]) -> list[Any]:
+async def _probe_all(
+    responses: Sequence[Sequence[bytes]], metrics: Metrics | None = None
+) -> list[Any]:
     """Return how each response to a health check changes a new view.
 
     One that was refused is ``None``.
@@ -382,7 +388,7 @@
                 curl,
                 PlatformHeaders(),
                 clock,
-                Metrics(),
+                metrics or Metrics(),
                 unittest.mock.Mock(),
             )
             return [
