Entries: status and id of a response come from one head

An entry passed on the status of one response with the headers of another: a 200 for a target's 503, and a refusal with "not run" for an order that had run.

Cause: the id of the attempt was looked for in the whole head, and a target that sends no ids was believed on a new connection.

Change: the id must stand in the part of the head that certainly belongs to the status. No id and no statement whether the target ran may follow, and for a success no length. Without an id nothing proves a head that may be joined, so it is rejected on new connections too; the attempt fails as after a response to another request. responses_rejected_total has the reason at entries, too.

Not covered: responses of one entry to another bear no id. They are written by our own process; only an interim head that holds another one is refused.

--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -8,12 +8,16 @@
 from typing import final
 
 from turmericmast.ids import AttemptId
+from turmericmast.web.edgeresponse import Rejection
 from turmericmast.web.parse import CALL_HEADER
-from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.problem import RAN_HEADER
+from turmericmast.web.responsehead import PossibleJoin, ResponseHead
 from turmericmast.web.transfer import ResponseSink
 
 MAX_TARGETS = 4096
 """Addresses that are remembered to send the id back."""
+_PROOFS = (CALL_HEADER, RAN_HEADER)
+"""Headers that tell whose response it is, and whether the target ran."""
 
 
 @final
@@ -54,19 +58,22 @@
         """
         self.has_echoed = False
         """Whether the response bore the id of the attempt."""
-        self.is_foreign = False
-        """Whether a response to another request has arrived."""
+        self.rejection: Rejection | None = None
+        """Why the response was aborted, if it was."""
         self._sink = sink
         self._attempt = attempt
         self._must_echo = must_echo
 
     def on_head(self, head: ResponseHead) -> bool:
         """Pass on the head; false if it belongs to another request."""
-        echoed = head.headers.get(CALL_HEADER)
+        echoed = head.certain.get(CALL_HEADER)
         self.has_echoed = echoed == self._attempt
         may_lack_id = echoed is None and not self._must_echo
-        self.is_foreign = not self.has_echoed and not may_lack_id
-        return not self.is_foreign and self._sink.on_head(head)
+        if head.join and self._is_joined(head, head.join):
+            self.rejection = Rejection.joined_head
+        elif not self.has_echoed and not may_lack_id:
+            self.rejection = Rejection.other_request
+        return self.rejection is None and self._sink.on_head(head)
 
     def on_chunk(self, chunk: bytes) -> bool:
         """Pass on a part of the body; false to get it again later."""
@@ -76,3 +83,11 @@
     def is_overfull(self) -> bool:
         """Tell whether the body exceeds what the sink can use."""
         return self._sink.is_overfull
+
+    def _is_joined(self, head: ResponseHead, join: PossibleJoin) -> bool:
+        """Tell whether id, promise or length may be of another response."""
+        if head.is_interim or not self.has_echoed:
+            return True
+        if any(name in join.doubtful for name in _PROOFS):
+            return True
+        return head.is_success and join.has_doubtful_length
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -108,9 +108,11 @@
         loss = await self._transfer_to(
             destination, response, uses_kept_connection=must_echo
         )
-        if response.is_foreign:
-            self._context.metrics.count('responses_rejected')
-        if loss is None or response.is_foreign:
+        if response.rejection:
+            self._context.metrics.count(
+                'responses_rejected', reason=response.rejection.value
+            )
+        if loss is None or response.rejection:
             echoing.record(destination.address, has_echoed=response.has_echoed)
         return loss
 
