Targets that stutter get a new connection for each request

Callers saw: from a target that writes its responses once more where the next one is due, each second order ended with 502 although it had run, as a connection was trusted again right after a late response.

Cause: after a foreign or late byte only that connection was closed; the next one to the same target was kept and used again at once.

Change: Framings (balance/framing.py) decides how many requests a connection to an address may serve. Connections that are open when it stutters are retired, those in use too: their next bytes may be late ones. Health checks keep to it. Each instance learns by itself; nothing is new on the wire. Log lines target_framing, gauge targets_stuttering.

Bytes right after a response are known by two signs: curl closes a connection that nothing else gives it a reason to close, or something comes while it lingers.

Why it works: on a connection with a single request no late byte can be taken for the response to another one.

A new connection costs a round trip of each request to such a target, and about the same number of connections as requests at a time.

--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -18,6 +18,8 @@
     def __init__(self, descriptor: Descriptor) -> None:
         """Describe a connection that was just opened."""
         self.descriptor = descriptor
+        self.pair: AddressPair | None = None
+        """Both addresses, once it was used."""
         self.served = 0
         """Requests that were sent on it."""
         self.address = ''
@@ -29,6 +31,16 @@
         self.is_watched = False
         """Whether it was idle before."""
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the descriptor still is that of this connection.
+
+        curl may have closed it, and any file or socket may have got the number.
+        """
+        return self.pair is not None and _addresses(self.descriptor) == (
+            self.pair
+        )
+
 
 @final
 class Connections:
@@ -58,11 +70,20 @@
                 self._bind(connection, pair)
         return self._connection_by_pair.get(pair)
 
+    def at(self, address: str) -> list[Connection]:
+        """Return the connections that were last used for an address."""
+        return [
+            connection
+            for connection in self._connection_by_pair.values()
+            if connection.address == address
+        ]
+
     def _bind(self, connection: Connection, pair: AddressPair) -> None:
         self._unbound.pop(connection.descriptor)
         former = self._connection_by_pair.get(pair)
         if former:
             self._drop(former.descriptor)
+        connection.pair = pair
         self._connection_by_pair[pair] = connection
         self._pair_by_descriptor[connection.descriptor] = pair
 
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -75,7 +75,7 @@
         self._unseen = UnseenBytes()
         self.connections = Connections()
         """The connections that were opened."""
-        self.kept_connections = KeptConnections()
+        self.kept_connections = KeptConnections(self.connections)
 
     def __enter__(self) -> Self:
         """Return the client; begin to watch idle connections."""
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -3,9 +3,11 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import final
 
 from turmericmast.balance.candidate import Candidate
+from turmericmast.balance.framing import Stutter
 from turmericmast.balance.hedge import Hedge
 from turmericmast.balance.openness import withheld_by
 from turmericmast.balance.pool import Pool
@@ -20,6 +22,10 @@
 
 MAX_SHOWN_ID = 40
 """Characters of the id in a rejected response that are logged."""
+_STUTTER_BY_REJECTION = MappingProxyType(
+    {Rejection.other_request: Stutter.other_request}
+)
+"""Rejected responses that may consist of late bytes."""
 MakeRequest = Callable[[Candidate, Callable[[], None]], TransferRequest]
 """Builds the request to a candidate; the callback resumes its transfer."""
 
@@ -79,7 +85,10 @@
         self._pool.begin_request(view, self.began_at)
         self._context.load_sharing.announce_request(view)
         request = make_request(self.candidate, self.resume)
-        if self.candidate.is_last_resort:
+        keeps_connections = self._context.framing.keeps_connections
+        if self.candidate.is_last_resort or not keeps_connections(
+            view.record.address
+        ):
             # A leaving target may close a kept connection at any moment.
             request = dataclasses.replace(request, uses_kept_connection=False)
         self._sent_octets = max(request.body_size, 0)
@@ -138,6 +147,8 @@
             view.eject_misplaced()
         if self.response.rejection:
             self._report_rejection(self.response.rejection)
+        elif loss is None or self.response.is_buffered:
+            self._context.framing.apply_response(view.record.address)
         if loss is None:
             self._learn(Seconds(now - self.began_at))
 
@@ -153,6 +164,11 @@
             status=self.response.status,
             names=self.response.named_request[:MAX_SHOWN_ID],
         )
+        stutter = _STUTTER_BY_REJECTION.get(rejection)
+        if stutter:
+            self._context.framing.apply_stutter(
+                self.candidate.view.record.address, stutter
+            )
 
     def _learn(self, latency: Seconds) -> None:
         octets = self._sent_octets + self.response.octets
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -49,8 +49,15 @@
             self.metrics,
             self.events,
         )
-        self.framing = FramingReports(self.edge, self.metrics, self.events)
-        self.curl.kept_connections.on_stray = self.framing.apply_stray
+        self.framing = FramingReports(
+            self.edge,
+            self.curl.kept_connections,
+            self.clock,
+            self.metrics,
+            self.events,
+        )
+        self.prober.on_stutter = self.framing.apply_stutter
+        self.prober.keeps_connections = self.framing.keeps_connections
         self.prober.on_statement = self.statements.apply_health
         self.load_sharing.on_departure = self.statements.apply_news
 
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -25,6 +25,7 @@
     eligibility_changed = 'target_trust'
     response_rejected = 'response_rejected'
     stray_bytes = 'stray_bytes'
+    target_framing = 'target_framing'
     target_crashed = 'target_crashed'
     target_leaving = 'target_leaving'
     target_paused = 'target_paused'
--- a/src/turmericmast/web/framingreports.py
+++ b/src/turmericmast/web/framingreports.py
@@ -2,37 +2,85 @@
 
 from typing import final
 
+from turmericmast.balance.framing import Framing, Framings, Stutter
+from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
 from turmericmast.metrics import Metrics
 from turmericmast.web.edgeevents import EdgeEvent
-from turmericmast.web.keptconnections import StrayBytes
+from turmericmast.web.keptconnections import KeptConnections, StrayBytes
 
 
 @final
 class FramingReports:
-    """Records which targets send bytes that answer no request."""
+    """Records which targets send bytes that answer no request.
 
-    def __init__(self, edge: Edge, metrics: Metrics, events: EventLog) -> None:
+    These get a new connection for each request for a while.
+    """
+
+    def __init__(
+        self,
+        edge: Edge,
+        kept_connections: KeptConnections,
+        clock: Clock,
+        metrics: Metrics,
+        events: EventLog,
+    ) -> None:
         """Record them for the targets of ``edge``."""
         self._edge = edge
+        self._kept_connections = kept_connections
+        self._clock = clock
         self._metrics = metrics
         self._events = events
+        self._framings = Framings()
+        kept_connections.on_stray = self._apply_stray
+        metrics.gauge('targets_stuttering', self._framings.doubted)
 
-    def apply_stray(self, stray: StrayBytes) -> None:
-        """Record bytes on the connection to a target or another instance."""
-        self._metrics.count('stutters', stutter=stray.stutter.value)
-        targets = (
-            view.record.target
-            for view in self._edge.views()
-            if view.record.address == stray.address
-        )
+    def keeps_connections(self, address: str) -> bool:
+        """Tell whether a connection to an address may serve more requests."""
+        return self._framings.keeps_connections(address)
+
+    def apply_stutter(self, address: str, stutter: Stutter) -> None:
+        """Record that the target at an address has sent such bytes."""
+        self._metrics.count('stutters', stutter=stutter.value)
+        now = self._clock.now()
+        changed = self._framings.stutter(address, now)
+        if changed:
+            self._log_change(address, changed, stutter.value)
+            # On one that is open, the next bytes may be late ones, too.
+            self._kept_connections.retire(address)
+
+    def apply_response(self, address: str) -> None:
+        """Record a response to its request."""
+        changed = self._framings.respond(address, self._clock.now())
+        if changed:
+            self._log_change(address, changed, 'used')
+
+    def _apply_stray(self, stray: StrayBytes) -> None:
         self._events.write(
             EdgeEvent.stray_bytes.value,
             peer=stray.address,
-            target=','.join(targets),
+            target=self._targets_at(stray.address),
             stutter=stray.stutter.value,
             request=stray.last_request,
             served=stray.served,
             octets=stray.octets,
         )
+        self.apply_stutter(stray.address, stray.stutter)
+
+    def _log_change(self, address: str, framing: Framing, cause: str) -> None:
+        self._events.write(
+            EdgeEvent.target_framing.value,
+            peer=address,
+            target=self._targets_at(address),
+            connections=framing.use.value,
+            cause=cause,
+            doubt_s=framing.doubt,
+        )
+
+    def _targets_at(self, address: str) -> str:
+        return ','.join(
+            view.record.target
+            for view in self._edge.views()
+            if view.record.address == address
+        )
--- a/src/turmericmast/web/idlewatch.py
+++ b/src/turmericmast/web/idlewatch.py
@@ -76,11 +76,16 @@
 
         What has happened until now is reported first.
         """
-        if self._idle_by_descriptor.get(connection.descriptor) is connection:
+        if self.includes(connection):
             self.check()
             self._idle_by_descriptor.pop(connection.descriptor, None)
             self._epoll.modify(connection.descriptor, select.EPOLLONESHOT)
 
+    def includes(self, connection: Connection) -> bool:
+        """Tell whether a connection is idle."""
+        descriptor = connection.descriptor
+        return self._idle_by_descriptor.get(descriptor) is connection
+
     def check(self) -> None:
         """Report the idle connections that have got bytes or were ended."""
         for descriptor, _ in self._epoll.poll(0):
--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -2,12 +2,13 @@
 
 import contextlib
 import dataclasses
+import functools
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self, final
 
 from turmericmast.balance.framing import Stutter
-from turmericmast.web.connections import Connection
+from turmericmast.web.connections import Connection, Connections
 from turmericmast.web.idlewatch import IdleWatch, has_ended, unread_bytes
 from turmericmast.web.lingering import Duplicate, Lingering
 
@@ -37,8 +38,9 @@
     since closing it at once may interrupt the peer.
     """
 
-    def __init__(self) -> None:
-        """Begin without connections."""
+    def __init__(self, connections: Connections) -> None:
+        """Follow ``connections``."""
+        self._connections = connections
         self._stack = contextlib.ExitStack()
         self._idle = IdleWatch(self._on_idle_ready)
         self._lingering = Lingering()
@@ -95,32 +97,21 @@
         """Leave a connection to curl alone, which may have closed it."""
         self._lingering.release(held)
 
-    def linger(self, held: Duplicate) -> None:
+    def linger(
+        self, held: Duplicate, connection: Connection, stutter: Stutter | None
+    ) -> None:
         """Close a connection when the peer has stopped to write.
 
-        The peer is told at once that it gets nothing more.
+        The peer is told at once that it gets nothing more. ``stutter`` says
+        what it means if bytes come; ``None`` if that is known already.
         """
         held.stop_sending()
-        self._lingering.linger(held)
+        self._lingering.linger(held, self._reporter(stutter, connection))
 
-    def _on_idle_ready(self, connection: Connection) -> None:
-        octets = unread_bytes(connection.descriptor)
-        if not octets and not has_ended(connection.descriptor):
-            # The event was of an earlier connection with this descriptor.
-            self._idle.add(connection)
-            return
-        connection.is_retired = True
-        if octets:
-            self._report(Stutter.idle, connection, octets)
-            held = self.hold(connection)
-            if held:
-                # It is ended only when the peer is silent: the peer may take
-                # an end for one of the request that it still writes about.
-                self._lingering.linger(held)
-
-    def _report(
-        self, stutter: Stutter, connection: Connection, octets: int
+    def report(
+        self, stutter: Stutter, connection: Connection, octets: int = 0
     ) -> None:
+        """Report that a peer has sent bytes that answer no request."""
         self.on_stray(
             StrayBytes(
                 stutter,
@@ -131,6 +122,47 @@
             )
         )
 
+    def retire(self, address: str) -> None:
+        """Use no connection to an address again that is open now."""
+        for connection in self._connections.at(address):
+            is_idle = self._idle.includes(connection)
+            if is_idle and not connection.is_retired and connection.is_open:
+                self._drop_later_input(connection, Stutter.idle)
+            connection.is_retired = True
+
+    def _on_idle_ready(self, connection: Connection) -> None:
+        if not connection.is_open:
+            return
+        octets = unread_bytes(connection.descriptor)
+        if not octets and not has_ended(connection.descriptor):
+            # The event was of an earlier connection with this descriptor.
+            self._idle.add(connection)
+            return
+        connection.is_retired = True
+        if octets:
+            self._drop_later_input(connection, None)
+            self.report(Stutter.idle, connection, octets)
+
+    def _drop_later_input(
+        self, connection: Connection, stutter: Stutter | None
+    ) -> None:
+        held = self.hold(connection)
+        if held:
+            # It is ended only when the peer is silent: the peer may take an
+            # end for one of the request whose response it still writes.
+            self._lingering.linger(held, self._reporter(stutter, connection))
+
+    def _reporter(
+        self, stutter: Stutter | None, connection: Connection
+    ) -> Callable[[int], None]:
+        if stutter is None:
+            return _ignore_input
+        return functools.partial(self.report, stutter, connection)
+
 
 def _ignore_stray(stray: StrayBytes) -> None:
     """Do nothing; the default until a callback is set."""
+
+
+def _ignore_input(octets: int) -> None:
+    """Do nothing, since the bytes are known."""
--- a/src/turmericmast/web/lingering.py
+++ b/src/turmericmast/web/lingering.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import socket
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self, final
 
@@ -44,6 +45,8 @@
         """
         # It is non-blocking like the first one.
         self._descriptor = os.dup(original)
+        self.on_input: Callable[[int], None] = _ignore_input
+        """Called once with the number of the first bytes that are dropped."""
         self._dropped = 0
         """Bytes that were read and dropped."""
         self._ends_at = float(0)
@@ -63,6 +66,8 @@
             return now < min(self._ends_at, self._quiet_at)
         except OSError:
             return False
+        if octets and not self._dropped:
+            self.on_input(len(octets))
         self._dropped += len(octets)
         self._quiet_at = now + MAX_QUIET_SECONDS
         is_within_limits = self._dropped <= MAX_LINGER_BYTES
@@ -143,8 +148,14 @@
         self._open.discard(duplicate)
         duplicate.close()
 
-    def linger(self, duplicate: Duplicate) -> None:
-        """Drop what comes until the peer is silent or ends the connection."""
+    def linger(
+        self, duplicate: Duplicate, on_input: Callable[[int], None]
+    ) -> None:
+        """Drop what comes until the peer is silent or ends the connection.
+
+        ``on_input`` is called once with the number of the first bytes.
+        """
+        duplicate.on_input = on_input
         duplicate.begin(self._loop.time())
         self._lingering.add(duplicate)
         self._schedule()
@@ -166,3 +177,7 @@
         for duplicate in over:
             duplicate.end()
         self._schedule()
+
+
+def _ignore_input(octets: int) -> None:
+    """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Protocol, final
 
+from turmericmast.balance.framing import Stutter
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.balance.targetview import Eligibility, TargetView
 from turmericmast.call.call import Loss
@@ -63,6 +64,10 @@
             [TargetView, int, TargetStatement], None
         ] = _ignore_statement
         """Called with the status and statement of each response of a target."""
+        self.on_stutter: Callable[[str, Stutter], None] = _ignore_stutter
+        """Called with the address whose response was to another request."""
+        self.keeps_connections: Callable[[str], bool] = _keep_connections
+        """Tells whether a connection to an address may serve more requests."""
         self._probe_by_target: dict[TargetId, asyncio.Task[bool]] = {}
 
     async def probe(
@@ -126,7 +131,7 @@
             timeout=PROBE_TIMEOUT,
             body=None,
             body_size=0,
-            uses_kept_connection=not view.departure.has_begun,
+            uses_kept_connection=self._may_keep(view),
         )
         transfer = Transfer(
             self._curl,
@@ -139,6 +144,8 @@
             return True
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         before = view.eligibility(self._clock.now())
+        if sink.is_foreign:
+            self.on_stutter(view.record.address, Stutter.other_request)
         if loss or sink.head is None or sink.metadata is None:
             view.lose_path(self._clock.now())
             self.on_result(view, is_lost=True)
@@ -150,6 +157,11 @@
         self._log_change(view, before, loss)
         return has_responded
 
+    def _may_keep(self, view: TargetView) -> bool:
+        return not view.departure.has_begun and self.keeps_connections(
+            view.record.address
+        )
+
     def _log_change(
         self,
         view: TargetView,
@@ -240,5 +252,14 @@
     """Do nothing; the default until a callback is set."""
 
 
+def _ignore_stutter(address: str, stutter: Stutter) -> None:
+    """Do nothing; the default until a callback is set."""
+
+
+def _keep_connections(address: str) -> bool:
+    """Keep connections to all addresses; the default."""
+    return True
+
+
 def _ignore_result(view: TargetView, *, is_lost: bool = False) -> None:
     """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -15,12 +15,14 @@
     parse_response_start_line,
 )
 
+from turmericmast.balance.framing import Stutter
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
 from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.lingering import Duplicate
+from turmericmast.web.persistence import persists
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -176,7 +178,16 @@
             self._curl.kept_connections.keep(self._connection)
         # Otherwise the target may be writing a second response, after a whole
         # one or within one that was rejected.
-        self._release(lingers=not is_kept and self._may_continue(code))
+        is_whole = code == pycurl.E_OK and self.progress is Progress.head
+        is_rejected = self.progress is Progress.sending
+        lingers = is_whole or is_rejected or self._sink.is_foreign
+        has_excess = is_whole and not is_kept and self._was_closed_for_excess()
+        if has_excess and self._connection:
+            self._curl.kept_connections.report(Stutter.excess, self._connection)
+        self._release(
+            lingers=lingers and not is_kept,
+            stutter=Stutter.excess if is_whole and not has_excess else None,
+        )
 
     def finish(self, code: int) -> None:
         """Receive the result code of curl."""
@@ -190,16 +201,20 @@
         else:
             self._settle(self._loss(code))
 
-    def _may_continue(self, code: int) -> bool:
-        is_whole = code == pycurl.E_OK and self.progress is Progress.head
-        is_rejected = self.progress is Progress.sending
-        return is_whole or is_rejected or self._sink.is_foreign
+    def _was_closed_for_excess(self) -> bool:
+        """Tell whether only further bytes can be why curl closed it."""
+        request = self._request
+        # curl also closes one whose request was not sent to its end.
+        may_keep = request.uses_kept_connection and request.body is None
+        return may_keep and persists(self._head_lines, request.method)
 
-    def _release(self, *, lingers: bool) -> None:
+    def _release(
+        self, *, lingers: bool, stutter: Stutter | None = None
+    ) -> None:
         held = self._held
         self._held = None
-        if held and lingers:
-            self._curl.kept_connections.linger(held)
+        if held and self._connection and lingers:
+            self._curl.kept_connections.linger(held, self._connection, stutter)
         elif held:
             self._curl.kept_connections.release(held)
 
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -12,6 +12,8 @@
 
 RESET_DELAY = 0.02
 """Seconds from the last octets until the connection ends."""
+REPEAT_DELAY = 0.005
+"""Seconds from a response to its copy on an idle connection."""
 
 
 @final
@@ -74,12 +76,14 @@
         *replies: Reply,
         repeated: Collection[Kind] = (),
         health_headers: str = '',
+        repeats_at_once: bool = False,
     ) -> None:
         """Prepare the target; it listens while the context is open.
 
         It writes each ``repeated`` response once more, late, before the next
-        one on the same connection. ``health_headers`` has further header lines
-        of the responses to health checks.
+        one on the same connection, or soon, if it ``repeats_at_once``.
+        ``health_headers`` has further header lines of the responses to health
+        checks.
         """
         self.name = name
         self.address = free_address()
@@ -95,6 +99,7 @@
         )
         self._repeated = repeated
         self._health_headers = health_headers
+        self._repeats_at_once = repeats_at_once
         self._numbers = itertools.count()
         self._server: asyncio.Server | None = None
 
@@ -138,6 +143,12 @@
                 await writer.drain()
                 kind = Kind.health_check if is_health_check else Kind.request
                 late = response if kind in self._repeated else b''
+                if self._repeats_at_once:
+                    # In time for the next request, but after this response.
+                    asyncio.get_running_loop().call_later(
+                        REPEAT_DELAY, writer.write, late
+                    )
+                    late = b''
 
     def _health(self) -> bytes:
         own = f'X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,4\r\n'
--- a/tests/test_stray_bytes.py
+++ b/tests/test_stray_bytes.py
@@ -71,6 +71,34 @@
         )
         self.assertEqual(strays, [expected] if octets else [])
 
+    @parameterized.expand(
+        [
+            ('length', '', b'', True, None),
+            ('more', '', RESPONSE, True, Stutter.excess),
+            ('much_more', '', bytes(90_000), True, Stutter.excess),
+            ('closing', 'Connection: close\r\n', b'', True, None),
+            ('more_on_a_single_use', '', bytes(90_000), False, Stutter.excess),
+        ]
+    )
+    async def test_bytes_after_a_response_are_reported(
+        self,
+        _name: str,
+        fields: str,
+        more: bytes,
+        is_kept: bool,
+        expected: Stutter | None,
+    ) -> None:
+        response = RESPONSE.replace(b'Cont', f'{fields}Cont'.encode())
+        async with StrayTarget(response + more) as target:
+            with CurlClient() as curl:
+                strays: list[StrayBytes] = []
+                curl.kept_connections.on_stray = strays.append
+                await target.ask(curl, uses_kept_connection=is_kept)
+                await asyncio.sleep(2 * SOON)
+        self.assertEqual(
+            [stray.stutter for stray in strays], [expected] if expected else []
+        )
+
     async def test_end_of_an_idle_connection_is_no_stray_byte(self) -> None:
         async with StrayTarget() as target:
             with CurlClient() as curl:
