Entries: targets that stutter get single-use connections, too

Callers saw: 7 of 20 orders at an entry ended without a known outcome from a target that repeats its responses where the next one is due.

Cause: an address whose last response bore its id counted as one whose connections may be kept, also right after a response to another request.

Change: entries use the same Framings as edges. EchoingTargets answers another question only, whether a foreign response would be known by its id. Their stray_bytes and target_framing lines are written, too.

--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -19,6 +19,9 @@
 class EchoingTargets:
     """The addresses whose last response bore the id of its request.
 
+    Whether the responses of such an address can still be told apart is decided
+    by ``balance.framing``.
+
     Only their connections are kept. Others get a new connection for each
     request: the response on it can only be that to the one request.
     """
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -1,12 +1,13 @@
 """Objects that all requests of an edge share."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
+from turmericmast.ids import TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
@@ -50,7 +51,7 @@
             self.events,
         )
         self.framing = FramingReports(
-            self.edge,
+            self._targets_at,
             self.curl.kept_connections,
             self.clock,
             self.metrics,
@@ -72,3 +73,10 @@
         if self.edge.is_leaving:
             return {'Connection': 'close'}
         return {'Keep-Alive': f'timeout={reuse_time}'} if reuse_time else {}
+
+    def _targets_at(self, address: str) -> Iterable[TargetId]:
+        return (
+            view.record.target
+            for view in self.edge.views()
+            if view.record.address == address
+        )
--- a/src/turmericmast/web/entrycontext.py
+++ b/src/turmericmast/web/entrycontext.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import final
 
 from returns.result import Result, Success
@@ -30,6 +30,7 @@
 from turmericmast.target.target import Ending
 from turmericmast.web.callecho import EchoingTargets
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.framingreports import FramingReports
 from turmericmast.wire.client import Group
 from turmericmast.wire.requests import Changed, ChangeLedger, ChangeRegion
 
@@ -74,6 +75,9 @@
         self.on_releasable: Callable[[], None] = _do_nothing
         """Called when a target that moves to another owner may be idle now."""
         self.echoing_targets = EchoingTargets()
+        self.framing = FramingReports(
+            self._targets_at, curl.kept_connections, clock, metrics, events
+        )
         self.running = 0
         """Number of calls that were accepted and have not ended."""
         self._timer_by_service: dict[ServiceId, object] = {}
@@ -232,6 +236,13 @@
         """Report that a suspected request was answered."""
         await self.change_region(Acquit(fingerprint), SUSPECT_TIMEOUT)
 
+    def _targets_at(self, address: str) -> Iterable[TargetId]:
+        return (
+            target.spec.target
+            for target in self.entry.ownership.targets()
+            if target.spec.address == address
+        )
+
     def _schedule_dispatch(self, name: ServiceId) -> None:
         """Dispatch again when the next pause of a target ends."""
         service = self.entry.ownership.service_by_id.get(name)
--- a/src/turmericmast/web/framingreports.py
+++ b/src/turmericmast/web/framingreports.py
@@ -1,11 +1,12 @@
 """Use of bytes that answer no request, with log lines and metrics."""
 
+from collections.abc import Callable, Iterable
 from typing import final
 
 from turmericmast.balance.framing import Framing, Framings, Stutter
 from turmericmast.clock import Clock
-from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
+from turmericmast.ids import TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.web.edgeevents import EdgeEvent
 from turmericmast.web.keptconnections import KeptConnections, StrayBytes
@@ -20,14 +21,14 @@
 
     def __init__(
         self,
-        edge: Edge,
+        find_targets: Callable[[str], Iterable[TargetId]],
         kept_connections: KeptConnections,
         clock: Clock,
         metrics: Metrics,
         events: EventLog,
     ) -> None:
-        """Record them for the targets of ``edge``."""
-        self._edge = edge
+        """Record them; ``find_targets`` returns the targets at an address."""
+        self._find_targets = find_targets
         self._kept_connections = kept_connections
         self._clock = clock
         self._metrics = metrics
@@ -60,7 +61,7 @@
         self._events.write(
             EdgeEvent.stray_bytes.value,
             peer=stray.address,
-            target=self._targets_at(stray.address),
+            target=','.join(self._find_targets(stray.address)),
             stutter=stray.stutter.value,
             request=stray.last_request,
             served=stray.served,
@@ -72,15 +73,8 @@
         self._events.write(
             EdgeEvent.target_framing.value,
             peer=address,
-            target=self._targets_at(address),
+            target=','.join(self._find_targets(address)),
             connections=framing.use.value,
             cause=cause,
             doubt_s=framing.doubt,
         )
-
-    def _targets_at(self, address: str) -> str:
-        return ','.join(
-            view.record.target
-            for view in self._edge.views()
-            if view.record.address == address
-        )
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -5,6 +5,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from turmericmast.balance.framing import Stutter
 from turmericmast.call.call import CallRequest, Loss
 from turmericmast.fleet.values import Values
 from turmericmast.ids import AttemptId, TargetId
@@ -105,11 +106,18 @@
         echoing = self._context.echoing_targets
         must_echo = echoing.includes(destination.address)
         response = OwnResponse(self._relay, attempt, must_echo=must_echo)
+        framing = self._context.framing
         loss = await self._transfer_to(
-            destination, response, uses_kept_connection=must_echo
+            destination,
+            response,
+            uses_kept_connection=must_echo
+            and framing.keeps_connections(destination.address),
         )
         if response.is_foreign:
             self._context.metrics.count('responses_rejected')
+            framing.apply_stutter(destination.address, Stutter.other_request)
+        elif loss is None:
+            framing.apply_response(destination.address)
         if loss is None or response.is_foreign:
             echoing.record(destination.address, has_echoed=response.has_echoed)
         return loss
@@ -154,6 +162,7 @@
             if has_body
             else None,
             body_size=self._body_size(),
+            name=request.call,
         )
 
     def _body_size(self) -> int:
--- a/tests/test_stuttering_targets.py
+++ b/tests/test_stuttering_targets.py
@@ -14,8 +14,10 @@
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from tests.entry_harness import EntryHarness
 from tests.running_edge import RunningEdge, target_at, without_probes
 from tests.scripted_target import REPEAT_DELAY, Kind, ScriptedTarget
+from tests.test_front import call
 from turmericmast.balance.framing import FIRST_DOUBT, Stutter
 from turmericmast.balance.load import LoadReport
 from turmericmast.ids import Seconds
@@ -73,6 +75,21 @@
         self.assertEqual(strays[:1], causes if at_once else [])
         self.assertLessEqual(set(strays[1:]), {'excess'})
 
+    @parameterized.expand([('never', False, 0), ('always', True, 1)])
+    async def test_orders_at_an_entry(
+        self, _name: str, repeats: bool, lost: int
+    ) -> None:
+        async with EntryHarness(targets=1) as harness:
+            await call(harness, '/stock/ok')
+            harness.targets[0].repeats = repeats
+            answers = [
+                await call(harness, '/stock/ok', 'POST', b'x')
+                for _ in range(ORDERS)
+            ]
+        outcomes = [answer.headers['Turmericmast-Ran'] for answer in answers]
+        self.assertEqual(outcomes.count('unknown'), lost)
+        self.assertEqual(outcomes.count('yes'), ORDERS - lost)
+
     @parameterized.expand(
         [
             ('soon', 1, ['single']),
