Connections: those that were in use when their target stuttered end, too

A connection that was in use when its target stuttered was kept by curl afterwards, not used again, and stayed open until it was idle for long: it is ended like the idle ones now. Bytes on a connection that lingers are reported once, not by the watch of idle ones as well. A connection counts as kept if curl names its very descriptor.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -269,11 +269,10 @@
     def _finish(self, handle: Any, code: int) -> None:
         transfer = self._transfer_by_handle.get(handle)
         if transfer:
-            is_kept = code == pycurl.E_OK and (
-                handle.getinfo(pycurl.ACTIVESOCKET) >= 0
-            )
+            is_whole = code == pycurl.E_OK
+            kept = handle.getinfo(pycurl.ACTIVESOCKET) if is_whole else -1
             self.remove(transfer)
-            transfer.end_use(code, is_kept=is_kept)
+            transfer.end_use(code, Descriptor(kept))
             transfer.finish(code)
 
 
--- a/src/turmericmast/web/idlewatch.py
+++ b/src/turmericmast/web/idlewatch.py
@@ -72,13 +72,9 @@
             self._epoll.register(descriptor, mask)
 
     def remove(self, connection: Connection) -> None:
-        """Watch a connection no longer, since it is about to be used.
-
-        What has happened until now is reported first.
-        """
+        """Watch a connection no longer."""
         if self.includes(connection):
-            self.check()
-            self._idle_by_descriptor.pop(connection.descriptor, None)
+            self._idle_by_descriptor.pop(connection.descriptor)
             self._epoll.modify(connection.descriptor, select.EPOLLONESHOT)
 
     def includes(self, connection: Connection) -> bool:
--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -73,7 +73,9 @@
 
         Return whether it may be.
         """
-        self._idle.remove(connection)
+        if self._idle.includes(connection):
+            self._idle.check()
+            self._idle.remove(connection)
         if connection.is_retired:
             return False
         connection.served += 1
@@ -83,7 +85,10 @@
 
     def keep(self, connection: Connection) -> None:
         """Note that a request has ended, and that curl keeps its connection."""
-        self._idle.add(connection)
+        if connection.is_retired:
+            self._drop_later_input(connection, Stutter.idle)
+        else:
+            self._idle.add(connection)
 
     def hold(self, connection: Connection) -> Duplicate | None:
         """Keep a connection open while curl may close it.
@@ -146,6 +151,7 @@
     def _drop_later_input(
         self, connection: Connection, stutter: Stutter | None
     ) -> None:
+        self._idle.remove(connection)
         held = self.hold(connection)
         if held:
             # It is ended only when the peer is silent: the peer may take an
--- a/src/turmericmast/web/lingering.py
+++ b/src/turmericmast/web/lingering.py
@@ -169,7 +169,7 @@
         now = self._loop.time()
         over = [
             duplicate
-            for duplicate in self._lingering
+            for duplicate in tuple(self._lingering)
             if not duplicate.drop_input(now)
         ]
         self._lingering.difference_update(over)
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -19,7 +19,7 @@
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
-from turmericmast.web.connections import Connection
+from turmericmast.web.connections import Connection, Descriptor
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.lingering import Duplicate
 from turmericmast.web.persistence import persists
@@ -169,21 +169,23 @@
             self._is_paused = False
             self._curl.resume(self)
 
-    def end_use(self, code: int, *, is_kept: bool) -> None:
+    def end_use(self, code: int, kept: Descriptor) -> None:
         """Note that curl has ended the transfer with a result code.
 
-        ``is_kept`` tells whether it keeps the connection for a later one.
+        ``kept`` is the connection that it keeps for a later one, -1 if none.
         """
-        if is_kept and self._connection:
-            self._curl.kept_connections.keep(self._connection)
+        connection = self._connection
+        is_kept = connection is not None and connection.descriptor == kept
+        if connection and is_kept:
+            self._curl.kept_connections.keep(connection)
         # Otherwise the target may be writing a second response, after a whole
         # one or within one that was rejected.
         is_whole = code == pycurl.E_OK and self.progress is Progress.head
         is_rejected = self.progress is Progress.sending
         lingers = is_whole or is_rejected or self._sink.is_foreign
         has_excess = is_whole and not is_kept and self._was_closed_for_excess()
-        if has_excess and self._connection:
-            self._curl.kept_connections.report(Stutter.excess, self._connection)
+        if connection and has_excess:
+            self._curl.kept_connections.report(Stutter.excess, connection)
         self._release(
             lingers=lingers and not is_kept,
             stutter=Stutter.excess if is_whole and not has_excess else None,
--- a/tests/test_stray_bytes.py
+++ b/tests/test_stray_bytes.py
@@ -237,6 +237,42 @@
         await asyncio.sleep(SOON)
         self.assertEqual(len(os.listdir('/proc/self/fd')), descriptors)
 
+    @parameterized.expand(
+        [
+            ('excess', False, RESPONSE + bytes(90_000)),
+            ('excess_on_a_single_use', True, RESPONSE + bytes(90_000)),
+        ]
+    )
+    async def test_open_connections_are_retired(
+        self, _name: str, is_single: bool, response: bytes
+    ) -> None:
+        errors: list[dict[str, object]] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _loop, context: errors.append(context)
+        )
+        async with StrayTarget() as target:
+            with CurlClient() as curl:
+                kept = curl.kept_connections
+                kept.on_stray = lambda stray: kept.retire(stray.address)
+                target.may_answer.clear()
+                asked = [
+                    asyncio.ensure_future(target.ask(curl)) for _ in range(3)
+                ]
+                await asyncio.sleep(SOON)
+                target.may_answer.set()
+                await asyncio.gather(*asked[:2])
+                target.response = response
+                await target.ask(curl, uses_kept_connection=not is_single)
+                await asyncio.sleep(SOON)
+                target.response = RESPONSE
+                await target.ask(curl)
+                # Those that were idle are ended when they stay silent.
+                await asyncio.sleep(MAX_QUIET_SECONDS + 2 * SOON)
+                self.assertEqual(len(kept), 0)
+                self.assertLessEqual({0, 1, 2}, set(target.endings))
+        self.assertEqual(target.requests[-1], max(target.requests))
+        self.assertEqual(errors, [])
+
     async def test_cancelled_transfer_closes_at_once(self) -> None:
         async with StrayTarget(_response(900_000)) as target:
             with CurlClient() as curl:
@@ -294,7 +330,7 @@
 
     def __init__(self, response: bytes = RESPONSE) -> None:
         """Prepare to answer with ``response``; listen within the context."""
-        self._response = response
+        self.response = response
         self.address = ''
         self.writers: list[asyncio.StreamWriter] = []
         self.requests: list[int] = []
@@ -388,7 +424,7 @@
                 await reader.readuntil(b'\r\n\r\n')
                 self.requests.append(number)
                 await self.may_answer.wait()
-                writer.write(self._response)
+                writer.write(self.response)
         except (OSError, asyncio.IncompleteReadError):
             # It goes on to write, as far as a test asks for it.
             self.endings.append(number)
