--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -8,9 +8,9 @@
 from typing import final
 
 from turmericmast.ids import AttemptId
-from turmericmast.web.edgeresponse import Rejection
 from turmericmast.web.parse import CALL_HEADER
 from turmericmast.web.problem import RAN_HEADER
+from turmericmast.web.rejection import Rejection
 from turmericmast.web.responsehead import PossibleJoin, ResponseHead
 from turmericmast.web.transfer import ResponseSink
 
@@ -24,6 +24,9 @@
 class EchoingTargets:
     """The addresses whose last response bore the id of its request.
 
+    Whether the responses of such an address can still be told apart is decided
+    by ``balance.framing``.
+
     Only their connections are kept. Others get a new connection for each
     request: the response on it can only be that to the one request.
     """
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -15,7 +15,8 @@
 from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent
-from turmericmast.web.edgeresponse import EdgeResponse, Rejection
+from turmericmast.web.edgeresponse import EdgeResponse
+from turmericmast.web.rejection import Rejection
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
 MAX_SHOWN_ID = 40
@@ -79,7 +80,10 @@
         self._pool.begin_request(view, self.began_at)
         self._context.load_sharing.announce_request(view)
         request = make_request(self.candidate, self.resume)
-        if self.candidate.is_last_resort:
+        keeps_connections = self._context.framing.keeps_connections
+        if self.candidate.is_last_resort or not keeps_connections(
+            view.record.address
+        ):
             # A leaving target may close a kept connection at any moment.
             request = dataclasses.replace(request, uses_kept_connection=False)
         self._sent_octets = max(request.body_size, 0)
@@ -138,6 +142,8 @@
             view.eject_misplaced()
         if self.response.rejection:
             self._report_rejection(self.response.rejection)
+        elif loss is None or self.response.is_buffered:
+            self._context.framing.apply_response(view.record.address)
         if loss is None:
             self._learn(Seconds(now - self.began_at))
 
@@ -153,6 +159,11 @@
             status=self.response.status,
             names=self.response.named_request[:MAX_SHOWN_ID],
         )
+        stutter = rejection.stutter
+        if stutter:
+            self._context.framing.apply_stutter(
+                self.candidate.view.record.address, stutter
+            )
 
     def _learn(self, latency: Seconds) -> None:
         octets = self._sent_octets + self.response.octets
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -1,12 +1,13 @@
 """Objects that all requests of an edge share."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
+from turmericmast.ids import TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
@@ -49,8 +50,15 @@
             self.metrics,
             self.events,
         )
-        self.framing = FramingReports(self.edge, self.metrics, self.events)
-        self.curl.kept_connections.on_stray = self.framing.apply_stray
+        self.framing = FramingReports(
+            self._targets_at,
+            self.curl.kept_connections,
+            self.clock,
+            self.metrics,
+            self.events,
+        )
+        self.prober.on_stutter = self.framing.apply_stutter
+        self.prober.keeps_connections = self.framing.keeps_connections
         self.prober.on_statement = self.statements.apply_health
         self.load_sharing.on_departure = self.statements.apply_news
 
@@ -65,3 +73,10 @@
         if self.edge.is_leaving:
             return {'Connection': 'close'}
         return {'Keep-Alive': f'timeout={reuse_time}'} if reuse_time else {}
+
+    def _targets_at(self, address: str) -> Iterable[TargetId]:
+        return (
+            view.record.target
+            for view in self.edge.views()
+            if view.record.address == address
+        )
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -1,6 +1,5 @@
 """Validation of a target's response before the caller receives any of it."""
 
-import enum
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import final
@@ -10,6 +9,7 @@
 from turmericmast.call.call import Loss
 from turmericmast.ids import TargetId
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
+from turmericmast.web.rejection import Rejection
 from turmericmast.web.relay import Relay, RelayState
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import ResponseSink
@@ -22,20 +22,6 @@
 """
 
 
-@final
-class Rejection(enum.Enum):
-    """Why a response is not the target's to this request; a metric label."""
-
-    other_request = 'other_request'
-    """It bears another request's id, or none."""
-    encoded = 'encoded'
-    """It was encoded on the way."""
-    unsigned = 'unsigned'
-    """It reports success without the target's signature."""
-    joined_head = 'joined_head'
-    """Its status may belong to another response than its headers."""
-
-
 @final
 class EdgeResponse(ResponseSink):
     """Forwards a successful response and buffers any other one.
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Protocol, final
 
+from turmericmast.balance.framing import Stutter
 from turmericmast.balance.statement import TargetStatement
 from turmericmast.balance.targetview import Eligibility, TargetView
 from turmericmast.call.call import Loss
@@ -15,8 +16,8 @@
 from turmericmast.metrics import Metrics
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
-from turmericmast.web.edgeresponse import Rejection
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
+from turmericmast.web.rejection import Rejection
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import (
     Progress,
@@ -64,6 +65,10 @@
             [TargetView, int, TargetStatement], None
         ] = _ignore_statement
         """Called with the status and statement of each response of a target."""
+        self.on_stutter: Callable[[str, Stutter], None] = _ignore_stutter
+        """Called with the address whose response was to another request."""
+        self.keeps_connections: Callable[[str], bool] = _keep_connections
+        """Tells whether a connection to an address may serve more requests."""
         self._probe_by_target: dict[TargetId, asyncio.Task[bool]] = {}
 
     async def probe(
@@ -127,7 +132,7 @@
             timeout=PROBE_TIMEOUT,
             body=None,
             body_size=0,
-            uses_kept_connection=not view.departure.has_begun,
+            uses_kept_connection=self._may_keep(view),
         )
         transfer = Transfer(
             self._curl,
@@ -141,6 +146,9 @@
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
         if sink.is_joined:
             self._report_joined_head(view, sink)
+            self.on_stutter(view.record.address, Stutter.joined_head)
+        elif sink.is_foreign:
+            self.on_stutter(view.record.address, Stutter.other_request)
         before = view.eligibility(self._clock.now())
         if loss or sink.head is None or sink.metadata is None:
             view.lose_path(self._clock.now())
@@ -165,6 +173,11 @@
             status=sink.head.status if sink.head else 0,
         )
 
+    def _may_keep(self, view: TargetView) -> bool:
+        return not view.departure.has_begun and self.keeps_connections(
+            view.record.address
+        )
+
     def _log_change(
         self,
         view: TargetView,
@@ -234,7 +247,8 @@
     @property
     def is_foreign(self) -> bool:
         """Tell whether the response belongs to an earlier request."""
-        return self.metadata is not None and self.metadata.answers_request
+        is_response = self.metadata and self.metadata.answers_request
+        return self.is_joined or bool(is_response)
 
     @property
     def is_overfull(self) -> bool:
@@ -271,5 +285,14 @@
     """Do nothing; the default until a callback is set."""
 
 
+def _ignore_stutter(address: str, stutter: Stutter) -> None:
+    """Do nothing; the default until a callback is set."""
+
+
+def _keep_connections(address: str) -> bool:
+    """Keep connections to all addresses; the default."""
+    return True
+
+
 def _ignore_result(view: TargetView, *, is_lost: bool = False) -> None:
     """Do nothing; the default until a callback is set."""
--- /dev/null
+++ b/src/turmericmast/web/rejection.py
@@ -0,0 +1,34 @@
+"""Reasons to reject a response, and what they say about its target."""
+
+import enum
+from types import MappingProxyType
+from typing import final
+
+from turmericmast.balance.framing import Stutter
+
+
+@final
+class Rejection(enum.Enum):
+    """Why a response is not the target's to this request; a metric label."""
+
+    other_request = 'other_request'
+    """It bears another request's id, or none."""
+    encoded = 'encoded'
+    """It was encoded on the way."""
+    unsigned = 'unsigned'
+    """It reports success without the target's signature."""
+    joined_head = 'joined_head'
+    """Its status may belong to another response than its headers."""
+
+    @property
+    def stutter(self) -> Stutter | None:
+        """Return the stutter that such a response may consist of."""
+        return _STUTTER_BY_REJECTION.get(self)
+
+
+_STUTTER_BY_REJECTION = MappingProxyType(
+    {
+        Rejection.other_request: Stutter.other_request,
+        Rejection.joined_head: Stutter.joined_head,
+    }
+)
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -105,13 +105,22 @@
         echoing = self._context.echoing_targets
         must_echo = echoing.includes(destination.address)
         response = OwnResponse(self._relay, attempt, must_echo=must_echo)
+        framing = self._context.framing
         loss = await self._transfer_to(
-            destination, response, uses_kept_connection=must_echo
+            destination,
+            response,
+            uses_kept_connection=must_echo
+            and framing.keeps_connections(destination.address),
         )
         if response.rejection:
             self._context.metrics.count(
                 'responses_rejected', reason=response.rejection.value
             )
+            stutter = response.rejection.stutter
+            if stutter:
+                framing.apply_stutter(destination.address, stutter)
+        elif loss is None:
+            framing.apply_response(destination.address)
         if loss is None or response.rejection:
             echoing.record(destination.address, has_echoed=response.has_echoed)
         return loss
@@ -156,6 +165,7 @@
             if has_body
             else None,
             body_size=self._body_size(),
+            name=request.call,
         )
 
     def _body_size(self) -> int:
