Edge: a success has exactly one signature

A success with two signatures was passed on with both, so that a reader could take that of another response.

Change: the platform's headers count as signed with one signature only. One that is repeated is of no use to a caller, and shows that headers of two responses were mixed: a success is rejected as unsigned.

Evidence: two rows of tests/test_joined_heads.py failed before. Tests also that valid heads keep the connection.

--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -26,7 +26,7 @@
 EXPECTED_TARGET_HEADER = 'X-Expect-Instance'
 """Id of the target that a request is meant for."""
 SIGNATURE_HEADER = 'X-Response-Signature'
-"""Signature of a response; only its presence counts here."""
+"""Signature of a response; it counts if there is exactly one."""
 NOT_RUN_HEADER = 'X-Not-Executed'
 """Present if the target has not run the request."""
 TARGET_HEADER = 'X-Instance-Id'
@@ -99,7 +99,7 @@
         is_misdirected = status == MISDIRECTED_STATUS
         return ResponseMetadata(
             request_id=headers.get(REQUEST_ID_HEADER, ''),
-            is_signed=SIGNATURE_HEADER in headers,
+            is_signed=len(headers.get_list(SIGNATURE_HEADER)) == 1,
             is_not_run=NOT_RUN_HEADER in headers or is_misdirected,
             is_misdirected=is_misdirected,
             load=_load(headers.get(LOAD_HEADER, '')),
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -30,7 +30,7 @@
     request_id: str
     """Id of the request that the response belongs to."""
     is_signed: bool
-    """Whether a signature is present; it is not verified."""
+    """Whether one signature is present; it is not verified."""
     is_not_run: bool
     """Whether the target states that it has not run the request."""
     is_misdirected: bool
--- a/tests/head_readers.py
+++ b/tests/head_readers.py
@@ -47,10 +47,12 @@
         """Return a response with the headers that this reader knows."""
         return octets
 
-    async def read(self, curl: CurlClient, url: str) -> Received | Loss:
+    async def read(
+        self, curl: CurlClient, url: str, *, is_kept: bool = False
+    ) -> Received | Loss:
         """Send a request; return what a caller gets, or why it gets none."""
         request = TransferRequest(
-            url, 'GET', (), TIMEOUT, None, 0, uses_kept_connection=False
+            url, 'GET', (), TIMEOUT, None, 0, uses_kept_connection=is_kept
         )
         transfer = Transfer(curl, request, self._sink, lambda: True)
         return self.result(await transfer.run())
--- a/tests/test_joined_heads.py
+++ b/tests/test_joined_heads.py
@@ -235,6 +235,38 @@
             [parsed(octets.replace(b'\r\n ', b' ')) for octets in responses],
         )
 
+    # Guards against the same where the connection is kept: one that is closed
+    # costs the next request a new one.
+    @parameterized.expand([(kind.__name__, kind) for kind in READERS[:5]])
+    async def test_single_heads_in_turn(
+        self, _name: str, kind: type[Reader]
+    ) -> None:
+        responses = [kind.adapt(octets) for _, octets in SINGLE]
+        target = JoiningTarget([(octets,) for octets in responses])
+        async with target.run() as address:
+            with CurlClient() as curl:
+                received = [
+                    await kind().read(
+                        curl, f'http://{address}/{index}', is_kept=True
+                    )
+                    for index in range(len(responses))
+                ]
+        self.assertEqual(
+            received,
+            [parsed(octets.replace(b'\r\n ', b' ')) for octets in responses],
+        )
+        self.assertEqual(target.connections, 1)
+
+    # Guards against a success with the signatures of two responses.
+    @parameterized.expand([('before', 0), ('after', 1)])
+    async def test_two_signatures(self, _name: str, place: int) -> None:
+        fields = [OWN_ID, *OWN_FIELDS]
+        fields.insert(place, b'X-Response-Signature: old')
+        response = head(b'200 OK', *fields) + b'good'
+        self.assertEqual(
+            await read_all(EdgeReader, [(response,)]), [Loss.cut_short]
+        )
+
     # Guards against interim heads that are taken for joined ones.
     @parameterized.expand([(kind.__name__, kind) for kind in READERS])
     async def test_interim_head(self, _name: str, kind: type[Reader]) -> None:
