--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -79,6 +79,11 @@
         """Pass on a part of the body; false to get it again later."""
         return self._sink.on_chunk(chunk)
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether a response to another request has arrived."""
+        return self.rejection is not None
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether the body exceeds what the sink can use."""
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -231,6 +231,13 @@
         self._octets += len(chunk)
         return True
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether a part of the response may answer another request."""
+        return self.is_joined or (
+            self.metadata is not None and self.metadata.answers_request
+        )
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether the body is longer than any health response."""
