--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -246,9 +246,10 @@
 
     @property
     def is_foreign(self) -> bool:
-        """Tell whether the response belongs to an earlier request."""
-        is_response = self.metadata and self.metadata.answers_request
-        return self.is_joined or bool(is_response)
+        """Tell whether a part of the response may answer another request."""
+        return self.is_joined or (
+            self.metadata is not None and self.metadata.answers_request
+        )
 
     @property
     def is_overfull(self) -> bool:
