Lines and a metric for bytes behind a response

Now the kernel's count of received bytes is compared with the head lines and the announced length when the last piece of a body arrives: response_excess with target, request, count and what became of the body, and responses_excess_total. No decision changes.

The kernel is asked once for each response with a length, and at the next request after one without (chunks, HEAD, 204); bytes that arrive later, or behind these, aren't noticed here. Folded header lines count as excess, since curl joins them.

--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -9,6 +9,7 @@
 
 from turmericmast.ids import AttemptId
 from turmericmast.web.parse import CALL_HEADER
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.transfer import ResponseHead, ResponseSink
 
 MAX_TARGETS = 4096
@@ -55,10 +56,17 @@
         """Whether the response bore the id of the attempt."""
         self.is_foreign = False
         """Whether a response to another request has arrived."""
+        self.body = ResponseBody()
+        """What is known of the body."""
         self._sink = sink
         self._attempt = attempt
         self._must_echo = must_echo
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Keep and pass on what becomes known of the body."""
+        self.body = body
+        self._sink.on_body(body)
+
     def on_head(self, head: ResponseHead) -> bool:
         """Pass on the head; false if it belongs to another request."""
         echoed = head.headers.get(CALL_HEADER)
--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -20,6 +20,11 @@
         self.descriptor = descriptor
         self.served = 0
         """Requests that were sent on it."""
+        self.accounted: int | None = 0
+        """Bytes received that belong to its responses, once these have ended.
+
+        It is ``None`` while that is not known.
+        """
 
 
 @final
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -16,6 +16,7 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent
 from turmericmast.web.edgeresponse import EdgeResponse, Rejection
+from turmericmast.web.excessreport import report_excess
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
 MAX_SHOWN_ID = 40
@@ -110,6 +111,7 @@
         except Exception:
             view.drop_request()
             raise
+        self._report_excess()
         now = self._context.clock.now()
         if self.response.load:
             view.update_load(self.response.load, now)
@@ -154,6 +156,16 @@
             names=self.response.named_request[:MAX_SHOWN_ID],
         )
 
+    def _report_excess(self) -> None:
+        report_excess(
+            self.response.body,
+            self._context.metrics,
+            self._context.events,
+            request=self.response.request_id,
+            target=self.candidate.view.record.target,
+            status=self.response.status,
+        )
+
     def _learn(self, latency: Seconds) -> None:
         octets = self._sent_octets + self.response.octets
         if self._had_free_slot:
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -11,6 +11,7 @@
 from turmericmast.ids import TargetId
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
 from turmericmast.web.relay import Relay, RelayState
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.transfer import ResponseHead, ResponseSink
 
 MAX_BUFFERED_BYTES = 65_536
@@ -77,6 +78,8 @@
         self.named_request = ''
         """Id of the request that the response names."""
         self._buffered: list[bytes] = []
+        self.body = ResponseBody()
+        """What is known of the body."""
 
     @property
     def load(self) -> LoadReport | None:
@@ -98,6 +101,10 @@
         """Return the targets that another instance has tried."""
         return self._metadata.tried if self._metadata else ()
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Keep what becomes known of the body."""
+        self.body = body
+
     def on_head(self, head: ResponseHead) -> bool:
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.headers)
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -13,6 +13,7 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.edgeresponse import EdgeResponse
+from turmericmast.web.excessreport import report_excess
 from turmericmast.web.peerheaders import Forwarding, PeerHeaders
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import Transfer
@@ -106,6 +107,14 @@
         transfer = Transfer(self._context.curl, request, response, _always)
         self._transfer = transfer
         loss = response.final_loss(await transfer.run())
+        report_excess(
+            response.body,
+            self._context.metrics,
+            self._context.events,
+            request=response.request_id,
+            peer=peer.instance,
+            status=response.status,
+        )
         self._peers.end(
             peer.instance,
             self._incoming.pool.service,
--- /dev/null
+++ b/src/turmericmast/web/receivedbytes.py
@@ -0,0 +1,85 @@
+"""Bytes that a connection has received for one response."""
+
+import fcntl
+import socket
+import sys
+import termios
+from typing import final
+
+from turmericmast.web.connections import Connection, Descriptor
+from turmericmast.web.unseenbytes import RECEIVED_BYTES
+
+INT_BYTES = 4
+"""Size of the kernel's count of unread bytes."""
+
+
+@final
+class ReceivedBytes:
+    """Counts what a connection receives after a request was sent on it.
+
+    The kernel is asked once for each response with a length, and once more
+    after one without.
+    """
+
+    def __init__(self, connection: Connection) -> None:
+        """Begin to count; bytes that wait to be read count too."""
+        self._connection = connection
+        self._before = connection.accounted
+        if self._before is None:
+            descriptor = connection.descriptor
+            self._before = _total(descriptor) - _unread(descriptor)
+        connection.accounted = None
+
+    def beyond(self, octets: int) -> int:
+        """Return how many bytes were received beyond ``octets``.
+
+        It is 0 where the kernel does not tell. If it is 0, the response has
+        ended, and the next one begins.
+        """
+        total = _total(self._connection.descriptor)
+        excess = max(total - (self._before or 0) - octets, 0)
+        self._connection.accounted = None if excess else total
+        return excess
+
+
+def _total(descriptor: Descriptor) -> int:
+    try:
+        octets = _tcp_info(descriptor)
+    except OSError:
+        return 0
+    if len(octets) < RECEIVED_BYTES.size:
+        return 0
+    return int(RECEIVED_BYTES.unpack(octets)[0])
+
+
+def _tcp_info(descriptor: Descriptor) -> bytes:
+    """Return what the kernel tells of a connection that curl owns.
+
+    This runs for each response, so it takes less time than
+    ``borrowed_socket``: the plain type of sockets is told all that it would
+    ask the kernel for.
+
+    Raises:
+        OSError: if the descriptor is not a socket.
+
+    """
+    borrowed = socket.SocketType(
+        socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, descriptor
+    )
+    try:
+        octets = borrowed.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED_BYTES.size
+        )
+    except OSError:
+        octets = b''
+    # curl owns the descriptor, so the socket object must not close it.
+    borrowed.detach()
+    return octets
+
+
+def _unread(descriptor: Descriptor) -> int:
+    try:
+        octets = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(INT_BYTES))
+    except OSError:
+        return 0
+    return int.from_bytes(octets, sys.byteorder)
--- a/src/turmericmast/web/responselimits.py
+++ b/src/turmericmast/web/responselimits.py
@@ -38,14 +38,15 @@
 
     def __init__(self) -> None:
         """Start with nothing received."""
-        self._octets = 0
+        self.octets = 0
+        """Bytes of the lines that were added."""
         self._lines = 0
 
     def add(self, line: bytes) -> bool:
         """Add a line; return whether the limits are kept."""
-        self._octets += len(line)
+        self.octets += len(line)
         self._lines += 1
-        return self._octets <= MAX_HEAD_BYTES and self._lines <= MAX_HEAD_LINES
+        return self.octets <= MAX_HEAD_BYTES and self._lines <= MAX_HEAD_LINES
 
 
 @final
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -11,6 +11,7 @@
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
 from turmericmast.web.callecho import OwnResponse
 from turmericmast.web.entrycontext import EntryContext
+from turmericmast.web.excessreport import report_excess
 from turmericmast.web.parse import CALL_HEADER, entry_request_headers
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import (
@@ -108,6 +109,13 @@
         loss = await self._transfer_to(
             destination, response, uses_kept_connection=must_echo
         )
+        report_excess(
+            response.body,
+            self._context.metrics,
+            self._context.events,
+            attempt=attempt,
+            target=destination.target,
+        )
         if response.is_foreign:
             self._context.metrics.count('responses_rejected')
         if loss is None or response.is_foreign:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -20,6 +20,8 @@
 from turmericmast.web.body import BodyReader
 from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.receivedbytes import ReceivedBytes
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -73,6 +75,9 @@
         ``Transfer.resume``.
         """
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Receive what becomes known of the body, before the head."""
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether to abort: the body exceeds what the sink can use."""
@@ -128,6 +133,7 @@
         self._is_paused = False
         self._connection: Connection | None = None
         """The connection that the request was sent on, once it is known."""
+        self._body = ResponseBody()
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -224,6 +230,7 @@
         self._connection = self._curl.connections.find(pair)
         if self._connection:
             self._connection.served += 1
+            self._body.begin_request(ReceivedBytes(self._connection))
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_read(self, size: int) -> Any:
@@ -271,6 +278,12 @@
             self._head_lines = []
             return True
         self.progress = Progress.head
+        return self._begin_body(head)
+
+    def _begin_body(self, head: ResponseHead) -> bool:
+        length = head.headers.get('Content-Length')
+        self._body.begin(self._head_size.octets, length)
+        self._sink.on_body(self._body)
         return self._sink.on_head(head)
 
     def _on_write(self, chunk: bytes) -> int:
@@ -279,11 +292,19 @@
             # Other transfers and callers get their turn first. curl joins
             # what it has already read of the body meanwhile.
             asyncio.get_running_loop().call_soon(self.resume)
-        elif self._sink.on_chunk(chunk):
+        elif self._pass_on(chunk):
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
 
+    def _pass_on(self, chunk: bytes) -> bool:
+        """Pass a piece of the body to the sink; false to get it again."""
+        self._body.judge(chunk)
+        is_accepted = self._sink.on_chunk(chunk)
+        if is_accepted:
+            self._body.accept(chunk)
+        return is_accepted
+
 
 def _parse_head(lines: list[str]) -> ResponseHead:
     start = parse_response_start_line(lines[0])
--- a/tests/test_filled_bodies.py
+++ b/tests/test_filled_bodies.py
@@ -100,14 +100,20 @@
         self.connections = 0
         self.is_closed = asyncio.Event()
         self._segments = segments
+        self._tasks: list[asyncio.Task[None]] = []
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[str]:
         """Serve on loopback, and return the address."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
         async with server:
             yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
-            await asyncio.wait_for(self.is_closed.wait(), TIMEOUT)
+            await asyncio.wait_for(asyncio.gather(*self._tasks), TIMEOUT)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._tasks.append(asyncio.ensure_future(self._serve(reader, writer)))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
