Bodies filled up by a second response are cut responses

What callers saw: a 200 with the announced number of bytes, where the target's response was cut within its body and the head of its second response stood in the rest (MIXED). At an entry, a download that was cut behind such a head was resumed, and looked whole, too.

Cause: the announced length is all that ended a body. Bytes behind it were dropped by curl, or left unread, and told nobody that the target's response had ended before.

Now a body is in doubt if it may contain a status line (HTTP/1.d ddd), also across pieces, or ends with the beginning of one; a fill may be one byte long. A body in doubt with bytes behind it on its connection was filled up: the transfer is aborted before its last piece is passed on (Loss.cut_short), so a buffered response is replaced or refused, and a streamed one ends early. A body in doubt without such bytes waits for 20 ms, paused before its last piece. What was sent of a body in doubt is not resumed by Range at an entry.

Weighed: bytes behind a response alone are no reason, since a target may send a second response behind a whole one, and its orders would get a 502 for nothing. What the body says alone is no reason, since it may quote a response. A body that quotes one and has a second response behind it at once is refused; the two can't be told apart. Holding back the last piece until curl has ended the transfer isn't needed: the verdict comes first. Folded header lines are shorter when curl passes them on and count as bytes behind the body; only a body in doubt fails for it. The kernel counts the end of a stream as a byte (found by tests/test_resumed_downloads.py), which is left out. curl closes a connection on which it has read more; one on which such bytes are unread was kept, and its next request got them (200 of another response, or 502): it isn't used again now. A body in doubt that has settled without such bytes keeps its connection, as test_single_head_09_head_in_the_body asks.

Left: a fill of bytes that are no HTTP/1 response; a cut that the second response fills exactly; bytes that come more than 20 ms after the last byte that was needed; a body that quotes a response beside folded header lines.

A body in doubt takes 20 ms more; of bodies that end with a random byte it is one in 256.

--- a/src/turmericmast/web/receivedbytes.py
+++ b/src/turmericmast/web/receivedbytes.py
@@ -11,6 +11,9 @@
 
 INT_BYTES = 4
 """Size of the kernel's count of unread bytes."""
+CLOSE_WAIT = 8
+"""State of a connection that the peer has closed, the first byte of the
+kernel's ``struct tcp_info``."""
 
 
 @final
@@ -41,6 +44,11 @@
         self._connection.accounted = None if excess else total
         return excess
 
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes wait on the connection that curl hasn't read."""
+        return _unread(self._connection.descriptor) > 0
+
 
 def _total(descriptor: Descriptor) -> int:
     try:
@@ -49,7 +57,9 @@
         return 0
     if len(octets) < RECEIVED_BYTES.size:
         return 0
-    return int(RECEIVED_BYTES.unpack(octets)[0])
+    # The kernel counts the end of the stream as a byte.
+    has_ended = octets[0] == CLOSE_WAIT
+    return int(RECEIVED_BYTES.unpack(octets)[0]) - int(has_ended)
 
 
 def _tcp_info(descriptor: Descriptor) -> bytes:
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -13,6 +13,7 @@
 from turmericmast.web.body import MAX_BUFFERED_BYTES
 from turmericmast.web.parse import response_headers
 from turmericmast.web.problem import RAN_HEADER, Problem, respond
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.transfer import ResponseHead, ResponseSink
 
 if TYPE_CHECKING:
@@ -71,6 +72,9 @@
         self._is_resuming = False
         self._has_changed = False
         """Whether a success did not continue the interrupted response."""
+        self._body = ResponseBody()
+        self._has_doubtful_part = False
+        """Whether an interrupted body may be of two responses."""
         self.source: object | None = None
         """The only one that may write the response; ``None`` if unclaimed."""
 
@@ -80,6 +84,12 @@
             self.source = source
         return self.source is source
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Keep what becomes known of the body."""
+        if self.state is RelayState.streaming:
+            self._has_doubtful_part |= self._body.is_doubtful
+        self._body = body
+
     def on_head(self, head: ResponseHead) -> bool:
         """Receive the head; a resumed response must continue the first one.
 
@@ -87,7 +97,7 @@
         sent.
         """
         if self._is_resuming:
-            is_continuation = self._is_continuation(head)
+            is_continuation = _is_continuation(self.head, head, self.sent_bytes)
             if not is_continuation:
                 self.state = RelayState.broken
                 self._has_changed |= head.status < HTTPStatus.MULTIPLE_CHOICES
@@ -179,9 +189,12 @@
 
         It takes a GET request, status 200, a strong entity tag and a known
         length. The next head must then continue this response. If the last one
-        was a failure instead, another target may continue it.
+        was a failure instead, another target may continue it. What was sent
+        must not contain a part of another response.
         """
         head = self.head
+        if self._has_doubtful_part or self._body.is_doubtful:
+            return None
         if (
             head is None
             or self._has_changed
@@ -250,17 +263,6 @@
     def _is_buffer_full(self) -> bool:
         return self._buffered_bytes > MAX_BUFFERED_BYTES
 
-    def _is_continuation(self, head: ResponseHead) -> bool:
-        first = self.head
-        if first is None or head.status != HTTPStatus.PARTIAL_CONTENT:
-            return False
-        whole = first.headers['Content-Length']
-        expected_range = f'bytes {self.sent_bytes}-{int(whole) - 1}/{whole}'
-        return (
-            head.headers.get('ETag') == first.headers.get('ETag')
-            and head.headers.get('Content-Range') == expected_range
-        )
-
     def _discard_body(self) -> None:
         self._buffer = []
         self._buffered_bytes = 0
@@ -301,6 +303,20 @@
             self.resume()
 
 
+def _is_continuation(
+    first: ResponseHead | None, head: ResponseHead, sent_bytes: int
+) -> bool:
+    """Tell whether ``head`` has the rest of the body of ``first``."""
+    if first is None or head.status != HTTPStatus.PARTIAL_CONTENT:
+        return False
+    whole = first.headers['Content-Length']
+    expected_range = f'bytes {sent_bytes}-{int(whole) - 1}/{whole}'
+    return (
+        head.headers.get('ETag') == first.headers.get('ETag')
+        and head.headers.get('Content-Range') == expected_range
+    )
+
+
 def _is_refusal(head: ResponseHead | None) -> bool:
     """Tell whether the target says that it has not run the request."""
     if head is None or head.status != HTTPStatus.SERVICE_UNAVAILABLE:
--- a/src/turmericmast/web/responsebody.py
+++ b/src/turmericmast/web/responsebody.py
@@ -4,6 +4,13 @@
 from typing import final
 
 from turmericmast.web.receivedbytes import ReceivedBytes
+from turmericmast.web.statuslines import StatusLines
+
+SETTLING_SECONDS = 0.02
+"""Seconds in which bytes behind a body in doubt may arrive.
+
+The rest of a response that a target has begun to write follows within a
+round trip in a region."""
 
 
 @final
@@ -12,8 +19,13 @@
 
     arriving = 'arriving'
     """Its end has not arrived, or cannot be known before the connection's."""
+    settling = 'settling'
+    """As many bytes as were announced have arrived, but its end isn't passed on
+    yet: it may be in doubt, or its connection has to be closed."""
     whole = 'whole'
-    """As many bytes as were announced have arrived."""
+    """It is taken for the whole body of one response."""
+    filled = 'filled'
+    """It was cut short, and filled up by another response."""
 
 
 @final
@@ -21,7 +33,9 @@
     """Follows a body of known length up to its end.
 
     A target may send more than one response to a request. What arrives behind
-    the body belongs to no request.
+    the body belongs to no request, and the body may still be whole. It is in
+    doubt if it may contain the status line of another response: with bytes
+    behind it, it was filled up; without, it quotes a response.
     """
 
     def __init__(self) -> None:
@@ -37,6 +51,28 @@
         self._head_octets = 0
         self._length: int | None = None
         self._octets = 0
+        self._status_lines = StatusLines()
+        self._ends_in_doubt = False
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Tell whether the pieces so far may be of two responses."""
+        return self._status_lines.is_possible()
+
+    @property
+    def settling_seconds(self) -> float:
+        """Return for how many seconds the body has to settle."""
+        return SETTLING_SECONDS if self._ends_in_doubt else 0
+
+    @property
+    def has_unread_excess(self) -> bool:
+        """Tell whether the connection still holds bytes behind the body.
+
+        curl itself closes a connection on which it has read such bytes.
+        """
+        if self._received is None or not self.excess:
+            return False
+        return self._received.has_unread
 
     def begin_request(self, received: ReceivedBytes) -> None:
         """Count what arrives on the connection from now on."""
@@ -52,15 +88,40 @@
             self._length = int(length)
 
     def judge(self, piece: bytes) -> BodyState:
-        """Judge the body by the next piece, before it is passed on."""
+        """Judge the body by the next piece, before it is passed on.
+
+        While it is settling, the piece has to wait for ``settle``.
+        """
         if self.state is BodyState.arriving and self._is_last(piece):
+            self._ends_in_doubt = self._status_lines.is_possible(piece)
+            self.excess = self._count_excess()
+            if self._ends_in_doubt or self.has_unread_excess:
+                self.state = BodyState.settling
+            else:
+                self.state = BodyState.whole
+        elif self.state is BodyState.settling:
             self.excess = self._count_excess()
-            self.state = BodyState.whole
+        if self.state is BodyState.settling and self._is_filled:
+            self.state = BodyState.filled
         return self.state
 
+    def settle(self) -> None:
+        """Decide, after ``settling_seconds``, whether the body is whole."""
+        if self.state is BodyState.settling:
+            self.excess = self._count_excess()
+            self.state = (
+                BodyState.filled if self._is_filled else BodyState.whole
+            )
+
     def accept(self, piece: bytes) -> None:
         """Note that a piece was passed on."""
         self._octets += len(piece)
+        if self.state is BodyState.arriving and self._length is not None:
+            self._status_lines.add(piece)
+
+    @property
+    def _is_filled(self) -> bool:
+        return self._ends_in_doubt and self.excess > 0
 
     def _is_last(self, piece: bytes) -> bool:
         return self._octets + len(piece) == self._length
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -21,7 +21,7 @@
 from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.receivedbytes import ReceivedBytes
-from turmericmast.web.responsebody import ResponseBody
+from turmericmast.web.responsebody import BodyState, ResponseBody
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -293,18 +293,47 @@
             # what it has already read of the body meanwhile.
             asyncio.get_running_loop().call_soon(self.resume)
         elif self._pass_on(chunk):
-            return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
+            return ABORT_TRANSFER if self._must_abort else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
 
+    @property
+    def _must_abort(self) -> bool:
+        return self._body.state is BodyState.filled or self._sink.is_overfull
+
     def _pass_on(self, chunk: bytes) -> bool:
-        """Pass a piece of the body to the sink; false to get it again."""
-        self._body.judge(chunk)
+        """Pass a piece of the body to the sink; false to get it again.
+
+        The last piece of a body waits until it is known to be whole; that of
+        a body that was filled up is dropped.
+        """
+        former_state = self._body.state
+        state = self._body.judge(chunk)
+        if state is BodyState.settling:
+            if state is not former_state:
+                asyncio.get_running_loop().call_later(
+                    self._body.settling_seconds, self._end_body
+                )
+            return False
+        if state is BodyState.filled:
+            return True
         is_accepted = self._sink.on_chunk(chunk)
         if is_accepted:
             self._body.accept(chunk)
         return is_accepted
 
+    def _end_body(self) -> None:
+        """End a body that has settled.
+
+        A connection that holds bytes behind it is not used again: they would
+        be read as the response to the next request.
+        """
+        if not self._done.done():
+            self._body.settle()
+            if self._body.has_unread_excess:
+                self.handle.setopt(pycurl.FORBID_REUSE, 1)
+            self.resume()
+
 
 def _parse_head(lines: list[str]) -> ResponseHead:
     start = parse_response_start_line(lines[0])
