--- a/src/turmericmast/web/callecho.py
+++ b/src/turmericmast/web/callecho.py
@@ -11,6 +11,7 @@
 from turmericmast.web.parse import CALL_HEADER
 from turmericmast.web.problem import RAN_HEADER
 from turmericmast.web.rejection import Rejection
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.responsehead import PossibleJoin, ResponseHead
 from turmericmast.web.transfer import ResponseSink
 
@@ -63,10 +64,17 @@
         """Whether the response bore the id of the attempt."""
         self.rejection: Rejection | None = None
         """Why the response was aborted, if it was."""
+        self.body = ResponseBody()
+        """What is known of the body."""
         self._sink = sink
         self._attempt = attempt
         self._must_echo = must_echo
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Keep and pass on what becomes known of the body."""
+        self.body = body
+        self._sink.on_body(body)
+
     def on_head(self, head: ResponseHead) -> bool:
         """Pass on the head; false if it belongs to another request."""
         echoed = head.certain.get(CALL_HEADER)
--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -31,6 +31,12 @@
         self.is_watched = False
         """Whether it was idle before."""
 
+        self.accounted: int | None = 0
+        """Bytes received that belong to its responses, once these have ended.
+
+        It is ``None`` while that is not known.
+        """
+
     @property
     def is_open(self) -> bool:
         """Tell whether the descriptor still is that of this connection.
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -16,7 +16,8 @@
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent
 from turmericmast.web.edgeresponse import EdgeResponse
-from turmericmast.web.rejection import Rejection
+from turmericmast.web.excessreport import report_excess
+from turmericmast.web.rejection import Rejection, find_stutter
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
 MAX_SHOWN_ID = 40
@@ -114,6 +115,7 @@
         except Exception:
             view.drop_request()
             raise
+        self._report_excess()
         now = self._context.clock.now()
         if self.response.load:
             view.update_load(self.response.load, now)
@@ -142,8 +144,7 @@
             view.eject_misplaced()
         if self.response.rejection:
             self._report_rejection(self.response.rejection)
-        elif loss is None or self.response.is_buffered:
-            self._context.framing.apply_response(view.record.address)
+        self._apply_framing(loss)
         if loss is None:
             self._learn(Seconds(now - self.began_at))
 
@@ -159,11 +160,26 @@
             status=self.response.status,
             names=self.response.named_request[:MAX_SHOWN_ID],
         )
-        stutter = rejection.stutter
+
+    def _apply_framing(self, loss: Loss | None) -> None:
+        """Record whether the target's responses can be told apart."""
+        response = self.response
+        address = self.candidate.view.record.address
+        stutter = find_stutter(response.rejection, response.body)
         if stutter:
-            self._context.framing.apply_stutter(
-                self.candidate.view.record.address, stutter
-            )
+            self._context.framing.apply_stutter(address, stutter)
+        elif loss is None or response.is_buffered:
+            self._context.framing.apply_response(address)
+
+    def _report_excess(self) -> None:
+        report_excess(
+            self.response.body,
+            self._context.metrics,
+            self._context.events,
+            request=self.response.request_id,
+            target=self.candidate.view.record.target,
+            status=self.response.status,
+        )
 
     def _learn(self, latency: Seconds) -> None:
         octets = self._sent_octets + self.response.octets
--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -11,6 +11,7 @@
 from turmericmast.web.headerformat import HeaderFormat, ResponseMetadata
 from turmericmast.web.rejection import Rejection
 from turmericmast.web.relay import Relay, RelayState
+from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import ResponseSink
 
@@ -66,6 +67,8 @@
         self.named_request = ''
         """Id of the request that the response names."""
         self._buffered: list[bytes] = []
+        self.body = ResponseBody()
+        """What is known of the body."""
 
     @property
     def load(self) -> LoadReport | None:
@@ -87,6 +90,10 @@
         """Return the targets that another instance has tried."""
         return self._metadata.tried if self._metadata else ()
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Keep what becomes known of the body."""
+        self.body = body
+
     def on_head(self, head: ResponseHead) -> bool:
         """Forward, buffer or reject the response; false ends the transfer."""
         metadata = self._header_format.read_response(head.status, head.certain)
--- a/src/turmericmast/web/rejection.py
+++ b/src/turmericmast/web/rejection.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from turmericmast.balance.framing import Stutter
+from turmericmast.web.responsebody import ResponseBody
 
 
 @final
@@ -20,11 +21,6 @@
     joined_head = 'joined_head'
     """Its status may belong to another response than its headers."""
 
-    @property
-    def stutter(self) -> Stutter | None:
-        """Return the stutter that such a response may consist of."""
-        return _STUTTER_BY_REJECTION.get(self)
-
 
 _STUTTER_BY_REJECTION = MappingProxyType(
     {
@@ -32,3 +28,12 @@
         Rejection.joined_head: Stutter.joined_head,
     }
 )
+
+
+def find_stutter(
+    rejection: Rejection | None, body: ResponseBody
+) -> Stutter | None:
+    """Return the stutter that a response may consist of, if any."""
+    if body.is_filled:
+        return Stutter.filled_body
+    return _STUTTER_BY_REJECTION.get(rejection) if rejection else None
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -11,7 +11,9 @@
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
 from turmericmast.web.callecho import OwnResponse
 from turmericmast.web.entrycontext import EntryContext
+from turmericmast.web.excessreport import report_excess
 from turmericmast.web.parse import CALL_HEADER, entry_request_headers
+from turmericmast.web.rejection import find_stutter
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import (
     Progress,
@@ -112,13 +114,20 @@
             uses_kept_connection=must_echo
             and framing.keeps_connections(destination.address),
         )
+        report_excess(
+            response.body,
+            self._context.metrics,
+            self._context.events,
+            attempt=attempt,
+            target=destination.target,
+        )
         if response.rejection:
             self._context.metrics.count(
                 'responses_rejected', reason=response.rejection.value
             )
-            stutter = response.rejection.stutter
-            if stutter:
-                framing.apply_stutter(destination.address, stutter)
+        stutter = find_stutter(response.rejection, response.body)
+        if stutter:
+            framing.apply_stutter(destination.address, stutter)
         elif loss is None:
             framing.apply_response(destination.address)
         if loss is None or response.rejection:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -10,20 +10,20 @@
 import pycurl
 from tornado.httputil import HTTPInputError
 
-from turmericmast.balance.framing import Stutter
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
-from turmericmast.web.connections import Connection, Descriptor
+from turmericmast.web.connections import Descriptor
 from turmericmast.web.curl import CurlClient
-from turmericmast.web.lingering import Duplicate
 from turmericmast.web.persistence import persists
+from turmericmast.web.responsebody import BodyState, ResponseBody
 from turmericmast.web.responsehead import ResponseHead, read_head
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
     TurnShare,
 )
+from turmericmast.web.usedconnection import TransferEnd, UsedConnection
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
@@ -68,6 +68,9 @@
         ``Transfer.resume``.
         """
 
+    def on_body(self, body: ResponseBody) -> None:
+        """Receive what becomes known of the body, before the head."""
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether to abort: the body exceeds what the sink can use."""
@@ -130,12 +133,10 @@
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
         self._address = ''
-        self._connection: Connection | None = None
-        """The connection that the request was sent on, once it is known."""
+        self._connection = UsedConnection(curl)
         self._needs_new_connection = False
         """Whether curl chose a connection that must not be used again."""
-        self._held: Duplicate | None = None
-        """Keeps the connection open until the end of the transfer."""
+        self._body = ResponseBody()
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -150,7 +151,7 @@
         ``run`` returns ``Loss.timed_out``.
         """
         self._curl.remove(self)
-        self._release(lingers=False)
+        self._connection.release()
         self._settle(Loss.timed_out)
 
     def resume(self) -> None:
@@ -164,21 +165,10 @@
 
         ``kept`` is the connection that it keeps for a later one, -1 if none.
         """
-        connection = self._connection
-        is_kept = connection is not None and connection.descriptor == kept
-        if connection and is_kept:
-            self._curl.kept_connections.keep(connection)
-        # Otherwise the target may be writing a second response, after a whole
-        # one or within one that was rejected.
         is_whole = code == pycurl.E_OK and self.progress is Progress.head
-        is_rejected = self.progress is Progress.sending
-        lingers = is_whole or is_rejected or self._sink.is_foreign
-        has_excess = is_whole and not is_kept and self._was_closed_for_excess()
-        if connection and has_excess:
-            self._curl.kept_connections.report(Stutter.excess, connection)
-        self._release(
-            lingers=lingers and not is_kept,
-            stutter=Stutter.excess if is_whole and not has_excess else None,
+        is_foreign = self.progress is Progress.sending or self._sink.is_foreign
+        self._connection.end(
+            TransferEnd(is_whole, is_foreign, kept), self._was_closed_for_excess
         )
 
     def finish(self, code: int) -> None:
@@ -200,16 +190,6 @@
         may_keep = request.uses_kept_connection and request.body is None
         return may_keep and persists(self._head_lines, request.method)
 
-    def _release(
-        self, *, lingers: bool, stutter: Stutter | None = None
-    ) -> None:
-        held = self._held
-        self._held = None
-        if held and self._connection and lingers:
-            self._curl.kept_connections.linger(held, self._connection, stutter)
-        elif held:
-            self._curl.kept_connections.release(held)
-
     def _begin_anew(self) -> None:
         """Begin on a new connection; the one that curl chose is not used.
 
@@ -281,23 +261,16 @@
         if self.progress is not Progress.new:
             return int(pycurl.PREREQFUNC_ABORT)
         pair = (local_ip, local_port, remote_ip, remote_port)
-        self._connection = self._curl.connections.find(pair)
-        if not self._begin_use():
+        if not self._connection.begin(pair, self._address, self._request.name):
             self._needs_new_connection = True
             return int(pycurl.PREREQFUNC_ABORT)
         if not self._may_send():
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
+        self._body.begin_request(self._connection.count_received())
         return int(pycurl.PREREQFUNC_OK)
 
-    def _begin_use(self) -> bool:
-        return self._connection is None or (
-            self._curl.kept_connections.begin_use(
-                self._connection, self._address, self._request.name
-            )
-        )
-
     def _on_read(self, size: int) -> Any:
         chunk = self._request.body.read(size) if self._request.body else b''
         if chunk is None:
@@ -329,8 +302,7 @@
         return False
 
     def _on_head(self) -> bool:
-        if self._connection and not self._held:
-            self._held = self._curl.kept_connections.hold(self._connection)
+        self._connection.hold()
         try:
             head = read_head(self._head_lines)
         except HTTPInputError:
@@ -342,6 +314,9 @@
             self._head_lines = []
             return True
         self.progress = Progress.head
+        length = head.headers.get('Content-Length')
+        self._body.begin(self._head_size.octets, length)
+        self._sink.on_body(self._body)
         return self._sink.on_head(head)
 
     def _on_write(self, chunk: bytes) -> int:
@@ -350,11 +325,45 @@
             # Other transfers and callers get their turn first. curl joins
             # what it has already read of the body meanwhile.
             asyncio.get_running_loop().call_soon(self.resume)
-        elif self._sink.on_chunk(chunk):
-            return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
+        elif self._pass_on(chunk):
+            must_abort = self._body.is_filled or self._sink.is_overfull
+            return ABORT_TRANSFER if must_abort else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
 
+    def _pass_on(self, chunk: bytes) -> bool:
+        """Pass a piece of the body to the sink; false to get it again.
+
+        The last piece of a body waits until it is known to be whole; that of
+        a body that was filled up is dropped.
+        """
+        former_state = self._body.state
+        state = self._body.judge(chunk)
+        if state is BodyState.settling:
+            if state is not former_state:
+                asyncio.get_running_loop().call_later(
+                    self._body.settling_seconds, self._end_body
+                )
+            return False
+        if state is BodyState.filled:
+            return True
+        is_accepted = self._sink.on_chunk(chunk)
+        if is_accepted:
+            self._body.accept(chunk)
+        return is_accepted
+
+    def _end_body(self) -> None:
+        """End a body that has settled.
+
+        A connection that holds bytes behind it is not used again: they would
+        be read as the response to the next request.
+        """
+        if not self._done.done():
+            self._body.settle()
+            if self._body.has_unread_excess:
+                self.handle.setopt(pycurl.FORBID_REUSE, 1)
+            self.resume()
+
 
 def _is_broken(line: bytes) -> bool:
     """Tell whether a line has no end, or goes on after that of the head.
