Gossip: a confirmation is told only by the instance that got it

What callers and targets saw: instances of a failure domain that tell each other of a busy target took it for confirmed as warm for much longer than the second for which a confirmation counts, so it wasn't probed, either. A target that had become cold, or had restarted, got requests at full speed meanwhile.

Cause: each instance told the newest confirmation that it knew with each load report, wherever it came from. The receiver reckons its time without the time that the news took, so that it came back younger each time; rounding ages up covers a millisecond of that. Found while a run of targets that become cold again was traced.

Before: the new cases of tests/test_gossip.py fail on unchanged sources: after 50 reports of 2 ms or 20 ms each, the confirmation of 0.1 s and 1 s before had the age 0.0 s.

Change: an instance tells the confirmations that the target gave to itself; the delegate of a large domain forwards those of the others, once each way, as before. A report without a confirmation has the age that means none, which older builds know.

Why it works: news of a confirmation goes one way, so that it seems younger by the time of one trip (two through the delegate) at most.

While older builds run, they tell what they were told, as before.

--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -35,7 +35,9 @@
     slowness_percent: int
     """Service time in percent of the normal one."""
     proof_age_ms: Millis
-    """Milliseconds since the target itself confirmed that it is up."""
+    """Milliseconds since the target itself confirmed that it is up.
+
+    ``MAX_AGE_MS`` if the sender has no confirmation to tell."""
     cold_ms: Millis
     """Milliseconds until the target is warm; 0 when it is."""
 
@@ -71,9 +73,18 @@
     """Targets that say that they are leaving."""
 
 
-def describe_load(view: TargetView, now: Seconds) -> TargetLoad:
-    """Return the load and verification of a target, to send to peers."""
+def describe_load(
+    view: TargetView, now: Seconds, *, is_forwarded: bool = False
+) -> TargetLoad:
+    """Return the load and verification of a target, to send to peers.
+
+    The verification is left out if another instance received it, unless it
+    ``is_forwarded``: each time that it is told, it seems younger by the time
+    that the news takes, so it must not go back and forth.
+    """
     report = view.report
+    is_told = view.has_own_verification or is_forwarded
+    verification_age = view.verification_age(now) if is_told else math.inf
     return TargetLoad(
         view.record.target,
         _millis(view.report_age(now)),
@@ -81,7 +92,7 @@
         report.waiting,
         report.slots,
         int(report.slowness * PERCENT),
-        _millis(view.verification_age(now)),
+        _millis(verification_age),
         _millis(view.cold_time_left(now)),
     )
 
@@ -116,7 +127,8 @@
         )
     if is_verification_new:
         cold_ms = load.cold_ms + load.proof_age_ms if load.cold_ms else 0
-        view.verify(Seconds(cold_ms / MILLIS_PER_SECOND), verified_at)
+        cold_time_left = Seconds(cold_ms / MILLIS_PER_SECOND)
+        view.verify(cold_time_left, verified_at, is_own=False)
     return is_report_new or is_verification_new
 
 
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -91,6 +91,7 @@
         self.path = Path()
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
+        self._has_own_verification = False
         self._verified_at = -math.inf
         self._cold_until = -math.inf
         self._ejected_until = -math.inf
@@ -115,6 +116,11 @@
         """Return the seconds since the target last confirmed that it is up."""
         return now - self._verified_at
 
+    @property
+    def has_own_verification(self) -> bool:
+        """Tell whether the target confirmed to this instance that it is up."""
+        return self._has_own_verification
+
     def cold_time_left(self, now: Seconds) -> float:
         """Return the seconds until the target is warm, 0 if it is."""
         return max(self._cold_until - now, 0)
@@ -147,12 +153,19 @@
         """Count a request that another instance is about to send."""
         self._unreported += 1
 
-    def verify(self, cold_time_left: Seconds, now: Seconds) -> None:
+    def verify(
+        self,
+        cold_time_left: Seconds,
+        now: Seconds,
+        *,
+        is_own: bool = True,
+    ) -> None:
         """Record that the target itself confirmed at ``now`` that it is up.
 
         It is cold for ``cold_time_left`` seconds from then on. Another instance
-        may have received the confirmation.
+        received the confirmation unless it ``is_own``.
         """
+        self._has_own_verification = is_own
         self._verified_at = now
         self._cold_until = (
             now + cold_time_left if cold_time_left > 0 else -math.inf
--- a/src/turmericmast/edge/gossip.py
+++ b/src/turmericmast/edge/gossip.py
@@ -163,7 +163,7 @@
         self._update_peers()
         for batch in self._relay.take():
             loads = tuple(
-                describe_load(view, now)
+                describe_load(view, now, is_forwarded=True)
                 for view in self._known_views(batch.loads)
             )
             news = LoadNews(
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -103,6 +103,24 @@
             is_new = merge_load(told, describe_load(telling, now), now)
             self.assertFalse(is_new)
 
+    # Guards against a target that is taken for warm for as long as instances
+    # tell each other so: the time that news take made it look younger.
+    @parameterized.expand([('near', 0.002), ('slow', 0.02)])
+    def test_confirmation_expires_while_it_is_told_again(
+        self, _name: str, delay: float
+    ) -> None:
+        views = [target_view(verified_at=NOW - 9) for _ in range(2)]
+        views[0].verify(Seconds(0), Seconds(NOW))
+        now = NOW
+        turns = itertools.cycle([tuple(views), tuple(reversed(views))])
+        for telling, told in itertools.islice(turns, 50):
+            news = describe_load(telling, now)
+            now += delay
+            merge_load(told, news, now)
+        for view in views:
+            age = view.verification_age(now)
+            self.assertAlmostEqual(age, now - NOW, delta=delay)
+
 
 class LoadGossipTest(unittest.TestCase):
     """Every instance learns of loads, losses and requests exactly once."""
