Balance: a target confirms that it is warm after some requests, too

News between instances and requests under way were a few.

Change: a confirmation allows three quarters of the requests that the target accepts in a second while it is cold, counted with those that the others of the domain announce. At half of them, the instance that sends probes. News of a confirmation that seems newer by less than 20 ms count as the known one, as they would reset the count; that a target is cold counts at once. The confirmation is an object of its own now (balance/confirmation.py).

Why it works: what can be sent to a target that has just become cold no longer grows with the rate of requests. With what it may get as a cold target, that is one and a half times its rate.

--- a/src/turmericmast/balance/coldlimit.py
+++ b/src/turmericmast/balance/coldlimit.py
@@ -1,5 +1,6 @@
 """Slow start: how fast one instance sends to a cold target."""
 
+import math
 from typing import final
 
 from turmericmast.balance.assignment import MAX_COLD_SENDERS
@@ -7,6 +8,20 @@
 
 RATE_SHARE = 0.75
 """Fraction of a cold target's permitted request rate that is used."""
+UNCONFIRMED_SHARE = 0.75
+"""Requests to a warm target between two confirmations that it is warm, as a
+fraction of those that it accepts in a second while it is cold.
+
+They may all come in one second with those that it gets as a cold target."""
+
+
+def most_unconfirmed(rate: float) -> float:
+    """Return how many requests a target may get without a confirmation.
+
+    ``rate`` is the number of requests a second that it accepts from all
+    instances together while it is cold, 0 if it is always warm.
+    """
+    return max(rate * UNCONFIRMED_SHARE, 1) if rate > 0 else math.inf
 
 
 @final
--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -11,6 +11,10 @@
 
 PERCENT = 100
 """Percent in a whole."""
+NEWS_JITTER = 0.02
+"""Seconds by which news of one confirmation may arrive sooner than others.
+
+A confirmation that seems newer by less is taken for the known one."""
 MAX_AGE_MS = 10_000
 """Milliseconds at which ages are capped; older reports are of no use."""
 
@@ -83,7 +87,7 @@
     that the news takes, so it must not go back and forth.
     """
     report = view.report
-    is_told = view.has_own_verification or is_forwarded
+    is_told = view.confirmation.is_own or is_forwarded
     verification_age = view.verification_age(now) if is_told else math.inf
     return TargetLoad(
         view.record.target,
@@ -112,8 +116,10 @@
     reported_at = Seconds(now - load.age_ms / MILLIS_PER_SECOND)
     verified_at = Seconds(now - load.proof_age_ms / MILLIS_PER_SECOND)
     is_report_new = reported_at > view.reported_at
+    is_colder = load.cold_ms > 0 and not view.cold_time_left(now)
+    least = 0 if is_colder else NEWS_JITTER
     is_verification_new = load.proof_age_ms < MAX_AGE_MS and (
-        now - verified_at < view.verification_age(now)
+        now - verified_at + least < view.verification_age(now)
     )
     if is_report_new:
         view.update_load(
--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -4,6 +4,7 @@
 import math
 from typing import final
 
+from turmericmast.balance.confirmation import Confirmation
 from turmericmast.balance.departure import Departure
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.path import Path
@@ -13,11 +14,6 @@
 from turmericmast.ids import RegionId, Seconds
 from turmericmast.instancesettings import Bounds
 
-VERIFICATION_LIFETIME = 1.0
-"""Seconds for which a target's own statement that it is up remains valid.
-
-At normal request rates, a target that restarts cold and unnoticed receives far
-fewer requests in this time than the burst that a cold target tolerates."""
 FIRST_EJECTION = 0.2
 """Seconds of ejection after a lost connection; doubles each further time."""
 MAX_EJECTION = 2.0
@@ -91,9 +87,7 @@
         self.path = Path()
         self._unreported = 0
         """Requests since the newest report: own ones and announced ones."""
-        self._has_own_verification = False
-        self._verified_at = -math.inf
-        self._cold_until = -math.inf
+        self._confirmation = Confirmation()
         self._ejected_until = -math.inf
         self._ejections = 0
         self._failure_share = float(0)
@@ -106,24 +100,24 @@
             return Eligibility.ejected
         if self.path.is_lost:
             return Eligibility.unreachable
-        if now < self._cold_until:
+        if self._confirmation.cold_time_left(now):
             return Eligibility.cold
-        if now - self._verified_at > VERIFICATION_LIFETIME:
+        if not self._confirmation.is_valid(now):
             return Eligibility.unverified
         return Eligibility.warm
 
     def verification_age(self, now: Seconds) -> float:
         """Return the seconds since the target last confirmed that it is up."""
-        return now - self._verified_at
+        return self._confirmation.age(now)
 
     @property
-    def has_own_verification(self) -> bool:
-        """Tell whether the target confirmed to this instance that it is up."""
-        return self._has_own_verification
+    def confirmation(self) -> Confirmation:
+        """Return what the target itself has said of being up."""
+        return self._confirmation
 
     def cold_time_left(self, now: Seconds) -> float:
         """Return the seconds until the target is warm, 0 if it is."""
-        return max(self._cold_until - now, 0)
+        return self._confirmation.cold_time_left(now)
 
     def report_age(self, now: Seconds) -> float:
         """Return the seconds since the newest load report was made."""
@@ -152,6 +146,7 @@
     def count_peer_request(self) -> None:
         """Count a request that another instance is about to send."""
         self._unreported += 1
+        self._confirmation.count_request()
 
     def verify(
         self,
@@ -165,11 +160,7 @@
         It is cold for ``cold_time_left`` seconds from then on. Another instance
         received the confirmation unless it ``is_own``.
         """
-        self._has_own_verification = is_own
-        self._verified_at = now
-        self._cold_until = (
-            now + cold_time_left if cold_time_left > 0 else -math.inf
-        )
+        self._confirmation.renew(cold_time_left, now, is_own=is_own)
 
     def confirm_path(self, now: Seconds) -> None:
         """Record that the target answered this instance at ``now``."""
@@ -181,7 +172,7 @@
 
         Called when a probe or connection of another instance was lost.
         """
-        self._verified_at = -math.inf
+        self._confirmation.withdraw()
 
     def lose_path(self, now: Seconds) -> None:
         """Record that a connection or probe did not get through: eject.
@@ -194,8 +185,7 @@
 
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
-        self._verified_at = -math.inf
-        self._cold_until = -math.inf
+        self._confirmation.forget()
         pause = min(FIRST_EJECTION * 2**self._ejections, MAX_EJECTION)
         # Only keeps the power small: the pause is at its maximum long before.
         self._ejections = min(self._ejections + 1, 8)
@@ -213,6 +203,7 @@
         """Count a request that this instance is about to send."""
         self.in_flight += 1
         self._unreported += 1
+        self._confirmation.count_request()
 
     def end_request(self, loss: Loss | None, now: Seconds) -> None:
         """Count a finished request and update the health from its outcome.
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -7,6 +7,7 @@
 
 from turmericmast.balance.affinity import affinity
 from turmericmast.balance.candidate import Locality
+from turmericmast.balance.coldlimit import most_unconfirmed
 from turmericmast.balance.openness import withheld_by
 from turmericmast.balance.pool import FRESH_REPORT_AGE, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
@@ -309,6 +310,9 @@
             )
             config = self._config(service)
             pool.cold_rate = config.cold_rate if config else 0
+        for view in self.views():
+            rate = self.pool_by_service[view.record.service].cold_rate
+            view.confirmation.most_requests = most_unconfirmed(rate)
 
     def _config(self, service: ServiceId) -> ServiceConfig | None:
         if self.route_table is None:
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -11,6 +11,7 @@
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.statement import TargetStatement
+from turmericmast.balance.targetview import Eligibility
 from turmericmast.call.call import Loss
 from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
@@ -78,6 +79,7 @@
         view = self.candidate.view
         self._pool.begin_request(view, self.began_at)
         self._context.load_sharing.announce_request(view)
+        self._confirm_target()
         request = make_request(self.candidate, self.resume)
         if self.candidate.is_last_resort:
             # A leaving target may close a kept connection at any moment.
@@ -122,6 +124,14 @@
         self._record_result(loss, now)
         return loss
 
+    def _confirm_target(self) -> None:
+        """Probe a target that has got many requests since it said it is up."""
+        view = self.candidate.view
+        is_warm = view.eligibility(self.began_at) is Eligibility.warm
+        path = self._context.edge.health_path(view.record.service)
+        if path and is_warm and view.confirmation.is_half_used():
+            self._context.prober.start(view, path)
+
     def _count_octets(self) -> None:
         """Count bodies by the distance that they have crossed."""
         self._context.metrics.count(
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -19,6 +19,7 @@
 from turmericmast.balance.assignment import AssignmentTable
 from turmericmast.balance.candidate import Candidate
 from turmericmast.balance.coldlimit import ColdRateLimiter
+from turmericmast.balance.confirmation import VERIFICATION_LIFETIME
 from turmericmast.balance.hedge import Hedge
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.news import describe_load, merge_load
@@ -26,7 +27,6 @@
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.scoring import Distance, RequestEstimate
 from turmericmast.balance.targetview import (
-    VERIFICATION_LIFETIME,
     Eligibility,
     TargetView,
 )
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -121,6 +121,25 @@
             age = view.verification_age(now)
             self.assertAlmostEqual(age, now - NOW, delta=delay)
 
+    # Guards against a confirmation that counts as another one each time that
+    # its news take less long, so that its target need not confirm again.
+    @parameterized.expand(
+        [
+            ('sooner', 0.01, 0, False),
+            ('another', 0.03, 0, True),
+            ('cold', 0.01, 3, True),
+        ]
+    )
+    def test_newer_confirmation(
+        self, _name: str, newer: float, cold: float, is_new: bool
+    ) -> None:
+        told, telling = (target_view(verified_at=NOW) for _ in range(2))
+        telling.verify(Seconds(cold), Seconds(NOW + newer))
+        now = Seconds(NOW + 0.05)
+        merge_load(told, describe_load(telling, now), now)
+        age = 0.05 - newer if is_new else 0.05
+        self.assertAlmostEqual(told.verification_age(now), age, delta=0.002)
+
 
 class LoadGossipTest(unittest.TestCase):
     """Every instance learns of loads, losses and requests exactly once."""
