--- a/src/turmericmast/balance/news.py
+++ b/src/turmericmast/balance/news.py
@@ -11,6 +11,10 @@
 
 PERCENT = 100
 """Percent in a whole."""
+NEWS_JITTER = 0.02
+"""Seconds by which news of one confirmation may arrive sooner than others.
+
+A confirmation that seems newer by less is taken for the known one."""
 MAX_AGE_MS = 10_000
 """Milliseconds at which ages are capped; older reports are of no use."""
 
@@ -35,7 +39,9 @@
     slowness_percent: int
     """Service time in percent of the normal one."""
     proof_age_ms: Millis
-    """Milliseconds since the target itself confirmed that it is up."""
+    """Milliseconds since the target itself confirmed that it is up.
+
+    ``MAX_AGE_MS`` if the sender has no confirmation to tell."""
     cold_ms: Millis
     """Milliseconds until the target is warm; 0 when it is."""
 
@@ -71,9 +77,18 @@
     """Targets that say that they are leaving."""
 
 
-def describe_load(view: TargetView, now: Seconds) -> TargetLoad:
-    """Return the load and verification of a target, to send to peers."""
+def describe_load(
+    view: TargetView, now: Seconds, *, is_forwarded: bool = False
+) -> TargetLoad:
+    """Return the load and verification of a target, to send to peers.
+
+    The verification is left out if another instance received it, unless it
+    ``is_forwarded``: each time that it is told, it seems younger by the time
+    that the news takes, so it must not go back and forth.
+    """
     report = view.report
+    is_told = view.confirmation.is_own or is_forwarded
+    verification_age = view.verification_age(now) if is_told else math.inf
     return TargetLoad(
         view.record.target,
         _millis(view.report_age(now)),
@@ -81,7 +96,7 @@
         report.waiting,
         report.slots,
         int(report.slowness * PERCENT),
-        _millis(view.verification_age(now)),
+        _millis(verification_age),
         _millis(view.cold_time_left(now)),
     )
 
@@ -101,8 +116,10 @@
     reported_at = Seconds(now - load.age_ms / MILLIS_PER_SECOND)
     verified_at = Seconds(now - load.proof_age_ms / MILLIS_PER_SECOND)
     is_report_new = reported_at > view.reported_at
+    is_colder = load.cold_ms > 0 and not view.cold_time_left(now)
+    least = 0 if is_colder else NEWS_JITTER
     is_verification_new = load.proof_age_ms < MAX_AGE_MS and (
-        now - verified_at < view.verification_age(now)
+        now - verified_at + least < view.verification_age(now)
     )
     if is_report_new:
         view.update_load(
@@ -116,7 +133,8 @@
         )
     if is_verification_new:
         cold_ms = load.cold_ms + load.proof_age_ms if load.cold_ms else 0
-        view.verify(Seconds(cold_ms / MILLIS_PER_SECOND), verified_at)
+        cold_time_left = Seconds(cold_ms / MILLIS_PER_SECOND)
+        view.verify(cold_time_left, verified_at, is_own=False)
     return is_report_new or is_verification_new
 
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -103,6 +103,43 @@
             is_new = merge_load(told, describe_load(telling, now), now)
             self.assertFalse(is_new)
 
+    # Guards against a target that is taken for warm for as long as instances
+    # tell each other so: the time that news take made it look younger.
+    @parameterized.expand([('near', 0.002), ('slow', 0.02)])
+    def test_confirmation_expires_while_it_is_told_again(
+        self, _name: str, delay: float
+    ) -> None:
+        views = [target_view(verified_at=NOW - 9) for _ in range(2)]
+        views[0].verify(Seconds(0), Seconds(NOW))
+        now = NOW
+        turns = itertools.cycle([tuple(views), tuple(reversed(views))])
+        for telling, told in itertools.islice(turns, 50):
+            news = describe_load(telling, now)
+            now += delay
+            merge_load(told, news, now)
+        for view in views:
+            age = view.verification_age(now)
+            self.assertAlmostEqual(age, now - NOW, delta=delay)
+
+    # Guards against a confirmation that counts as another one each time that
+    # its news take less long, so that its target need not confirm again.
+    @parameterized.expand(
+        [
+            ('sooner', 0.01, 0, False),
+            ('another', 0.03, 0, True),
+            ('cold', 0.01, 3, True),
+        ]
+    )
+    def test_newer_confirmation(
+        self, _name: str, newer: float, cold: float, is_new: bool
+    ) -> None:
+        told, telling = (target_view(verified_at=NOW) for _ in range(2))
+        telling.verify(Seconds(cold), Seconds(NOW + newer))
+        now = Seconds(NOW + 0.05)
+        merge_load(told, describe_load(telling, now), now)
+        age = 0.05 - newer if is_new else 0.05
+        self.assertAlmostEqual(told.verification_age(now), age, delta=0.002)
+
 
 class LoadGossipTest(unittest.TestCase):
     """Every instance learns of loads, losses and requests exactly once."""
