Stutter trial: targets that write at the pace of a slow link

Over loopback the kernel takes a second response of 200 kB at once, so no run ended within it. Targets write a share of the responses in pieces now (600 kB a second).

--- a/bench/stutter.py
+++ b/bench/stutter.py
@@ -50,6 +50,10 @@
 WORK_SECONDS = (0.002, 0.02)
 IDLE_SECONDS = (0.005, 0.3)
 """Seconds from a response to its copy on an idle connection."""
+PACED_PIECE = 3_000
+"""Bytes that are written at a time on a slow link."""
+PACED_GAP = 0.005
+"""Seconds between them; the link carries some 600 kB a second."""
 PIECE_GAP = 0.005
 """Most seconds between a copy and the response that is due."""
 SICK_SPAN = 2.0
@@ -93,6 +97,8 @@
     late: float = 0.01
     """Of the runs, those that answer 504 at the end of their time."""
     reset: float = 0.02
+    paced: float = 0.1
+    """Of the runs, those that write at the pace of a slow link."""
     rejected: float = 0.02
     """Of the requests, those that do not run (503)."""
     sick: float = 0.1
@@ -196,6 +202,7 @@
     """The run that it belongs to, none for a health check."""
     timing: Timing
     is_partial: bool
+    is_paced: bool
 
 
 @final
@@ -279,6 +286,12 @@
             await self._wait()
         self._check()
 
+    async def write_paced(self, octets: bytes) -> None:
+        """Write as ``write`` does, at the pace of a slow link."""
+        for start in range(0, len(octets), PACED_PIECE):
+            await self.write(octets[start : start + PACED_PIECE])
+            await self.work(PACED_GAP)
+
     def close(self) -> None:
         """Close the connection when all is written."""
         self._transport.close()
@@ -428,12 +441,15 @@
             # No other request comes before the response has ended.
             run.timing = self._random.choice((Timing.at_once, Timing.idle))
         first = Cut.body if run.first_cut else Cut.none
-        await session.channel.write(response.cut(first, self._random))
+        is_paced = self._random.random() < self._shares.paced
+        await session.write(
+            response.cut(first, self._random), is_paced=is_paced
+        )
         if run.timing is Timing.none:
             run.ending = Ending.whole
             return
         run.ending = Ending.between
-        session.copy = self._copy_of(response, run, run.timing)
+        session.copy = self._copy_of(response, run, run.timing, is_paced)
         if run.timing is Timing.at_once:
             await session.write_copy()
 
@@ -449,7 +465,11 @@
         return Before.part if copy.is_partial else Before.whole
 
     def _copy_of(
-        self, response: Response, run: Run | None, timing: Timing
+        self,
+        response: Response,
+        run: Run | None,
+        timing: Timing,
+        is_paced: bool = False,
     ) -> Copy:
         cut = self._draw(
             {Cut.head: self._shares.cut_head, Cut.body: self._shares.cut_body},
@@ -458,7 +478,8 @@
         octets = response.cut(cut, self._random)
         if run:
             run.cut = cut
-        return Copy(octets, run, timing, len(octets) < len(response.octets))
+        is_partial = len(octets) < len(response.octets)
+        return Copy(octets, run, timing, is_partial, is_paced)
 
     def _begin(
         self, session: '_Session', request: Request, outcome: Outcome
@@ -545,6 +566,13 @@
         self.number = number
         self.copy: Copy | None = None
 
+    async def write(self, octets: bytes, *, is_paced: bool) -> None:
+        """Write until the kernel has all, or raise ``ConnectionEndedError``."""
+        if is_paced:
+            await self.channel.write_paced(octets)
+        else:
+            await self.channel.write(octets)
+
     async def write_copy(self) -> None:
         """Write the pending copy, if there is one."""
         copy = self.copy
@@ -553,7 +581,7 @@
         self.copy = None
         if copy.run and not self.channel.is_ended:
             copy.run.ending = Ending.second
-        await self.channel.write(copy.octets)
+        await self.write(copy.octets, is_paced=copy.is_paced)
         if copy.run:
             copy.run.ending = Ending.whole
 
