--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -16,9 +16,9 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
+from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import (
     Progress,
-    ResponseHead,
     ResponseSink,
     Transfer,
     TransferRequest,
@@ -213,6 +213,11 @@
         self._octets += len(chunk)
         return True
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether the response belongs to an earlier request."""
+        return self.metadata is not None and self.metadata.answers_request
+
     @property
     def is_overfull(self) -> bool:
         """Tell whether the body is longer than any health response."""
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -5,20 +5,18 @@
 import dataclasses
 import enum
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any, final
 
 import pycurl
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    parse_response_start_line,
-)
+from tornado.httputil import HTTPInputError
 
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
+from turmericmast.web.connections import Connection
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.lingering import Duplicate
+from turmericmast.web.responsehead import ResponseHead, read_head
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -29,16 +27,6 @@
 """Return value of a header or body callback that aborts the transfer."""
 
 
-@final
-@dataclasses.dataclass(frozen=True)
-class ResponseHead:
-    """Status code, reason phrase and headers of a response."""
-
-    status: int
-    reason: str
-    headers: HTTPHeaders
-
-
 @final
 @dataclasses.dataclass(frozen=True)
 class TransferRequest:
@@ -55,6 +43,8 @@
     uses_kept_connection: bool = True
     """Whether the connection may have served an earlier request, and may be
     kept for a later one."""
+    name: str = ''
+    """Id of the request in log lines, empty for a health check."""
 
 
 class ResponseSink(abc.ABC):
@@ -62,7 +52,11 @@
 
     @abc.abstractmethod
     def on_head(self, head: ResponseHead) -> bool:
-        """Receive the head; return false to abort the transfer."""
+        """Receive the head; return false to abort the transfer.
+
+        An interim head is passed only if it may hold another head. Must
+        return false then.
+        """
 
     @abc.abstractmethod
     def on_chunk(self, chunk: bytes) -> bool:
@@ -77,6 +71,14 @@
         """Tell whether to abort: the body exceeds what the sink can use."""
         return False
 
+    @property
+    def is_foreign(self) -> bool:
+        """Tell whether the response was rejected as not that to the request.
+
+        Another, earlier one may have been whole, and may still be written.
+        """
+        return False
+
 
 @final
 class Progress(enum.Enum):
@@ -125,6 +127,13 @@
         self._share = TurnShare()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
+        self._address = ''
+        self._connection: Connection | None = None
+        """The connection that the request was sent on, once it is known."""
+        self._needs_new_connection = False
+        """Whether curl chose a connection that must not be used again."""
+        self._held: Duplicate | None = None
+        """Keeps the connection open until the end of the transfer."""
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -139,6 +148,7 @@
         ``run`` returns ``Loss.timed_out``.
         """
         self._curl.remove(self)
+        self._release(lingers=False)
         self._settle(Loss.timed_out)
 
     def resume(self) -> None:
@@ -147,8 +157,22 @@
             self._is_paused = False
             self._curl.resume(self)
 
+    def end_use(self, code: int, *, is_kept: bool) -> None:
+        """Note that curl has ended the transfer with a result code.
+
+        ``is_kept`` tells whether it keeps the connection for a later one.
+        """
+        if is_kept and self._connection:
+            self._curl.kept_connections.keep(self._connection)
+        # Otherwise the target may be writing a second response, after a whole
+        # one or within one that was rejected.
+        self._release(lingers=not is_kept and self._may_continue(code))
+
     def finish(self, code: int) -> None:
         """Receive the result code of curl."""
+        if self._needs_new_connection:
+            self._begin_anew()
+            return
         # curl also reports success if the connection ends within the head.
         if code == pycurl.E_OK and self.progress is Progress.head:
             self.progress = Progress.whole
@@ -156,6 +180,30 @@
         else:
             self._settle(self._loss(code))
 
+    def _may_continue(self, code: int) -> bool:
+        is_whole = code == pycurl.E_OK and self.progress is Progress.head
+        is_rejected = self.progress is Progress.sending
+        return is_whole or is_rejected or self._sink.is_foreign
+
+    def _release(self, *, lingers: bool) -> None:
+        held = self._held
+        self._held = None
+        if held and lingers:
+            self._curl.kept_connections.linger(held)
+        elif held:
+            self._curl.kept_connections.release(held)
+
+    def _begin_anew(self) -> None:
+        """Begin on a new connection; the one that curl chose is not used.
+
+        No byte was sent there.
+        """
+        self.handle = self._curl.acquire_handle()
+        self._prepare()
+        self._set_connection_use()
+        self._needs_new_connection = False
+        self._curl.start(self)
+
     def _loss(self, code: int) -> Loss:
         if self.progress in {Progress.new, Progress.vetoed}:
             return Loss.never_sent
@@ -188,13 +236,15 @@
         """Send the path as it is, while curl normalises that of a URL."""
         scheme, _, rest = self._request.url.partition('://')
         address, _, path = rest.partition('/')
+        self._address = address
         self.handle.setopt(pycurl.URL, f'{scheme}://{address}/')
         # Tornado decodes the octets of a path as Latin-1.
         self.handle.setopt(pycurl.REQUEST_TARGET, f'/{path}'.encode('latin-1'))
 
     def _set_connection_use(self) -> None:
         is_single_use = int(not self._request.uses_kept_connection)
-        self.handle.setopt(pycurl.FRESH_CONNECT, is_single_use)
+        is_new = int(is_single_use or self._needs_new_connection)
+        self.handle.setopt(pycurl.FRESH_CONNECT, is_new)
         self.handle.setopt(pycurl.FORBID_REUSE, is_single_use)
 
     def _set_callbacks(self) -> None:
@@ -204,15 +254,33 @@
         handle.setopt(pycurl.HEADERFUNCTION, self._on_header)
         handle.setopt(pycurl.WRITEFUNCTION, self._on_write)
 
-    def _on_send(self, *_addresses: Any) -> int:
+    def _on_send(
+        self,
+        remote_ip: str,
+        local_ip: str,
+        remote_port: int,
+        local_port: int,
+    ) -> int:
         if self.progress is not Progress.new:
             return int(pycurl.PREREQFUNC_ABORT)
+        pair = (local_ip, local_port, remote_ip, remote_port)
+        self._connection = self._curl.connections.find(pair)
+        if not self._begin_use():
+            self._needs_new_connection = True
+            return int(pycurl.PREREQFUNC_ABORT)
         if not self._may_send():
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
         return int(pycurl.PREREQFUNC_OK)
 
+    def _begin_use(self) -> bool:
+        return self._connection is None or (
+            self._curl.kept_connections.begin_use(
+                self._connection, self._address, self._request.name
+            )
+        )
+
     def _on_read(self, size: int) -> Any:
         chunk = self._request.body.read(size) if self._request.body else b''
         if chunk is None:
@@ -247,14 +315,16 @@
         return False
 
     def _on_head(self) -> bool:
+        if self._connection and not self._held:
+            self._held = self._curl.kept_connections.hold(self._connection)
         try:
-            head = _parse_head(self._head_lines)
+            head = read_head(self._head_lines)
         except HTTPInputError:
             # curl passes on some lines that are not valid, such as a status
             # line within the head.
             return False
-        if head.status < HTTPStatus.OK:
-            # The head of an interim response; another head follows.
+        if head.is_interim and head.join is None:
+            # Another head follows, unless it is a part of this one.
             self._head_lines = []
             return True
         self.progress = Progress.head
@@ -270,23 +340,3 @@
             return ABORT_TRANSFER if self._sink.is_overfull else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
-
-
-def _parse_head(lines: list[str]) -> ResponseHead:
-    start = parse_response_start_line(lines[0])
-    headers = HTTPHeaders()
-    for line in lines[1:]:
-        headers.parse_line(line)
-    _keep_one_length(headers)
-    return ResponseHead(start.code, start.reason, headers)
-
-
-def _keep_one_length(headers: HTTPHeaders) -> None:
-    """Leave the length that frames the body; chunks override any length."""
-    length = headers.pop('Content-Length', None)
-    if length is None or 'Transfer-Encoding' in headers:
-        return
-    first, *others = map(str.strip, length.split(','))
-    if any(other != first for other in others):
-        raise HTTPInputError('the response has several lengths')
-    headers['Content-Length'] = first
