Stutter trial: health checks between two requests, and joined heads hold

A request counted as sent after a joined health answer although the instance had checked the target again, right before the request or on a connection that had carried no request. What is left can still have been admitted by another response meanwhile, so it is reported and no promise.

--- a/tests/test_stutter.py
+++ b/tests/test_stutter.py
@@ -91,6 +91,13 @@
     return change
 
 
+def _check_twice(record: StutterRecord) -> None:
+    checked_again = dataclasses.replace(
+        UNHEALTHY, connection=9, status=200, at=10.05, before=Before.nothing
+    )
+    record.health_answers += [UNHEALTHY, checked_again]
+
+
 FAULTS: list[tuple[str, Callable[[StutterRecord], None], list[Fault]]] = [
     (
         'success_for_a_failure',
@@ -198,6 +205,7 @@
         _add_health(),
         [Fault.joined_health],
     ),
+    ('used_after_another_check', _check_twice, []),
     ('used_after_a_plain_health_answer', _add_health(before=Before.whole), []),
     ('used_at_once_after_a_health_answer', _add_health(at=10.05), []),
     ('healthy_in_a_joined_answer', _add_health(status=200), []),
