--- a/src/turmericmast/web/idlewatch.py
+++ b/src/turmericmast/web/idlewatch.py
@@ -21,6 +21,8 @@
     borrowed_socket,
 )
 
+MAX_EVENTS = 64
+"""Connections that are looked at in one turn; others are in the next one."""
 UNREAD = struct.Struct('=i')
 """The number of unread bytes, as the kernel returns it."""
 
@@ -84,7 +86,7 @@
 
     def check(self) -> None:
         """Report the idle connections that have got bytes or were ended."""
-        for descriptor, _ in self._epoll.poll(0):
+        for descriptor, _ in self._epoll.poll(0, MAX_EVENTS):
             connection = self._idle_by_descriptor.pop(
                 Descriptor(descriptor), None
             )
