Look at the connection that is about to be used

Callers could get the response to a former request: with more than 64 idle connections that got bytes before the loop had a turn, the one that curl chose was used without a look, as one poll returns 64 events.

Evidence: BoundsTest.test_bytes_on_many_connections, 95 connections whose bytes came last to first: the request got the second response to another one (b'b').

A request now takes batches of events until its connection was reported or no events are left. Each event is disarmed when it is returned, so this ends.

--- a/src/turmericmast/web/idlewatch.py
+++ b/src/turmericmast/web/idlewatch.py
@@ -84,17 +84,28 @@
         descriptor = connection.descriptor
         return self._idle_by_descriptor.get(descriptor) is connection
 
-    def check(self) -> None:
-        """Report the idle connections that have got bytes or were ended."""
-        for descriptor, _ in self._epoll.poll(0, MAX_EVENTS):
+    def check(self, connection: Connection) -> None:
+        """Report a connection if it has got bytes or was ended.
+
+        Others are reported as well, up to that one.
+        """
+        while self.includes(connection):
+            if self._report_ready() < MAX_EVENTS:
+                break
+
+    def _report_ready(self) -> int:
+        """Report some connections; return how many events there were."""
+        events = self._epoll.poll(0, MAX_EVENTS)
+        for descriptor, _ in events:
             connection = self._idle_by_descriptor.pop(
                 Descriptor(descriptor), None
             )
             if connection:
                 self._on_ready(connection)
+        return len(events)
 
     def _check(self, _epoll: object, _events: int) -> None:
-        self.check()
+        self._report_ready()
 
 
 def unread_bytes(descriptor: Descriptor) -> int:
--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -74,7 +74,7 @@
         Return whether it may be.
         """
         if self._idle.includes(connection):
-            self._idle.check()
+            self._idle.check(connection)
             self._idle.remove(connection)
         if connection.is_retired:
             return False
--- a/tests/test_stray_bytes.py
+++ b/tests/test_stray_bytes.py
@@ -209,6 +209,36 @@
                 await target.ask(curl, sink=Sink(is_foreign=True))
                 self.assertFalse(await target.write_to_end(b''))
 
+    # Guards against the response to a former request: with many connections
+    # that got bytes at once, the one that curl chose was not looked at.
+    @parameterized.expand(
+        [
+            (f'{count}_{name}', count, step)
+            for count in (3, 95)
+            for name, step in (('first_to_last', 1), ('last_to_first', -1))
+        ]
+    )
+    async def test_bytes_on_many_connections(
+        self, _name: str, count: int, step: int
+    ) -> None:
+        async with StrayTarget() as target:
+            with CurlClient() as curl:
+                target.may_answer.clear()
+                asked = [
+                    asyncio.ensure_future(target.ask(curl))
+                    for _ in range(count)
+                ]
+                while len(target.requests) < count:
+                    await asyncio.sleep(SOON)
+                target.may_answer.set()
+                await asyncio.gather(*asked)
+                # They arrive before the loop gets a turn.
+                for writer in target.writers[::step]:
+                    writer.write(RESPONSE[:-1] + b'b')
+                sink = Sink()
+                await target.ask(curl, sink=sink)
+        self.assertEqual(sink.body, b'a')
+
     @parameterized.expand([('few', 3, 3), ('too_many', 9, 4)])
     @unittest.mock.patch('turmericmast.web.lingering.MAX_DUPLICATES', 4)
     async def test_descriptors(
