Use no connection again that was reset while it was idle

A request that came within a second of the last one was sent on a connection that its target had reset, and ended with connection_lost. It is answered 502 if it may not be repeated, though the target never got it.

Cause: getpeername fails after a reset, so is_open took the connection for one that curl had closed, and it was not retired. One that was ended in order is.

What is not open is retired in either case: if curl has closed it, it is not chosen again anyway.

--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -137,6 +137,8 @@
 
     def _on_idle_ready(self, connection: Connection) -> None:
         if not connection.is_open:
+            # It was reset, or curl has closed it.
+            connection.is_retired = True
             return
         octets = unread_bytes(connection.descriptor)
         if not octets and not has_ended(connection.descriptor):
--- a/tests/test_stray_bytes.py
+++ b/tests/test_stray_bytes.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import socket
+import struct
 import unittest.mock
 from collections.abc import Iterable
 from types import TracebackType
@@ -149,6 +150,27 @@
         self.assertEqual((loss, sink.body, third), (None, b'a', None))
         self.assertEqual(target.requests, [0, 1, 1])
 
+    @parameterized.expand(
+        [
+            (f'{name}_{seconds}', octets, seconds)
+            for name, octets in (('reset', b''), ('last_words', RESPONSE))
+            for seconds in (0.001, SOON, 1.2)
+        ]
+    )
+    async def test_request_after_a_reset_gets_a_new_connection(
+        self, _name: str, octets: bytes, seconds: float
+    ) -> None:
+        async with StrayTarget() as target:
+            with CurlClient() as curl:
+                await target.ask(curl, 'first')
+                target.write(octets)
+                target.reset()
+                await asyncio.sleep(seconds)
+                sink = Sink()
+                loss = await target.ask(curl, 'second', sink)
+        self.assertEqual((loss, sink.body), (None, b'a'))
+        self.assertEqual(target.requests, [0, 1])
+
 
 class SecondResponseTest(unittest.IsolatedAsyncioTestCase):
     """A target can finish a second response after the first one came whole.
@@ -393,6 +415,14 @@
         """Write more bytes on a connection."""
         self.writers[number].write(octets)
 
+    def reset(self, number: int = 0) -> None:
+        """Reset a connection."""
+        transport = self.writers[number].transport
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        transport.abort()
+
     def transfer(
         self,
         curl: CurlClient,
