Forget connections that failed to open

Each request looked at every connection that had ever failed to open, until its descriptor was used for another one of curl's: after 800 attempts at once to a target whose backlog was full, a request took 6.8 ms of processor time instead of 1.4 ms (client and test target together, debug mode), for good.

Cause: an entry left the table of unused connections only by its own request, or when curl opened another socket with its number.

An entry is bound as soon as its descriptor is connected, to whatever addresses, and dropped when it is no socket. Only those that are being opened stay.

--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -72,8 +72,11 @@
     def find(self, pair: AddressPair) -> Connection | None:
         """Return the connection with these addresses, if it is known."""
         for descriptor, connection in tuple(self._unbound.items()):
-            if _addresses(descriptor) == pair:
-                self._bind(connection, pair)
+            found = _addresses(descriptor)
+            if found:
+                self._bind(connection, found)
+            elif not _is_socket(descriptor):
+                self._drop(descriptor)
         return self._connection_by_pair.get(pair)
 
     def at(self, address: str) -> list[Connection]:
@@ -116,6 +119,14 @@
         borrowed.detach()
 
 
+def _is_socket(descriptor: Descriptor) -> bool:
+    try:
+        with borrowed_socket(descriptor):
+            return True
+    except OSError:
+        return False
+
+
 def _addresses(descriptor: Descriptor) -> AddressPair | None:
     """Return both addresses, ``None`` if the socket is not connected."""
     try:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,7 +3,7 @@
 import contextlib
 import os
 import socket
-import unittest
+import unittest.mock
 from collections.abc import Iterator
 
 from parameterized import parameterized
@@ -52,6 +52,30 @@
             connections.add(Descriptor(os.open(os.devnull, os.O_RDONLY)))
             self.assertIsNone(connections.find(_pair_of(connection)))
 
+    # Guards against requests that slow down after targets were unreachable:
+    # each one looked at every connection that had ever failed to open.
+    @parameterized.expand([('closed', False), ('used_again', True)])
+    def test_failed_connections_are_forgotten(
+        self, _name: str, is_used_again: bool
+    ) -> None:
+        connections = Connections()
+        with _connected() as first, _connected() as other:
+            failed = Descriptor(os.open(os.devnull, os.O_RDONLY))
+            connections.add(failed)
+            connections.add(Descriptor(first.fileno()))
+            if is_used_again:
+                os.dup2(other.fileno(), failed)
+            else:
+                os.close(failed)
+            connections.find(_pair_of(first))
+            with unittest.mock.patch(
+                'turmericmast.web.connections.borrowed_socket'
+            ) as look:
+                connections.find(_pair_of(first))
+            if is_used_again:
+                os.close(failed)
+        look.assert_not_called()
+
 
 @contextlib.contextmanager
 def _connected() -> Iterator[socket.socket]:
