Read each Connection header of a response

A target that closes its connection, and says so in the first of two Connection headers, counted as one that had sent further bytes, and got a new connection for each request for 10 s.

Cause: only the last header of a name was looked at.

Evidence: PersistenceTest.test_persists, case close_among_others, failed before.

--- a/src/turmericmast/web/persistence.py
+++ b/src/turmericmast/web/persistence.py
@@ -14,8 +14,9 @@
     version, _, rest = lines[0].partition(' ')
     fields = [line.lower().partition(':') for line in lines[1:]]
     content_by_name = {name: content for name, _, content in fields}
-    if version == 'HTTP/1.0' or 'close' in content_by_name.get(
-        'connection', ''
+    if version == 'HTTP/1.0' or any(
+        name == 'connection' and 'close' in content
+        for name, _, content in fields
     ):
         return False
     if method == 'HEAD' or rest[:3] in BODILESS_STATUSES:
--- a/tests/test_persistence.py
+++ b/tests/test_persistence.py
@@ -26,6 +26,17 @@
             ('empty', ['HTTP/1.1 204 Empty'], 'GET', True),
             ('head', ['HTTP/1.1 200 OK'], 'HEAD', True),
             ('close', ['HTTP/1.1 200', 'Connection: Close', LENGTH], '', False),
+            (
+                'close_among_others',
+                [
+                    'HTTP/1.1 200',
+                    'Connection: close',
+                    'Connection: X-Note',
+                    LENGTH,
+                ],
+                '',
+                False,
+            ),
             ('old', ['HTTP/1.0 200 OK', LENGTH], 'GET', False),
         ]
     )
