Add a failing test: a second response before the end of a connection

A caller of an edge gets a signed 200 whose body has the target's body, the head and the body of a second response, if the first one has neither a length nor chunks and the target then closes the connection.

--- a/tests/test_filled_bodies.py
+++ b/tests/test_filled_bodies.py
@@ -222,6 +222,19 @@
         self.assertRegex(head, rb'^HTTP/1\.1 200 ')
         self.assertEqual(received_body, body)
 
+    # Guards against a second response that counts as a part of a body that
+    # ends with its connection (MIXED).
+    @parameterized.expand([('whole', 300), ('streamed', 200_000)])
+    async def test_second_response_before_the_end(
+        self, _name: str, size: int
+    ) -> None:
+        response = HEAD + b'\r\n' + b'a' * size + _whole(b'b' * SMALL)
+        target = TwiceAnsweringTarget([response], is_closing=True)
+        async with target.run() as address, _serving(address) as port:
+            head, body = await _request(port)
+        self.assertNotIn(b'HTTP/1.1', body)
+        self.assertFalse(_looks_whole(head, body, size + 1))
+
     # Guards against responses without a sized body that are refused.
     @parameterized.expand(
         [
