Look for a new connection among the newest ones

While many connections waited for an unreachable target, each request looked at all of them.

A connection that was used before is known by its addresses, so it suffices to see that its descriptor still has them. A new one is found among the newest. Failed ones need not be recognised: they stay behind until their descriptors are used again.

--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -71,13 +71,18 @@
 
     def find(self, pair: AddressPair) -> Connection | None:
         """Return the connection with these addresses, if it is known."""
-        for descriptor, connection in tuple(self._unbound.items()):
+        known = self._connection_by_pair.get(pair)
+        if known and known.is_open:
+            return known
+        # The newest ones first: many may be waiting for an unreachable peer.
+        for descriptor, connection in reversed(tuple(self._unbound.items())):
             found = _addresses(descriptor)
             if found:
                 self._bind(connection, found)
-            elif not _is_socket(descriptor):
-                self._drop(descriptor)
-        return self._connection_by_pair.get(pair)
+            if found == pair:
+                return connection
+        # The peer may have reset it.
+        return known
 
     def at(self, address: str) -> list[Connection]:
         """Return the connections that were last used for an address."""
@@ -119,14 +124,6 @@
         borrowed.detach()
 
 
-def _is_socket(descriptor: Descriptor) -> bool:
-    try:
-        with borrowed_socket(descriptor):
-            return True
-    except OSError:
-        return False
-
-
 def _addresses(descriptor: Descriptor) -> AddressPair | None:
     """Return both addresses, ``None`` if the socket is not connected."""
     try:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,6 +12,7 @@
     AddressPair,
     Connections,
     Descriptor,
+    borrowed_socket,
 )
 
 
@@ -54,27 +55,25 @@
 
     # Guards against requests that slow down after targets were unreachable:
     # each one looked at every connection that had ever failed to open.
-    @parameterized.expand([('closed', False), ('used_again', True)])
-    def test_failed_connections_are_forgotten(
-        self, _name: str, is_used_again: bool
+    @parameterized.expand([('new', 1), ('used', 2)])
+    def test_failed_connections_are_not_looked_at(
+        self, _name: str, requests: int
     ) -> None:
         connections = Connections()
-        with _connected() as first, _connected() as other:
-            failed = Descriptor(os.open(os.devnull, os.O_RDONLY))
-            connections.add(failed)
-            connections.add(Descriptor(first.fileno()))
-            if is_used_again:
-                os.dup2(other.fileno(), failed)
-            else:
-                os.close(failed)
-            connections.find(_pair_of(first))
+        with contextlib.ExitStack() as stack:
+            for _ in range(9):
+                failed = stack.enter_context(socket.socket())
+                connections.add(Descriptor(failed.fileno()))
+            connection = stack.enter_context(_connected())
+            connections.add(Descriptor(connection.fileno()))
+            for _ in range(requests - 1):
+                connections.find(_pair_of(connection))
             with unittest.mock.patch(
-                'turmericmast.web.connections.borrowed_socket'
+                'turmericmast.web.connections.borrowed_socket',
+                wraps=borrowed_socket,
             ) as look:
-                connections.find(_pair_of(first))
-            if is_used_again:
-                os.close(failed)
-        look.assert_not_called()
+                self.assertIsNotNone(connections.find(_pair_of(connection)))
+        look.assert_called_once()
 
 
 @contextlib.contextmanager
