--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -71,10 +71,18 @@
 
     def find(self, pair: AddressPair) -> Connection | None:
         """Return the connection with these addresses, if it is known."""
-        for descriptor, connection in tuple(self._unbound.items()):
-            if _addresses(descriptor) == pair:
-                self._bind(connection, pair)
-        return self._connection_by_pair.get(pair)
+        known = self._connection_by_pair.get(pair)
+        if known and known.is_open:
+            return known
+        # The newest ones first: many may be waiting for an unreachable peer.
+        for descriptor, connection in reversed(tuple(self._unbound.items())):
+            found = _addresses(descriptor)
+            if found:
+                self._bind(connection, found)
+            if found == pair:
+                return connection
+        # The peer may have reset it.
+        return known
 
     def at(self, address: str) -> list[Connection]:
         """Return the connections that were last used for an address."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,7 +3,7 @@
 import contextlib
 import os
 import socket
-import unittest
+import unittest.mock
 from collections.abc import Iterator
 
 from parameterized import parameterized
@@ -12,6 +12,7 @@
     AddressPair,
     Connections,
     Descriptor,
+    borrowed_socket,
 )
 
 
@@ -52,6 +53,28 @@
             connections.add(Descriptor(os.open(os.devnull, os.O_RDONLY)))
             self.assertIsNone(connections.find(_pair_of(connection)))
 
+    # Guards against requests that slow down after targets were unreachable:
+    # each one looked at every connection that had ever failed to open.
+    @parameterized.expand([('new', 1), ('used', 2)])
+    def test_failed_connections_are_not_looked_at(
+        self, _name: str, requests: int
+    ) -> None:
+        connections = Connections()
+        with contextlib.ExitStack() as stack:
+            for _ in range(9):
+                failed = stack.enter_context(socket.socket())
+                connections.add(Descriptor(failed.fileno()))
+            connection = stack.enter_context(_connected())
+            connections.add(Descriptor(connection.fileno()))
+            for _ in range(requests - 1):
+                connections.find(_pair_of(connection))
+            with unittest.mock.patch(
+                'turmericmast.web.connections.borrowed_socket',
+                wraps=borrowed_socket,
+            ) as look:
+                self.assertIsNotNone(connections.find(_pair_of(connection)))
+        look.assert_called_once()
+
 
 @contextlib.contextmanager
 def _connected() -> Iterator[socket.socket]:
--- a/tests/test_stray_bytes.py
+++ b/tests/test_stray_bytes.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import socket
+import struct
 import unittest.mock
 from collections.abc import Iterable
 from types import TracebackType
@@ -149,6 +150,27 @@
         self.assertEqual((loss, sink.body, third), (None, b'a', None))
         self.assertEqual(target.requests, [0, 1, 1])
 
+    @parameterized.expand(
+        [
+            (f'{name}_{seconds}', octets, seconds)
+            for name, octets in (('reset', b''), ('last_words', RESPONSE))
+            for seconds in (0.001, SOON, 1.2)
+        ]
+    )
+    async def test_request_after_a_reset_gets_a_new_connection(
+        self, _name: str, octets: bytes, seconds: float
+    ) -> None:
+        async with StrayTarget() as target:
+            with CurlClient() as curl:
+                await target.ask(curl, 'first')
+                target.write(octets)
+                target.reset()
+                await asyncio.sleep(seconds)
+                sink = Sink()
+                loss = await target.ask(curl, 'second', sink)
+        self.assertEqual((loss, sink.body), (None, b'a'))
+        self.assertEqual(target.requests, [0, 1])
+
 
 class SecondResponseTest(unittest.IsolatedAsyncioTestCase):
     """A target can finish a second response after the first one came whole.
@@ -209,6 +231,36 @@
                 await target.ask(curl, sink=Sink(is_foreign=True))
                 self.assertFalse(await target.write_to_end(b''))
 
+    # Guards against the response to a former request: with many connections
+    # that got bytes at once, the one that curl chose was not looked at.
+    @parameterized.expand(
+        [
+            (f'{count}_{name}', count, step)
+            for count in (3, 95)
+            for name, step in (('first_to_last', 1), ('last_to_first', -1))
+        ]
+    )
+    async def test_bytes_on_many_connections(
+        self, _name: str, count: int, step: int
+    ) -> None:
+        async with StrayTarget() as target:
+            with CurlClient() as curl:
+                target.may_answer.clear()
+                asked = [
+                    asyncio.ensure_future(target.ask(curl))
+                    for _ in range(count)
+                ]
+                while len(target.requests) < count:
+                    await asyncio.sleep(SOON)
+                target.may_answer.set()
+                await asyncio.gather(*asked)
+                # They arrive before the loop gets a turn.
+                for writer in target.writers[::step]:
+                    writer.write(RESPONSE[:-1] + b'b')
+                sink = Sink()
+                await target.ask(curl, sink=sink)
+        self.assertEqual(sink.body, b'a')
+
     @parameterized.expand([('few', 3, 3), ('too_many', 9, 4)])
     @unittest.mock.patch('turmericmast.web.lingering.MAX_DUPLICATES', 4)
     async def test_descriptors(
@@ -363,6 +415,14 @@
         """Write more bytes on a connection."""
         self.writers[number].write(octets)
 
+    def reset(self, number: int = 0) -> None:
+        """Reset a connection."""
+        transport = self.writers[number].transport
+        transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        transport.abort()
+
     def transfer(
         self,
         curl: CurlClient,
