Bodies without a length: the head of a second response ends them

Cause: nothing follows a body without a known length, so that bytes behind it can't tell that it was filled up.

Change: in such a body, a status line with the id of the same request in its head ends the attempt as a cut response. A quoted response bears another id or none. An entry looks for the id of its attempt.

--- a/src/turmericmast/web/excessreport.py
+++ b/src/turmericmast/web/excessreport.py
@@ -9,7 +9,7 @@
     body: ResponseBody, metrics: Metrics, events: EventLog, **names: Field
 ) -> None:
     """Count and log bytes behind ``body``; ``names`` tell whose it is."""
-    if body.excess:
+    if body.excess or body.is_filled:
         metrics.count('responses_excess', body=body.state.value)
         events.write(
             'response_excess',
--- a/src/turmericmast/web/responsebody.py
+++ b/src/turmericmast/web/responsebody.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from turmericmast.web.receivedbytes import ReceivedBytes
-from turmericmast.web.statuslines import StatusLines
+from turmericmast.web.statuslines import RepeatedHeads, StatusLines
 
 SETTLING_SECONDS = 0.02
 """Seconds in which bytes behind a body in doubt may arrive.
@@ -30,12 +30,14 @@
 
 @final
 class ResponseBody:
-    """Follows a body of known length up to its end.
+    """Tells whether a body is that of one response.
 
     A target may send more than one response to a request. What arrives behind
     the body belongs to no request, and the body may still be whole. It is in
     doubt if it may contain the status line of another response: with bytes
-    behind it, it was filled up; without, it quotes a response.
+    behind it, it was filled up; without, it quotes a response. Behind a body
+    without a known length there is nothing, so that only the head of a second
+    response to the same request tells that it is none of this body.
     """
 
     def __init__(self) -> None:
@@ -52,6 +54,7 @@
         self._length: int | None = None
         self._octets = 0
         self._status_lines = StatusLines()
+        self._repeated_heads = RepeatedHeads('')
         self._ends_in_doubt = False
 
     @property
@@ -79,9 +82,15 @@
             return False
         return self._received.has_unread
 
-    def begin_request(self, received: ReceivedBytes | None) -> None:
-        """Count what arrives on the connection from now on, if known."""
+    def begin_request(
+        self, received: ReceivedBytes | None, request_id: str = ''
+    ) -> None:
+        """Note that the request with ``request_id`` is about to be sent.
+
+        ``received`` counts what arrives on its connection, if that is known.
+        """
         self._received = received
+        self._repeated_heads = RepeatedHeads(request_id)
 
     def begin(self, head_octets: int, length: str | None) -> None:
         """Begin with the body, after all heads and their ``head_octets``.
@@ -97,13 +106,10 @@
 
         While it is settling, the piece has to wait for ``settle``.
         """
-        if self.state is BodyState.arriving and self._is_last(piece):
-            self._ends_in_doubt = self._status_lines.is_possible(piece)
-            self.excess = self._count_excess()
-            if self._ends_in_doubt or self.has_unread_excess:
-                self.state = BodyState.settling
-            else:
-                self.state = BodyState.whole
+        if self._length is None and self._repeated_heads.are_found(piece):
+            self.state = BodyState.filled
+        elif self.state is BodyState.arriving and self._is_last(piece):
+            self._judge_end(piece)
         elif self.state is BodyState.settling:
             self.excess = self._count_excess()
         if self.state is BodyState.settling and self._was_filled:
@@ -121,9 +127,17 @@
     def accept(self, piece: bytes) -> None:
         """Note that a piece was passed on."""
         self._octets += len(piece)
-        if self.state is BodyState.arriving and self._length is not None:
+        if self._length is None:
+            self._repeated_heads.add(piece)
+        elif self.state is BodyState.arriving:
             self._status_lines.add(piece)
 
+    def _judge_end(self, piece: bytes) -> None:
+        self._ends_in_doubt = self._status_lines.is_possible(piece)
+        self.excess = self._count_excess()
+        is_settling = self._ends_in_doubt or self.has_unread_excess
+        self.state = BodyState.settling if is_settling else BodyState.whole
+
     @property
     def _was_filled(self) -> bool:
         return self._ends_in_doubt and self.excess > 0
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -174,7 +174,7 @@
             if has_body
             else None,
             body_size=self._body_size(),
-            name=request.call,
+            name=dict(destination.extra_headers).get(CALL_HEADER, request.call),
         )
 
     def _body_size(self) -> int:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -268,7 +268,9 @@
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
-        self._body.begin_request(self._connection.count_received())
+        self._body.begin_request(
+            self._connection.count_received(), self._request.name
+        )
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_read(self, size: int) -> Any:
--- a/tests/test_filled_bodies.py
+++ b/tests/test_filled_bodies.py
@@ -235,6 +235,58 @@
         self.assertNotIn(b'HTTP/1.1', body)
         self.assertFalse(_looks_whole(head, body, size + 1))
 
+    # Guards against a chunk that is cut and filled up to its end by the head
+    # of a second response, whose chunks go on (MIXED).
+    @parameterized.expand([('at_once', 0), ('in_bytes', 1), ('in_parts', 7)])
+    async def test_filled_chunk(self, _name: str, step: int) -> None:
+        second = (
+            HEAD + b'Transfer-Encoding: chunked\r\n\r\n3\r\nbbb\r\n0\r\n\r\n'
+        )
+        filling = second.index(b'\r\n\r\n') + 2
+        first = HEAD + b'Transfer-Encoding: chunked\r\n\r\n%x\r\naaa'
+        octets = first % (filling + 3) + second
+        parts = range(0, len(octets), step or len(octets))
+        target = TwiceAnsweringTarget(
+            [octets[at : at + (step or len(octets))] for at in parts]
+        )
+        async with target.run() as address, _serving(address) as port:
+            head, body = await _request(port)
+        self.assertNotRegex(head, rb'^HTTP/1\.1 200 ')
+        self.assertNotIn(b'bbb', body)
+
+    # Guards against bodies without a length that are refused for quoting the
+    # response to another request.
+    @parameterized.expand(
+        [
+            (f'{name}_{kind}', framing % len(quote), quote, end)
+            for name, quote in (
+                ('head', HEAD.replace(b': r', b': q') + b'\r\n'),
+                ('status_line', b'HTTP/1.1 200 r\r\n\r\n'),
+                ('id', b'X-Request-Id: r\r\n'),
+                ('id_in_a_word', b'HTTP/1.1 200 OK\r\nA: rr\r\n'),
+                ('id_after_a_head', b'HTTP/1.1 200 OK\r\n\r\nA: r\r\n'),
+            )
+            for kind, framing, end in (
+                (
+                    'chunked',
+                    b'Transfer-Encoding: chunked\r\n\r\n%x\r\n',
+                    b'\r\n0\r\n\r\n',
+                ),
+                ('until_the_end', b'X: %x\r\n\r\n', b''),
+            )
+        ]
+    )
+    async def test_quote_without_a_length(
+        self, _name: str, framing: bytes, quote: bytes, end: bytes
+    ) -> None:
+        target = TwiceAnsweringTarget(
+            [HEAD + framing + quote + end], is_closing=True
+        )
+        async with target.run() as address, _serving(address) as port:
+            head, body = await _request(port)
+        self.assertRegex(head, rb'^HTTP/1\.1 200 ')
+        self.assertIn(quote, body)
+
     # Guards against responses without a sized body that are refused.
     @parameterized.expand(
         [
