--- a/tests/cold_site.py
+++ b/tests/cold_site.py
@@ -102,6 +102,7 @@
         self.targets: dict[TargetId, Target] = {}
         self.statuses: defaultdict[int, int] = defaultdict(int)
         self.probes = 0
+        self.kept_connections = unittest.mock.Mock()
         self._random = random.Random(seed)
         self._load = load
         self._clock = LoopClock()
