Connections: a known one is looked at again only beside unbound ones

A look at the descriptor of each reused connection cost two system calls a request. A later connection with the same addresses is unbound at first, so without unbound ones the known one is meant.

--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -72,7 +72,8 @@
     def find(self, pair: AddressPair) -> Connection | None:
         """Return the connection with these addresses, if it is known."""
         known = self._connection_by_pair.get(pair)
-        if known and known.is_open:
+        # A later connection with the same addresses would be unbound.
+        if known and (not self._unbound or known.is_open):
             return known
         # The newest ones first: many may be waiting for an unreachable peer.
         for descriptor, connection in reversed(tuple(self._unbound.items())):
