--- a/src/turmericmast/web/connections.py
+++ b/src/turmericmast/web/connections.py
@@ -30,7 +30,6 @@
         """Whether no further request may be sent on it."""
         self.is_watched = False
         """Whether it was idle before."""
-
         self.accounted: int | None = 0
         """Bytes received that belong to its responses, once these have ended.
 
