Tests of resumed downloads: each entry has its retry budget

It makes the same number of calls, two at each of two entries, within their budgets: all four are checked, where two were.

--- a/tests/test_resumed_downloads.py
+++ b/tests/test_resumed_downloads.py
@@ -34,8 +34,12 @@
 """Status, tag and range of the head that follows, and the loss by it."""
 FAILURES = [('failed', 'busy'), ('rejected', 'shed')]
 """How the second target answers the request for the rest."""
-CALLS = 4
-"""Calls of a test: which target gets the first attempt varies."""
+ENTRIES = 2
+"""Entries of a test, each with a retry budget of its own."""
+CALLS = 2
+"""Calls at each entry: which target gets the first attempt varies.
+
+They use up the budget; without it, a download is not resumed."""
 
 
 class ContinuationTest(unittest.TestCase):
@@ -74,15 +78,19 @@
     # that nobody gets, and against a download that is given up meanwhile.
     @parameterized.expand(FAILURES)
     async def test_failure_between(self, _name: str, kind: str) -> None:
-        async with EntryHarness(targets=2) as harness:
-            first, second = harness.targets
-            second.always = kind
-            for _ in range(CALLS):
-                runs = len(first.runs)
-                answer = await _download(harness)
-                if len(first.runs) > runs:
-                    self.assertEqual(answer and answer.body, BIG)
-            self.assertTrue(first.runs)
+        for _ in range(ENTRIES):
+            async with EntryHarness(targets=2) as harness:
+                harness.targets[1].always = kind
+                await self._check_calls(harness)
+
+    async def _check_calls(self, harness: EntryHarness) -> None:
+        first = harness.targets[0]
+        for _ in range(CALLS):
+            runs = len(first.runs)
+            answer = await _download(harness)
+            if len(first.runs) > runs:
+                self.assertEqual(answer and answer.body, BIG)
+        self.assertTrue(first.runs)
 
 
 def _interrupted_relay() -> Relay:
