Messages: at most 8,192 records

The limit was too high for the bound on a slower machine. A full feed at the target size has some 3,500 records and a batch of the log 128 entries, so half of it is enough.

--- a/src/turmericmast/wire/receiving.py
+++ b/src/turmericmast/wire/receiving.py
@@ -14,7 +14,7 @@
 from thrift.Thrift import TType
 from thrift.transport.TTransport import CReadableTransport, TTransportBase
 
-MAX_RECORDS = 16_384
+MAX_RECORDS = 8192
 """Records of one message; a full feed at the target size has some 3,500."""
 MAX_STRUCTURE_BYTES = 4_194_304
 """Bytes of one message beside strings that reach beyond one piece.
