Add failing tests: shares of a split over many instances

With 315 instances and one request at each, a split of 70 to 30 gives 100 to 0, one of 40, 35 and 25 gives 100 to 0 to 0, and after a change of weights the first request of each instance goes to one and the same service.

--- /dev/null
+++ b/tests/test_split_shares.py
@@ -0,0 +1,149 @@
+"""Shares of a split over all instances, of which each gets few requests."""
+
+import itertools
+import unittest
+from collections.abc import Iterable
+from typing import Any
+
+from parameterized import parameterized
+
+from tests.edge_samples import REGION_BY_DOMAIN, feed, instance
+from tests.platform_samples import ROUTES, changed, encoded
+from turmericmast.cluster.records import EdgeRecord
+from turmericmast.edge.edge import Edge
+from turmericmast.ids import Incarnation, InstanceId
+from turmericmast.instancesettings import Bounds
+from turmericmast.platform.documents import DocumentFormat
+from turmericmast.route.document import RouteDocument
+
+MAX_DEVIATION = 0.1
+"""Most by which a share may differ from that of the weight.
+
+The site files call it ``weight_off``."""
+LARGE = 315
+"""Instances of the large site."""
+EVEN = (50, 50)
+SKEWED = (70, 30)
+SLIGHT = (60, 40)
+RARE = (85, 15)
+TRIPLE = (40, 35, 25)
+
+SHARES = [
+    # name, instances, starts of each, requests after each start, weights
+    ('one_request_each', LARGE, 1, 1, SKEWED),
+    ('one_request_each_of_equal_services', LARGE, 1, 1, EVEN),
+    ('one_request_each_of_three_services', LARGE, 1, 1, TRIPLE),
+    ('two_requests_each', LARGE, 1, 2, SKEWED),
+    ('three_requests_each', LARGE, 1, 3, SLIGHT),
+    ('three_requests_each_with_a_rare_service', LARGE, 1, 3, RARE),
+    ('one_request_after_each_start', 14, 22, 1, SKEWED),
+    ('two_requests_after_each_start', 14, 22, 2, TRIPLE),
+]
+
+CHANGES = [
+    # name, requests at each instance before, weights before and after
+    ('first_requests', 0, EVEN, SKEWED),
+    ('skewed', 1, EVEN, RARE),
+    ('evened', 2, RARE, EVEN),
+    ('service_added', 1, SLIGHT, TRIPLE),
+    ('service_removed', 1, TRIPLE, SLIGHT),
+]
+
+
+def _document(weights: Iterable[int], version: int = 7) -> RouteDocument:
+    services = ('stock', 'stock-next', 'orders')
+    branches = [
+        {'service': service, 'weight': weight}
+        for service, weight in zip(services, weights, strict=False)
+    ]
+    tree: Any = changed(ROUTES, 'routes.look.traffic_split', branches)
+    tree['version'] = f'{version:08x}'
+    return DocumentFormat().parse(encoded(tree)).unwrap()
+
+
+def _start(name: int, start: int, weights: Iterable[int]) -> Edge:
+    """Start an instance that has applied its first feed and routes."""
+    sample = instance(f'edge-{name}')
+    record = EdgeRecord(
+        InstanceId(sample.instance),
+        Incarnation(f'start-{name}-{start}'),
+        sample.address,
+        sample.domain,
+        sample.region,
+        sample.phase,
+        sample.peer,
+    )
+    edge = Edge(record, REGION_BY_DOMAIN, Bounds())
+    edge.apply(feed(record), _document(weights))
+    return edge
+
+
+def _pick(edge: Edge, requests: int) -> list[str]:
+    """Return the services that the next requests of the route get."""
+    route = edge.find_route('shop.example', '/stock/')
+    assert route is not None
+    pools = (edge.pick_pool(route) for _ in range(requests))
+    return [pool.service for pool in pools if pool]
+
+
+class SplitSharesTest(unittest.TestCase):
+    """Services get their weights' shares of all requests together."""
+
+    # Guards against CONFIG on the large site: each instance began a split at
+    # the largest weight, and the others got hardly a request.
+    @parameterized.expand(SHARES)
+    def test_few_requests_at_each_instance(
+        self,
+        _name: str,
+        instances: int,
+        starts: int,
+        requests: int,
+        weights: tuple[int, ...],
+    ) -> None:
+        edges = itertools.starmap(
+            lambda name, start: _start(name, start, weights),
+            itertools.product(range(instances), range(starts)),
+        )
+        self._check(
+            weights,
+            list(
+                itertools.chain.from_iterable(
+                    _pick(edge, requests) for edge in edges
+                )
+            ),
+        )
+
+    # Guards against the same after a change of weights.
+    @parameterized.expand(CHANGES)
+    def test_one_request_after_a_change(
+        self,
+        _name: str,
+        requests: int,
+        before: tuple[int, ...],
+        after: tuple[int, ...],
+    ) -> None:
+        edges = [_start(name, 0, before) for name in range(LARGE)]
+        for edge in edges:
+            _pick(edge, requests)
+            edge.apply(feed(edge.record, index=2), _document(after, version=8))
+        self._check(
+            after,
+            list(
+                itertools.chain.from_iterable(_pick(edge, 1) for edge in edges)
+            ),
+        )
+
+    def _check(self, weights: tuple[int, ...], picked: list[str]) -> None:
+        services = ('stock', 'stock-next', 'orders')
+        shares = [
+            picked.count(service) / len(picked)
+            for service in services[: len(weights)]
+        ]
+        for share, weight in zip(shares, weights, strict=True):
+            self.assertAlmostEqual(
+                share, weight / sum(weights), delta=MAX_DEVIATION, msg=shares
+            )
+
+
+if __name__ == '__main__':
+    unittest.main()
