Lines tell by which version of the routes a request was decided, and from whom it came

Of a split route no line told which service got a request, so shares could only be read from the targets; no line about a request had the version of the routes; 'routes' did not name the member that sent it; and no line of a core member told which version a reader was given.

Now: request_split with a counter by route and service, the version in all lines about a request, member, index and contact in 'routes', and 'routes_read'.

--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -142,6 +142,12 @@
         if not isinstance(caught_up, Success):
             return Failure(caught_up.failure())
         current = self._state_machine.cluster.route_versions.current
+        self._process.events.write(
+            'routes_read',
+            version=current.version,
+            digest=current.digest,
+            index=caught_up.unwrap(),
+        )
         if not current.source:
             return Failure(
                 RefusedError(
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -90,8 +90,8 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._contacted_member = MemberId('')
-        self._stale: WatchedCluster | None = None
-        """The newest stale answer, which waits for a current one."""
+        self._stale: tuple[WatchedCluster, MemberId] | None = None
+        """The newest stale answer and its member; a current one may come."""
         self._stale_timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> Self:
@@ -216,7 +216,7 @@
         )
         watched = self._unpack(answer.value_or(None))
         is_good = isinstance(watched, WatchedCluster) and self._apply_answer(
-            watched
+            watched, member
         )
         self._record_contact(member, is_good=is_good)
         return is_good
@@ -233,35 +233,44 @@
         self._events.write('feed_bad', reason=feed.failure().show())
         return None
 
-    def _apply_answer(self, watched: WatchedCluster) -> bool:
+    def _apply_answer(self, watched: WatchedCluster, member: MemberId) -> bool:
         if not self._edge.accepts(watched.feed):
             return False
         is_current = watched.contact_ms < MAX_CONTACT_AGE_MS
         if is_current or self._edge.index > 0:
-            self._apply(watched)
+            self._apply(watched, member)
         else:
-            self._keep_stale(watched)
+            self._keep_stale(watched, member)
         return is_current
 
-    def _keep_stale(self, watched: WatchedCluster) -> None:
+    def _keep_stale(self, watched: WatchedCluster, member: MemberId) -> None:
         if self._stale is None:
             self._stale_timer = asyncio.get_running_loop().call_later(
                 STALE_PATIENCE, self._apply_stale
             )
-            self._stale = watched
-        elif watched.feed.index > self._stale.feed.index:
-            self._stale = watched
+            self._stale = (watched, member)
+        elif watched.feed.index > self._stale[0].feed.index:
+            self._stale = (watched, member)
 
     def _apply_stale(self) -> None:
         """Use the newest stale answer, unless a current one has come."""
         stale = self._stale
         self._stale = None
         if stale and self._edge.index == 0:
-            self._apply(stale)
+            self._apply(*stale)
 
-    def _apply(self, watched: WatchedCluster) -> None:
+    def _apply(self, watched: WatchedCluster, member: MemberId) -> None:
         routes = watched.feed.routes
         document = self._parse_routes(routes) if routes else None
+        if routes and document:
+            self._events.write(
+                'routes',
+                version=routes.version,
+                digest=routes.digest,
+                member=member,
+                index=watched.feed.index,
+                contact_ms=watched.contact_ms,
+            )
         self._edge.apply(watched.feed, document)
         self._edge.crash_doubts.settle(watched.feed.targets, self._clock.now())
         if document:
@@ -281,9 +290,6 @@
             return None
         parsed = self._route_format.parse(source)
         if isinstance(parsed, Success):
-            self._events.write(
-                'routes', version=routes.version, digest=routes.digest
-            )
             return parsed.unwrap()
         self._events.write('routes_bad', reason=parsed.failure().show())
         return None
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -83,6 +83,11 @@
     home_regions: frozenset[RegionId] = frozenset()
     """Regions that may serve the requests; any region when empty."""
 
+    @property
+    def is_split(self) -> bool:
+        """Tell whether several services share the requests."""
+        return len(self.branches) > 1
+
     def allows(self, region: RegionId) -> bool:
         """Tell whether a target in a region may serve the requests."""
         return not self.home_regions or region in self.home_regions
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -7,7 +7,7 @@
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
-from turmericmast.ids import TargetId
+from turmericmast.ids import TargetId, Version
 from turmericmast.metrics import Metrics
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
@@ -62,6 +62,12 @@
         self.prober.on_statement = self.statements.apply_health
         self.load_sharing.on_departure = self.statements.apply_news
 
+    @property
+    def routes_version(self) -> Version:
+        """Return the version of the routes in use, 0 without routes."""
+        table = self.edge.route_table
+        return table.document.version if table else Version(0)
+
     def connection_headers(self) -> Mapping[str, str]:
         """Return the headers that tell a caller how long to use a connection.
 
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -31,6 +31,7 @@
     target_paused = 'target_paused'
     reach_changed = 'target_reach'
     forwarded = 'request_forwarded'
+    split = 'request_split'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -226,6 +226,7 @@
             method=start_line.method,
             **describe_problem(problem),
             cluster_index=context.edge.index,
+            version=context.routes_version,
         )
         refuse_request(self._connection, problem, start_line.method, headers)
 
@@ -270,11 +271,26 @@
     )
     if forwarding:
         request = request.forwarded(forwarding)
+    elif route.is_split:
+        _report_split(context, request)
     if not edge.can_finish(request.call.deadline):
         return Failure(edgerefusals.leaving())
     return Success(request)
 
 
+def _report_split(context: EdgeContext, request: EdgeRequest) -> None:
+    """Report which service of a split gets a request."""
+    route, service = request.route.name, request.pool.service
+    context.metrics.count('split_requests', route=route, service=service)
+    context.events.write(
+        EdgeEvent.split.value,
+        request=request.request_id,
+        route=route,
+        service=service,
+        version=context.routes_version,
+    )
+
+
 def _check_limits(headers: HTTPHeaders, limits: RouteLimits) -> Problem | None:
     """Return the problem for sizes that are malformed or exceed the limits."""
     size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
--- a/src/turmericmast/web/requestreport.py
+++ b/src/turmericmast/web/requestreport.py
@@ -144,4 +144,5 @@
             'goal_left_ms': int((goal_at - now) * MILLIS_PER_SECOND),
             'left_ms': int((incoming.call.deadline - now) * MILLIS_PER_SECOND),
             'cluster_index': self._context.edge.index,
+            'version': self._context.routes_version,
         }
--- a/tests/test_split_shares.py
+++ b/tests/test_split_shares.py
@@ -7,6 +7,7 @@
 
 from parameterized import parameterized
 
+from tests.edge_harness import EdgeHarness
 from tests.edge_samples import REGION_BY_DOMAIN, feed, instance
 from tests.platform_samples import ROUTES, changed, encoded
 from turmericmast.cluster.records import EdgeRecord
@@ -145,5 +146,33 @@
             )
 
 
+class SplitReportTest(unittest.TestCase):
+    """Lines and counters tell which service of a split got a request."""
+
+    @parameterized.expand(
+        [
+            ('split', (0, 5), 'stock-next', 1),
+            ('all_to_the_first', (5, 0), 'stock', 1),
+            ('one_service', (5,), 'stock', 0),
+        ]
+    )
+    def test_report(
+        self, _name: str, weights: tuple[int, ...], service: str, lines: int
+    ) -> None:
+        harness = EdgeHarness()
+        document = _document(weights, version=9)
+        harness.edge.apply(feed(instance('a'), index=2), document)
+        harness.read()
+        expected = {
+            'request': 'r',
+            'route': 'look',
+            'service': service,
+            'version': 9,
+        }
+        self.assertEqual(harness.logged('request_split'), lines * [expected])
+        counted = harness.count('split_requests', route='look', service=service)
+        self.assertEqual(counted, lines)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -257,7 +257,9 @@
             feed(instance('a'), targets=(target('1'),), index=KNOWN_INDEX + 1),
             routes=RoutesRecord(Version(9), Digest('d'), source),
         )
-        is_good = watcher._apply_answer(WatchedCluster(odd_feed, (), 0))
+        is_good = watcher._apply_answer(
+            WatchedCluster(odd_feed, (), 0), CONTACTS[0]
+        )
         self.assertTrue(is_good)
         self.assertEqual(watcher._edge.index, KNOWN_INDEX + 1)
         self.assertEqual(len(list(watcher._edge.views())), 1)
