Splits: the branches of each instance start at a place of their own

Cause: each instance began the cycle of a split with credits of 0, so its first request went to the largest weight, its second to the next one, and so on. One instance kept its shares to a request; 315 of them, with a request or two each, were all at the same place of the cycle. A restart or a new service began the cycle anew, and a change of weights moved all instances to the same branch.

Change: a branch has a position from 0 to 1 that moves on by its share with each request; the branch that passes 1 gets it. The first position is a hash of instance, incarnation, route and service.

Why it works: a step by a fixed share leaves evenly distributed positions evenly distributed, so each request of each instance goes to a branch with the probability of its share, the first one, too, and after each change of weights; and one instance's shares over a whole period are still exact, which the tables of tests/test_route_matching.py now check from any start.

--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,6 +1,7 @@
 """The root of the edge aggregate: state and decisions of one instance."""
 
 import dataclasses
+import functools
 import math
 from collections.abc import Iterable, Mapping
 from typing import final
@@ -33,7 +34,9 @@
 from turmericmast.ids import (
     DomainId,
     Index,
+    InstanceId,
     RegionId,
+    RouteName,
     Seconds,
     ServiceId,
     TargetId,
@@ -81,7 +84,9 @@
         """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self.crash_doubts = CrashDoubts()
-        self._splitter = TrafficSplitter()
+        self._splitter = TrafficSplitter(
+            functools.partial(_split_start, record)
+        )
         self._reach_report = ReachReport()
         self._stops_at = math.inf
         """When the process ends; infinite unless it is leaving."""
@@ -327,3 +332,13 @@
         record.service,
         record.domain,
     )
+
+
+def _split_start(
+    record: EdgeRecord, route: RouteName, service: ServiceId
+) -> float:
+    """Return where this start of an instance begins a branch, from 0 to 1."""
+    return affinity(
+        ServiceId(f'{route}/{service}'),
+        InstanceId(f'{record.instance}/{record.incarnation}'),
+    )
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -1,12 +1,18 @@
 """Route matching, and splitting of a route's traffic among services."""
 
 import itertools
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Callable, Iterable, Mapping
 from typing import final
 
 from turmericmast.ids import RegionId, RouteName, ServiceId
 from turmericmast.route.document import Route, RouteDocument
 
+ROUNDING_ERROR = 1e-9
+"""What a sum of shares may fall short of 1 by rounding."""
+STARTS = 1_000_000
+"""Different starts, so that none is within ``ROUNDING_ERROR`` of 1."""
+
 
 @final
 class RouteTable:
@@ -58,41 +64,60 @@
 class TrafficSplitter:
     """Distributes the requests of each route over its branches by weight.
 
-    Each request goes to the branch that is furthest behind its share (smooth
-    weighted round robin), so the shares also hold over few requests.
+    Each branch has a position from 0 to 1 that moves on by its share with
+    each request, and gets the request with which it passes 1. So the shares
+    of one instance hold over few requests. Those of many instances hold even
+    if each of them gets one request, since their positions start apart.
     """
 
-    def __init__(self) -> None:
-        """Begin with a credit of 0 for each branch."""
-        self._credit_by_branch: dict[tuple[RouteName, ServiceId], float] = {}
+    def __init__(
+        self, start_of: Callable[[RouteName, ServiceId], float]
+    ) -> None:
+        """Begin at the positions that ``start_of`` returns.
+
+        They are at least 0 and below 1, and evenly distributed over instances
+        and branches.
+        """
+        self._start_of = start_of
+        self._position_by_branch: dict[tuple[RouteName, ServiceId], float] = {}
 
     def pick(self, route: Route) -> ServiceId | None:
-        """Return the service for a request, ``None`` if all weights are 0."""
-        if len(route.branches) == 1:
+        """Return the service for a request, ``None`` if all weights are 0.
+
+        Each branch takes its share of the requests that those before it left.
+        """
+        if not route.is_split:
             return route.branches[0].service
-        total = sum(branch.weight for branch in route.branches)
-        if not total:
-            return None
-        credit = self._credit_by_branch
-        for branch in route.branches:
-            key = (route.name, branch.service)
-            credit[key] = credit.get(key, 0) + branch.weight / total
-        service = max(
-            (option.service for option in route.branches if option.weight > 0),
-            key=lambda candidate: credit[route.name, candidate],
-        )
-        credit[route.name, service] -= 1
-        return service
+        options = [branch for branch in route.branches if branch.weight > 0]
+        left = sum(branch.weight for branch in options)
+        for branch in options[:-1]:
+            if self._advance(route.name, branch.service, branch.weight / left):
+                return branch.service
+            left -= branch.weight
+        return options[-1].service if options else None
 
     def keep(self, routes: Iterable[Route]) -> None:
-        """Forget the credits of all branches but those of ``routes``."""
+        """Forget the positions of all branches but those of ``routes``."""
         kept = {
             (route.name, branch.service)
             for route in routes
             for branch in route.branches
         }
-        for key in self._credit_by_branch.keys() - kept:
-            self._credit_by_branch.pop(key)
+        for key in self._position_by_branch.keys() - kept:
+            self._position_by_branch.pop(key)
+
+    def _advance(
+        self, route: RouteName, service: ServiceId, share: float
+    ) -> bool:
+        """Move a branch on by its share; tell whether it gets the request."""
+        branch = (route, service)
+        position = self._position_by_branch.get(branch)
+        if position is None:
+            position = math.floor(self._start_of(*branch) * STARTS) / STARTS
+        position += share
+        is_picked = position >= 1 - ROUNDING_ERROR
+        self._position_by_branch[branch] = position - is_picked
+        return is_picked
 
 
 def normalize_host(host: str) -> str:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -136,9 +136,10 @@
         route = RouteTable(document()).find(host, path)
         self.assertEqual(route and route.name, expected)
 
-    def test_split_is_exact_over_few_requests(self) -> None:
+    @parameterized.expand([(0.0,), (0.05,), (0.5,), (0.99,)])
+    def test_split_is_exact_over_few_requests(self, start: float) -> None:
         route = RouteTable(document()).find('shop.example', '/stock/')
-        splitter = TrafficSplitter()
+        splitter = TrafficSplitter(lambda _route, _service: start)
         assert route is not None
         picked = [splitter.pick(route) for _ in range(20)]
         self.assertEqual(picked.count('stock-next'), 2)
--- a/tests/test_route_matching.py
+++ b/tests/test_route_matching.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from returns.result import Success
 
@@ -41,6 +41,9 @@
     max_size=len(SERVICES),
 ).filter(any)
 
+STARTS = st.floats(0, 1, exclude_max=True)
+LAST_START = math.nextafter(1, 0)
+
 TIMEOUTS = st.sampled_from((-1, 0, 0.001, 1, 599.9, 600, 600.1, math.nan))
 GOALS = st.sampled_from((0.25, 1, 59.9, 60, 61, 659.9, 660, math.inf))
 SPLITS = st.lists(
@@ -123,6 +126,10 @@
     return changed(ROUTES, 'routes.look.traffic_split', branches)
 
 
+def _splitter(start: float) -> TrafficSplitter:
+    return TrafficSplitter(lambda _route, _service: start)
+
+
 def _pick(
     splitter: TrafficSplitter, weights: list[int], requests: int
 ) -> list[int]:
@@ -162,17 +169,23 @@
     """Services get requests in the proportions of their weights."""
 
     @settings(max_examples=100, deadline=None)
-    @given(WEIGHTS)
-    def test_one_period_is_exact(self, weights: list[int]) -> None:
-        picked = _pick(TrafficSplitter(), weights, sum(weights))
+    @given(WEIGHTS, STARTS)
+    @example([1, 1], LAST_START)
+    @example([1, 2], 1 / 3)
+    def test_one_period_is_exact(
+        self, weights: list[int], start: float
+    ) -> None:
+        picked = _pick(_splitter(start), weights, sum(weights))
         self.assertEqual(picked, weights)
 
     @settings(max_examples=100, deadline=None)
-    @given(st.lists(WEIGHTS, min_size=2, max_size=4), st.integers(0, 30))
+    @given(
+        st.lists(WEIGHTS, min_size=2, max_size=4), st.integers(0, 30), STARTS
+    )
     def test_earlier_documents_leave_no_bias(
-        self, documents: list[list[int]], requests: int
+        self, documents: list[list[int]], requests: int, start: float
     ) -> None:
-        splitter = TrafficSplitter()
+        splitter = _splitter(start)
         *earlier, last = documents
         for weights in earlier:
             _pick(splitter, weights, requests)
