Refused callers: the delays of each instance begin at a place of their own

What callers saw: where many instances each refuse a few callers, all of these were told the same time to come back, and would be refused again.

The first refused caller of each of 315 instances got 1.118 times the time until there is room.

Evidence: two rows of tests/test_overload.py, which failed before: 315 delays that were all 0.386 s, 630 that were 0.386 or 0.254 s.

Change: the sequence begins at the rank of the instance, a hash of service and instance, which the retry budget uses already.

--- a/src/turmericmast/balance/admission.py
+++ b/src/turmericmast/balance/admission.py
@@ -45,8 +45,13 @@
     Callers of a burst that all came back at once would be refused again.
     """
 
-    def __init__(self) -> None:
-        """Begin without a refused caller."""
+    def __init__(self, rank: float = 0) -> None:
+        """Begin without a refused caller.
+
+        ``rank``, from 0 to 1, is different at each instance: many instances
+        may each refuse only a few callers.
+        """
+        self._rank = rank
         self._refused = 0
 
     def next_delay(self, until_room: float) -> float:
@@ -67,7 +72,7 @@
     def _next_spread(self) -> float:
         """Return a number from 0 to 1, far from the previous ones."""
         self._refused += 1
-        spread, _ = math.modf(self._refused * GOLDEN_RATIO)
+        spread, _ = math.modf(self._rank + self._refused * GOLDEN_RATIO)
         return spread
 
 
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -76,11 +76,13 @@
         locality: Locality,
         retry_budget: SharedRetryBudget,
         cold_targets: Collection[TargetId] = (),
+        rank: float = 0,
     ) -> None:
         """Create an empty pool.
 
         ``cold_targets`` are the targets that this instance may send to while
-        they are cold; the edge may change them.
+        they are cold; the edge may change them. ``rank``, from 0 to 1, is
+        different at each instance.
         """
         self.service = service
         self.retry_budget = retry_budget
@@ -102,7 +104,7 @@
         }
         self._profile_by_route: dict[RouteName, RouteProfile] = {}
         self._cold_limiter_by_target: dict[TargetId, ColdRateLimiter] = {}
-        self._retry_delays = RetryDelays()
+        self._retry_delays = RetryDelays(rank)
 
     def add(self, view: TargetView) -> None:
         """Add a target, or replace its view."""
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -283,6 +283,7 @@
                 self._locality,
                 self._make_retry_budget(service),
                 self.membership.assignments.own_targets,
+                affinity(service, self.record.instance),
             )
             self.pool_by_service[service] = known
         return known
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -4,6 +4,7 @@
 either all wait and are late, or some are refused and the rest is in time.
 """
 
+import collections
 import heapq
 import itertools
 import unittest.mock
@@ -11,12 +12,21 @@
 
 from parameterized import parameterized
 
-from tests.edge_samples import NOW, pool, target_view
+from tests.edge_samples import (
+    NOW,
+    edge,
+    feed,
+    instance,
+    pool,
+    target,
+    target_view,
+)
 from turmericmast.balance.candidate import Candidate, Requirements
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.pool import Pool
 from turmericmast.balance.profile import RouteProfile
 from turmericmast.balance.scoring import Distance
+from turmericmast.ids import ServiceId
 from turmericmast.metrics import Metrics
 from turmericmast.web.edgeattempt import EdgeAttempt
 
@@ -96,6 +106,32 @@
         self.assertLessEqual(delays[-1], 1.5 * until_room)
         self.assertLess(max(gaps), 0.15 * until_room)
 
+    # Guards against callers of many instances that all return at one moment,
+    # since each instance told its first refused caller the same time.
+    @parameterized.expand([('one_each', 315, 1), ('two_each', 315, 2)])
+    def test_callers_refused_by_many_instances_come_back_spread(
+        self, _name: str, instances: int, refused: int
+    ) -> None:
+        candidate = Candidate(target_view('1', busy=8), Distance.domain, 0)
+        pools = [
+            edge(
+                instance(f'edge-{number}'),
+                feed(instance(f'edge-{number}'), targets=(target('1'),)),
+            ).pool_by_service[ServiceId('stock')]
+            for number in range(instances)
+        ]
+        delays = [
+            service.retry_delay(_requirements(NOW), NOW, candidate)
+            for service in pools
+            for _ in range(refused)
+        ]
+        low, high = min(delays), max(delays)
+        tenths = collections.Counter(
+            int(10 * (delay - low) / (high - low + 1e-9)) for delay in delays
+        )
+        self.assertGreater(high, 2 * low)
+        self.assertLess(max(tenths.values()), 0.2 * len(delays))
+
 
 class ServiceTimeTest(unittest.IsolatedAsyncioTestCase):
     """What requests wait in queues does not count as service time."""
