Route documents: fields that may be left out get their defaults

What operators saw: a valid document without priority, max_attempts or one of the sizes in limits was never acknowledged; its parser raised an error.

Cause: a whole default was returned as an int, which has no is_integer() in Python 3.11. Change: the default is returned as the float that the method promises.

--- a/src/turmericmast/fields.py
+++ b/src/turmericmast/fields.py
@@ -92,7 +92,7 @@
         """Return a number; ``default``, if given, for a missing field."""
         found: Any = self._tree.get(key)
         if found is None and default is not None:
-            return default
+            return float(default)
         is_number = isinstance(found, int | float)
         if (
             is_number
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -117,6 +117,18 @@
     ),
 ]
 
+OPTIONAL_FIELDS = [
+    ('priority', 'routes.look.priority'),
+    ('attempts', 'routes.look.max_attempts'),
+    ('homes', 'routes.look.allowed_regions'),
+    ('cold_rate', 'services.stock.warmup_per_s'),
+    ('limits', 'limits'),
+    ('header_bytes', 'limits.max_header_bytes'),
+    ('body_bytes', 'limits.max_body_bytes'),
+    ('header_timeout', 'limits.header_timeout_s'),
+    ('idle_timeout', 'limits.idle_timeout_s'),
+]
+
 BAD_REPORTS = [
     ('cut_short', encoded(REPORT)[:-9]),
     ('no_born', encoded(without(REPORT, 'born'))),
@@ -193,6 +205,13 @@
             document.config_by_service[ServiceId('stock')].cold_rate, 13
         )
 
+    # Guards against a valid document that is never acknowledged, since a field
+    # that may be left out raised an error.
+    @parameterized.expand(OPTIONAL_FIELDS)
+    def test_optional_field(self, _name: str, path: str) -> None:
+        document = DocumentFormat().parse(encoded(without(ROUTES, path)))
+        self.assertIsInstance(document.unwrap().validate(), Success)
+
 
 class ReportsTest(unittest.TestCase):
     """A report of a target with a fault is rejected."""
