Routes sent again: what was accepted once is confirmed, whatever the checks say now

Cause: the checks came before the look at the accepted versions.

Change: where a document has a fault, the member first catches up with the leader; if the same version and digest was accepted, it goes on and is confirmed without a change.

--- a/src/turmericmast/cluster/routes.py
+++ b/src/turmericmast/cluster/routes.py
@@ -49,7 +49,7 @@
         version than the current one, or does not have a higher number.
         """
         routes = proposal.routes
-        if self.digest_by_version.get(routes.version) == routes.digest:
+        if self.was_accepted(routes.version, routes.digest):
             return Success(False)
         is_next = routes.version > self.current.version
         if proposal.base != self.current.version or not is_next:
@@ -61,6 +61,10 @@
             self.digest_by_version.pop(next(iter(self.digest_by_version)))
         return Success(True)
 
+    def was_accepted(self, version: Version, digest: Digest) -> bool:
+        """Tell whether this very document was accepted before."""
+        return self.digest_by_version.get(version) == digest
+
     def _conflict(self, proposal: ProposeRoutes) -> ConflictError:
         return ConflictError(
             f'version {proposal.routes.version} was made from version '
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -25,7 +25,7 @@
 from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
-from turmericmast.route.document import RouteFormat
+from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire import watchrequests
 
 if TYPE_CHECKING:
@@ -113,9 +113,10 @@
         the current version.
         """
         digest = Digest(hashlib.sha256(source).hexdigest()[:DIGEST_LENGTH])
-        parsed = self._route_format.parse(source).bind(
-            lambda document: document.validate()
-        )
+        parsed: Result[RouteDocument, TurmericmastError]
+        parsed = self._route_format.parse(source)
+        if isinstance(parsed, Success):
+            parsed = await self._check(parsed.unwrap(), digest)
         if not isinstance(parsed, Success):
             self._log_proposal(digest, parsed)
             return Failure(parsed.failure())
@@ -209,6 +210,25 @@
         """Answer an edge that looks for a member in its failure domain."""
         return watchrequests.TellMember(self._member_in(question.domain))
 
+    async def _check(
+        self, document: RouteDocument, digest: Digest
+    ) -> Result[RouteDocument, TurmericmastError]:
+        """Return a document that may be proposed, or what is wrong with it.
+
+        One that was accepted once is confirmed when it is sent again, whatever
+        the checks of this version say.
+        """
+        valid = document.validate()
+        if isinstance(valid, Success):
+            return valid
+        caught_up = await self.committer.catch_up()
+        if not isinstance(caught_up, Success):
+            return Failure(caught_up.failure())
+        versions = self._state_machine.cluster.route_versions
+        if versions.was_accepted(document.version, digest):
+            return Success(document)
+        return Failure(valid.failure())
+
     def _log_proposal(
         self,
         digest: Digest,
