Route documents: those that can be read in two ways or serve nobody are refused

Accepted until now: a key that stands twice in one object (the last one won), two routes with one host and prefix (the first name won), a prefix that does not begin and end with a slash, a host of blanks, max_attempts and max_connections of 0.

The checks stand where a document is proposed. An edge or member that already holds such a document reads it as before. Fourteen new rows in tests/test_platform.py failed before.

--- a/src/turmericmast/jsontext.py
+++ b/src/turmericmast/jsontext.py
@@ -1,5 +1,6 @@
 """JSON from outside, checked before anything is read from it."""
 
+import collections
 import itertools
 import json
 import math
@@ -28,6 +29,18 @@
     return Failure(_too_deep()) if _is_deep(document) else Success(document)
 
 
+def repeated_keys(source: str | bytes) -> frozenset[str]:
+    """Return the keys that stand twice in one object of a valid JSON text."""
+    repeated: set[str] = set()
+
+    def note_repeated(pairs: list[tuple[str, Any]]) -> None:
+        keys = collections.Counter(key for key, _ in pairs)
+        repeated.update(key for key, count in keys.items() if count > 1)
+
+    json.loads(source, object_pairs_hook=note_repeated)
+    return frozenset(repeated)
+
+
 def _parse_finite(text: str) -> float:
     number = float(text)
     if not math.isfinite(number):
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -1,5 +1,6 @@
 """Parsers of the platform's route documents and target reports."""
 
+import dataclasses
 import string
 from collections.abc import Callable
 from typing import TypeVar, final
@@ -25,7 +26,7 @@
     TargetId,
     Version,
 )
-from turmericmast.jsontext import parse_json
+from turmericmast.jsontext import parse_json, repeated_keys
 from turmericmast.names import MAX_NAME_LENGTH, is_token
 from turmericmast.route.document import (
     Branch,
@@ -54,12 +55,20 @@
 
     def parse(self, source: bytes) -> Result[RouteDocument, SettingsError]:
         """Return the route document in JSON text, or the first error in it."""
-        return _read(source, _document).alt(
-            lambda fault: SettingsError(
-                fault,
-                step='read routes',
-                hint='nothing was changed; correct the document',
-            ),
+        return (
+            _read(source, _document)
+            .map(
+                lambda document: dataclasses.replace(
+                    document, repeated_keys=repeated_keys(source)
+                )
+            )
+            .alt(
+                lambda fault: SettingsError(
+                    fault,
+                    step='read routes',
+                    hint='nothing was changed; correct the document',
+                ),
+            )
         )
 
 
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import enum
+import itertools
 from collections.abc import Iterator, Mapping
 from typing import final
 
@@ -145,6 +146,10 @@
         default_factory=dict,
     )
     limits: RouteLimits = RouteLimits()
+    repeated_keys: frozenset[str] = frozenset()
+    """Keys that stand twice in one object of the source.
+
+    Which of their values was meant is not known."""
 
     def validate(self) -> Result['RouteDocument', SettingsError]:
         """Return the document, or an error that lists all its faults."""
@@ -171,15 +176,35 @@
                 if branch.service not in self.config_by_service
             )
         yield from (
-            f'services.{config.service}.health_path: must begin with / and be '
-            'ASCII without spaces'
-            for config in self.config_by_service.values()
-            if not _is_path(config.health_path)
+            f'routes.{later.name}: has the host and prefix of '
+            f'routes.{earlier.name}; no request would choose between them'
+            for earlier, later in self._find_equal_routes()
+        )
+        for config in self.config_by_service.values():
+            path = f'services.{config.service}'
+            yield from (
+                f'{path}.{fault}' for fault in _find_service_faults(config)
+            )
+        yield from (
+            f'{key!r} stands twice in one object; write it once'
+            for key in sorted(self.repeated_keys)
         )
         yield from (
             f'limits.{fault}' for fault in _find_limit_faults(self.limits)
         )
 
+    def _find_equal_routes(self) -> Iterator[tuple[Route, Route]]:
+        """Yield pairs of routes that match the same requests."""
+        by_place = sorted(
+            self.route_by_name.values(),
+            key=lambda route: (route.host, route.prefix, route.name),
+        )
+        return (
+            (earlier, later)
+            for earlier, later in itertools.pairwise(by_place)
+            if (earlier.host, earlier.prefix) == (later.host, later.prefix)
+        )
+
 
 class RouteFormat(abc.ABC):
     """The encoding of route documents."""
@@ -190,8 +215,12 @@
 
 
 def _find_route_faults(route: Route) -> Iterator[str]:
-    if not route.host:
+    if not route.host.strip():
         yield 'host: is empty; set a host name'
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        yield 'prefix: must begin and end with /'
+    if route.max_attempts < 1:
+        yield 'max_attempts: must be above 0, or no target gets a request'
     if route.timeout <= 0:
         yield 'timeout: must be above 0 s, or no request can be answered'
     if route.timeout > MAX_TIMEOUT:
@@ -207,6 +236,13 @@
         yield 'weight: one must be above 0, or no service gets the requests'
 
 
+def _find_service_faults(config: ServiceConfig) -> Iterator[str]:
+    if not _is_path(config.health_path):
+        yield 'health_path: must begin with / and be ASCII without spaces'
+    if config.max_connections < 1:
+        yield 'max_connections: must be above 0, or no target can be reached'
+
+
 def _is_path(path: str) -> bool:
     """Tell whether a path can be requested; an empty one stands for none."""
     return not path or (path.startswith('/') and is_token(path))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -51,6 +51,7 @@
     '/-/ready',
 )
 
+SAMPLE_ROUTES: Any = ROUTES['routes']
 TIMEOUT = 'routes.look.timeout_s'
 SPLIT = 'routes.look.traffic_split'
 GOAL = 'routes.look.target_latency_s'
@@ -105,6 +106,28 @@
         ],
         'routes.look.weight',
     ),
+    ('blank_host', 'routes.look.host', ' ', 'routes.look.host'),
+    ('no_attempts', 'routes.look.max_attempts', 0, 'routes.look.max_attempts'),
+    ('empty_prefix', 'routes.look.path_prefix', '', 'routes.look.prefix'),
+    ('prefix_open', 'routes.look.path_prefix', '/stock', 'routes.look.prefix'),
+    (
+        'prefix_without_root',
+        'routes.look.path_prefix',
+        'stock/',
+        'routes.look.prefix',
+    ),
+    (
+        'no_connections',
+        'services.stock.max_connections',
+        0,
+        'services.stock.max_connections',
+    ),
+    (
+        'same_host_and_prefix',
+        'routes.look-too',
+        {**SAMPLE_ROUTES['look'], 'host': 'SHOP.example'},
+        'routes.look-too',
+    ),
     ('no_header_bytes', 'limits.max_header_bytes', 0, 'limits.header_bytes'),
     ('negative_body', 'limits.max_body_bytes', -1, 'limits.body_bytes'),
     ('no_header_time', 'limits.header_timeout_s', 0, 'limits.header_timeout'),
@@ -117,6 +140,21 @@
     ),
 ]
 
+REPEATED_KEYS = [
+    # name, what stands in the document, what replaces it
+    ('route', '"look":', '"look": {}, "look":'),
+    ('service', '"stock-next": {', '"stock-next": {}, "stock-next": {'),
+    ('timeout', '"timeout_s": 1.2', '"timeout_s": 1.2, "timeout_s": 9'),
+    ('same_value', '"timeout_s": 1.2', '"timeout_s": 1.2, "timeout_s": 1.2'),
+    ('version', '"version": "00000007"', '"version": "9", "version": "7"'),
+    (
+        'escaped',
+        '"version": "00000007"',
+        '"version": "9", "ver\\u0073ion": "7"',
+    ),
+    ('unknown', '"tls": false', '"tls": false, "tls": true'),
+]
+
 OPTIONAL_FIELDS = [
     ('priority', 'routes.look.priority'),
     ('attempts', 'routes.look.max_attempts'),
@@ -205,6 +243,13 @@
             document.config_by_service[ServiceId('stock')].cold_rate, 13
         )
 
+    # Guards against a document in force that can be read in two ways.
+    @parameterized.expand(REPEATED_KEYS)
+    def test_repeated_key(self, _name: str, first: str, both: str) -> None:
+        source = encoded(ROUTES).replace(first.encode(), both.encode(), 1)
+        document = DocumentFormat().parse(source).unwrap()
+        self.assertIn('twice', document.validate().failure().show())
+
     # Guards against a valid document that is never acknowledged, since a field
     # that may be left out raised an error.
     @parameterized.expand(OPTIONAL_FIELDS)
