--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -55,19 +55,21 @@
 
     def parse(self, source: bytes) -> Result[RouteDocument, SettingsError]:
         """Return the route document in JSON text, or the first error in it."""
-        return (
-            _read(source, _document)
-            .map(
-                lambda document: dataclasses.replace(
-                    document, repeated_keys=repeated_keys(source)
-                )
-            )
-            .alt(
-                lambda fault: SettingsError(
-                    fault,
-                    step='read routes',
-                    hint='nothing was changed; correct the document',
-                ),
+        return _read(source, _document).alt(
+            lambda fault: SettingsError(
+                fault,
+                step='read routes',
+                hint='nothing was changed; correct the document',
+            ),
+        )
+
+    def parse_proposal(
+        self, source: bytes
+    ) -> Result[RouteDocument, SettingsError]:
+        """Return what ``parse`` does, with the keys that stand twice."""
+        return self.parse(source).map(
+            lambda document: dataclasses.replace(
+                document, repeated_keys=repeated_keys(source)
             )
         )
 
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -114,7 +114,7 @@
         """
         digest = Digest(hashlib.sha256(source).hexdigest()[:DIGEST_LENGTH])
         parsed: Result[RouteDocument, TurmericmastError]
-        parsed = self._route_format.parse(source)
+        parsed = self._route_format.parse_proposal(source)
         if isinstance(parsed, Success):
             parsed = await self._check(parsed.unwrap(), digest)
         if not isinstance(parsed, Success):
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -147,7 +147,7 @@
     )
     limits: RouteLimits = RouteLimits()
     repeated_keys: frozenset[str] = frozenset()
-    """Keys that stand twice in one object of the source.
+    """Keys that stand twice in one object of a proposed document.
 
     Which of their values was meant is not known."""
 
@@ -213,6 +213,15 @@
     def parse(self, source: bytes) -> Result[RouteDocument, SettingsError]:
         """Return the decoded document, or an error that says what is wrong."""
 
+    @abc.abstractmethod
+    def parse_proposal(
+        self, source: bytes
+    ) -> Result[RouteDocument, SettingsError]:
+        """Return what ``parse`` does, with ``RouteDocument.repeated_keys``.
+
+        Only a document that is proposed is checked for them.
+        """
+
 
 def _find_route_faults(route: Route) -> Iterator[str]:
     if not route.host.strip():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,7 +247,7 @@
     @parameterized.expand(REPEATED_KEYS)
     def test_repeated_key(self, _name: str, first: str, both: str) -> None:
         source = encoded(ROUTES).replace(first.encode(), both.encode(), 1)
-        document = DocumentFormat().parse(source).unwrap()
+        document = DocumentFormat().parse_proposal(source).unwrap()
         self.assertIn('twice', document.validate().failure().show())
 
     # Guards against a valid document that is never acknowledged, since a field
