--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -89,6 +89,16 @@
         """Tell whether several services share the requests."""
         return len(self.branches) > 1
 
+    def share(self, service: ServiceId) -> float:
+        """Return a service's share of the requests, from 0 to 1."""
+        total = sum(branch.weight for branch in self.branches)
+        own = sum(
+            branch.weight
+            for branch in self.branches
+            if branch.service == service
+        )
+        return own / total if total else 0
+
     def allows(self, region: RegionId) -> bool:
         """Tell whether a target in a region may serve the requests."""
         return not self.home_regions or region in self.home_regions
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -45,6 +45,8 @@
 """Seconds after the deadline of a request until its connection is closed.
 
 A response is written meanwhile, if the body has not been complete in time."""
+SHARE_DIGITS = 3
+"""Decimal places of a service's share in the log."""
 MAX_SHOWN_LENGTH = 20
 """Characters of a malformed Content-Length that a refusal repeats."""
 
@@ -287,6 +289,7 @@
         request=request.request_id,
         route=route,
         service=service,
+        share=round(request.route.share(service), SHARE_DIGITS),
         version=context.routes_version,
     )
 
--- a/tests/test_split_shares.py
+++ b/tests/test_split_shares.py
@@ -167,6 +167,7 @@
             'request': 'r',
             'route': 'look',
             'service': service,
+            'share': 1,
             'version': 9,
         }
         self.assertEqual(harness.logged('request_split'), lines * [expected])
