Watching: a state that is in use already is not applied again

Cause: an edge that starts asks several members. Until the first state is in use, stale answers wait for a current one; from then on each answer of the same index was applied as a whole, routes parsed anew. On a loaded machine two of three answers came after that. On a site with hundreds of edges, a start gets whole states from several members.

Change: a feed is applied if its index is above the one in use. One index stands for one state at all members.

--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -11,7 +11,6 @@
 
 from turmericmast.clock import Clock
 from turmericmast.cluster.crashes import ReportCrash
-from turmericmast.cluster.records import RoutesRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
 from turmericmast.events import EventLog
@@ -260,39 +259,45 @@
             self._apply(*stale)
 
     def _apply(self, watched: WatchedCluster, member: MemberId) -> None:
-        routes = watched.feed.routes
-        document = self._parse_routes(routes) if routes else None
-        if routes and document:
-            self._events.write(
-                'routes',
-                version=routes.version,
-                digest=routes.digest,
-                member=member,
-                index=watched.feed.index,
-                contact_ms=watched.contact_ms,
-            )
-        self._edge.apply(watched.feed, document)
-        self._edge.crash_doubts.settle(watched.feed.targets, self._clock.now())
-        if document:
-            self.on_routes()
+        feed = watched.feed
+        # Several members answer a start, mostly with the same state.
+        if feed.index > self._edge.index or not self._edge.index:
+            document = self._parse_routes(watched, member)
+            self._edge.apply(feed, document)
+            self._edge.crash_doubts.settle(feed.targets, self._clock.now())
+            if document:
+                self.on_routes()
         if watched.seats:
             self._seats = watched.seats
             members = {seat.member for seat in watched.seats}
             self._links.close_except(members)
 
-    def _parse_routes(self, routes: RoutesRecord) -> RouteDocument | None:
-        if not routes.source:
+    def _parse_routes(
+        self, watched: WatchedCluster, member: MemberId
+    ) -> RouteDocument | None:
+        """Return the routes that ``member`` sent, if they can be used."""
+        routes = watched.feed.routes
+        if routes is None or not routes.source:
             return None
         try:
             source = zlib.decompress(routes.source)
         except zlib.error as error:
-            self._events.write('routes_bad', reason=str(error))
+            self._events.write('routes_bad', reason=str(error), member=member)
             return None
         parsed = self._route_format.parse(source)
-        if isinstance(parsed, Success):
-            return parsed.unwrap()
-        self._events.write('routes_bad', reason=parsed.failure().show())
-        return None
+        if not isinstance(parsed, Success):
+            reason = parsed.failure().show()
+            self._events.write('routes_bad', reason=reason, member=member)
+            return None
+        self._events.write(
+            'routes',
+            version=routes.version,
+            digest=routes.digest,
+            member=member,
+            index=watched.feed.index,
+            contact_ms=watched.contact_ms,
+        )
+        return parsed.unwrap()
 
     def _record_contact(self, member: MemberId, *, is_good: bool) -> None:
         if not is_good:
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -63,6 +63,8 @@
 """The member is cut off from the others of its group."""
 RESTARTED = 'restarted'
 """The member has no contact to a quorum yet, and lacks the last commits."""
+RESTARTED_LATE = 'restarted late'
+"""Like ``RESTARTED``, and its answer comes after ``STALE_PATIENCE``."""
 BREAKS = 'breaks'
 """The answer of the member raises an unexpected error."""
 
@@ -108,7 +110,7 @@
         self.received.append(type(body))
         if self._behaviour == REFUSES:
             return Failure(WireError('refused', step='ask', hint='wait'))
-        delay = 0 if isinstance(self._behaviour, str) else self._behaviour
+        delay = _delay(self._behaviour)
         await asyncio.sleep(min(delay, timeout))
         if delay > timeout:
             return Failure(WireError('no answer', step='ask', hint='wait'))
@@ -116,8 +118,8 @@
             return Success(TellMember(self.near_member))
         if self._behaviour == BREAKS:
             raise ValueError('an answer that cannot be handled')
-        is_lost = self._behaviour in {LOST_QUORUM, RESTARTED}
-        is_behind = self._behaviour in {LAGS, RESTARTED}
+        is_lost = self._behaviour in {LOST_QUORUM, RESTARTED, RESTARTED_LATE}
+        is_behind = self._behaviour in {LAGS, RESTARTED, RESTARTED_LATE}
         return Success(
             WatchedCluster(
                 feed(instance('a'), index=KNOWN_INDEX - is_behind),
@@ -127,6 +129,13 @@
         )
 
 
+def _delay(behaviour: float | str) -> float:
+    """Return the seconds until a member answers."""
+    if behaviour == RESTARTED_LATE:
+        return 2 * STALE_PATIENCE
+    return 0 if isinstance(behaviour, str) else behaviour
+
+
 class _FakeLinkPool:
     """Links to all contacts, by address."""
 
@@ -211,6 +220,12 @@
             ('current_one_follows', [RESTARTED, 0.01, 0.01], KNOWN_INDEX),
             ('others_are_silent', [RESTARTED, NO_ANSWER, 0.01], KNOWN_INDEX),
             ('core_lost_power', [RESTARTED] * 3, KNOWN_INDEX - 1),
+            # Guards against a state that is applied again for each answer.
+            (
+                'others_answer_late',
+                [RESTARTED, RESTARTED_LATE, RESTARTED_LATE],
+                KNOWN_INDEX - 1,
+            ),
             ('newest_of_all', [RESTARTED, LOST_QUORUM, REFUSES], KNOWN_INDEX),
         ]
     )
