Watching: answers that come late are used, and slow connections are kept

Cause: an answer that came after the 1.0 s of its request was dropped, and a connection without an answer in that second was closed, with the answer under way. Where all answers take longer, an edge never gets one.

Change: late answers are applied by the same checks as others, and a connection is given up after 2.0 s of silence. Other members are still asked after 1.0 s.

--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -83,6 +83,7 @@
         self._seats: tuple[Seat, ...] = ()
         self._deprioritized_until_by_member: dict[MemberId, float] = {}
         self._links = links
+        links.on_late_answer = self._use_answer
         self._near_member_search = NearMemberSearch(
             process.clock.now(),
             is_first_start=process.settings.is_first_start,
@@ -213,24 +214,19 @@
             WatchCluster(self._edge.record, self._edge.index, packed=True),
             REQUEST_TIMEOUT,
         )
-        watched = self._unpack(answer.value_or(None))
-        is_good = isinstance(watched, WatchedCluster) and self._apply_answer(
-            watched, member
-        )
+        is_good = self._use_answer(member, answer.value_or(None))
         self._record_contact(member, is_good=is_good)
         return is_good
 
-    def _unpack(self, answer: object) -> object:
-        """Return a packed answer as the plain one; ``None`` if unreadable."""
-        if not isinstance(answer, PackedCluster):
-            return answer
-        feed = unpack_feed(answer.feed)
-        if isinstance(feed, Success):
-            return WatchedCluster(
-                feed.unwrap(), answer.seats, answer.contact_ms
-            )
-        self._events.write('feed_bad', reason=feed.failure().show())
-        return None
+    def _use_answer(self, member: MemberId, answer: object) -> bool:
+        """Apply the answer of a member, also a late one; tell if it was good.
+
+        Where all answers come late, no other ones would ever be used.
+        """
+        watched = _unpack(answer, self._events)
+        return isinstance(watched, WatchedCluster) and self._apply_answer(
+            watched, member
+        )
 
     def _apply_answer(self, watched: WatchedCluster, member: MemberId) -> bool:
         if not self._edge.accepts(watched.feed):
@@ -385,6 +381,17 @@
     return next((member for member, is_good in answered if is_good), None)
 
 
+def _unpack(answer: object, events: EventLog) -> object:
+    """Return a packed answer as the plain one; ``None`` if unreadable."""
+    if not isinstance(answer, PackedCluster):
+        return answer
+    feed = unpack_feed(answer.feed)
+    if isinstance(feed, Success):
+        return WatchedCluster(feed.unwrap(), answer.seats, answer.contact_ms)
+    events.write('feed_bad', reason=feed.failure().show())
+    return None
+
+
 def _host(address: str) -> str:
     return address.rpartition(':')[0]
 
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -6,6 +6,7 @@
 import dataclasses
 import socket
 import time
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self, final
 
@@ -34,6 +35,10 @@
 The first packet to a host without power is lost, and the kernel retransmits
 it only after a second: with short attempts the link is up again as soon as the
 host is."""
+SILENCE_TIMEOUT = 2.0
+"""Seconds without any answer after which a connection is given up.
+
+Where downloads fill the link of a host, answers take more than a second."""
 RECONNECT_INTERVAL = 0.1
 """Seconds between two attempts to connect."""
 
@@ -60,6 +65,8 @@
     def __init__(self, context: ProcessContext, address: str) -> None:
         """Connect to ``address`` when the first message is sent."""
         self.address = address
+        self.on_late_answer: Callable[[Any], object] = _ignore_answer
+        """Called with an answer that comes after its request was given up."""
         self._context = context
         self._queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
@@ -72,6 +79,7 @@
         self._is_closed = False
         self._stream: IOStream | None = None
         self._last_received_at = float(0)
+        """When the connection was opened, or its last frame arrived."""
 
     def __enter__(self) -> Self:
         """Return the link."""
@@ -117,9 +125,11 @@
     def _close_if_silent(self, since: float) -> None:
         """Close a connection that has received nothing since a time.
 
-        A new connection may work where this one does not.
+        A new connection may work where this one does not. A connection that
+        answered in the last ``SILENCE_TIMEOUT`` may only be slow.
         """
-        if self._stream and self._last_received_at < since:
+        silent_since = min(since, time.monotonic() - SILENCE_TIMEOUT)
+        if self._stream and self._last_received_at < silent_since:
             self._context.metrics.count('links_silent', peer=self.address)
             self._stream.close()
 
@@ -169,6 +179,7 @@
             stack.pop_all()
         set_socket_options(stream)
         self._stream = stream
+        self._last_received_at = time.monotonic()
         reader = asyncio.ensure_future(self._read(stream))
         with contextlib.ExitStack() as stack:
             stack.callback(reader.cancel)
@@ -211,6 +222,10 @@
                 future.set_result(Success(envelope.body))
             else:
                 self._context.metrics.count('answers_late', peer=self.address)
+                # An error of the callback must not end the reading.
+                asyncio.get_running_loop().call_soon(
+                    self.on_late_answer, envelope.body
+                )
 
     def _fail_pending(self, cause: str) -> None:
         for future in tuple(self._future_by_id.values()):
@@ -224,3 +239,7 @@
             peer=self.address,
             hint='check that the process at this address runs',
         )
+
+
+def _ignore_answer(answer: Any) -> None:
+    """Do nothing; the default until a callback is set."""
--- a/src/turmericmast/wire/linkpool.py
+++ b/src/turmericmast/wire/linkpool.py
@@ -1,9 +1,10 @@
 """The links of a process to the members of a group."""
 
 import contextlib
-from collections.abc import Collection, Mapping
+import functools
+from collections.abc import Callable, Collection, Mapping
 from types import TracebackType
-from typing import Self, final
+from typing import Any, Self, final
 
 from turmericmast.ids import MemberId
 from turmericmast.wire.link import Link, ProcessContext
@@ -16,6 +17,8 @@
     def __init__(self, context: ProcessContext) -> None:
         """Use the id of a member as its address until one is known."""
         self.address_by_member: Mapping[MemberId, str] = {}
+        self.on_late_answer: Callable[[MemberId, Any], object] = _ignore_answer
+        """Called with a member and an answer that came too late."""
         self._context = context
         self._link_by_member: dict[MemberId, Link] = {}
 
@@ -38,6 +41,7 @@
         if link is None:
             address = self.address_by_member.get(member, member)
             link = Link(self._context, address)
+            link.on_late_answer = functools.partial(self.on_late_answer, member)
             self._link_by_member[member] = link
         return link
 
@@ -47,3 +51,7 @@
         with contextlib.ExitStack() as stack:
             for member in unused:
                 stack.push(self._link_by_member.pop(member))
+
+
+def _ignore_answer(member: MemberId, answer: Any) -> None:
+    """Do nothing; the default until a callback is set."""
