Splits: a service that is listed twice has one position

Found by reading the change of the splits; three rows in tests/test_split_shares.py, one of which failed before.

--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -89,15 +89,20 @@
         """Tell whether several services share the requests."""
         return len(self.branches) > 1
 
+    def weight_by_service(self) -> Mapping[ServiceId, float]:
+        """Return the weights above 0; those of one service are added up."""
+        weights: dict[ServiceId, float] = {}
+        for branch in self.branches:
+            if branch.weight > 0:
+                known = weights.get(branch.service, 0)
+                weights[branch.service] = known + branch.weight
+        return weights
+
     def share(self, service: ServiceId) -> float:
         """Return a service's share of the requests, from 0 to 1."""
-        total = sum(branch.weight for branch in self.branches)
-        own = sum(
-            branch.weight
-            for branch in self.branches
-            if branch.service == service
-        )
-        return own / total if total else 0
+        weights = self.weight_by_service()
+        total = sum(weights.values())
+        return weights.get(service, 0) / total if total else 0
 
     def allows(self, region: RegionId) -> bool:
         """Tell whether a target in a region may serve the requests."""
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -88,13 +88,16 @@
         """
         if not route.is_split:
             return route.branches[0].service
-        options = [branch for branch in route.branches if branch.weight > 0]
-        left = sum(branch.weight for branch in options)
-        for branch in options[:-1]:
-            if self._advance(route.name, branch.service, branch.weight / left):
-                return branch.service
-            left -= branch.weight
-        return options[-1].service if options else None
+        weights = route.weight_by_service()
+        if not weights:
+            return None
+        *services, last = weights
+        left = sum(weights.values())
+        for service in services:
+            if self._advance(route.name, service, weights[service] / left):
+                return service
+            left -= weights[service]
+        return last
 
     def keep(self, routes: Iterable[Route]) -> None:
         """Forget the positions of all branches but those of ``routes``."""
--- a/tests/test_split_shares.py
+++ b/tests/test_split_shares.py
@@ -23,6 +23,7 @@
 The site files call it ``weight_off``."""
 LARGE = 315
 """Instances of the large site."""
+SERVICES = ('stock', 'stock-next', 'orders')
 EVEN = (50, 50)
 SKEWED = (70, 30)
 SLIGHT = (60, 40)
@@ -41,6 +42,13 @@
     ('two_requests_after_each_start', 14, 22, 2, TRIPLE),
 ]
 
+REPEATED = [
+    # name, services in the order of the split, weights
+    ('side_by_side', ('stock', 'stock', 'orders'), (1, 1, 1)),
+    ('around_another', ('stock', 'orders', 'stock'), (30, 40, 30)),
+    ('alone', ('stock', 'stock'), (1, 1)),
+]
+
 CHANGES = [
     # name, requests at each instance before, weights before and after
     ('first_requests', 0, EVEN, SKEWED),
@@ -51,8 +59,11 @@
 ]
 
 
-def _document(weights: Iterable[int], version: int = 7) -> RouteDocument:
-    services = ('stock', 'stock-next', 'orders')
+def _document(
+    weights: Iterable[int],
+    version: int = 7,
+    services: Iterable[str] = SERVICES,
+) -> RouteDocument:
     branches = [
         {'service': service, 'weight': weight}
         for service, weight in zip(services, weights, strict=False)
@@ -62,7 +73,7 @@
     return DocumentFormat().parse(encoded(tree)).unwrap()
 
 
-def _start(name: int, start: int, weights: Iterable[int]) -> Edge:
+def _start(name: int, start: int, document: RouteDocument) -> Edge:
     """Start an instance that has applied its first feed and routes."""
     sample = instance(f'edge-{name}')
     record = EdgeRecord(
@@ -75,7 +86,7 @@
         sample.peer,
     )
     edge = Edge(record, REGION_BY_DOMAIN, Bounds())
-    edge.apply(feed(record), _document(weights))
+    edge.apply(feed(record), document)
     return edge
 
 
@@ -101,8 +112,9 @@
         requests: int,
         weights: tuple[int, ...],
     ) -> None:
+        document = _document(weights)
         edges = itertools.starmap(
-            lambda name, start: _start(name, start, weights),
+            lambda name, start: _start(name, start, document),
             itertools.product(range(instances), range(starts)),
         )
         self._check(
@@ -123,7 +135,8 @@
         before: tuple[int, ...],
         after: tuple[int, ...],
     ) -> None:
-        edges = [_start(name, 0, before) for name in range(LARGE)]
+        document = _document(before)
+        edges = [_start(name, 0, document) for name in range(LARGE)]
         for edge in edges:
             _pick(edge, requests)
             edge.apply(feed(edge.record, index=2), _document(after, version=8))
@@ -134,11 +147,33 @@
             ),
         )
 
+    # Guards against a service that is listed twice and moves on twice for
+    # each request.
+    @parameterized.expand(REPEATED)
+    def test_service_listed_twice(
+        self, _name: str, services: tuple[str, ...], weights: tuple[int, ...]
+    ) -> None:
+        document = _document(weights, services=services)
+        picked = list(
+            itertools.chain.from_iterable(
+                _pick(_start(name, 0, document), 1) for name in range(LARGE)
+            )
+        )
+        weight = sum(
+            own
+            for service, own in zip(services, weights, strict=True)
+            if service == 'stock'
+        )
+        self.assertAlmostEqual(
+            picked.count('stock') / len(picked),
+            weight / sum(weights),
+            delta=MAX_DEVIATION,
+        )
+
     def _check(self, weights: tuple[int, ...], picked: list[str]) -> None:
-        services = ('stock', 'stock-next', 'orders')
         shares = [
             picked.count(service) / len(picked)
-            for service in services[: len(weights)]
+            for service in SERVICES[: len(weights)]
         ]
         for share, weight in zip(shares, weights, strict=True):
             self.assertAlmostEqual(
