--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from types import TracebackType
 from typing import TYPE_CHECKING, Self, final
 
@@ -12,11 +12,11 @@
 from turmericmast.clock import Clock
 from turmericmast.cluster.crashes import ReportCrash
 from turmericmast.edge.edge import Edge
+from turmericmast.edge.memberranking import MemberRanking
 from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
 from turmericmast.events import EventLog
-from turmericmast.ids import DomainId, MemberId, RegionId
+from turmericmast.ids import MemberId
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.replica.seat import Seat
 from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire.feedpacking import unpack_feed
 from turmericmast.wire.linkpool import LinkPool
@@ -80,8 +80,7 @@
         self._process = process
         self._edge = edge
         self._route_format = route_format
-        self._seats: tuple[Seat, ...] = ()
-        self._deprioritized_until_by_member: dict[MemberId, float] = {}
+        self._ranking = MemberRanking()
         self._links = links
         links.on_late_answer = self._use_answer
         self._near_member_search = NearMemberSearch(
@@ -264,7 +263,7 @@
             if document:
                 self.on_routes()
         if watched.seats:
-            self._seats = watched.seats
+            self._ranking.seats = watched.seats
             members = {seat.member for seat in watched.seats}
             self._links.close_except(members)
 
@@ -306,61 +305,12 @@
             )
 
     def _deprioritize(self, member: MemberId) -> None:
-        until = self._clock.now() + DEPRIORITIZE_SECONDS
-        self._deprioritized_until_by_member[member] = until
-
-    def _members_by_preference(self) -> list[MemberId]:
-        """Return the known members, preferred ones first.
-
-        Members that did not fail recently come first, then those whose failure
-        was longest ago; near ones come before distant ones.
-        """
         now = self._clock.now()
-        deprioritized_until = self._deprioritized_until_by_member
-        return sorted(
-            self._known_members(),
-            key=lambda member: (
-                deprioritized_until.get(member, 0) > now,
-                deprioritized_until.get(member, 0)
-                if deprioritized_until.get(member, 0) > now
-                else 0,
-                self._distance(member),
-                member,
-            ),
-        )
-
-    def _known_members(self) -> Iterable[MemberId]:
-        """Return the members, plus the contacts if none of them works.
+        self._ranking.deprioritize(member, now + DEPRIORITIZE_SECONDS)
 
-        The member on the same host is among them: after a loss of power it is
-        often back before the contacts of the settings.
-        """
-        settings = self._process.settings
-        seats = [seat.member for seat in self._seats]
-        deprioritized_until = self._deprioritized_until_by_member
-        now = self._clock.now()
-        is_unreachable = all(
-            deprioritized_until.get(member, 0) > now for member in seats
-        )
-        contacts = (
-            (settings.local_contact, *settings.contacts)
-            if is_unreachable
-            else ()
-        )
-        return filter(None, dict.fromkeys((*seats, *map(MemberId, contacts))))
-
-    def _distance(self, member: MemberId) -> int:
-        """Return 0 in the own domain or host, 1 in the own region, else 2."""
-        settings = self._process.settings
-        domain = next(
-            (seat.domain for seat in self._seats if seat.member == member),
-            DomainId(''),
-        )
-        is_own_host = _host(member) == _host(settings.listening.peers)
-        if domain == settings.domain or is_own_host:
-            return 0
-        region = settings.region_by_domain.get(domain, RegionId(''))
-        return 1 if region == settings.region else 2
+    def _members_by_preference(self) -> list[MemberId]:
+        """Return the known members, preferred ones first."""
+        return self._ranking.order(self._process.settings, self._clock.now())
 
 
 async def _first_good_answer(
@@ -392,9 +342,5 @@
     return None
 
 
-def _host(address: str) -> str:
-    return address.rpartition(':')[0]
-
-
 def _do_nothing() -> None:
     """Do nothing; the default until a callback is set."""
