--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -69,6 +69,7 @@
     ('no_host', encoded(without(ROUTES, 'routes.order.host'))),
     ('host_number', encoded(changed(ROUTES, 'routes.look.host', 4))),
     ('no_routes', encoded(without(ROUTES, 'routes'))),
+    ('no_weight', encoded(changed(ROUTES, SPLIT, [{'service': 'stock'}]))),
     ('timeout_nan', encoded(changed(ROUTES, TIMEOUT, math.nan))),
     ('timeout_infinite', encoded(changed(ROUTES, TIMEOUT, math.inf))),
     ('timeout_beyond_floats', encoded(changed(ROUTES, TIMEOUT, 10**400))),
