--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -218,9 +218,10 @@
         return is_good
 
     def _use_answer(self, member: MemberId, answer: object) -> bool:
-        """Apply the answer of a member, also a late one; tell if it was good.
+        """Apply the answer of a member; tell whether it was good.
 
-        Where all answers come late, no other ones would ever be used.
+        Late answers are applied, too: an edge whose link is full gets no
+        others.
         """
         watched = _unpack(answer, self._events)
         return isinstance(watched, WatchedCluster) and self._apply_answer(
