--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -116,7 +116,7 @@
         parsed: Result[RouteDocument, TurmericmastError]
         parsed = self._route_format.parse_proposal(source)
         if isinstance(parsed, Success):
-            parsed = await self._check(parsed.unwrap(), digest)
+            parsed = await self._check_proposal(parsed.unwrap(), digest)
         if not isinstance(parsed, Success):
             self._log_proposal(digest, parsed)
             return Failure(parsed.failure())
@@ -210,7 +210,7 @@
         """Answer an edge that looks for a member in its failure domain."""
         return watchrequests.TellMember(self._member_in(question.domain))
 
-    async def _check(
+    async def _check_proposal(
         self, document: RouteDocument, digest: Digest
     ) -> Result[RouteDocument, TurmericmastError]:
         """Return a document that may be proposed, or what is wrong with it.
