Client accounts and uploads: a first version

What callers saw: a configuration with a route of kind upload was refused, so that nothing was served, and the keys of client accounts were passed on to targets.

Uploads are now treated as unsafe. A request on a route that is not public needs exactly one key of an account, else it gets 401. Targets get the name of the account, never the key, whatever the caller sent; a forwarded request is identified again by the instance that receives it. Home regions of route and account both bind. Without accounts in the configuration, headers pass unchanged.

--- /dev/null
+++ b/src/turmericmast/account/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: their keys, limits and home regions."""
--- a/src/turmericmast/fields.py
+++ b/src/turmericmast/fields.py
@@ -34,6 +34,10 @@
         """Tell whether a field is present and neither null nor empty."""
         return bool(self._tree.get(key))
 
+    def is_given(self, key: str) -> bool:
+        """Tell whether a field is present and not null; it may be empty."""
+        return self._tree.get(key) is not None
+
     def table(self, key: str) -> 'Fields':
         """Return the object in a field."""
         return Fields(self._found(key), self.path_of(key))
@@ -109,6 +113,13 @@
             return int(number)
         raise self._error(key, 'a whole number')
 
+    def truth(self, key: str) -> bool:
+        """Return a truth value; false for a missing field."""
+        found = self._tree.get(key)
+        if found is None or isinstance(found, bool):
+            return bool(found)
+        raise self._error(key, 'true or false')
+
     def path_of(self, key: str) -> str:
         """Return the path of a field in its document."""
         return f'{self._path}.{key}' if self._path else key
--- a/src/turmericmast/ids.py
+++ b/src/turmericmast/ids.py
@@ -15,6 +15,8 @@
 TargetId = NewType('TargetId', str)
 TenantId = NewType('TenantId', str)
 """Id of a client account; a queue is shared fairly between tenants."""
+ApiKey = NewType('ApiKey', str)
+"""Secret by which the requests of a client account are recognised."""
 ChangeId = NewType('ChangeId', str)
 """A change by operators; a resend of the change has the same id."""
 CallId = NewType('CallId', str)
--- a/src/turmericmast/instancesettings.py
+++ b/src/turmericmast/instancesettings.py
@@ -46,6 +46,35 @@
     """Health probes in a second that a target accepts from all instances."""
     report_interval: Seconds = Seconds(2)
     """Time between two reports of a target."""
+    revocation: Seconds | None = None
+    """Time from acknowledging a revoked key to the last request with it.
+
+    It holds on all instances, connected or not; ``None`` if it need not."""
+    quota_window: Seconds = Seconds(5)
+    """Time over which the requests of a client account are counted."""
+    quota_overage: float = 0.1
+    """Requests beyond an account's limit in a window, as a share of it."""
+    quota_slack: float = 20.0
+    """Requests beyond an account's limit and its overage in a window."""
+    exposure_share: float = 0.1
+    """Largest share of a service's requests that a bad version may get."""
+    exposure_slack: float = 50.0
+    """Requests that a bad version may get beyond its share."""
+    rollback: Seconds = Seconds(5)
+    """Time from evidence against a version to the last request to it."""
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class HostLimits:
+    """What the host allows one process; 0 where it is not known."""
+
+    memory_bytes: int = 0
+    """Memory at which the process is killed."""
+    descriptors: int = 0
+    """Files and sockets that it may have open."""
+    link_rate: float = 0
+    """Octets a second that the link of the host carries each way."""
 
 
 @final
@@ -62,6 +91,7 @@
     """Peer addresses of core members to start from; some may be out of date."""
     region_by_domain: Mapping[DomainId, RegionId]
     bounds: Bounds = Bounds()
+    host_limits: HostLimits = HostLimits()
     local_contact: str = ''
     """Peer address of the core member on the same host.
 
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -7,6 +7,8 @@
 
 from returns.result import Failure, Result, Success
 
+from turmericmast.account.account import Account
+from turmericmast.account.table import AccountTable
 from turmericmast.addresses import MAX_PORT, is_unicast_address
 from turmericmast.cluster.records import (
     MAX_SEQUENCE,
@@ -17,6 +19,7 @@
 from turmericmast.exceptions import SettingsError
 from turmericmast.fields import FieldError, Fields
 from turmericmast.ids import (
+    ApiKey,
     Born,
     DomainId,
     RegionId,
@@ -24,6 +27,7 @@
     Seconds,
     ServiceId,
     TargetId,
+    TenantId,
     Version,
 )
 from turmericmast.jsontext import parse_json, repeated_keys
@@ -117,6 +121,29 @@
         limits=_limits(fields.table('limits'))
         if fields.has('limits')
         else RouteLimits(),
+        accounts=_accounts(fields),
+    )
+
+
+def _accounts(fields: Fields) -> AccountTable | None:
+    """Return the accounts; ``None`` only if the document has no such table.
+
+    With an empty table, requests need a key and no key is valid.
+    """
+    if not fields.is_given('tenants'):
+        return None
+    return AccountTable(
+        Account(
+            account=TenantId(name),
+            keys=frozenset(map(ApiKey, account.strings('api_keys'))),
+            priority=account.rounded('priority', 0),
+            rate=account.number('rate_per_s', 0),
+            burst=account.number('burst', 0),
+            home_regions=frozenset(
+                map(RegionId, account.strings('allowed_regions'))
+            ),
+        )
+        for name, account in fields.table('tenants').by_name()
     )
 
 
@@ -144,6 +171,7 @@
         home_regions=frozenset(
             map(RegionId, fields.strings('allowed_regions'))
         ),
+        is_public=fields.truth('public'),
     )
 
 
--- a/src/turmericmast/platform/headers.py
+++ b/src/turmericmast/platform/headers.py
@@ -6,7 +6,7 @@
 
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.statement import TargetStatement
-from turmericmast.ids import Seconds, TargetId
+from turmericmast.ids import ApiKey, Seconds, TargetId, TenantId
 from turmericmast.numerals import is_decimal
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.headerformat import (
@@ -31,6 +31,10 @@
 """Present if the target has not run the request."""
 TARGET_HEADER = 'X-Instance-Id'
 """Id of the target that responds to a health check."""
+KEY_HEADER = 'Api-Key'
+"""Key of the caller's client account; never passed to a target."""
+ACCOUNT_HEADER = 'X-Tenant-Id'
+"""Name of the client account, which only this system tells a target."""
 LOAD_HEADER = 'X-Server-Load'
 """Running and waiting requests, slots and, optionally, slowness."""
 COLD_TIME_HEADER = 'X-Warmup-Ms'
@@ -49,6 +53,7 @@
     (TIMEOUT_HEADER.lower(), EXPECTED_TARGET_HEADER.lower())
 )
 """Headers in lower case that ``target_headers`` sets anew."""
+_ACCOUNT_HEADERS = frozenset((KEY_HEADER.lower(), ACCOUNT_HEADER.lower()))
 
 
 @final
@@ -68,8 +73,18 @@
             Seconds(float(caller_timeout) / MILLIS_PER_SECOND)
             if is_decimal(caller_timeout)
             else None,
+            tuple(map(ApiKey, headers.get_list(KEY_HEADER))),
         )
 
+    @property
+    def account_headers(self) -> frozenset[str]:
+        """Return the names of the headers with the key and the account."""
+        return _ACCOUNT_HEADERS
+
+    def name_account(self, account: TenantId) -> tuple[tuple[str, str], ...]:
+        """Return the header that tells a target the account of a request."""
+        return ((ACCOUNT_HEADER, account),)
+
     def timeout_headers(
         self, time_left: Seconds
     ) -> tuple[tuple[str, str], ...]:
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -11,6 +11,7 @@
 from turmericmast.ids import DomainId, RegionId, Seconds
 from turmericmast.instancesettings import (
     Bounds,
+    HostLimits,
     InstanceSettings,
     ListenAddresses,
 )
@@ -18,6 +19,8 @@
 
 JsonObject: TypeAlias = Mapping[str, Any]
 
+OCTETS_PER_MEGABYTE = 1_000_000
+OCTETS_PER_MEGABIT = 125_000
 _STRING_KEYS = ('node_name', 'zone', 'region')
 """Keys that need a non-empty string."""
 _KEY_BY_BOUND = (
@@ -28,6 +31,12 @@
     ('retry_window', 'budget_window_s'),
     ('retry_slack', 'budget_slack'),
     ('probe_rate', 'probe_per_s'),
+    ('quota_window', 'quota_window_s'),
+    ('quota_overage', 'quota_overage'),
+    ('quota_slack', 'quota_slack'),
+    ('exposure_share', 'exposure_share'),
+    ('exposure_slack', 'exposure_slack'),
+    ('rollback', 'rollback_s'),
 )
 """Fields of ``Bounds`` with their keys in the platform's ``bounds``."""
 
@@ -136,6 +145,7 @@
             for domain, region in tree['zones'].items()
         },
         bounds=_build_bounds(tree),
+        host_limits=_build_host_limits(tree),
         local_contact=(
             f'{tree.get("ip", "")}:{peer_port}' if tree.get('data_dir') else ''
         ),
@@ -155,9 +165,29 @@
     interval = tree.get('heartbeat_interval_s')
     if isinstance(interval, int | float):
         bound_by_field['report_interval'] = Seconds(interval)
+    revocation = bound_by_key.get('revoke_s')
+    if bound_by_key.get('revoke_fail_closed') is True and isinstance(
+        revocation, int | float
+    ):
+        bound_by_field['revocation'] = Seconds(revocation)
     return Bounds(**bound_by_field)
 
 
+def _build_host_limits(tree: JsonObject) -> HostLimits:
+    limits = tree.get('limits')
+    known = limits if isinstance(limits, Mapping) else {}
+    numbers = {
+        key: found
+        for key, found in known.items()
+        if isinstance(found, int | float) and found > 0
+    }
+    return HostLimits(
+        memory_bytes=int(numbers.get('memory_mb', 0) * OCTETS_PER_MEGABYTE),
+        descriptors=int(numbers.get('max_fds', 0)),
+        link_rate=numbers.get('link_mbps', 0) * OCTETS_PER_MEGABIT,
+    )
+
+
 def _bounds(tree: JsonObject) -> JsonObject:
     bounds = tree.get('bounds')
     return bounds if isinstance(bounds, Mapping) else {}
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
+from turmericmast.account.table import AccountTable
 from turmericmast.exceptions import SettingsError
 from turmericmast.ids import (
     RegionId,
@@ -45,11 +46,13 @@
     """Running a request twice may do harm."""
     download = 'download'
     """Like ``safe``, for downloads."""
+    upload = 'upload'
+    """Like ``unsafe``, with large request bodies."""
 
     @property
     def is_repeatable(self) -> bool:
         """Tell whether a request may run more than once."""
-        return self is not RouteKind.unsafe
+        return self in {RouteKind.safe, RouteKind.download}
 
 
 @final
@@ -83,6 +86,8 @@
     """Number of targets that one request may be sent to."""
     home_regions: frozenset[RegionId] = frozenset()
     """Regions that may serve the requests; any region when empty."""
+    is_public: bool = False
+    """Whether the requests need no key of a client account."""
 
     @property
     def is_split(self) -> bool:
@@ -161,6 +166,8 @@
         default_factory=dict,
     )
     limits: RouteLimits = RouteLimits()
+    accounts: AccountTable | None = None
+    """The client accounts; ``None`` if requests need no key."""
     repeated_keys: frozenset[str] = frozenset()
     """Keys that stand twice in one object of a proposed document.
 
@@ -204,6 +211,8 @@
             f'{key!r} stands twice in one object; write it once'
             for key in sorted(self.repeated_keys)
         )
+        if self.accounts:
+            yield from self.accounts.find_faults()
         yield from (
             f'limits.{fault}' for fault in _find_limit_faults(self.limits)
         )
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import enum
-import itertools
-import secrets
 from collections.abc import Awaitable
 from typing import Any, final
 
-from returns.result import Failure, Result, Success
+from returns.result import Success
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
@@ -17,25 +15,16 @@
     RequestStartLine,
 )
 
-from turmericmast.balance.pool import Pool
-from turmericmast.call.call import CallRequest
-from turmericmast.ids import CallId, RequestKey, Seconds, TenantId
-from turmericmast.numerals import parse_whole
-from turmericmast.route.document import Route, RouteLimits
-from turmericmast.web import edgerefusals
+from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgerequest import (
-    EdgeRequest,
-    address_problem,
-    use_origin_form,
-)
+from turmericmast.web.edgerequest import address_problem, use_origin_form
 from turmericmast.web.firstroutes import routes_wait
-from turmericmast.web.headerformat import HeaderFormat
 from turmericmast.web.idle import IdleConnections
-from turmericmast.web.peerheaders import Forwarding, read_forwarding
+from turmericmast.web.peerheaders import read_forwarding
 from turmericmast.web.problem import Problem, refuse_request
+from turmericmast.web.requestreading import read_request
 
 INSTANCE_IDLE_TIMEOUT = 60.0
 """Seconds after which an idle connection of another instance is closed.
@@ -45,10 +34,6 @@
 """Seconds after the deadline of a request until its connection is closed.
 
 A response is written meanwhile, if the body has not been complete in time."""
-SHARE_DIGITS = 3
-"""Decimal places of a service's share in the log."""
-MAX_SHOWN_LENGTH = 20
-"""Characters of a malformed Content-Length that a refusal repeats."""
 
 
 @final
@@ -193,7 +178,7 @@
             if self._origin is Origin.instance
             else None
         )
-        parsed = _read_request(
+        parsed = read_request(
             self._context, start_line, headers, received_at, forwarding
         )
         if not isinstance(parsed, Success):
@@ -242,103 +227,3 @@
     return isinstance(connection, HTTP1Connection) and (
         connection.stream.closed()
     )
-
-
-def _read_request(
-    context: EdgeContext,
-    start: RequestStartLine,
-    headers: HTTPHeaders,
-    received_at: Seconds,
-    forwarding: Forwarding | None = None,
-) -> Result[EdgeRequest, Problem]:
-    """Return the request with its route and pool, or why it is refused.
-
-    ``received_at`` is when its headers arrived; ``forwarding`` is what another
-    instance told that forwarded it, whose headers are somewhat longer.
-    """
-    edge = context.edge
-    if edge.route_table is None:
-        return Failure(edgerefusals.no_routes())
-    problem = _check_limits(headers, edge.route_table.document.limits)
-    if problem and not forwarding:
-        return Failure(problem)
-    host = headers.get('Host', '')
-    route = edge.find_route(host, start.path)
-    wanted = forwarding.service if forwarding else None
-    pool = edge.pick_pool(route, wanted) if route else None
-    if route is None or pool is None:
-        return Failure(edgerefusals.no_route(host))
-    request = _make_request(
-        context.header_format, start, headers, route, pool, received_at
-    )
-    if forwarding:
-        request = request.forwarded(forwarding)
-    elif route.is_split:
-        _report_split(context, request)
-    if not edge.can_finish(request.call.deadline):
-        return Failure(edgerefusals.leaving())
-    return Success(request)
-
-
-def _report_split(context: EdgeContext, request: EdgeRequest) -> None:
-    """Report which service of a split gets a request."""
-    route, service = request.route.name, request.pool.service
-    context.metrics.count('split_requests', route=route, service=service)
-    context.events.write(
-        EdgeEvent.split.value,
-        request=request.request_id,
-        route=route,
-        service=service,
-        share=round(request.route.share(service), SHARE_DIGITS),
-        version=context.routes_version,
-    )
-
-
-def _check_limits(headers: HTTPHeaders, limits: RouteLimits) -> Problem | None:
-    """Return the problem for sizes that are malformed or exceed the limits."""
-    size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
-    if size > limits.header_bytes:
-        return edgerefusals.headers_too_large(limits.header_bytes)
-    text = headers.get('Content-Length', '0')
-    length = parse_whole(text)
-    if length is None:
-        return edgerefusals.bad_content_length(text[:MAX_SHOWN_LENGTH])
-    if length > limits.body_bytes:
-        return edgerefusals.body_too_large(limits.body_bytes)
-    return None
-
-
-def _make_request(
-    header_format: HeaderFormat,
-    start: RequestStartLine,
-    headers: HTTPHeaders,
-    route: Route,
-    pool: Pool,
-    received_at: Seconds,
-) -> EdgeRequest:
-    metadata = header_format.read_request(headers)
-    caller_timeout = (
-        route.timeout
-        if metadata.caller_timeout is None
-        else metadata.caller_timeout
-    )
-    return EdgeRequest(
-        start=start,
-        headers=headers,
-        route=route,
-        pool=pool,
-        call=CallRequest(
-            call=CallId(secrets.token_hex(8)),
-            service=pool.service,
-            method=start.method,
-            path=start.path,
-            tenant=TenantId(''),
-            key=RequestKey(''),
-            deadline=Seconds(received_at + min(caller_timeout, route.timeout)),
-            home_regions=tuple(route.home_regions),
-            repeatable=route.kind.is_repeatable,
-            max_attempts=route.max_attempts,
-        ),
-        request_id=metadata.request_id,
-        began_at=received_at,
-    )
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -89,6 +89,29 @@
     )
 
 
+def unknown_key() -> Problem:
+    """Return the problem for a request without the key of an account."""
+    return _rejected(
+        HTTPStatus.UNAUTHORIZED,
+        'Unknown key',
+        'the request needs exactly one key of a client account',
+        'find account',
+    )
+
+
+def unconfirmed_key() -> Problem:
+    """Return the problem for a forwarded request whose key is not known here.
+
+    The instance that forwarded it may have a newer version of the accounts.
+    """
+    return _unavailable(
+        'Unknown key',
+        'this instance does not know the key of the forwarded request',
+        'find account',
+        NO_ROUTES_RETRY_DELAY,
+    )
+
+
 def headers_too_large(limit: int) -> Problem:
     """Return the problem for headers over the limit, in octets."""
     return _rejected(
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -7,12 +7,13 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from turmericmast.account.account import Identity, combine_home_regions
 from turmericmast.balance.candidate import Requirements
 from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
 from turmericmast.call.triedtargets import TriedTargets
 from turmericmast.cluster.records import EdgeRecord, TargetRecord
-from turmericmast.ids import Seconds, TargetId
+from turmericmast.ids import RegionId, Seconds, TargetId
 from turmericmast.route.document import Route, RouteKind
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
 from turmericmast.web.headerformat import HeaderFormat
@@ -39,6 +40,19 @@
     """When the headers were received."""
     forwarding: Forwarding | None = None
     """What the instance told that forwarded it; ``None`` from a caller."""
+    identity: Identity | None = None
+    """Who the caller is; ``None`` where the routes come without accounts."""
+
+    @property
+    def home_regions(self) -> frozenset[RegionId]:
+        """Return the regions that may serve the request; all when empty."""
+        return combine_home_regions(self.route.home_regions, self.identity)
+
+    @property
+    def priority(self) -> int:
+        """Return the priority of the account, else that of the route."""
+        account = self.identity.account if self.identity else None
+        return account.priority if account else self.route.priority
 
     def forwarded(self, forwarding: Forwarding) -> 'EdgeRequest':
         """Return this request as another instance has forwarded it."""
@@ -73,7 +87,7 @@
             latency_goal=self.route.latency_goal,
             goal_at=Seconds(self.began_at + self.route.latency_goal),
             deadline=self.call.deadline,
-            home_regions=self.route.home_regions,
+            home_regions=self.home_regions,
             avoid=avoid,
             is_download=self.route.kind is RouteKind.download,
             # The sender has its own last resort, which may have ended.
@@ -100,8 +114,12 @@
             time_left,
             edge_request_headers(
                 self.headers,
-                header_format.replaced_headers,
-                header_format.target_headers(record.target, time_left),
+                header_format.replaced_headers
+                | self._dropped_by_accounts(header_format),
+                (
+                    *header_format.target_headers(record.target, time_left),
+                    *self._account_header(header_format),
+                ),
             ),
         )
 
@@ -129,6 +147,18 @@
             ),
         )
 
+    def _dropped_by_accounts(
+        self, header_format: HeaderFormat
+    ) -> frozenset[str]:
+        """Return the headers of the caller that no target may get."""
+        return header_format.account_headers if self.identity else frozenset()
+
+    def _account_header(
+        self, header_format: HeaderFormat
+    ) -> tuple[tuple[str, str], ...]:
+        account = self.identity.account if self.identity else None
+        return header_format.name_account(account.account) if account else ()
+
     def _request_to(
         self,
         address: str,
--- a/src/turmericmast/web/headerformat.py
+++ b/src/turmericmast/web/headerformat.py
@@ -8,7 +8,7 @@
 
 from turmericmast.balance.load import LoadReport
 from turmericmast.balance.statement import NO_STATEMENT, TargetStatement
-from turmericmast.ids import Seconds, TargetId
+from turmericmast.ids import ApiKey, Seconds, TargetId, TenantId
 
 
 @final
@@ -20,6 +20,8 @@
     """Id chosen by the caller; empty if there is none."""
     caller_timeout: Seconds | None
     """Seconds for which the caller waits, ``None`` if not given."""
+    keys: tuple[ApiKey, ...] = dataclasses.field(default=(), repr=False)
+    """Keys of client accounts, one for each header with a key."""
 
 
 @final
@@ -98,6 +100,18 @@
         ``time_left`` is the time until the deadline, in seconds.
         """
 
+    @property
+    @abc.abstractmethod
+    def account_headers(self) -> frozenset[str]:
+        """Return the names in lower case of headers about client accounts.
+
+        Where there are accounts, targets get none of them from the caller.
+        """
+
+    @abc.abstractmethod
+    def name_account(self, account: TenantId) -> tuple[tuple[str, str], ...]:
+        """Return the header that tells a target the account of a request."""
+
     @abc.abstractmethod
     def read_response(
         self, status: int, headers: HTTPHeaders
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -69,7 +69,7 @@
             return False
         self._chosen = self._peers.choose(
             self._incoming.pool.service,
-            self._incoming.route.home_regions,
+            self._incoming.home_regions,
             self._tried,
             self._context.clock.now(),
             is_repeat=bool(self._tried_targets.reached),
--- a/src/turmericmast/web/peerheaders.py
+++ b/src/turmericmast/web/peerheaders.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from turmericmast.call.call import Ran
-from turmericmast.ids import CallId, Seconds, ServiceId, TargetId
+from turmericmast.ids import CallId, Seconds, ServiceId, TargetId, TenantId
 from turmericmast.numerals import parse_whole
 from turmericmast.web.headerformat import (
     HeaderFormat,
@@ -100,6 +100,15 @@
         """Return the headers to add to a request to a target."""
         return self._platform_format.target_headers(target, time_left)
 
+    @property
+    def account_headers(self) -> frozenset[str]:
+        """Return the names of the headers about client accounts."""
+        return self._platform_format.account_headers
+
+    def name_account(self, account: TenantId) -> tuple[tuple[str, str], ...]:
+        """Return the header that tells a target the account of a request."""
+        return self._platform_format.name_account(account)
+
     def peer_headers(self, time_left: Seconds) -> tuple[tuple[str, str], ...]:
         """Return the headers to add to a request to another instance."""
         return (
--- a/tests/cold_site.py
+++ b/tests/cold_site.py
@@ -21,9 +21,9 @@
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgefrontend import _read_request
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
+from turmericmast.web.requestreading import read_request
 from turmericmast.web.transfer import Progress, ResponseHead, TransferRequest
 
 DOMAINS = ('tirol-a', 'tirol-b', 'wien-a')
@@ -214,7 +214,7 @@
     async def _call(self, context: EdgeContext) -> None:
         headers = HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'})
         start = RequestStartLine('GET', '/stock/1', 'HTTP/1.1')
-        incoming = _read_request(context, start, headers, self._clock.now())
+        incoming = read_request(context, start, headers, self._clock.now())
         connection = _Connection()
         exchange = EdgeExchange(
             context, cast('Any', connection), incoming.unwrap()
--- a/tests/edge_harness.py
+++ b/tests/edge_harness.py
@@ -25,9 +25,9 @@
 from turmericmast.route.document import RouteDocument
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgefrontend import _read_request
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.probing import Prober
+from turmericmast.web.requestreading import read_request
 from turmericmast.web.transfer import Progress, ResponseHead, TransferRequest
 
 HEALTH_URL_END = '/health'
@@ -192,7 +192,7 @@
         """Return a request of a caller as the edge reads it."""
         headers = HTTPHeaders({'Host': 'shop.example', 'X-Request-Id': 'r'})
         start = RequestStartLine('GET', '/stock/1', 'HTTP/1.1')
-        read = _read_request(self.context, start, headers, self.clock.now())
+        read = read_request(self.context, start, headers, self.clock.now())
         incoming: EdgeRequest = read.unwrap()
         return incoming
 
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -23,9 +23,9 @@
 from turmericmast.web.body import RequestBody
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgefrontend import _read_request
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.relay import RelayState
+from turmericmast.web.requestreading import read_request
 from turmericmast.web.transfer import ResponseHead
 
 VALID_HEADERS = {'X-Request-Id': 'r', 'X-Response-Signature': 's'}
@@ -391,7 +391,7 @@
     headers: Mapping[str, str] | None = None,
 ) -> Any:
     own = {'Host': 'shop.example', 'X-Request-Id': 'r'}
-    return _read_request(
+    return read_request(
         context,
         RequestStartLine('GET', path, 'HTTP/1.1'),
         HTTPHeaders({**own, **(headers or {})}),
--- a/tests/test_numerals.py
+++ b/tests/test_numerals.py
@@ -18,8 +18,8 @@
     PlatformHeaders,
 )
 from turmericmast.route.document import RouteLimits
-from turmericmast.web.edgefrontend import _check_limits
 from turmericmast.web.parse import HOPS_HEADER, _find_header_faults
+from turmericmast.web.requestreading import _check_limits
 from turmericmast.wire.codec import decode, encode
 
 LONG = '9' * 5000
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -11,6 +11,8 @@
 
 SOURCE = pathlib.Path(__file__).parent.parent / 'src' / 'turmericmast'
 DECISIONS = (
+    'account',
+    'allowance',
     'balance',
     'call',
     'cluster',
@@ -20,6 +22,7 @@
     'ledger',
     'region',
     'replica',
+    'rollout',
     'route',
     'service',
     'session',
