Freshness: instances can prove that they lack no older change

What was missing: an instance could not tell whether it had missed a version of the configuration, since contact_ms of a core member says when it last heard of the leader, not what it has applied; a frozen or partitioned member looked current.

A poll may carry the instance's clock (WatchCluster.asked_ms). A member that gets one asks the leader for its commit index, at most twice a second and only while edges want it, and answers with the age of its proof (proof_ms) and the clock of the poll. The proof counts from when the ask was sent and holds once the member has applied the log up to that index. The instance dates its proof at the sending time of the very poll that was answered, also for late answers, and only after applying the answer. Routes that it cannot read stop its proofs until it gets readable ones.

Missing fields (older builds on either side) prove nothing. Deployments without bounds.revocation send neither the field nor AskIndex.

--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -113,6 +113,14 @@
     They send load gossip to it over UDP, and forward requests over TCP."""
     reach: TargetReach = TargetReach.direct
 
+    def with_reach(self, reach: TargetReach) -> 'EdgeRecord':
+        """Return the record of an instance that reaches targets like this."""
+        return dataclasses.replace(self, reach=reach)
+
+    def leaving(self) -> 'EdgeRecord':
+        """Return the record of this instance when it is about to stop."""
+        return dataclasses.replace(self, phase=EdgePhase.leaving)
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,6 +1,5 @@
 """The root of the edge aggregate: state and decisions of one instance."""
 
-import dataclasses
 import functools
 import math
 from collections.abc import Iterable, Mapping
@@ -27,6 +26,7 @@
     choose_instances,
     directory_ttl,
 )
+from turmericmast.edge.freshness import Freshness
 from turmericmast.edge.membership import Membership
 from turmericmast.edge.peers import Peers
 from turmericmast.edge.quarantine import Quarantine
@@ -84,6 +84,7 @@
         """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self.crash_doubts = CrashDoubts()
+        self.freshness = Freshness(is_wanted=bounds.revocation is not None)
         self._splitter = TrafficSplitter(
             functools.partial(_split_start, record)
         )
@@ -108,9 +109,7 @@
             now, cut_off=is_cut_off(self.views(), now, self.evacuated)
         )
         if has_changed:
-            self.record = dataclasses.replace(
-                self.record, reach=self._reach_report.state
-            )
+            self.record = self.record.with_reach(self._reach_report.state)
         return has_changed
 
     def leave(self, stops_at: Seconds) -> None:
@@ -119,10 +118,7 @@
         No request is taken that may run longer.
         """
         self._stops_at = stops_at
-        self.record = dataclasses.replace(
-            self.record,
-            phase=EdgePhase.leaving,
-        )
+        self.record = self.record.leaving()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, ``None`` without a match."""
--- a/src/turmericmast/programs/clustercommitter.py
+++ b/src/turmericmast/programs/clustercommitter.py
@@ -22,6 +22,7 @@
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
 from turmericmast.programs.groupsetup import error_reply, flatten_result
+from turmericmast.programs.readproofs import ReadProofs
 from turmericmast.wire import clusterrequests, replies, watchrequests
 
 if TYPE_CHECKING:
@@ -56,6 +57,8 @@
         self._group = group
         self._state_machine = state_machine
         self._pending = PendingCommands()
+        self.proofs = ReadProofs(process.clock, group, self.fetch_commit_index)
+        """What this member can prove to edges."""
 
     def known_index(self) -> Index:
         """Return an index that this member had applied a moment ago.
@@ -116,7 +119,7 @@
         Returns the index up to which that reaches. Fails if it cannot be
         learnt from the leader or is not applied in ``timeout`` seconds.
         """
-        index = await self._fetch_commit_index(timeout)
+        index = await self.fetch_commit_index(timeout)
         if not isinstance(index, Success):
             return index
         is_applied = await self._wait_until(
@@ -159,23 +162,7 @@
             return replies.Conflict(error.step, error.message, error.hint)
         return error_reply(error)
 
-    def serve_commit_index(self) -> Any:
-        """Answer a member that requests the leader's commit index."""
-        if not self._group.is_leader:
-            return error_reply(self._group.not_leader_error())
-        return self._commit_index_reply()
-
-    def _known_by_any_order(self) -> Index:
-        """Return an index applied before any order in transit was sent."""
-        applied = self._group.history.applied_at(
-            self._process.clock.now() - MAX_ORDER_AGE
-        )
-        return max(applied, self._group.led_since)
-
-    def _commit_index_reply(self) -> watchrequests.TellIndex:
-        return watchrequests.TellIndex(self._group.replica.state.commit)
-
-    async def _fetch_commit_index(
+    async def fetch_commit_index(
         self, timeout: float
     ) -> Result[Index, TurmericmastError]:
         """Return an index that covers all changes acknowledged so far."""
@@ -192,6 +179,22 @@
             return _parse_index_reply(answer.unwrap())
         return Failure(answer.failure())
 
+    def serve_commit_index(self) -> Any:
+        """Answer a member that requests the leader's commit index."""
+        if not self._group.is_leader:
+            return error_reply(self._group.not_leader_error())
+        return self._commit_index_reply()
+
+    def _known_by_any_order(self) -> Index:
+        """Return an index applied before any order in transit was sent."""
+        applied = self._group.history.applied_at(
+            self._process.clock.now() - MAX_ORDER_AGE
+        )
+        return max(applied, self._group.led_since)
+
+    def _commit_index_reply(self) -> watchrequests.TellIndex:
+        return watchrequests.TellIndex(self._group.replica.state.commit)
+
     async def _wait_until(
         self, index: Index, read_index: Callable[[], Index], timeout: float
     ) -> bool:
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -15,9 +15,10 @@
 from turmericmast.edge.memberranking import MemberRanking
 from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
 from turmericmast.events import EventLog
-from turmericmast.ids import MemberId
+from turmericmast.ids import MemberId, Seconds
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.route.document import RouteDocument, RouteFormat
+from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.wire.feedpacking import unpack_feed
 from turmericmast.wire.linkpool import LinkPool
 from turmericmast.wire.watchrequests import (
@@ -92,6 +93,8 @@
         self._stale: tuple[WatchedCluster, MemberId] | None = None
         """The newest stale answer and its member; a current one may come."""
         self._stale_timer: asyncio.TimerHandle | None = None
+        self._lacks_routes = False
+        """Whether the newest routes could not be read."""
 
     def __enter__(self) -> Self:
         """Begin to watch the cluster."""
@@ -210,7 +213,12 @@
         to a quorum.
         """
         answer = await self._links.to(member).request(
-            WatchCluster(self._edge.record, self._edge.index, packed=True),
+            WatchCluster(
+                self._edge.record,
+                self._edge.index,
+                packed=True,
+                asked_ms=self._proof_request(),
+            ),
             REQUEST_TIMEOUT,
         )
         is_good = self._use_answer(member, answer.value_or(None))
@@ -234,10 +242,35 @@
         is_current = watched.contact_ms < MAX_CONTACT_AGE_MS
         if is_current or self._edge.index > 0:
             self._apply(watched, member)
+            self._record_proof(watched)
         else:
             self._keep_stale(watched, member)
         return is_current
 
+    def _record_proof(self, watched: WatchedCluster) -> None:
+        """Take the proof of an answer that has been applied.
+
+        The answer names when it was asked for, so that a late one proves no
+        more than it does. Routes that cannot be read here may revoke keys.
+        """
+        proof_ms, asked_ms = watched.proof_ms, watched.asked_ms
+        if proof_ms is None or asked_ms is None or self._lacks_routes:
+            return
+        self._edge.freshness.record_proof(
+            Seconds(asked_ms / MILLIS_PER_SECOND),
+            Seconds(proof_ms / MILLIS_PER_SECOND),
+            self._clock.now(),
+        )
+
+    def _proof_request(self) -> int | None:
+        """Return the time in milliseconds that a poll carries for its proof.
+
+        ``None`` if no proof is wanted.
+        """
+        if not self._edge.freshness.is_wanted:
+            return None
+        return int(self._clock.now() * MILLIS_PER_SECOND)
+
     def _keep_stale(self, watched: WatchedCluster, member: MemberId) -> None:
         if self._stale is None:
             self._stale_timer = asyncio.get_running_loop().call_later(
@@ -259,6 +292,8 @@
         # Several members answer a start, mostly with the same state.
         if feed.index > self._edge.index or not self._edge.index:
             document = self._parse_routes(watched, member)
+            if feed.routes and feed.routes.source:
+                self._lacks_routes = document is None
             self._edge.apply(feed, document)
             self._edge.crash_doubts.settle(feed.targets, self._clock.now())
             if document:
@@ -338,7 +373,13 @@
         return answer
     feed = unpack_feed(answer.feed)
     if isinstance(feed, Success):
-        return WatchedCluster(feed.unwrap(), answer.seats, answer.contact_ms)
+        return WatchedCluster(
+            feed.unwrap(),
+            answer.seats,
+            answer.contact_ms,
+            answer.proof_ms,
+            answer.asked_ms,
+        )
     events.write('feed_bad', reason=feed.failure().show())
     return None
 
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -133,10 +133,20 @@
     async def _watch(self, watch: watchrequests.WatchCluster) -> Any:
         self._watching_edges.add(watch.edge.instance)
         self._register(watch)
+        if watch.asked_ms is not None:
+            self._committer.proofs.refresh()
         if self._group.contact_age() < MAX_CONTACT_AGE:
             await self._state_machine.wait_for_change(
                 watch.known, WATCH_TIMEOUT
             )
+        if watch.asked_ms is not None:
+            await self._committer.proofs.wait()
+        return self._answer_watch(watch)
+
+    def _answer_watch(self, watch: watchrequests.WatchCluster) -> Any:
+        proof_ms = (
+            None if watch.asked_ms is None else self._committer.proofs.age_ms()
+        )
         # Infinite before the first contact, which the message cannot carry;
         # an age of 1000 s is as stale.
         contact_age = min(self._group.contact_age(), MILLIS_PER_SECOND)
@@ -146,11 +156,15 @@
                 self._state_machine.packed_feed(watch.known),
                 self._group.seats,
                 contact_ms,
+                proof_ms,
+                watch.asked_ms,
             )
         return watchrequests.WatchedCluster(
             self._state_machine.cluster.build_feed(watch.known),
             self._group.seats,
             contact_ms,
+            proof_ms,
+            watch.asked_ms,
         )
 
 
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -616,6 +616,7 @@
   1: EdgeRecord edge
   2: i64 known
   3: bool packed = false
+  37: optional i64 asked_ms
 }
 
 /** The changes, the core group's members, and the answer's staleness. */
@@ -623,6 +624,8 @@
   1: ClusterFeed feed
   2: list<Seat> seats
   3: i64 contact_ms
+  37: optional i64 proof_ms
+  38: optional i64 asked_ms
 }
 
 /** Like ``WatchedCluster``; ``feed`` is a compressed ``ClusterFeed``. */
@@ -630,6 +633,8 @@
   1: binary feed
   2: list<Seat> seats
   3: i64 contact_ms
+  37: optional i64 proof_ms
+  38: optional i64 asked_ms
 }
 
 /** A starting edge asks which member is in its failure domain. */
--- a/src/turmericmast/wire/watchrequests.py
+++ b/src/turmericmast/wire/watchrequests.py
@@ -22,6 +22,10 @@
     """Index up to which the edge has all changes."""
     packed: bool = False
     """Whether the edge understands ``PackedCluster``; older ones do not."""
+    asked_ms: int | None = None
+    """The edge's clock when it asked, in milliseconds, for the answer.
+
+    ``None`` from edges that want no proof, and from older ones."""
 
 
 @final
@@ -33,6 +37,12 @@
     seats: tuple[Seat, ...]
     contact_ms: int
     """Milliseconds since the answering member last had contact to a quorum."""
+    proof_ms: int | None = None
+    """Age in milliseconds of the member's proof that it lacks no change.
+
+    ``None`` if it has none, and from older members: it proves nothing."""
+    asked_ms: int | None = None
+    """``WatchCluster.asked_ms``; ``None`` from older members."""
 
 
 @final
@@ -43,6 +53,8 @@
     feed: bytes
     seats: tuple[Seat, ...]
     contact_ms: int
+    proof_ms: int | None = None
+    asked_ms: int | None = None
 
 
 @final
