Accounts: a key runs only while the instance knows the newest accounts

What callers saw: an instance that was cut off from the core, frozen or restarted served a key for as long as it ran, although it had been revoked.

The clock is read when the request is read, before each attempt and right before the first byte goes to a target or to another instance; the key is looked up again in the newest accounts until something has been passed on. Later attempts go on if the request had been received in time. Public routes and deployments without accounts or without the bound are served as before.

Edge.is_leaving moves to the record, and is_ready and resolve take the time. test_edge and test_endless_requests only pass the new arguments.

--- a/src/turmericmast/clock.py
+++ b/src/turmericmast/clock.py
@@ -11,6 +11,8 @@
 
 LONG_AGO = Seconds(-math.inf)
 """A time before any other on the clock of a process."""
+NEVER = Seconds(math.inf)
+"""A time after any other on the clock of a process."""
 COUNT_BITS = 16
 """Number of low bits of a packed stamp that hold its ``count``."""
 
--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -113,6 +113,11 @@
     They send load gossip to it over UDP, and forward requests over TCP."""
     reach: TargetReach = TargetReach.direct
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether this instance is about to stop."""
+        return self.phase is EdgePhase.leaving
+
     def with_reach(self, reach: TargetReach) -> 'EdgeRecord':
         """Return the record of an instance that reaches targets like this."""
         return dataclasses.replace(self, reach=reach)
--- a/src/turmericmast/edge/directory.py
+++ b/src/turmericmast/edge/directory.py
@@ -5,7 +5,8 @@
 from typing import final
 
 from turmericmast.cluster.records import EdgePhase, EdgeRecord, TargetReach
-from turmericmast.ids import DomainId, RegionId
+from turmericmast.edge.keyfence import KeyTrust
+from turmericmast.ids import DomainId, InstanceId, RegionId
 from turmericmast.instancesettings import Bounds
 
 DIRECTORY_TTL = 5.0
@@ -33,6 +34,21 @@
     return min(DIRECTORY_TTL, bounds.directory_ttl)
 
 
+def trusted_instances(
+    edges: Collection[EdgeRecord], own: InstanceId, trust: KeyTrust
+) -> Collection[EdgeRecord]:
+    """Return the instances that this one may name to callers with keys.
+
+    Once its proof ages, it leaves itself out. Without contact it knows nothing
+    of the others, so that callers should ask another directory.
+    """
+    if trust is KeyTrust.fresh:
+        return edges
+    if trust is KeyTrust.stale:
+        return ()
+    return [edge for edge in edges if edge.instance != own]
+
+
 def choose_instances(
     edges: Iterable[EdgeRecord],
     homes: Collection[RegionId],
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,8 +1,7 @@
 """The root of the edge aggregate: state and decisions of one instance."""
 
 import functools
-import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import final
 
 from turmericmast.balance.affinity import affinity
@@ -12,10 +11,9 @@
 from turmericmast.balance.pool import FRESH_REPORT_AGE, Pool
 from turmericmast.balance.retrybudget import SharedRetryBudget
 from turmericmast.balance.targetview import TargetView
-from turmericmast.clock import LONG_AGO
+from turmericmast.clock import LONG_AGO, NEVER
 from turmericmast.cluster.records import (
     ClusterFeed,
-    EdgePhase,
     EdgeRecord,
     TargetPhase,
     TargetRecord,
@@ -25,8 +23,10 @@
     DirectoryAnswer,
     choose_instances,
     directory_ttl,
+    trusted_instances,
 )
 from turmericmast.edge.freshness import Freshness
+from turmericmast.edge.keyfence import KeyFence, KeyTrust
 from turmericmast.edge.membership import Membership
 from turmericmast.edge.peers import Peers
 from turmericmast.edge.quarantine import Quarantine
@@ -84,24 +84,29 @@
         """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self.crash_doubts = CrashDoubts()
-        self.freshness = Freshness(is_wanted=bounds.revocation is not None)
+        self.key_fence = KeyFence(bounds.revocation)
         self._splitter = TrafficSplitter(
             functools.partial(_split_start, record)
         )
         self._reach_report = ReachReport()
-        self._stops_at = math.inf
+        self._stops_at = NEVER
         """When the process ends; infinite unless it is leaving."""
 
-    @property
-    def is_ready(self) -> bool:
-        """Tell whether new callers should connect: it has routes and stays."""
-        is_serving = self.record.phase is EdgePhase.serving
-        return is_serving and self.route_table is not None
+    def is_ready(self, now: Seconds) -> bool:
+        """Tell whether new callers should connect.
+
+        It has routes and stays, and a recent proof if callers need a key.
+        """
+        if self.route_table is None or self.record.is_leaving:
+            return False
+        return not self.route_table.needs_keys or (
+            self.key_fence.trust(now) is KeyTrust.fresh
+        )
 
     @property
-    def is_leaving(self) -> bool:
-        """Tell whether this instance is about to stop."""
-        return self.record.phase is EdgePhase.leaving
+    def freshness(self) -> Freshness:
+        """Return the proof that this instance lacks no older change."""
+        return self.key_fence.freshness
 
     def update_reach(self, now: Seconds) -> bool:
         """Report to the core how targets are reached; true after a change."""
@@ -188,20 +193,26 @@
         host: str,
         region: RegionId,
         domain: DomainId,
+        now: Seconds,
     ) -> DirectoryAnswer:
         """Return the instances that callers of a host should connect to.
 
         ``region`` and ``domain`` are those of the caller. Callers outside of
         the home regions of a host are sent there, if any instance serves.
         Those that have lost their targets are named only if no other is left.
+        Without a recent proof, callers who need a key are sent elsewhere.
         """
-        homes = (
-            self.route_table.home_regions(host)
-            if self.route_table
-            else frozenset()
-        )
+        table = self.route_table
+        edges: Collection[EdgeRecord]
+        edges = self.membership.edge_by_instance.values()
+        if table and table.host_needs_keys(host):
+            trust = self.key_fence.trust(now)
+            edges = trusted_instances(edges, self.record.instance, trust)
         chosen = choose_instances(
-            self.membership.edge_by_instance.values(), homes, region, domain
+            edges,
+            table.home_regions(host) if table else frozenset(),
+            region,
+            domain,
         )
         return DirectoryAnswer(
             tuple(edge.address for edge in chosen),
--- a/src/turmericmast/edge/peers.py
+++ b/src/turmericmast/edge/peers.py
@@ -51,6 +51,8 @@
     """It has no target for it but, maybe, those that were tried before."""
     unreached = 'unreached'
     """No connection to the instance could be opened."""
+    withdrawn = 'withdrawn'
+    """Nothing was sent, for a reason of this instance."""
     failed = 'failed'
     """No answer, which may be due to the instance, a target or the caller."""
 
--- a/src/turmericmast/platform/edgeapi.py
+++ b/src/turmericmast/platform/edgeapi.py
@@ -6,6 +6,7 @@
 
 from tornado.web import Application, RequestHandler
 
+from turmericmast.clock import Clock
 from turmericmast.ids import DomainId, RegionId
 from turmericmast.metrics import Metrics
 from turmericmast.web.metricspage import (
@@ -21,10 +22,11 @@
 class _Page(RequestHandler):
     """Base of the request handlers of an edge."""
 
-    def initialize(self, edge: 'Edge', metrics: Metrics) -> None:
+    def initialize(self, edge: 'Edge', metrics: Metrics, clock: Clock) -> None:
         """Store the objects that every handler uses."""
         self.edge = edge
         self.metrics = metrics
+        self.clock = clock
 
 
 class Resolve(_Page):
@@ -39,6 +41,7 @@
             self.get_query_argument('name', ''),
             RegionId(self.get_query_argument('region', '')),
             DomainId(self.get_query_argument('zone', '')),
+            self.clock.now(),
         )
         self.metrics.count('directory_answers')
         if not answer.addresses:
@@ -59,13 +62,15 @@
 
     def get(self) -> None:
         """Answer 200 if the edge is ready, else 503."""
-        if not self.edge.is_ready:
+        if not self.edge.is_ready(self.clock.now()):
             self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
 
 
-def make_application(edge: 'Edge', metrics: Metrics) -> Application:
+def make_application(
+    edge: 'Edge', metrics: Metrics, clock: Clock
+) -> Application:
     """Return the HTTP application of an edge."""
-    shared = {'edge': edge, 'metrics': metrics}
+    shared = {'edge': edge, 'metrics': metrics, 'clock': clock}
     return Application(
         [
             ('/-/resolve', Resolve, shared),
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -94,7 +94,7 @@
     edge: Edge,
 ) -> None:
     listening = process.settings.listening
-    application = make_application(edge, process.metrics)
+    application = make_application(edge, process.metrics, process.clock)
     for address in (listening.directory, listening.readiness):
         serve_pages(stack, application, address)
     host = listening.peers.rpartition(':')[0]
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -21,6 +21,8 @@
     def __init__(self, document: RouteDocument) -> None:
         """Sort the routes of each host by prefix, the longest first."""
         self.document = document
+        self.needs_keys = _need_keys(document, document.route_by_name.values())
+        """Whether requests on some route need the key of an account."""
         ordered = sorted(
             document.route_by_name.values(),
             key=lambda route: (route.host, -len(route.prefix), route.name),
@@ -48,6 +50,11 @@
             None,
         )
 
+    def host_needs_keys(self, host: str) -> bool:
+        """Tell whether requests on some route of a host need a key."""
+        routes = self._routes_by_host.get(normalize_host(host), ())
+        return _need_keys(self.document, routes)
+
     def home_regions(self, host: str) -> frozenset[RegionId]:
         """Return the regions that may serve all routes of a host.
 
@@ -60,6 +67,12 @@
         return frozenset.intersection(*homes)
 
 
+def _need_keys(document: RouteDocument, routes: Iterable[Route]) -> bool:
+    if document.accounts is None:
+        return False
+    return not all(route.is_public for route in routes)
+
+
 @final
 class TrafficSplitter:
     """Distributes the requests of each route over its branches by weight.
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -27,6 +27,10 @@
 """Builds the request to a candidate; the callback resumes its transfer."""
 
 
+def _always() -> bool:
+    return True
+
+
 @final
 class EdgeAttempt:
     """Sends a request to one target and records the result.
@@ -73,10 +77,15 @@
             )
         return self._task
 
-    def start(self, make_request: MakeRequest) -> None:
+    def start(
+        self,
+        make_request: MakeRequest,
+        is_permitted: Callable[[], bool] = _always,
+    ) -> None:
         """Begin to send the request that ``make_request`` returns.
 
-        The other instances in the domain are told of it first.
+        The other instances in the domain are told of it first. Nothing is sent
+        unless ``is_permitted`` agrees right before the first byte.
         """
         view = self.candidate.view
         self._pool.begin_request(view, self.began_at)
@@ -94,7 +103,7 @@
             self._context.curl,
             request,
             self.response,
-            self._may_send,
+            lambda: self._may_send() and is_permitted(),
         )
         self._transfer = transfer
         self._task = asyncio.ensure_future(self._run(transfer))
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -76,7 +76,7 @@
         """
         table = self.edge.route_table
         reuse_time = table.document.limits.reuse_time if table else 0
-        if self.edge.is_leaving:
+        if self.edge.record.is_leaving:
             return {'Connection': 'close'}
         return {'Keep-Alive': f'timeout={reuse_time}'} if reuse_time else {}
 
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -1,7 +1,6 @@
 """Handling of one request at an edge, from its headers to the response."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 from typing import final
 
@@ -27,6 +26,7 @@
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.hedgedattempts import HedgedAttempts
+from turmericmast.web.keycheck import KeyCheck
 from turmericmast.web.peerforwarder import PeerForwarder
 from turmericmast.web.problem import Problem
 from turmericmast.web.quarantinecheck import QuarantineCheck
@@ -61,6 +61,7 @@
         self._quarantine_check = QuarantineCheck(
             context, incoming.call, self._body
         )
+        self._key_check = KeyCheck(context, incoming)
         self._relay = Relay(
             connection,
             incoming.call.method,
@@ -164,10 +165,15 @@
     async def _try_once(self) -> bool:
         """Send the request somewhere, or refuse it; tell whether to retry."""
         time_left = self._quarantine_check.time_left()
-        if time_left and self._call.ran is Ran.no:
-            self._refuse(edgerefusals.quarantined(time_left))
+        problem = (
+            edgerefusals.quarantined(time_left)
+            if time_left
+            else self._key_check.find_problem()
+        )
+        if problem and self._call.ran is Ran.no:
+            self._refuse(problem)
             return False
-        if time_left:
+        if problem:
             self._fail()
             return False
         candidate = await self._selector.select(
@@ -219,7 +225,7 @@
         self._relay.resume = self._forwarder.resume
         self._report.forwarded(self._forwarder.peer)
         response = self._forwarder.make_response(self._relay, self._claim)
-        loss = await self._forwarder.forward(response)
+        loss = await self._forwarder.forward(response, self._key_check.passes)
         self._report.forwarding_ended(self._forwarder.peer, response, loss)
         if loss is None:
             self._deliver(response)
@@ -249,7 +255,7 @@
             response,
             self._profile,
         )
-        attempt.start(self._make_request)
+        attempt.start(self._make_request, self._key_check.passes)
         self._relay.resume = self._attempts.resume
         self._attempts.add(attempt)
         return attempt
@@ -297,11 +303,8 @@
             Seconds(self._incoming.call.deadline - self._context.clock.now()),
             self._context.header_format,
         )
-        return dataclasses.replace(
-            request,
-            uses_kept_connection=self._tried.has_single_attempt_at(
-                record.address
-            ),
+        return request.using_kept_connection(
+            allowed=self._tried.has_single_attempt_at(record.address)
         )
 
     def _retry_or_fail(
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -13,6 +13,10 @@
 """Seconds after which a caller should retry while there are no routes.
 
 An edge requests them from all core members several times within this time."""
+NO_CONTACT_RETRY_DELAY = 0.2
+"""Seconds after which a caller should retry where contact to the core is lost.
+
+Another instance can serve it at once; this one asks the core every 0.1 s."""
 LEAVING_RETRY_DELAY = 0.01
 """Seconds after which a caller should use another instance: at once."""
 
@@ -99,6 +103,16 @@
     )
 
 
+def stale_accounts() -> Problem:
+    """Return the problem for a key that may have been revoked meanwhile."""
+    return _unavailable(
+        'Accounts out of date',
+        'this instance may lack the newest accounts; use another one',
+        'check key',
+        NO_CONTACT_RETRY_DELAY,
+    )
+
+
 def unconfirmed_key() -> Problem:
     """Return the problem for a forwarded request whose key is not known here.
 
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -13,6 +13,7 @@
 from turmericmast.call.call import CallRequest
 from turmericmast.call.triedtargets import TriedTargets
 from turmericmast.cluster.records import EdgeRecord, TargetRecord
+from turmericmast.edge.keyadmission import KeyAdmission
 from turmericmast.ids import RegionId, Seconds, TargetId
 from turmericmast.route.document import Route, RouteKind
 from turmericmast.web.body import METHODS_WITH_BODY, RequestBody
@@ -42,6 +43,8 @@
     """What the instance told that forwarded it; ``None`` from a caller."""
     identity: Identity | None = None
     """Who the caller is; ``None`` where the routes come without accounts."""
+    admission: KeyAdmission | None = None
+    """Whether its key still counts; ``None`` if it needs no key."""
 
     @property
     def home_regions(self) -> frozenset[RegionId]:
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -16,7 +16,7 @@
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.peerheaders import Forwarding, PeerHeaders
 from turmericmast.web.relay import Relay
-from turmericmast.web.transfer import Transfer
+from turmericmast.web.transfer import Progress, Transfer
 
 _OUTCOME_BY_LOSS = MappingProxyType(
     {
@@ -28,6 +28,10 @@
 )
 
 
+def _always() -> bool:
+    return True
+
+
 @final
 class PeerForwarder:
     """Sends a request to one instance after the other until one serves it.
@@ -84,9 +88,15 @@
             self._header_format(), self._incoming.request_id, relay, claim
         )
 
-    async def forward(self, response: EdgeResponse) -> Loss | None:
+    async def forward(
+        self,
+        response: EdgeResponse,
+        is_permitted: Callable[[], bool] = _always,
+    ) -> Loss | None:
         """Send the request to the instance found; return how that failed.
 
+        Nothing is sent unless ``is_permitted`` agrees right before.
+
         Raises:
             RuntimeError: if ``find_peer`` has not found an instance.
 
@@ -104,7 +114,7 @@
             Seconds(self._call.request.deadline - self._context.clock.now()),
             self._header_format(),
         )
-        transfer = Transfer(self._context.curl, request, response, _always)
+        transfer = Transfer(self._context.curl, request, response, is_permitted)
         self._transfer = transfer
         loss = response.final_loss(await transfer.run())
         report_excess(
@@ -118,7 +128,9 @@
         self._peers.end(
             peer.instance,
             self._incoming.pool.service,
-            self._outcome(loss),
+            PeerOutcome.withdrawn
+            if transfer.progress is Progress.vetoed
+            else self._outcome(loss),
             self._context.clock.now(),
         )
         self._tried_targets.add_reached(response.tried_targets)
@@ -161,7 +173,3 @@
         return PeerHeaders(
             self._context.header_format, self._incoming.request_id, forwarding
         )
-
-
-def _always() -> bool:
-    return True
--- a/src/turmericmast/web/requestreading.py
+++ b/src/turmericmast/web/requestreading.py
@@ -7,8 +7,8 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from turmericmast.account.account import Identity
-from turmericmast.account.table import AccountTable
 from turmericmast.call.call import CallRequest
+from turmericmast.edge.keyadmission import KeyAdmission, KeyObstacle
 from turmericmast.ids import (
     CallId,
     RequestKey,
@@ -55,9 +55,7 @@
     if route is None:
         return Failure(edgerefusals.no_route(host))
     metadata = context.header_format.read_request(headers)
-    identity = _identify(
-        metadata, route, edge.route_table.document.accounts, forwarding
-    )
+    identity = _identify(context, metadata, route, forwarding)
     if not isinstance(identity, Success):
         return Failure(identity.failure())
     pool = edge.pick_pool(route, forwarding.service if forwarding else None)
@@ -72,28 +70,37 @@
         request_id=metadata.request_id,
         began_at=received_at,
         identity=identity.unwrap(),
+        admission=_admit(context, metadata, identity.unwrap(), received_at),
     )
     return _accept(context, request, forwarding)
 
 
 def _identify(
+    context: EdgeContext,
     metadata: RequestMetadata,
     route: Route,
-    accounts: AccountTable | None,
     forwarding: Forwarding | None,
 ) -> Result[Identity | None, Problem]:
     """Return who the caller is, or why its request is refused.
 
-    ``None`` where there are no accounts. The instance that forwarded a request
-    may have a newer version of the accounts, so that it is not rejected.
+    ``None`` where there are no accounts. An instance that may lack the newest
+    version knows neither which keys are valid nor which are not. The instance
+    that forwarded a request may have a newer version of the accounts, so that
+    it is not rejected.
     """
+    table = context.edge.route_table
+    accounts = table.document.accounts if table else None
     if accounts is None:
         return Success(None)
     if route.is_public:
         return Success(Identity())
+    if not context.edge.key_fence.admits(context.clock.now()):
+        context.metrics.count('keys_refused', reason=KeyObstacle.stale.value)
+        return Failure(edgerefusals.stale_accounts())
     account = accounts.find(metadata.keys)
     if account:
         return Success(Identity(account))
+    context.metrics.count('keys_refused', reason='unknown')
     return Failure(
         edgerefusals.unconfirmed_key()
         if forwarding
@@ -101,6 +108,21 @@
     )
 
 
+def _admit(
+    context: EdgeContext,
+    metadata: RequestMetadata,
+    identity: Identity | None,
+    received_at: Seconds,
+) -> KeyAdmission | None:
+    """Return the check of a request on a key, ``None`` if it needs none."""
+    account = identity.account if identity else None
+    if account is None:
+        return None
+    return KeyAdmission(
+        context.edge.key_fence, account, metadata.keys[0], received_at
+    )
+
+
 def _accept(
     context: EdgeContext, request: EdgeRequest, forwarding: Forwarding | None
 ) -> Result[EdgeRequest, Problem]:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -48,6 +48,10 @@
     name: str = ''
     """Id of the request in log lines, empty for a health check."""
 
+    def using_kept_connection(self, *, allowed: bool) -> 'TransferRequest':
+        """Return the request with ``uses_kept_connection`` as given."""
+        return dataclasses.replace(self, uses_kept_connection=allowed)
+
 
 class ResponseSink(abc.ABC):
     """Receiver of a response while it arrives."""
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -86,7 +86,7 @@
         edges: list[EdgeRecord],
         addresses: set[str],
     ) -> None:
-        answer = edge(edges[0], feed(*edges)).resolve(host, *locality)
+        answer = edge(edges[0], feed(*edges)).resolve(host, *locality, NOW)
         self.assertEqual(set(answer.addresses), addresses)
         self.assertLessEqual(answer.ttl, 5)
 
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -13,6 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from tests.edge_samples import edge, feed, instance
+from turmericmast.clock import SystemClock
 from turmericmast.metrics import Metrics
 from turmericmast.platform.edgeapi import make_application
 from turmericmast.web import pageserver
@@ -82,7 +83,9 @@
 @contextlib.asynccontextmanager
 async def _serve() -> AsyncIterator[int]:
     record = instance('e')
-    application = make_application(edge(record, feed(record)), Metrics())
+    application = make_application(
+        edge(record, feed(record)), Metrics(), SystemClock()
+    )
     server: HTTPServer = pageserver.make_page_server(application)
     server.listen(0, '127.0.0.1')
     sockets = list(server._sockets.values())
