Responses: a status outside 100 to 599 is no response

Callers saw 600 and 999 as a target's answer, and waited until the deadline (504) for a target that wrote 101, although no request asks for another protocol. curl itself refuses statuses below 100 and malformed ones, but they were neither counted nor logged, and such an answer to a health check counted as a lost path, from which an instance may conclude that it is cut off.

`read_head` raises `InvalidStatusError` for them, and `Transfer` keeps the status in `invalid_status`, also where curl ends a transfer that has no status line. The attempt is a lost connection: none is kept, the target is ejected, only safe requests are sent again, and the caller gets a 502 without a signature. After such an answer to a health check the target is ejected, but its path is not lost and its process did not crash. The search for status lines in bodies and heads (`web/statuslines.py`, joined heads) still finds any three digits: there they raise a doubt, and serve nobody.

--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -15,10 +15,13 @@
 from turmericmast.call.call import Loss
 from turmericmast.ids import Seconds
 from turmericmast.web.edgecontext import EdgeContext
-from turmericmast.web.edgeevents import EdgeEvent
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.rejection import Rejection, find_stutter
+from turmericmast.web.rejectionreport import (
+    report_invalid_status,
+    report_rejection,
+)
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
 
 MAX_SHOWN_ID = 40
@@ -118,6 +121,13 @@
             view.drop_request()
             raise
         self._report_excess()
+        report_invalid_status(
+            transfer,
+            self._context.metrics,
+            self._context.events,
+            request=self.response.request_id,
+            target=view.record.target,
+        )
         now = self._context.clock.now()
         if self.response.load:
             view.update_load(self.response.load, now)
@@ -159,14 +169,12 @@
             self._learn(Seconds(now - self.began_at))
 
     def _report_rejection(self, rejection: Rejection) -> None:
-        self._context.metrics.count(
-            'responses_rejected', reason=rejection.value
-        )
-        self._context.events.write(
-            EdgeEvent.response_rejected.value,
+        report_rejection(
+            rejection,
+            self._context.metrics,
+            self._context.events,
             request=self.response.request_id,
             target=self.candidate.view.record.target,
-            reason=rejection.value,
             status=self.response.status,
             names=self.response.named_request[:MAX_SHOWN_ID],
         )
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -15,6 +15,7 @@
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.peerheaders import Forwarding, PeerHeaders
+from turmericmast.web.rejectionreport import report_invalid_status
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import Transfer
 
@@ -115,6 +116,13 @@
             peer=peer.instance,
             status=response.status,
         )
+        report_invalid_status(
+            transfer,
+            self._context.metrics,
+            self._context.events,
+            request=response.request_id,
+            peer=peer.instance,
+        )
         self._peers.end(
             peer.instance,
             self._incoming.pool.service,
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -18,6 +18,7 @@
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
 from turmericmast.web.rejection import Rejection
+from turmericmast.web.rejectionreport import report_rejection
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import (
     Progress,
@@ -144,8 +145,14 @@
         if transfer.progress is Progress.vetoed:
             return True
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
+        if transfer.invalid_status is not None:
+            return self._fail_health(view, transfer.invalid_status)
         if sink.is_joined:
-            self._report_joined_head(view, sink)
+            self._report_rejection(
+                view,
+                Rejection.joined_head,
+                sink.head.status if sink.head else 0,
+            )
             self.on_stutter(view.record.address, Stutter.joined_head)
         elif sink.is_foreign:
             self.on_stutter(view.record.address, Stutter.other_request)
@@ -161,16 +168,27 @@
         self._log_change(view, before, loss)
         return has_responded
 
-    def _report_joined_head(
-        self, view: TargetView, sink: '_HealthSink'
+    def _fail_health(self, view: TargetView, status: int) -> bool:
+        """Eject a target whose response has an invalid status.
+
+        The path to it works, and it did not crash.
+        """
+        before = view.eligibility(self._clock.now())
+        self._report_rejection(view, Rejection.invalid_status, status)
+        view.eject(self._clock.now())
+        self.on_result(view, is_lost=True)
+        self._log_change(view, before, Loss.connection_lost)
+        return True
+
+    def _report_rejection(
+        self, view: TargetView, rejection: Rejection, status: int
     ) -> None:
-        rejection = Rejection.joined_head
-        self._metrics.count('responses_rejected', reason=rejection.value)
-        self._events.write(
-            EdgeEvent.response_rejected.value,
+        report_rejection(
+            rejection,
+            self._metrics,
+            self._events,
             target=view.record.target,
-            reason=rejection.value,
-            status=sink.head.status if sink.head else 0,
+            status=status,
         )
 
     def _may_keep(self, view: TargetView) -> bool:
--- a/src/turmericmast/web/rejection.py
+++ b/src/turmericmast/web/rejection.py
@@ -20,6 +20,8 @@
     """It reports success without the target's signature."""
     joined_head = 'joined_head'
     """Its status may belong to another response than its headers."""
+    invalid_status = 'invalid_status'
+    """It has no status line, or a status that no response has."""
 
 
 _STUTTER_BY_REJECTION = MappingProxyType(
--- /dev/null
+++ b/src/turmericmast/web/rejectionreport.py
@@ -0,0 +1,31 @@
+"""Report responses that were rejected."""
+
+from turmericmast.events import EventLog, Field
+from turmericmast.metrics import Metrics
+from turmericmast.web.edgeevents import EdgeEvent
+from turmericmast.web.rejection import Rejection
+from turmericmast.web.transfer import Transfer
+
+
+def report_rejection(
+    rejection: Rejection, metrics: Metrics, events: EventLog, **names: Field
+) -> None:
+    """Count and log a rejected response; ``names`` tell whose it is."""
+    metrics.count('responses_rejected', reason=rejection.value)
+    events.write(
+        EdgeEvent.response_rejected.value, reason=rejection.value, **names
+    )
+
+
+def report_invalid_status(
+    transfer: Transfer, metrics: Metrics, events: EventLog, **names: Field
+) -> None:
+    """Report that a transfer ended by what is no response, if it did."""
+    if transfer.invalid_status is not None:
+        report_rejection(
+            Rejection.invalid_status,
+            metrics,
+            events,
+            status=transfer.invalid_status,
+            **names,
+        )
--- a/src/turmericmast/web/responsehead.py
+++ b/src/turmericmast/web/responsehead.py
@@ -14,6 +14,7 @@
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
+    ResponseStartLine,
     parse_response_start_line,
 )
 
@@ -21,9 +22,21 @@
 _STATUS_LINE = re.compile(
     r'http/\d+(?:\.\d+)?[ \t]+\d{3}(?![^ \t])', re.IGNORECASE
 )
+_STATUS_CLASSES = range(1, 6)
+"""First digits of the statuses that a response may have (RFC 9110, 15)."""
 _LENGTH_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 
+@final
+class InvalidStatusError(HTTPInputError):
+    """A status line that is malformed, or whose status no response has."""
+
+    def __init__(self, status: int = 0) -> None:
+        """Note the ``status``, 0 if it cannot be read."""
+        super().__init__(f'the status {status} is not that of a response')
+        self.status = status
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class PossibleJoin:
@@ -74,16 +87,29 @@
     """Return the head that consists of ``lines``, without line ends.
 
     Raises:
+        InvalidStatusError: if the first line is no status line.
         HTTPInputError: if a line is malformed, or if lengths differ.
 
     """
-    start = parse_response_start_line(lines[0])
+    start = _read_status_line(lines[0])
     headers = _read_headers(lines[1:])
     join = _find_join(lines)
     _keep_one_length(headers)
     return ResponseHead(start.code, start.reason, headers, join)
 
 
+def _read_status_line(line: str) -> ResponseStartLine:
+    try:
+        start = parse_response_start_line(line)
+    except HTTPInputError as error:
+        raise InvalidStatusError from error
+    # No request asks for another protocol, so none can be switched to.
+    is_switch = start.code == HTTPStatus.SWITCHING_PROTOCOLS
+    if is_switch or start.code // 100 not in _STATUS_CLASSES:
+        raise InvalidStatusError(start.code)
+    return start
+
+
 def _read_headers(lines: Iterable[str]) -> HTTPHeaders:
     headers = HTTPHeaders()
     for line in lines:
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -17,7 +17,11 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.persistence import persists
 from turmericmast.web.responsebody import BodyState, ResponseBody
-from turmericmast.web.responsehead import ResponseHead, read_head
+from turmericmast.web.responsehead import (
+    InvalidStatusError,
+    ResponseHead,
+    read_head,
+)
 from turmericmast.web.responselimits import (
     HeadSize,
     OversizedPart,
@@ -27,6 +31,12 @@
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
+NO_STATUS_LINE_CODES = frozenset(
+    (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+)
+"""Results of curl for a response that begins with no status line.
+
+curl passes nothing on of it: a status below 100 or without three digits."""
 
 
 @final
@@ -132,6 +142,8 @@
         self._share = TurnShare()
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
+        self.invalid_status: int | None = None
+        """Status of what arrived and is no response, 0 if it is unreadable."""
         self._address = ''
         self._connection = UsedConnection(curl)
         self._needs_new_connection = False
@@ -180,8 +192,10 @@
         if code == pycurl.E_OK and self.progress is Progress.head:
             self.progress = Progress.whole
             self._settle(None)
-        else:
-            self._settle(self._loss(code))
+            return
+        if code in NO_STATUS_LINE_CODES and self.progress is Progress.sending:
+            self.invalid_status = 0
+        self._settle(self._loss(code))
 
     def _was_closed_for_excess(self) -> bool:
         """Tell whether only further bytes can be why curl closed it."""
@@ -307,6 +321,9 @@
         self._connection.hold()
         try:
             head = read_head(self._head_lines)
+        except InvalidStatusError as error:
+            self.invalid_status = error.status
+            return False
         except HTTPInputError:
             # curl passes on some lines that are not valid, such as a status
             # line within the head.
--- a/tests/joined_heads.py
+++ b/tests/joined_heads.py
@@ -113,16 +113,21 @@
         pause: float = 0,
         *,
         in_turn: bool = False,
+        closes: bool = False,
     ) -> None:
         """Answer ``/n`` with the pieces of response ``n``.
 
         The next piece is sent ``pause`` seconds later, as its own segment.
-        With ``in_turn``, responses go by the number of the request.
+        With ``in_turn``, responses go by the number of the request. With
+        ``closes``, the connection ends behind each response.
         """
+        self._closes = closes
         self._responses = responses
         self._pause = pause
         self._turns = itertools.count() if in_turn else None
         self.connections = 0
+        self.requests: list[bytes] = []
+        """Heads of the requests that were read."""
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator[str]:
@@ -140,7 +145,10 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while not writer.is_closing():
                 request = await reader.readuntil(b'\r\n\r\n')
+                self.requests.append(request)
                 await self._write(writer, self._choose(request))
+                if self._closes:
+                    break
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
