Connections: what stands behind a last response is not run

Callers that send several requests at once got `Connection: close` from an instance that leaves, sent the others again elsewhere, and had them run twice: Tornado reads on where only the response says that the connection closes.

`finish_response` detaches the connection once such a response is written and discards what follows; the socket lingers as after an early refusal, so that the response is not lost by a reset.

--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -191,4 +191,33 @@
     headers['Content-Length'] = str(len(body))
     start = ResponseStartLine('HTTP/1.1', status, reason)
     connection.write_headers(start, headers, b'' if is_head else body)
+    finish_response(connection, is_last=is_last_response(headers))
+
+
+def is_last_response(headers: HTTPHeaders) -> bool:
+    """Tell whether a response says that its connection closes behind it."""
+    return headers.get('Connection') == 'close'
+
+
+def finish_response(connection: HTTPConnection, *, is_last: bool) -> None:
+    """End a response; behind the last one of a connection nothing is read.
+
+    Tornado reads on if only the response says so. A request that stands there
+    is sent again by the caller, and would run twice.
+    """
     connection.finish()
+    if is_last and isinstance(connection, HTTP1Connection):
+        stream = connection.stream
+        if stream and not stream.closed():
+            written = stream.write(b'')
+            if written.done():
+                _release(connection)
+            else:
+                written.add_done_callback(lambda _: _release(connection))
+
+
+def _release(connection: HTTP1Connection) -> None:
+    """Close a connection, unless Tornado has, once the caller has done so."""
+    stream = connection.stream
+    if stream and not stream.closed():
+        asyncio.ensure_future(_linger(connection.detach(), b''))
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -12,7 +12,13 @@
 from turmericmast.call.call import Loss, Ran
 from turmericmast.web.body import MAX_BUFFERED_BYTES
 from turmericmast.web.parse import response_headers
-from turmericmast.web.problem import RAN_HEADER, Problem, respond
+from turmericmast.web.problem import (
+    RAN_HEADER,
+    Problem,
+    finish_response,
+    is_last_response,
+    respond,
+)
 from turmericmast.web.responsebody import ResponseBody
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.transfer import ResponseSink
@@ -70,6 +76,8 @@
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
         self._is_blocked = False
+        self._is_last = False
+        """Whether the connection closes behind the response."""
         self._is_resuming = False
         self._has_changed = False
         """Whether a success did not continue the interrupted response."""
@@ -215,7 +223,7 @@
     def finish(self) -> None:
         """Send the buffered response, or end the streamed one."""
         if self.state is RelayState.streaming:
-            self._connection.finish()
+            finish_response(self._connection, is_last=self._is_last)
             return
         if self.head is None:
             return
@@ -228,7 +236,7 @@
         elif self.head.status not in NO_BODY_STATUSES:
             headers['Content-Length'] = str(len(body))
         self._send_head(headers, body)
-        self._connection.finish()
+        finish_response(self._connection, is_last=self._is_last)
 
     def send_problem(self, problem: Problem) -> None:
         """Send problem details instead of a target's response."""
@@ -290,6 +298,7 @@
             'HTTP/1.1', self.head.status, self.head.reason
         )
         headers.update(self._connection_headers())
+        self._is_last = is_last_response(headers)
         written = self._connection.write_headers(start, headers, body)
         written.add_done_callback(_ignore_error)
 
