--- a/bench/machines.py
+++ b/bench/machines.py
@@ -228,12 +228,15 @@
         self,
         folder: pathlib.Path,
         roots: tuple[pathlib.Path, ...] = (ROOT,),
+        bounds: Mapping[str, Any] | None = None,
     ) -> None:
         """Use ``folder`` for settings, data and output of the processes.
 
-        ``roots`` are the sources that they may run, the first ones first.
+        ``roots`` are the sources that they may run, the first ones first;
+        ``bounds`` are added to those in the settings.
         """
         self.folder = folder
+        self._bounds = {'grace_s': 3, 'ttl_max_s': 1, **(bounds or {})}
         self.roots = roots
         self.ports = free_block(PORT_COUNT)
         """Ports of every machine, by position.
@@ -398,8 +401,12 @@
         path: str,
         request_id: str,
         host: str = 'shop.example',
+        key: str = '',
     ) -> HTTPResponse:
-        """Send a GET request to the edge of a machine, as a caller."""
+        """Send a GET request to the edge of a machine, as a caller.
+
+        ``key`` is that of a client account, empty for none.
+        """
         return await self.send_request(
             zone,
             self.ports[0],
@@ -408,6 +415,7 @@
                 'Host': host,
                 'X-Request-Id': request_id,
                 'X-Deadline-Ms': '900',
+                **({'Api-Key': key} if key else {}),
             },
         )
 
@@ -473,5 +481,5 @@
             'bootstrap': bootstrap,
             'data_dir': str(self.folder / f'data-{role}-{zone}{suffix}'),
             'heartbeat_interval_s': 1.5,
-            'bounds': {'grace_s': 3, 'ttl_max_s': 1},
+            'bounds': self._bounds,
         }
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -5,7 +5,8 @@
 import signal
 import tempfile
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
 
 from bench.machines import LocalCluster, Upstream
 from tests.platform_samples import ROUTES, changed
@@ -187,12 +188,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_cluster() -> AsyncIterator[
-    tuple[LocalCluster, dict[str, Upstream]]
-]:
+async def run_cluster(
+    bounds: Mapping[str, Any] | None = None,
+) -> AsyncIterator[tuple[LocalCluster, dict[str, Upstream]]]:
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        cluster = stack.enter_context(LocalCluster(pathlib.Path(folder)))
+        cluster = stack.enter_context(
+            LocalCluster(pathlib.Path(folder), bounds=bounds)
+        )
         upstreams = {
             zone: stack.enter_context(
                 Upstream(f'u-{zone}', zone, f'{ip}:{cluster.ports[6]}'),
