Account limits: the leader of the core grants tokens to edges

What was missing: the limit of a client account was read from the configuration and had no effect, so that one account could take the capacity of all others.

The leader holds a bucket per limited account. An edge draws one token for each request of a caller, before a target is chosen, and gives it back if the request has not run. A refusal says for how long to refuse without asking. Accounts without a limit send nothing.

--- /dev/null
+++ b/src/turmericmast/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of client accounts over all instances."""
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -75,6 +75,10 @@
         """Begin with the contacts in the settings as the only known members."""
         self.on_routes: Callable[[], None] = _do_nothing
         """Called when routes were applied."""
+        self.grants_tokens = False
+        """Whether a member has told that it answers ``AskTokens``.
+
+        It stays so: other members may not have been restarted yet."""
         self._clock: Clock = process.clock
         self._events: EventLog = process.events
         self._process = process
@@ -113,6 +117,10 @@
             self._stale_timer.cancel()
         self._links.close_except(())
 
+    def members(self) -> list[MemberId]:
+        """Return the known members, preferred ones first."""
+        return self._members_by_preference()
+
     async def report_crash(self, crash: ReportCrash) -> bool:
         """Report a crash to the core; return whether it was committed."""
         if not self._contacted_member:
@@ -224,6 +232,8 @@
         others.
         """
         watched = _unpack(answer, self._events)
+        if isinstance(answer, PackedCluster) and answer.grants_tokens:
+            self.grants_tokens = True
         return isinstance(watched, WatchedCluster) and self._apply_answer(
             watched, member
         )
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -79,19 +79,13 @@
         match body:
             case watchrequests.WatchCluster():
                 return await self._watch(body)
-            case clusterrequests.ChangeCluster():
-                return await self._committer.serve_change(body)
+            case watchrequests.AskTokens():
+                return await self.operations.tokens.serve(body)
             case ReportCrash():
                 return await self._committer.serve_crash_report(body)
             case watchrequests.AskMember():
                 return self.operations.serve_near_member(body)
-            case clusterrequests.AskIndex():
-                return self._committer.serve_commit_index()
-            case clusterrequests.Heard():
-                return self._failure_detector.record_alive(body)
-        return replies.Refusal(
-            'handle', f'message of unexpected type {type(body)}', ''
-        )
+        return await self._handle_of_member(body)
 
     def pages(self) -> Any:
         """Return the pages that show operators the cluster."""
@@ -115,12 +109,26 @@
         if is_leader and (has_stalled or not self._was_leading):
             self._failure_detector.start_leadership()
         self._was_leading = is_leader
+        self.operations.tokens.tick()
         if is_leader:
             self._failure_detector.record_alive(heard)
             self._failure_detector.retire_silent()
         elif self._group.replica.leader and (heard.targets or heard.instances):
             self._group.links.to(self._group.replica.leader).send(heard)
 
+    async def _handle_of_member(self, body: Any) -> Any:
+        """Handle a message of another member, or one of unknown type."""
+        match body:
+            case clusterrequests.ChangeCluster():
+                return await self._committer.serve_change(body)
+            case clusterrequests.AskIndex():
+                return self._committer.serve_commit_index()
+            case clusterrequests.Heard():
+                return self._failure_detector.record_alive(body)
+        return replies.Refusal(
+            'handle', f'message of unexpected type {type(body)}', ''
+        )
+
     def _register(self, watch: watchrequests.WatchCluster) -> None:
         edge = watch.edge
         known = self._state_machine.cluster.edge(edge.instance)
@@ -146,6 +154,7 @@
                 self._state_machine.packed_feed(watch.known),
                 self._group.seats,
                 contact_ms,
+                grants_tokens=True,
             )
         return watchrequests.WatchedCluster(
             self._state_machine.cluster.build_feed(watch.known),
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -7,11 +7,10 @@
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.edgeapi import make_application
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.platform.settings import load_instance_settings
-from turmericmast.programs.clusterwatcher import ClusterWatcher
+from turmericmast.programs.coreclient import make_gate, make_watcher
 from turmericmast.programs.edgewatch import watch_edge
 from turmericmast.programs.gracefulshutdown import GracefulShutdown
 from turmericmast.programs.requestport import open_ports
@@ -29,7 +28,6 @@
 from turmericmast.web.fleetpages import edge_pages
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
-from turmericmast.wire.linkpool import LinkPool
 
 CONNECT_TIMEOUT_MS = 250
 """Milliseconds to connect to a target; several round trips between regions."""
@@ -60,10 +58,9 @@
         # At the first start, no process has spent retries here before.
         LONG_AGO if settings.is_first_start else process.clock.now(),
     )
-    watcher = ClusterWatcher(
-        process, edge, DocumentFormat(), LinkPool(process.context)
-    )
+    watcher = make_watcher(process, edge)
     context = _make_context(process, stack, edge, watcher.report_crash)
+    context.allowance = make_gate(process, stack, watcher)
     watcher.on_routes = lambda: _use_routes(context)
     frontends = (
         EdgeFrontend(context),
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -9,8 +9,10 @@
 from turmericmast.events import EventLog
 from turmericmast.ids import TargetId, Version
 from turmericmast.metrics import Metrics
+from turmericmast.web.allowancegate import AllowanceGate
 from turmericmast.web.crashdetection import CrashDetector
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.firstroutes import FirstRoutes
 from turmericmast.web.framingreports import FramingReports
 from turmericmast.web.headerformat import HeaderFormat
@@ -18,6 +20,7 @@
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
 from turmericmast.web.targetstatements import TargetStatements
+from turmericmast.web.tokencharge import TokenCharge
 
 
 @final
@@ -38,6 +41,8 @@
     held_bytes: HeldBytes = dataclasses.field(default_factory=HeldBytes)
     statements: TargetStatements = dataclasses.field(init=False)
     framing: FramingReports = dataclasses.field(init=False)
+    allowance: AllowanceGate | None = None
+    """Gets tokens for requests of limited accounts; ``None`` without a core."""
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
@@ -68,6 +73,10 @@
         table = self.edge.route_table
         return table.document.version if table else Version(0)
 
+    def charge(self, incoming: EdgeRequest) -> TokenCharge:
+        """Return what draws the token of a request."""
+        return TokenCharge(self.allowance, incoming)
+
     def connection_headers(self) -> Mapping[str, str]:
         """Return the headers that tell a caller how long to use a connection.
 
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -79,6 +79,7 @@
 
         The caller gets it if no other attempt succeeds.
         """
+        self._token_charge = context.charge(incoming)
         self._task: asyncio.Task[None] | None = None
         self._report = RequestReport(context, incoming, self._call, self._tried)
         self._is_finished = False
@@ -153,6 +154,13 @@
             self._body.stop_reading()
 
     async def _serve(self) -> None:
+        problem = await self._token_charge.draw()
+        if problem:
+            self._refuse(problem)
+        if self._is_finished:
+            # The caller may have disconnected while the request waited.
+            self._token_charge.give_back()
+            return
         now = self._context.clock.now()
         if not self._incoming.forwarding:
             self._pool.retry_budget.deposit(now)
@@ -379,6 +387,8 @@
             self._is_finished = True
             self._attempts.cancel()
             self._forwarder.cancel()
+            if problem.ran is Ran.no:
+                self._token_charge.give_back()
             self._report.refused(problem, self._selector.last_best)
             if self._relay.state is RelayState.streaming:
                 self._relay.abort()
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -1,11 +1,12 @@
 """Error responses that an edge generates itself."""
 
+import dataclasses
 from collections.abc import Iterable
 from http import HTTPStatus
 
 from turmericmast.balance.openness import Withholding
 from turmericmast.call.call import Call, Loss, Ran
-from turmericmast.ids import Seconds
+from turmericmast.ids import Seconds, TenantId
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.problem import Problem
 
@@ -112,6 +113,34 @@
     )
 
 
+def over_limit(account: TenantId, retry_delay: float) -> Problem:
+    """Return the problem for a request of an account over its limit."""
+    return dataclasses.replace(
+        _unavailable(
+            'Over the limit',
+            f'account {account} is over its limit of requests',
+            'draw token',
+            retry_delay,
+            peer=account,
+        ),
+        status=HTTPStatus.TOO_MANY_REQUESTS,
+    )
+
+
+def no_token(account: TenantId, cause: str, retry_delay: float) -> Problem:
+    """Return the problem for a request whose account may have room.
+
+    ``cause`` tells why that is not known.
+    """
+    return _unavailable(
+        'No token',
+        f'the limit of account {account} could not be checked: {cause}',
+        'draw token',
+        retry_delay,
+        peer=account,
+    )
+
+
 def headers_too_large(limit: int) -> Problem:
     """Return the problem for headers over the limit, in octets."""
     return _rejected(
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -7,7 +7,11 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from turmericmast.account.account import Identity, combine_home_regions
+from turmericmast.account.account import (
+    Account,
+    Identity,
+    combine_home_regions,
+)
 from turmericmast.balance.candidate import Requirements
 from turmericmast.balance.pool import Pool
 from turmericmast.call.call import CallRequest
@@ -54,6 +58,16 @@
         account = self.identity.account if self.identity else None
         return account.priority if account else self.route.priority
 
+    @property
+    def charged_account(self) -> Account | None:
+        """Return the limited account whose token the request needs.
+
+        A forwarded request was charged where its caller sent it.
+        """
+        account = self.identity.account if self.identity else None
+        is_charged = account and account.rate and not self.forwarding
+        return account if is_charged else None
+
     def forwarded(self, forwarding: Forwarding) -> 'EdgeRequest':
         """Return this request as another instance has forwarded it."""
         max_attempts = min(self.call.max_attempts, forwarding.attempts_left)
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -90,6 +90,8 @@
             'AskMember',
             'TellMember',
             'TellIndex',
+            'AskTokens',
+            'TellTokens',
         ),
         'wire.replies': (
             'Refusal',
--- a/src/turmericmast/wire/linkpool.py
+++ b/src/turmericmast/wire/linkpool.py
@@ -45,6 +45,13 @@
             self._link_by_member[member] = link
         return link
 
+    def close(self, member: MemberId) -> None:
+        """Close the link to a member; what waits in it is not sent."""
+        link = self._link_by_member.pop(member, None)
+        if link:
+            with link:
+                """Leaving the context closes the link."""
+
     def close_except(self, members: Collection[MemberId]) -> None:
         """Close all links but those to ``members``."""
         unused = [peer for peer in self._link_by_member if peer not in members]
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -630,6 +630,7 @@
   1: binary feed
   2: list<Seat> seats
   3: i64 contact_ms
+  34: optional bool grants_tokens = false
 }
 
 /** A starting edge asks which member is in its failure domain. */
@@ -666,6 +667,32 @@
   1: i64 index
 }
 
+/** Tokens of one account that an edge asks for and gives back. */
+struct TokenDemand {
+  1: string account
+  2: i32 needed
+  3: i32 spare
+  4: i32 returned
+}
+
+/** The answer to a ``TokenDemand``. */
+struct TokenGrant {
+  1: i32 tokens
+  2: i32 wait_ms
+  3: bool filling
+}
+
+/** An edge asks a member for tokens, or a member asks the leader. */
+struct AskTokens {
+  1: list<TokenDemand> demands
+  2: bool relayed
+}
+
+/** The answer to ``AskTokens``, one grant for each demand in its order. */
+struct TellTokens {
+  1: list<TokenGrant> grants
+}
+
 /**
  * A message or a stored record: exactly one field is set. The numbers of
  * removed fields are never reused.
@@ -735,6 +762,8 @@
   62: optional AskMember ask_member
   63: optional TellMember tell_member
   64: optional Overtaken overtaken
+  140: optional AskTokens ask_tokens
+  141: optional TellTokens tell_tokens
 }
 
 /** A command for the control group. */
--- a/src/turmericmast/wire/watchrequests.py
+++ b/src/turmericmast/wire/watchrequests.py
@@ -7,6 +7,7 @@
 import dataclasses
 from typing import final
 
+from turmericmast.allowance.tokens import TokenDemand, TokenGrant
 from turmericmast.cluster.records import ClusterFeed, EdgeRecord
 from turmericmast.ids import DomainId, Index, MemberId
 from turmericmast.replica.seat import Seat
@@ -43,6 +44,8 @@
     feed: bytes
     seats: tuple[Seat, ...]
     contact_ms: int
+    grants_tokens: bool = False
+    """Whether the member answers ``AskTokens``; older ones do not."""
 
 
 @final
@@ -72,3 +75,21 @@
     """
 
     index: Index
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskTokens:
+    """An edge asks a member for tokens, or a member asks the leader."""
+
+    demands: tuple[TokenDemand, ...]
+    relayed: bool
+    """Whether a member has sent it on; it is not sent on again then."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellTokens:
+    """The answer to ``AskTokens``, one grant for each demand in its order."""
+
+    grants: tuple[TokenGrant, ...]
