--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -76,6 +76,10 @@
         """Begin with the contacts in the settings as the only known members."""
         self.on_routes: Callable[[], None] = _do_nothing
         """Called when routes were applied."""
+        self.grants_tokens = False
+        """Whether a member has told that it answers ``AskTokens``.
+
+        It stays so: other members may not have been restarted yet."""
         self._clock: Clock = process.clock
         self._events: EventLog = process.events
         self._process = process
@@ -116,6 +120,10 @@
             self._stale_timer.cancel()
         self._links.close_except(())
 
+    def members(self) -> list[MemberId]:
+        """Return the known members, preferred ones first."""
+        return self._ranking.order(self._process.settings, self._clock.now())
+
     async def report_crash(self, crash: ReportCrash) -> bool:
         """Report a crash to the core; return whether it was committed."""
         if not self._contacted_member:
@@ -132,9 +140,7 @@
         """
         if self._near_member_search.is_on(self._clock.now()):
             return await self._find_near_member()
-        is_preferred = (
-            member is not None and member == self._members_by_preference()[0]
-        )
+        is_preferred = member is not None and member == self.members()[0]
         if member and is_preferred and await self._watch(member):
             return member
         return await self.find_member()
@@ -149,7 +155,7 @@
         member_by_task: dict[asyncio.Task[bool], MemberId] = {}
         good_member: MemberId | None = None
         with contextlib.ExitStack() as stack:
-            for member in self._members_by_preference():
+            for member in self.members():
                 task = asyncio.ensure_future(self._watch(member))
                 stack.callback(task.cancel)
                 member_by_task[task] = member
@@ -170,7 +176,7 @@
 
         Other members are only asked for it.
         """
-        asked = self._members_by_preference()[0]
+        asked = self.members()[0]
         answer = await self._links.to(asked).request(
             AskMember(self._process.settings.domain), REQUEST_TIMEOUT
         )
@@ -232,6 +238,8 @@
         others.
         """
         watched = _unpack(answer, self._events)
+        if isinstance(answer, PackedCluster) and answer.grants_tokens:
+            self.grants_tokens = True
         return isinstance(watched, WatchedCluster) and self._apply_answer(
             watched, member
         )
@@ -344,10 +352,6 @@
         now = self._clock.now()
         self._ranking.deprioritize(member, now + DEPRIORITIZE_SECONDS)
 
-    def _members_by_preference(self) -> list[MemberId]:
-        """Return the known members, preferred ones first."""
-        return self._ranking.order(self._process.settings, self._clock.now())
-
 
 async def _first_good_answer(
     member_by_task: dict[asyncio.Task[bool], MemberId],
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -13,17 +13,13 @@
 """Seconds after which a caller should retry while there are no routes.
 
 An edge requests them from all core members several times within this time."""
-NO_CONTACT_RETRY_DELAY = 0.2
-"""Seconds after which a caller should retry where contact to the core is lost.
-
-Another instance can serve it at once; this one asks the core every 0.1 s."""
 LEAVING_RETRY_DELAY = 0.01
 """Seconds after which a caller should use another instance: at once."""
 
 
 def no_routes() -> Problem:
     """Return the problem for an instance that has no routes yet."""
-    return _unavailable(
+    return unavailable(
         'Not ready',
         'this instance has not received the routes yet',
         'find route',
@@ -33,7 +29,7 @@
 
 def leaving() -> Problem:
     """Return the problem for a request that may run past the shutdown."""
-    return _unavailable(
+    return unavailable(
         'Leaving',
         'this instance is shutting down; use another one',
         'read request',
@@ -53,7 +49,7 @@
     """
     causes = ', '.join(sorted(cause.value for cause in withheld_by))
     note = f'; some targets want no requests: {causes}' if causes else ''
-    return _unavailable(
+    return unavailable(
         'No target in time',
         f'no target of service {service} can serve the request in time{note}',
         'choose target',
@@ -75,7 +71,7 @@
 
 def quarantined(time_left: float) -> Problem:
     """Return the problem for a request that repeatedly crashed targets."""
-    return _unavailable(
+    return unavailable(
         'Quarantined',
         'the request is quarantined: targets crashed while they ran it',
         'check suspects',
@@ -85,7 +81,7 @@
 
 def no_route(host: str) -> Problem:
     """Return the problem for a request that no route matches."""
-    return _rejected(
+    return rejected(
         HTTPStatus.NOT_FOUND,
         'No route',
         f'no route of host {host!r} matches the path',
@@ -93,42 +89,9 @@
     )
 
 
-def unknown_key() -> Problem:
-    """Return the problem for a request without the key of an account."""
-    return _rejected(
-        HTTPStatus.UNAUTHORIZED,
-        'Unknown key',
-        'the request needs exactly one key of a client account',
-        'find account',
-    )
-
-
-def stale_accounts() -> Problem:
-    """Return the problem for a key that may have been revoked meanwhile."""
-    return _unavailable(
-        'Accounts out of date',
-        'this instance may lack the newest accounts; use another one',
-        'check key',
-        NO_CONTACT_RETRY_DELAY,
-    )
-
-
-def unconfirmed_key() -> Problem:
-    """Return the problem for a forwarded request whose key is not known here.
-
-    The instance that forwarded it may have a newer version of the accounts.
-    """
-    return _unavailable(
-        'Unknown key',
-        'this instance does not know the key of the forwarded request',
-        'find account',
-        NO_ROUTES_RETRY_DELAY,
-    )
-
-
 def headers_too_large(limit: int) -> Problem:
     """Return the problem for headers over the limit, in octets."""
-    return _rejected(
+    return rejected(
         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
         'Headers too large',
         f'at most {limit} octets of headers are allowed',
@@ -163,7 +126,7 @@
 
 def bad_content_length(text: str) -> Problem:
     """Return the problem for a Content-Length that is not a number."""
-    return _rejected(
+    return rejected(
         HTTPStatus.BAD_REQUEST,
         'Bad length',
         f'Content-Length is {text!r}; it must be a number of octets',
@@ -182,7 +145,7 @@
     step = 'send to target'
     service = call.request.service
     if call.ran is Ran.no:
-        return _unavailable(title, detail, step, retry_delay, peer=service)
+        return unavailable(title, detail, step, retry_delay, peer=service)
     is_late = last is Loss.timed_out or now >= call.request.deadline
     return Problem(
         HTTPStatus.GATEWAY_TIMEOUT if is_late else HTTPStatus.BAD_GATEWAY,
@@ -205,7 +168,7 @@
     )
 
 
-def _unavailable(
+def unavailable(
     title: str,
     detail: str,
     step: str,
@@ -232,7 +195,7 @@
     )
 
 
-def _rejected(
+def rejected(
     status: HTTPStatus,
     title: str,
     detail: str,
--- a/src/turmericmast/web/keycheck.py
+++ b/src/turmericmast/web/keycheck.py
@@ -3,7 +3,7 @@
 from typing import final
 
 from turmericmast.edge.keyadmission import KeyObstacle
-from turmericmast.web import edgerefusals
+from turmericmast.web import accountrefusals
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.problem import Problem
@@ -40,9 +40,9 @@
             return None
         self._context.metrics.count('keys_refused', reason=obstacle.value)
         return (
-            edgerefusals.stale_accounts()
+            accountrefusals.stale_accounts()
             if obstacle is KeyObstacle.stale
-            else edgerefusals.unknown_key()
+            else accountrefusals.unknown_key()
         )
 
     def _find_obstacle(self) -> KeyObstacle | None:
--- a/src/turmericmast/web/requestreading.py
+++ b/src/turmericmast/web/requestreading.py
@@ -18,7 +18,7 @@
 )
 from turmericmast.numerals import parse_whole
 from turmericmast.route.document import Route, RouteLimits
-from turmericmast.web import edgerefusals
+from turmericmast.web import accountrefusals, edgerefusals
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent
 from turmericmast.web.edgerequest import EdgeRequest
@@ -96,15 +96,15 @@
         return Success(Identity())
     if not context.edge.key_fence.admits(context.clock.now()):
         context.metrics.count('keys_refused', reason=KeyObstacle.stale.value)
-        return Failure(edgerefusals.stale_accounts())
+        return Failure(accountrefusals.stale_accounts())
     account = accounts.find(metadata.keys)
     if account:
         return Success(Identity(account))
     context.metrics.count('keys_refused', reason='unknown')
     return Failure(
-        edgerefusals.unconfirmed_key()
+        accountrefusals.unconfirmed_key()
         if forwarding
-        else edgerefusals.unknown_key()
+        else accountrefusals.unknown_key()
     )
 
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -136,7 +136,7 @@
         first = f'GET /stock/{path} HTTP/1.1\r\n{HOST}\r\n'
         async with _edge(target) as own:
             with unittest.mock.patch.object(
-                type(own.edge), 'is_leaving', new=True
+                type(own.edge.record), 'is_leaving', new=True
             ):
                 received = await _send(own, [first, *SAFE[1:]], None)
         self.assertEqual(
