--- /dev/null
+++ b/src/turmericmast/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What clients, targets and neighbours may make a process hold."""
--- /dev/null
+++ b/src/turmericmast/limits/processlimits.py
@@ -0,0 +1,57 @@
+"""How a process divides the memory and descriptors of its host."""
+
+import dataclasses
+from typing import final
+
+HELD_SHARE = 2
+"""Divisor of the memory beyond the start, for what connections hold.
+
+The other half is for what cannot be counted: objects around the bytes, memory
+that the allocator keeps, routes and targets that are learned later."""
+FIRST_FRAMES_SHARE = 4
+"""Divisor of what connections may hold, for first frames of unknown peers."""
+MAX_LONG_FRAME_OCTETS = 134_217_728
+"""Bytes of the long frames that a process receives at the same time."""
+CLIENT_SHARE = 2
+"""Divisor of the descriptors, for accepted connections.
+
+Each may need another one, to a target. The rest is for those, for the log and
+for other instances."""
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class ProcessLimits:
+    """What a process may hold for others; 0 where there is no limit."""
+
+    held_octets: int = 0
+    """Bytes held for accepted connections."""
+    connections: int = 0
+    """Accepted connections."""
+
+    @property
+    def first_frame_octets(self) -> int:
+        """Bytes of the first frames of peers that are not known yet."""
+        return self.held_octets // FIRST_FRAMES_SHARE or MAX_LONG_FRAME_OCTETS
+
+    @property
+    def long_frame_octets(self) -> int:
+        """Bytes of the long frames of known peers."""
+        known = self.held_octets or MAX_LONG_FRAME_OCTETS
+        return min(known, MAX_LONG_FRAME_OCTETS)
+
+
+def divide(
+    memory_octets: int, used_octets: int, descriptors: int
+) -> ProcessLimits:
+    """Return the limits of a process.
+
+    ``memory_octets`` is the memory of the host for it, 0 if that is not known;
+    ``used_octets`` is its resident size at the start.
+    """
+    room = max(memory_octets - used_octets, 0) // HELD_SHARE
+    return ProcessLimits(
+        # A process that has no room serves one small request at a time.
+        max(room, 1) if memory_octets else 0,
+        max(descriptors // CLIENT_SHARE, 1) if descriptors else 0,
+    )
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -20,6 +20,7 @@
     'entry',
     'fleet',
     'ledger',
+    'limits',
     'region',
     'replica',
     'rollout',
