Guard of accepted connections for memory and descriptors

Clients that sent long bodies to the operators' port, or long first frames to a core member, made it hold 214 to 231 MB of 140; some hundred idle or half-open connections took all descriptors of an edge or a member, which then answered nobody. Nothing counted what the connections of a process held together.

All servers of both programs now take their connections through one ConnectionGuard (GuardedServer, PeerServer). It counts heads, bodies, unread responses and the connections themselves, and closes those that ConnectionBudget names; counters connections_closed_for_room and clients_exceeding_limits, gauges connections_open and connections_held_bytes, one line connection_closed_for_room with the reason. Pages answer 413 to an announced body over the limit of their page without reading it, and cut one that is only sent (a report may have 64 KiB). First frames of unknown peers share room of their own. An edge keeps fewer idle connections to targets, and lets fewer linger. A refused body is dropped for a second at most. Without limits in the settings nothing is counted.

--- a/src/turmericmast/limits/processlimits.py
+++ b/src/turmericmast/limits/processlimits.py
@@ -12,11 +12,13 @@
 """Divisor of what connections may hold, for first frames of unknown peers."""
 MAX_LONG_FRAME_OCTETS = 134_217_728
 """Bytes of the long frames that a process receives at the same time."""
-CLIENT_SHARE = 2
-"""Divisor of the descriptors, for accepted connections.
+DESCRIPTOR_PARTS = 8
+"""Equal parts of the descriptors.
 
-Each may need another one, to a target. The rest is for those, for the log and
-for other instances."""
+Three are for accepted connections, three for connections to targets, of which
+each request may need one, and one for connections that linger after their use.
+The last is for the log, listening sockets and connections between processes."""
+CLIENT_PARTS = 3
 
 
 @final
@@ -27,7 +29,9 @@
     held_octets: int = 0
     """Bytes held for accepted connections."""
     connections: int = 0
-    """Accepted connections."""
+    """Accepted connections, and likewise those to targets."""
+    lingering: int = 0
+    """Connections to targets that are closed once nothing more arrives."""
 
     @property
     def first_frame_octets(self) -> int:
@@ -50,8 +54,10 @@
     ``used_octets`` is its resident size at the start.
     """
     room = max(memory_octets - used_octets, 0) // HELD_SHARE
+    part = descriptors // DESCRIPTOR_PARTS
     return ProcessLimits(
         # A process that has no room serves one small request at a time.
         max(room, 1) if memory_octets else 0,
-        max(descriptors // CLIENT_SHARE, 1) if descriptors else 0,
+        max(part * CLIENT_PARTS, 1) if descriptors else 0,
+        part,
     )
--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -29,6 +29,13 @@
 if TYPE_CHECKING:
     from turmericmast.programs.clusteroperations import ClusterOperations
 
+MAX_REPORT_BYTES = 65_536
+"""Largest body of a report or a small order, in bytes.
+
+A report of a target has some 300."""
+MAX_ROUTES_BYTES = 4_194_304
+"""Largest body with routes, in bytes."""
+CONFIG_PATH = '/-/config'
 _STATUS_BY_ERROR = MappingProxyType(
     {
         SettingsError: http.HTTPStatus.BAD_REQUEST,
@@ -176,6 +183,11 @@
         )
 
 
+def body_limit(path: str) -> int:
+    """Return the largest body of a request for a path, in bytes."""
+    return MAX_ROUTES_BYTES if path == CONFIG_PATH else MAX_REPORT_BYTES
+
+
 def make_application(
     operations: 'ClusterOperations', metrics: Metrics
 ) -> DatedApplication:
@@ -184,7 +196,7 @@
     return DatedApplication(
         [
             ('/-/instances/([^/]+)', Instances, shared),
-            ('/-/config', Routes, shared),
+            (CONFIG_PATH, Routes, shared),
             ('/-/evacuations/([^/]+)', Evacuations, shared),
             (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -11,29 +11,21 @@
 from turmericmast.cluster.registrations import PendingRegistrations
 from turmericmast.ids import InstanceId
 from turmericmast.instancesettings import InstanceSettings
-from turmericmast.platform.coreapi import make_application
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.platform.settings import load_instance_settings
 from turmericmast.programs.clusteroperations import ClusterOperations
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.coregroup import contacts_of, open_core_member
+from turmericmast.programs.coreports import serve_core
 from turmericmast.programs.failuredetector import FailureDetector
 from turmericmast.programs.groupmember import GroupMember
-from turmericmast.programs.groupsetup import (
-    LEADERSHIP_TRANSFER_TIMEOUT,
-    MAX_OPERATOR_BODY_BYTES,
-)
-from turmericmast.programs.runner import (
-    Process,
-    run_program,
-    serve_metrics,
-    serve_pages,
-)
+from turmericmast.programs.groupsetup import LEADERSHIP_TRANSFER_TIMEOUT
+from turmericmast.programs.runner import Process, run_program
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.replica import messages
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.wire import clusterrequests, replies, watchrequests
-from turmericmast.wire.server import Handler, PeerServer
+from turmericmast.wire.server import Handler
 
 WATCH_TIMEOUT = 0.4
 """Seconds after which a watch is answered even without a change."""
@@ -162,7 +154,7 @@
     state_machine = ClusterStateMachine()
     group = stack.enter_context(open_core_member(process, stack, state_machine))
     core = Core(process, group, state_machine)
-    _serve(process, stack, core)
+    serve_core(process, stack, core)
     group.start({})
     ticker = PeriodicCallback(core.tick, TICK_INTERVAL_MS)
     ticker.start()
@@ -179,25 +171,6 @@
     await group.transfer_leadership(LEADERSHIP_TRANSFER_TIMEOUT)
 
 
-def _serve(
-    process: Process[InstanceSettings],
-    stack: contextlib.ExitStack,
-    core: Core,
-) -> None:
-    listening = process.settings.listening
-    peer_server = PeerServer(process.context, core)
-    host, _, port = listening.peers.rpartition(':')
-    peer_server.listen(int(port), host)
-    serve_metrics(process, stack, host, core.pages())
-    stack.callback(peer_server.close_all)
-    serve_pages(
-        stack,
-        make_application(core.operations, process.metrics),
-        listening.operators,
-        MAX_OPERATOR_BODY_BYTES,
-    )
-
-
 def main() -> None:
     """Run ``turmericmast-core``."""
     run_program(_main, load_instance_settings)
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -8,25 +8,20 @@
 from turmericmast.edge.edge import Edge
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.platform.documents import DocumentFormat
-from turmericmast.platform.edgeapi import make_application
 from turmericmast.platform.headers import PlatformHeaders
 from turmericmast.platform.settings import load_instance_settings
+from turmericmast.programs.clientlimits import limit_clients
 from turmericmast.programs.clusterwatcher import ClusterWatcher
+from turmericmast.programs.edgepages import serve_edge_pages
 from turmericmast.programs.edgewatch import watch_edge
 from turmericmast.programs.gracefulshutdown import GracefulShutdown
 from turmericmast.programs.requestport import open_ports
-from turmericmast.programs.runner import (
-    Process,
-    run_program,
-    serve_metrics,
-    serve_pages,
-)
+from turmericmast.programs.runner import Process, run_program
 from turmericmast.programs.settingsreloader import SettingsReloader
 from turmericmast.web.crashdetection import CrashDetector, ReportToCore
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend, Origin
-from turmericmast.web.fleetpages import edge_pages
 from turmericmast.web.loadsharing import LoadSharing
 from turmericmast.web.probing import Prober
 from turmericmast.wire.linkpool import LinkPool
@@ -64,13 +59,14 @@
         process, edge, DocumentFormat(), LinkPool(process.context)
     )
     context = _make_context(process, stack, edge, watcher.report_crash)
+    guard = limit_clients(process, context.curl)
     watcher.on_routes = lambda: _use_routes(context)
     frontends = (
         EdgeFrontend(context),
         EdgeFrontend(context, Origin.instance),
     )
-    ports = open_ports(process, stack, frontends)
-    _serve_http(process, stack, edge)
+    ports = open_ports(process, stack, frontends, guard)
+    serve_edge_pages(process, stack, edge, guard)
     watch_edge(stack, context, frontends)
     stack.enter_context(watcher)
     stack.enter_context(SettingsReloader(process, _apply_nothing))
@@ -88,19 +84,6 @@
     context.load_sharing.check_now()
 
 
-def _serve_http(
-    process: Process[InstanceSettings],
-    stack: contextlib.ExitStack,
-    edge: Edge,
-) -> None:
-    listening = process.settings.listening
-    application = make_application(edge, process.metrics)
-    for address in (listening.directory, listening.readiness):
-        serve_pages(stack, application, address)
-    host = listening.peers.rpartition(':')[0]
-    serve_metrics(process, stack, host, edge_pages(edge, process.clock))
-
-
 def _make_context(
     process: Process[InstanceSettings],
     stack: contextlib.ExitStack,
--- a/src/turmericmast/programs/requestport.py
+++ b/src/turmericmast/programs/requestport.py
@@ -4,9 +4,15 @@
 from types import TracebackType
 from typing import TYPE_CHECKING, Self, final
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from turmericmast.limits.bodyholding import StreamedBody
+from turmericmast.web.connectionguard import (
+    MAX_BUFFER_BYTES,
+    ConnectionGuard,
+)
+from turmericmast.web.guardedserver import GuardedServer
+
 if TYPE_CHECKING:
     import contextlib
 
@@ -38,14 +44,18 @@
         process: 'Process[InstanceSettings]',
         address: str,
         frontend: 'EdgeFrontend',
+        guard: ConnectionGuard | None = None,
     ) -> None:
         """Pass requests that arrive at ``address`` to ``frontend``."""
-        self.server = HTTPServer(
+        self.server = GuardedServer(
             frontend,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BUFFER_BYTES,
             body_timeout=BODY_TIMEOUT,
         )
+        if guard:
+            self.server.watch(guard, StreamedBody())
         self._process = process
         self._address = address
         self._sockets: list[socket.socket] = []
@@ -75,11 +85,12 @@
     process: 'Process[InstanceSettings]',
     stack: 'contextlib.ExitStack',
     frontends: 'tuple[EdgeFrontend, EdgeFrontend]',
+    guard: ConnectionGuard | None = None,
 ) -> list[RequestPort]:
     """Open the ports for callers and for other instances."""
     listening = process.settings.listening
     return [
-        stack.enter_context(RequestPort(process, address, frontend))
+        stack.enter_context(RequestPort(process, address, frontend, guard))
         for address, frontend in zip(
             (listening.callers, listening.peers), frontends, strict=True
         )
--- a/src/turmericmast/programs/runner.py
+++ b/src/turmericmast/programs/runner.py
@@ -7,12 +7,11 @@
 import secrets
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Generic, Protocol, TypeAlias, TypeVar, final
 
 from absl import app, flags, logging
 from returns.result import Result, Success
-from tornado.web import Application
 
 from turmericmast.clock import Clock, HybridClock, SystemClock
 from turmericmast.events import EventLog
@@ -22,12 +21,6 @@
 from turmericmast.metrics import Metrics
 from turmericmast.programs.settingsfile import SettingsFile
 from turmericmast.version import VERSION
-from turmericmast.web.metricspage import make_metrics_server
-from turmericmast.web.pageserver import (
-    MAX_PAGE_BODY_BYTES,
-    listen,
-    make_page_server,
-)
 from turmericmast.wire.link import ProcessContext
 
 INCARNATION_BYTES = 6
@@ -146,33 +139,6 @@
     return 0
 
 
-def serve_pages(
-    stack: contextlib.ExitStack,
-    application: Application,
-    address: str,
-    max_body_bytes: int = MAX_PAGE_BODY_BYTES,
-) -> None:
-    """Serve ``application`` at an address until ``stack`` is closed."""
-    server = make_page_server(application, max_body_bytes)
-    stack.callback(listen(server, address).stop)
-
-
-def serve_metrics(
-    process: Process[Any],
-    stack: contextlib.ExitStack,
-    host: str,
-    pages: Iterable[Any],
-) -> None:
-    """Serve the metrics at the port of ``--metrics_port``, if it is set.
-
-    ``pages`` are served there as well.
-    """
-    if METRICS_PORT.value:
-        server = make_metrics_server(process.metrics, pages)
-        server.listen(METRICS_PORT.value, host)
-        stack.callback(server.stop)
-
-
 async def _run(
     main: ProgramMain,
     settings: Any,
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -102,6 +102,11 @@
         self.kept_connections.__exit__(kind, error, trace)
         self._multi.close()
 
+    def limit_connections(self, kept: int, lingering: int) -> None:
+        """Keep fewer connections: between transfers, and after their use."""
+        self._multi.setopt(pycurl.M_MAXCONNECTS, min(kept, MAX_CONNECTIONS))
+        self.kept_connections.limit_lingering(lingering)
+
     def acquire_handle(self) -> Any:
         """Return an idle or new easy handle with the common options."""
         if self._idle:
--- a/src/turmericmast/web/keptconnections.py
+++ b/src/turmericmast/web/keptconnections.py
@@ -10,7 +10,7 @@
 from turmericmast.balance.framing import Stutter
 from turmericmast.web.connections import Connection, Connections
 from turmericmast.web.idlewatch import IdleWatch, has_ended, unread_bytes
-from turmericmast.web.lingering import Duplicate, Lingering
+from turmericmast.web.lingering import MAX_DUPLICATES, Duplicate, Lingering
 
 
 @final
@@ -47,6 +47,10 @@
         self.on_stray: Callable[[StrayBytes], None] = _ignore_stray
         """Called when a peer has sent bytes that answer no request."""
 
+    def limit_lingering(self, most: int) -> None:
+        """Duplicate fewer descriptors at a time, if ``most`` is lower."""
+        self._lingering.max_duplicates = min(most, MAX_DUPLICATES)
+
     def __enter__(self) -> Self:
         """Begin to watch connections."""
         self._stack.enter_context(self._idle)
--- a/src/turmericmast/web/lingering.py
+++ b/src/turmericmast/web/lingering.py
@@ -105,6 +105,7 @@
 
     def __init__(self) -> None:
         """Begin without connections."""
+        self.max_duplicates = MAX_DUPLICATES
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._open: set[Duplicate] = set()
@@ -134,7 +135,7 @@
 
     def duplicate(self, descriptor: Descriptor) -> Duplicate | None:
         """Return a duplicate, ``None`` if there are too many."""
-        if len(self._open) >= MAX_DUPLICATES:
+        if len(self._open) >= self.max_duplicates:
             return None
         try:
             duplicate = Duplicate(descriptor)
--- a/src/turmericmast/web/metricspage.py
+++ b/src/turmericmast/web/metricspage.py
@@ -7,6 +7,7 @@
 from tornado.web import Application, RequestHandler
 
 from turmericmast.metrics import Metrics
+from turmericmast.web.connectionguard import ConnectionGuard
 from turmericmast.web.pageserver import make_page_server
 
 METRICS_PATH = '/metrics'
@@ -27,7 +28,11 @@
         self.finish(self.metrics.render())
 
 
-def make_metrics_server(metrics: Metrics, pages: Iterable[Any]) -> HTTPServer:
+def make_metrics_server(
+    metrics: Metrics,
+    pages: Iterable[Any],
+    guard: ConnectionGuard | None = None,
+) -> HTTPServer:
     """Return a server of the metrics page, which does not listen yet.
 
     ``pages`` are further paths with their handlers and options.
@@ -37,6 +42,7 @@
             [(METRICS_PATH, MetricsPage, {'metrics': metrics}), *pages],
             log_function=skip_request_log,
         ),
+        guard=guard,
     )
 
 
--- a/src/turmericmast/web/problem.py
+++ b/src/turmericmast/web/problem.py
@@ -18,14 +18,24 @@
 from turmericmast.call.call import Ran
 from turmericmast.ids import CallId, TargetId
 from turmericmast.units import MILLIS_PER_SECOND
+from turmericmast.web.connectionguard import GuardedStream
 from turmericmast.web.triedheader import tried_headers
 
 LINGER_SECONDS = 1
 """Seconds that each read after an early refusal waits for the caller."""
+MAX_LINGER_SECONDS = 1
+"""Seconds after which the connection is closed though bytes still arrive."""
 LINGER_BYTES = 65_536
 """Bytes read at most at a time while lingering."""
 LINGER_READS = 64
 """Reads of an unread body that are discarded before the connection closes."""
+EXCEEDING_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
+)
+"""Statuses of clients that exceeded the limits of a request."""
 RAN_HEADER = 'Turmericmast-Ran'
 """Header that tells whether a target has run the request."""
 REFUSAL_HEADER = 'Turmericmast-Refusal'
@@ -157,6 +167,7 @@
     lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.get_all())
     head = f'HTTP/1.1 {problem.status:d} {problem.reason}\r\n{lines}\r\n'
     stream = connection.detach()
+    mark_exceeding(stream, problem.status)
     asyncio.ensure_future(_linger(stream, head.encode() + body))
 
 
@@ -170,7 +181,10 @@
     ):
         await stream.write(octets)
         stream.socket.shutdown(socket.SHUT_WR)
+        ends_at = stream.io_loop.time() + MAX_LINGER_SECONDS
         for _ in range(LINGER_READS):
+            if stream.io_loop.time() > ends_at:
+                break
             await with_timeout(
                 datetime.timedelta(seconds=LINGER_SECONDS),
                 stream.read_bytes(LINGER_BYTES, partial=True),
@@ -178,6 +192,12 @@
             )
 
 
+def mark_exceeding(stream: object, status: int) -> None:
+    """Note a client whose request exceeded a limit, by the status it gets."""
+    if status in EXCEEDING_STATUSES and isinstance(stream, GuardedStream):
+        stream.mark_exceeding()
+
+
 def respond(
     connection: HTTPConnection,
     status: int,
@@ -188,6 +208,7 @@
     is_head: bool = False,
 ) -> None:
     """Send a complete response; only its headers if ``is_head``."""
+    mark_exceeding(getattr(connection, 'stream', None), status)
     headers['Content-Length'] = str(len(body))
     start = ResponseStartLine('HTTP/1.1', status, reason)
     connection.write_headers(start, headers, b'' if is_head else body)
--- a/src/turmericmast/wire/frame.py
+++ b/src/turmericmast/wire/frame.py
@@ -29,9 +29,9 @@
 MAX_FRAME_BYTES = MAX_STRING_BYTES + MAX_STRUCTURE_BYTES
 """Bytes of the longest frame: the longest snapshot, and what is around it."""
 MAX_LONG_FRAME_BYTES = 134_217_728
-"""Bytes of the long frames that a process receives at the same time.
-
-They are those that exceed ``MAX_FIRST_FRAME_BYTES``."""
+"""Bytes of the long frames that a process receives at the same time."""
+SHORT_FRAME_BYTES = 65_536
+"""Bytes of the longest frame that needs no room beside its connection's."""
 MAX_FIRST_FRAME_BYTES = 4_194_304
 """Bytes of the longest first frame on an incoming connection.
 
@@ -64,6 +64,8 @@
     def __init__(self) -> None:
         """Start with no frame."""
         self._octets = 0
+        self.max_octets = MAX_LONG_FRAME_BYTES
+        """Bytes of all frames together."""
 
     @contextlib.contextmanager
     def receive(self, length: int) -> Iterator[bool]:
@@ -71,8 +73,8 @@
 
         It is given back on exit. Short frames need none.
         """
-        taken = length if length > MAX_FIRST_FRAME_BYTES else 0
-        if self._octets + taken > MAX_LONG_FRAME_BYTES:
+        taken = length if length > SHORT_FRAME_BYTES else 0
+        if self._octets + taken > self.max_octets:
             yield False
             return
         self._octets += taken
@@ -92,7 +94,8 @@
         """Read from ``stream``, which is connected to ``peer``."""
         self._stream = stream
         self._peer = peer
-        self._long_frames = long_frames
+        self.long_frames = long_frames
+        """Room for the frames that are read from now on."""
         self._frames = 0
 
     async def read(self, limit: int) -> Result[Envelope, WireError]:
@@ -114,7 +117,7 @@
                 f'the frame has {length} bytes, the limit is {limit}',
                 'check that the peer is a turmericmast process',
             )
-        with self._long_frames.receive(length) as has_room:
+        with self.long_frames.receive(length) as has_room:
             if not has_room:
                 return self._failure(
                     f'no room for {length} bytes beside other long frames',
--- a/src/turmericmast/wire/link.py
+++ b/src/turmericmast/wire/link.py
@@ -52,6 +52,11 @@
     clock: HybridClock
     metrics: Metrics
     long_frames: LongFrames = dataclasses.field(default_factory=LongFrames)
+    first_frames: LongFrames = dataclasses.field(default_factory=LongFrames)
+    """Room for the first frames of incoming connections.
+
+    Until a frame has been decoded the peer may be any client, which must not
+    take the room of known peers."""
 
 
 @final
--- a/src/turmericmast/wire/server.py
+++ b/src/turmericmast/wire/server.py
@@ -31,6 +31,30 @@
         """Return the answer, or ``None`` for a message that needs none."""
 
 
+class StreamGuard(abc.ABC):
+    """Limits what incoming connections make a process hold."""
+
+    @abc.abstractmethod
+    def accept(self, stream: IOStream) -> IOStream:
+        """Return the stream to use; it is closed if there is no room."""
+
+    @abc.abstractmethod
+    def begin(self, stream: IOStream, octets: int) -> None:
+        """Note that a connection is in use, and the bytes held for it."""
+
+
+@final
+class Unguarded(StreamGuard):
+    """Limits nothing."""
+
+    def accept(self, stream: IOStream) -> IOStream:
+        """Return the stream itself."""
+        return stream
+
+    def begin(self, stream: IOStream, octets: int) -> None:
+        """Do nothing."""
+
+
 @final
 class PeerServer(TCPServer):
     """Accepts connections of peers and answers their requests.
@@ -38,9 +62,15 @@
     An invalid frame closes its own connection and no other.
     """
 
-    def __init__(self, context: ProcessContext, handler: Handler) -> None:
-        """Pass every message to ``handler``."""
+    def __init__(
+        self,
+        context: ProcessContext,
+        handler: Handler,
+        guard: StreamGuard | None = None,
+    ) -> None:
+        """Pass every message to ``handler``; ``guard`` limits connections."""
         super().__init__()
+        self._guard = guard or Unguarded()
         self._context = context
         self._handler = handler
         self._streams: set[IOStream] = set()
@@ -51,32 +81,41 @@
         address: tuple[str, int],
     ) -> None:
         """Answer requests on one connection until it ends."""
+        guarded = self._guard.accept(stream)
+        if not guarded.closed():
+            await self._serve_until_end(guarded, f'{address[0]}:{address[1]}')
+
+    def close_all(self) -> None:
+        """Stop listening and close every connection."""
+        self.stop()
+        for stream in tuple(self._streams):
+            stream.close()
+
+    async def _serve_until_end(self, stream: IOStream, peer: str) -> None:
         set_socket_options(stream)
         self._streams.add(stream)
         try:
-            await self._serve(stream, f'{address[0]}:{address[1]}')
+            await self._serve(stream, peer)
         except StreamClosedError:
             self._context.metrics.count('connections_ended')
         finally:
             stream.close()
             self._streams.discard(stream)
 
-    def close_all(self) -> None:
-        """Stop listening and close every connection."""
-        self.stop()
-        for stream in tuple(self._streams):
-            stream.close()
-
     async def _serve(self, stream: IOStream, peer: str) -> None:
         limit = MAX_FIRST_FRAME_BYTES
         semaphore = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
-        reader = FrameReader(stream, peer, self._context.long_frames)
+        reader = FrameReader(stream, peer, self._context.first_frames)
         while True:
             frame = await reader.read(limit)
             if not isinstance(frame, Success):
                 self._context.metrics.count('frames_bad')
                 return
-            limit = MAX_FRAME_BYTES
+            if limit != MAX_FRAME_BYTES:
+                # The first frame was decoded, so that the peer is known.
+                limit = MAX_FRAME_BYTES
+                reader.long_frames = self._context.long_frames
+                self._guard.begin(stream, 0)
             await semaphore.acquire()
             asyncio.ensure_future(
                 self._handle_and_release(stream, frame.unwrap(), semaphore),
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -158,7 +158,7 @@
     @parameterized.expand(
         [
             ('unknown', 0, 70, 0, 0, 0),
-            ('known', 200, 70, 4100, 65, 2050),
+            ('known', 200, 70, 4100, 65, 1536),
             ('no_room', 60, 70, 1, 1, 1),
         ]
     )
