Orders with very many items are refused before they are read

Items are now counted by the marks between them, before the text is parsed; more than 300,000, one for 14 bytes of the longest document, get 400 with the reason.

--- a/src/turmericmast/jsontext.py
+++ b/src/turmericmast/jsontext.py
@@ -9,6 +9,10 @@
 
 from returns.result import Failure, Result, Success
 
+MAX_ITEMS = 300_000
+"""Most items of an operator's document: one for 14 bytes of the longest one.
+
+Four million bytes of empty objects take more than 100 MB once they are read."""
 MAX_DEPTH = 32
 """Most levels of a document; ours have 6."""
 
@@ -29,6 +33,14 @@
     return Failure(_too_deep()) if _is_deep(document) else Success(document)
 
 
+def has_many_items(source: bytes) -> bool:
+    """Tell whether a text has more items than a client's document may have.
+
+    It is told from the marks between them, before anything is built.
+    """
+    return sum(map(source.count, (b',', b'[', b'{'))) > MAX_ITEMS
+
+
 def repeated_keys(source: str | bytes) -> frozenset[str]:
     """Return the keys that stand twice in one object of a valid JSON text."""
     repeated: set[str] = set()
--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -16,6 +16,7 @@
     TurmericmastError,
 )
 from turmericmast.ids import DomainId, Index, TargetId
+from turmericmast.jsontext import MAX_ITEMS, has_many_items
 from turmericmast.metrics import Metrics
 from turmericmast.numerals import parse_whole
 from turmericmast.platform.documents import parse_report
@@ -151,6 +152,9 @@
 
     async def put(self) -> None:
         """Replace the route document."""
+        if has_many_items(self.request.body):
+            self.answer(Failure(_too_many_items()))
+            return
         self.answer(await self.operations.propose_routes(self.request.body))
 
     async def get(self) -> None:
@@ -183,6 +187,14 @@
         )
 
 
+def _too_many_items() -> SettingsError:
+    return SettingsError(
+        f'more than {MAX_ITEMS} items',
+        step='read routes',
+        hint='send fewer routes, services or accounts',
+    )
+
+
 def body_limit(path: str) -> int:
     """Return the largest body of a request for a path, in bytes."""
     return MAX_ROUTES_BYTES if path == CONFIG_PATH else MAX_REPORT_BYTES
