Heads of very many lines, and forwarded heads and lengths, have limits

The limit of a head counted names and texts only, and none was checked where a request came to the port for instances, so that 15,000 empty header lines were kept for as long as each request waited; an edge had no answer for an ordinary client. A head may now have no more lines than the shortest ones that fit its limit, which no client within the limit exceeds. Forwarded requests have the same limits, with 16 KiB more for what the other instance adds. A body that comes in pieces of a few bytes is buffered in one piece of memory.

--- a/src/turmericmast/web/body.py
+++ b/src/turmericmast/web/body.py
@@ -23,7 +23,7 @@
         """Start with no bytes received."""
         self.size = 0
         self.is_complete = False
-        self._buffer: list[bytes] = []
+        self._buffer = bytearray()
         self._stream: collections.deque[bytes] = collections.deque()
         self._stream_bytes = 0
         self._room: HeldBytes | None = None
@@ -53,13 +53,13 @@
 
     def buffered(self) -> bytes:
         """Return the buffered bytes: the whole body or its start."""
-        return b''.join(self._buffer)
+        return bytes(self._buffer)
 
     async def push(self, chunk: bytes) -> None:
         """Add bytes from the caller; wait while too many are queued."""
         self.size += len(chunk)
         if self.size <= MAX_BUFFERED_BYTES:
-            self._buffer.append(chunk)
+            self._buffer += chunk
             return
         self._stream.append(chunk)
         self._stream_bytes += len(chunk)
--- a/src/turmericmast/web/requestreading.py
+++ b/src/turmericmast/web/requestreading.py
@@ -28,6 +28,12 @@
 
 SHARE_DIGITS = 3
 """Decimal places of a service's share in the log."""
+MIN_LINE_BYTES = 4
+"""Bytes of the shortest header line, so that a head has no more lines.
+
+Each line needs far more memory than its text."""
+FORWARDED_BYTES = 16_384
+"""Bytes that the headers of another instance may add to a head."""
 MAX_SHOWN_LENGTH = 20
 """Characters of a malformed Content-Length that a refusal repeats."""
 
@@ -47,8 +53,12 @@
     edge = context.edge
     if edge.route_table is None:
         return Failure(edgerefusals.no_routes())
-    problem = _check_limits(headers, edge.route_table.document.limits)
-    if problem and not forwarding:
+    problem = _check_limits(
+        headers,
+        edge.route_table.document.limits,
+        FORWARDED_BYTES if forwarding else 0,
+    )
+    if problem:
         return Failure(problem)
     host = headers.get('Host', '')
     route = edge.find_route(host, start.path)
@@ -128,10 +138,17 @@
     )
 
 
-def _check_limits(headers: HTTPHeaders, limits: RouteLimits) -> Problem | None:
-    """Return the problem for sizes that are malformed or exceed the limits."""
-    size = sum(map(len, itertools.chain.from_iterable(headers.get_all())))
-    if size > limits.header_bytes:
+def _check_limits(
+    headers: HTTPHeaders, limits: RouteLimits, added: int = 0
+) -> Problem | None:
+    """Return the problem for sizes that are malformed or exceed the limits.
+
+    ``added`` bytes of the head are of another instance.
+    """
+    lines = tuple(headers.get_all())
+    size = sum(map(len, itertools.chain.from_iterable(lines)))
+    most = limits.header_bytes + added
+    if max(size, len(lines) * MIN_LINE_BYTES) > most:
         return edgerefusals.headers_too_large(limits.header_bytes)
     text = headers.get('Content-Length', '0')
     length = parse_whole(text)
