--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -16,6 +16,7 @@
     TurmericmastError,
 )
 from turmericmast.ids import DomainId, Index, TargetId
+from turmericmast.jsontext import MAX_ITEMS, has_many_items
 from turmericmast.metrics import Metrics
 from turmericmast.numerals import parse_whole
 from turmericmast.platform.documents import parse_report
@@ -29,6 +30,13 @@
 if TYPE_CHECKING:
     from turmericmast.programs.clusteroperations import ClusterOperations
 
+MAX_REPORT_BYTES = 65_536
+"""Largest body of a report or a small order, in bytes.
+
+A report of a target has some 300."""
+MAX_ROUTES_BYTES = 4_194_304
+"""Largest body with routes, in bytes."""
+CONFIG_PATH = '/-/config'
 _STATUS_BY_ERROR = MappingProxyType(
     {
         SettingsError: http.HTTPStatus.BAD_REQUEST,
@@ -144,6 +152,9 @@
 
     async def put(self) -> None:
         """Replace the route document."""
+        if has_many_items(self.request.body):
+            self.answer(Failure(_too_many_items()))
+            return
         self.answer(await self.operations.propose_routes(self.request.body))
 
     async def get(self) -> None:
@@ -176,6 +187,19 @@
         )
 
 
+def _too_many_items() -> SettingsError:
+    return SettingsError(
+        f'more than {MAX_ITEMS} items',
+        step='read routes',
+        hint='send fewer routes, services or accounts',
+    )
+
+
+def body_limit(path: str) -> int:
+    """Return the largest body of a request for a path, in bytes."""
+    return MAX_ROUTES_BYTES if path == CONFIG_PATH else MAX_REPORT_BYTES
+
+
 def make_application(
     operations: 'ClusterOperations', metrics: Metrics
 ) -> DatedApplication:
@@ -184,7 +208,7 @@
     return DatedApplication(
         [
             ('/-/instances/([^/]+)', Instances, shared),
-            ('/-/config', Routes, shared),
+            (CONFIG_PATH, Routes, shared),
             ('/-/evacuations/([^/]+)', Evacuations, shared),
             (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
