Rollouts: orders, state in the log, shares at edges, decisions at the leader

Callers saw requests go to every target of a service, whatever its version; an order to move a service to another version had no place.

The state is in the log (OrderRollout, DecideRollout, ServiceRollout) and is sent with feeds. Edges give the share of a running rollout to the new version, count responses of both versions and send the counts with their polls; members pass them to the leader, which raises the share, completes or rolls back. It takes effect only where the list contracts of the settings names rollout.

--- a/src/turmericmast/balance/candidate.py
+++ b/src/turmericmast/balance/candidate.py
@@ -53,6 +53,8 @@
     """Whether a leaving target may be considered at all."""
     allows_leaving: bool = False
     """Whether a leaving target may serve, since no other one can."""
+    takes_new: bool = False
+    """Whether the version that is rolled out serves, not the current one."""
 
 
 @final
--- a/src/turmericmast/balance/pool.py
+++ b/src/turmericmast/balance/pool.py
@@ -33,6 +33,7 @@
     ServiceId,
     TargetId,
 )
+from turmericmast.rollout.gate import VersionGate
 
 FRESH_REPORT_AGE = 0.1
 """Age in seconds up to which a load report is used without a new probe.
@@ -90,6 +91,8 @@
         self.cold_rate = float(0)
         """Requests a second that a cold target accepts from all instances."""
         self.evacuated: Collection[DomainId] = frozenset()
+        self.gate: VersionGate | None = None
+        """Chooses by version; ``None`` where rollouts are not in force."""
         self.probe_interval = FRESH_REPORT_AGE
         """Shortest time in seconds between two probes of one target."""
         self._locality = locality
@@ -315,6 +318,9 @@
             is_home = not requirements.home_regions or view.region in (
                 requirements.home_regions
             )
+            is_permitted = self.gate is None or self.gate.permits(
+                record.version, takes_new=requirements.takes_new
+            )
             is_available = record.phase is TargetPhase.ready and (
                 record.domain not in self.evacuated
             )
@@ -322,6 +328,7 @@
                 is_home
                 and is_available
                 and record.target not in requirements.avoid
+                and is_permitted
             ):
                 yield view
 
--- a/src/turmericmast/cluster/cluster.py
+++ b/src/turmericmast/cluster/cluster.py
@@ -13,13 +13,15 @@
     ClusterSnapshot,
     EdgeRecord,
     PastVersion,
+    TargetRecord,
     Tombstone,
 )
 from turmericmast.cluster.routes import RouteVersions
 from turmericmast.cluster.suspects import SuspectRegistry
 from turmericmast.cluster.targets import TargetRegistry
 from turmericmast.exceptions import TurmericmastError
-from turmericmast.ids import Index, InstanceId
+from turmericmast.ids import Index, InstanceId, TargetId
+from turmericmast.rollout.rollouts import Rollouts
 
 
 @final
@@ -38,6 +40,7 @@
         self.edges: ChangeTable[InstanceId, EdgeRecord] = ChangeTable()
         self.evacuations = Evacuations()
         self.suspects = SuspectRegistry()
+        self.rollouts = Rollouts()
 
     def edge(self, instance: InstanceId) -> EdgeRecord | None:
         """Return the record of an edge instance, ``None`` if it is unknown."""
@@ -84,6 +87,7 @@
             self.registry.table.complete_since,
             self.edges.complete_since,
             self.suspects.table.complete_since,
+            self.rollouts.table.complete_since,
         )
         since = known if oldest <= known else Index(0)
         has_routes = self.route_versions.changed_at > since
@@ -98,6 +102,7 @@
             edges=tuple(self.edges.changed(since)),
             removed_edges=tuple(self.edges.removed(since) if since else ()),
             suspects=tuple(self.suspects.table.changed(since)),
+            rollouts=tuple(self.rollouts.table.changed(since)),
         )
 
     def snapshot(self) -> ClusterSnapshot:
@@ -119,6 +124,7 @@
             ),
             edges=tuple(self.edges.record_by_key.values()),
             suspects=tuple(self.suspects.table.record_by_key.values()),
+            rollouts=tuple(self.rollouts.table.record_by_key.values()),
         )
 
     def restore(self, snapshot: ClusterSnapshot) -> None:
@@ -132,6 +138,7 @@
         )
         self.evacuations.restore(snapshot.evacuated, index)
         self.suspects.restore(snapshot.suspects, index)
+        self.rollouts.restore(snapshot.rollouts, index)
 
     def _empty_feed(self) -> ClusterFeed:
         return ClusterFeed(
@@ -150,12 +157,14 @@
         index: Index,
         command: commands.ClusterCommand,
     ) -> Result[bool, TurmericmastError]:
+        if isinstance(command, commands.RolloutCommand):
+            return self.rollouts.change(command, index)
         match command:
             case commands.ReportTarget(record=record):
-                return Success(self.registry.report(record, index))
+                return Success(self._report_target(record, index))
             case commands.RemoveTargets(targets=targets):
                 removed = [
-                    self.registry.remove(target, index) for target in targets
+                    self._remove_target(target, index) for target in targets
                 ]
                 return Success(any(removed))
             case commands.ProposeRoutes():
@@ -175,6 +184,24 @@
         ]
         return Success(any(dropped))
 
+    def _report_target(self, record: TargetRecord, index: Index) -> bool:
+        has_changed = self.registry.report(record, index)
+        if has_changed and self.rollouts.needs_adoption(record):
+            self._adopt_version(record, index)
+        return has_changed
+
+    def _remove_target(self, target: TargetId, index: Index) -> bool:
+        record = self.registry.table.record_by_key.get(target)
+        is_removed = self.registry.remove(target, index)
+        if record:
+            self._adopt_version(record, index)
+        return is_removed
+
+    def _adopt_version(self, changed: TargetRecord, index: Index) -> None:
+        self.rollouts.adopt(
+            changed, self.registry.table.record_by_key.values(), index
+        )
+
     def _set_edge(self, edge: EdgeRecord, index: Index) -> bool:
         if self.edges.record_by_key.get(edge.instance) == edge:
             return False
--- a/src/turmericmast/cluster/commands.py
+++ b/src/turmericmast/cluster/commands.py
@@ -11,10 +11,15 @@
 )
 from turmericmast.ids import (
     DomainId,
+    Index,
     InstanceId,
+    Millis,
+    ServiceId,
     TargetId,
+    TargetVersion,
     Version,
 )
+from turmericmast.rollout.records import RolloutState
 
 
 @final
@@ -70,6 +75,37 @@
     instances: tuple[InstanceId, ...]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRollout:
+    """Move the traffic of a service to the targets of a version."""
+
+    service: ServiceId
+    target_version: TargetVersion
+    duration_ms: Millis
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecideRollout:
+    """Change the share of a running rollout, or end it.
+
+    The leader decides by evidence that is not in the log, so the entry holds
+    the whole decision.
+    """
+
+    service: ServiceId
+    order: Index
+    """Which rollout: the index of its order."""
+    state: RolloutState
+    share: int
+    """Thousandths of the requests that go to the new version."""
+    elapsed_ms: Millis
+    """Time since the order, by the leader's clock."""
+    reason: str
+
+
+RolloutCommand: TypeAlias = OrderRollout | DecideRollout
 Order: TypeAlias = SetEvacuation | RemoveTargets
 """Commands that could undo later ones, if they are carried out late."""
 ClusterCommand: TypeAlias = (
@@ -80,4 +116,5 @@
     | SetEdge
     | DropEdges
     | ReportCrash
+    | RolloutCommand
 )
--- a/src/turmericmast/cluster/crashes.py
+++ b/src/turmericmast/cluster/crashes.py
@@ -1,4 +1,4 @@
-"""The report of a target that crashed while it ran a request."""
+"""Reports of targets that crashed while they ran a request."""
 
 import dataclasses
 from typing import final
@@ -15,3 +15,15 @@
     """Identifies the request."""
     at_ms: Millis
     """Wall clock of the instance that reports the crash."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRecord:
+    """A request on which targets crashed."""
+
+    fingerprint: Fingerprint
+    """Identifies the request."""
+    crashes: int
+    until_ms: Millis
+    """Wall clock at which the record expires."""
--- a/src/turmericmast/cluster/records.py
+++ b/src/turmericmast/cluster/records.py
@@ -5,21 +5,22 @@
 from typing import final
 
 from turmericmast.addresses import is_unicast_address
+from turmericmast.cluster.crashes import SuspectRecord
 from turmericmast.ids import (
     Born,
     Digest,
     DomainId,
-    Fingerprint,
     Incarnation,
     Index,
     InstanceId,
-    Millis,
     RegionId,
     ServiceId,
     TargetId,
+    TargetVersion,
     Version,
 )
 from turmericmast.names import is_token
+from turmericmast.rollout.records import ServiceRollout
 
 MAX_SEQUENCE = 9_223_372_036_854_775_807
 """Largest number of a report that the log holds."""
@@ -68,6 +69,8 @@
     slots: int
     """Requests that the target can process at a time."""
     phase: TargetPhase
+    version: TargetVersion = TargetVersion('')
+    """Version of its program; empty if it or an older build told none."""
 
     @property
     def is_usable(self) -> bool:
@@ -125,18 +128,6 @@
     """The document as the operator sent it, compressed with zlib."""
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectRecord:
-    """A request on which targets crashed."""
-
-    fingerprint: Fingerprint
-    """Identifies the request."""
-    crashes: int
-    until_ms: Millis
-    """Wall clock at which the record expires."""
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClusterFeed:
@@ -158,6 +149,8 @@
     removed_edges: tuple[InstanceId, ...]
     suspects: tuple[SuspectRecord, ...] = ()
     """Changed records, never removals: edges drop a record when it expires."""
+    rollouts: tuple[ServiceRollout, ...] = ()
+    """Changed records, never removals; older builds send none."""
 
 
 @final
@@ -194,3 +187,4 @@
     tombstones: tuple[Tombstone, ...]
     edges: tuple[EdgeRecord, ...]
     suspects: tuple[SuspectRecord, ...] = ()
+    rollouts: tuple[ServiceRollout, ...] = ()
--- a/src/turmericmast/cluster/suspects.py
+++ b/src/turmericmast/cluster/suspects.py
@@ -4,8 +4,7 @@
 from typing import final
 
 from turmericmast.cluster.changetable import ChangeTable
-from turmericmast.cluster.crashes import ReportCrash
-from turmericmast.cluster.records import SuspectRecord
+from turmericmast.cluster.crashes import ReportCrash, SuspectRecord
 from turmericmast.ids import Fingerprint, Index, Millis
 
 MAX_SUSPECTS = 256
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,7 +1,6 @@
 """The root of the edge aggregate: state and decisions of one instance."""
 
 import dataclasses
-import functools
 import math
 from collections.abc import Iterable, Mapping
 from typing import final
@@ -42,6 +41,7 @@
     TargetId,
 )
 from turmericmast.instancesettings import Bounds
+from turmericmast.rollout.gates import VersionGates
 from turmericmast.route.document import Route, RouteDocument, ServiceConfig
 from turmericmast.route.table import RouteTable, TrafficSplitter
 
@@ -61,14 +61,17 @@
         region_by_domain: Mapping[DomainId, RegionId],
         bounds: Bounds,
         started_at: Seconds = LONG_AGO,
+        gates: VersionGates | None = None,
     ) -> None:
         """Begin with an empty view of the cluster.
 
         ``started_at`` is when this process started, ``LONG_AGO`` if none can
-        have run here shortly before.
+        have run here shortly before. ``gates`` choose targets by their
+        version; ``None`` where rollouts are not in force.
         """
         self.record = record
         self.bounds = bounds
+        self.gates = gates
         self.index = Index(0)
         """Index of the newest feed that was applied."""
         self.route_table: RouteTable | None = None
@@ -85,7 +88,7 @@
         self.quarantine = Quarantine()
         self.crash_doubts = CrashDoubts()
         self._splitter = TrafficSplitter(
-            functools.partial(_split_start, record)
+            lambda route, service: _split_start(record, route, service)
         )
         self._reach_report = ReachReport()
         self._stops_at = math.inf
@@ -178,7 +181,8 @@
         """
         record = view.record
         known = self._view_by_target.get(record.target)
-        is_ready = view.record.phase is TargetPhase.ready
+        is_permitted = self.gates is None or self.gates.may_send(record, now)
+        is_ready = is_permitted and record.phase is TargetPhase.ready
         cause = withheld_by(view, now, as_last_resort=as_last_resort)
         return (
             known is view
@@ -234,6 +238,8 @@
             self._splitter.keep(document.route_by_name.values())
         self.evacuated = frozenset(feed.evacuated)
         self.quarantine.update(feed.suspects)
+        if self.gates:
+            self.gates.apply(feed.rollouts)
         self.membership.apply(feed)
         self.peers.forget_removed()
         self._apply_targets(feed)
@@ -285,6 +291,8 @@
                 self.membership.assignments.own_targets,
                 affinity(service, self.record.instance),
             )
+            if self.gates:
+                known.gate = self.gates.gate(service)
             self.pool_by_service[service] = known
         return known
 
--- a/src/turmericmast/edge/quarantine.py
+++ b/src/turmericmast/edge/quarantine.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from turmericmast.cluster.records import SuspectRecord
+from turmericmast.cluster.crashes import SuspectRecord
 from turmericmast.ids import Fingerprint, Millis
 from turmericmast.units import MILLIS_PER_SECOND
 
--- a/src/turmericmast/ids.py
+++ b/src/turmericmast/ids.py
@@ -52,6 +52,9 @@
 Version = NewType('Version', int)
 """Version of a fleet document or a route document."""
 
+TargetVersion = NewType('TargetVersion', str)
+"""Version of a target's program, as the target reports it."""
+
 Millis = NewType('Millis', int)
 """A point in time or a duration in milliseconds."""
 
--- a/src/turmericmast/instancesettings.py
+++ b/src/turmericmast/instancesettings.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 import pathlib
 from collections.abc import Mapping
 from typing import final
@@ -11,6 +12,14 @@
 from turmericmast.ids import DomainId, InstanceId, RegionId, Seconds
 
 
+@final
+class Contract(enum.Enum):
+    """Parts of the system that a deployment may have in force."""
+
+    rollout = 'rollout'
+    """Targets get requests by their version, which rollouts change."""
+
+
 @final
 @dataclasses.dataclass(frozen=True)
 class ListenAddresses:
@@ -106,6 +115,8 @@
     """File for events, ``None`` to write no file."""
     logs_to_stdout: bool = True
     """Whether events go to standard output, as JSON lines."""
+    contracts: frozenset[Contract] = frozenset()
+    """Parts in force, as far as this build knows them."""
 
     @property
     def instance(self) -> InstanceId:
--- a/src/turmericmast/platform/coreapi.py
+++ b/src/turmericmast/platform/coreapi.py
@@ -15,10 +15,14 @@
     SettingsError,
     TurmericmastError,
 )
-from turmericmast.ids import DomainId, Index, TargetId
+from turmericmast.ids import DomainId, Index, ServiceId, TargetId
 from turmericmast.metrics import Metrics
 from turmericmast.numerals import parse_whole
 from turmericmast.platform.documents import parse_report
+from turmericmast.platform.rolloutdocuments import (
+    parse_rollout_order,
+    rollout_document,
+)
 from turmericmast.web.datedrequests import DatedApplication
 from turmericmast.web.metricspage import (
     METRICS_PATH,
@@ -61,8 +65,12 @@
         self,
         outcome: Result[Any, TurmericmastError],
         document: Any = None,
+        conflict: http.HTTPStatus = http.HTTPStatus.PRECONDITION_FAILED,
     ) -> None:
-        """Send ``document`` as JSON, or the error of a failed request."""
+        """Send ``document`` as JSON, or the error of a failed request.
+
+        ``conflict`` is the status of a ``ConflictError``.
+        """
         status = (
             http.HTTPStatus.OK
             if isinstance(outcome, Success)
@@ -71,6 +79,8 @@
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
             )
         )
+        if status is http.HTTPStatus.PRECONDITION_FAILED:
+            status = conflict
         self.metrics.count(
             'orders',
             page=type(self).__name__.lower(),
@@ -176,6 +186,35 @@
         )
 
 
+class Rollouts(_Page):
+    """Orders to move services to other versions."""
+
+    async def post(self) -> None:
+        """Begin a rollout, or acknowledge one that was ordered before."""
+        parsed = parse_rollout_order(self.request.body)
+        if not isinstance(parsed, Success):
+            self.answer(parsed)
+            return
+        ordered = await self.operations.rollouts.order(parsed.unwrap())
+        self.answer(ordered, conflict=http.HTTPStatus.CONFLICT)
+
+
+class Rollout(_Page):
+    """The newest rollout of a service."""
+
+    async def get(self, service: str) -> None:
+        """Return its state; status 404 if none was ever ordered."""
+        shown = await self.operations.rollouts.show(ServiceId(service))
+        if not isinstance(shown, Success):
+            self.answer(shown)
+            return
+        if not shown.unwrap().order:
+            self.set_status(http.HTTPStatus.NOT_FOUND)
+            self.finish(json.dumps({'error': 'no rollout was ordered'}))
+            return
+        self.answer(shown, rollout_document(shown.unwrap()))
+
+
 def make_application(
     operations: 'ClusterOperations', metrics: Metrics
 ) -> DatedApplication:
@@ -186,6 +225,8 @@
             ('/-/instances/([^/]+)', Instances, shared),
             ('/-/config', Routes, shared),
             ('/-/evacuations/([^/]+)', Evacuations, shared),
+            ('/-/rollouts', Rollouts, shared),
+            ('/-/rollouts/([^/]+)', Rollout, shared),
             (METRICS_PATH, MetricsPage, {'metrics': metrics}),
         ],
         operations.committer.known_index,
--- a/src/turmericmast/platform/documents.py
+++ b/src/turmericmast/platform/documents.py
@@ -27,6 +27,7 @@
     Seconds,
     ServiceId,
     TargetId,
+    TargetVersion,
     TenantId,
     Version,
 )
@@ -203,6 +204,18 @@
     )
 
 
+def _target_version(description: Fields) -> TargetVersion:
+    """Return the version that a target tells, empty if it is no name.
+
+    Reports were accepted whatever they said of the version, and a target that
+    is refused would get no requests.
+    """
+    try:
+        return TargetVersion(description.name('version'))
+    except FieldError:
+        return TargetVersion('')
+
+
 def _report(target: str, fields: Fields) -> TargetRecord:
     description, status = fields.table('info'), fields.table('status')
     record = TargetRecord(
@@ -214,6 +227,7 @@
         domain=DomainId(description.name('zone')),
         slots=description.whole('capacity', low=1, high=MAX_SLOTS),
         phase=status.choice('state', TargetPhase),
+        version=_target_version(description),
     )
     if not is_unicast_address(record.address):
         raise FieldError(
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -11,6 +11,7 @@
 from turmericmast.ids import DomainId, RegionId, Seconds
 from turmericmast.instancesettings import (
     Bounds,
+    Contract,
     HostLimits,
     InstanceSettings,
     ListenAddresses,
@@ -152,6 +153,16 @@
         data=pathlib.Path(tree['data_dir']) if tree.get('data_dir') else None,
         is_first_start=tree.get('bootstrap') is True,
         operators_port=int(control.rpartition(':')[-1]),
+        contracts=_build_contracts(tree),
+    )
+
+
+def _build_contracts(tree: JsonObject) -> frozenset[Contract]:
+    """Return the parts in force; names of other parts are ignored."""
+    named = tree.get('contracts')
+    names = named if isinstance(named, list) else []
+    return frozenset(
+        contract for contract in Contract if contract.value in names
     )
 
 
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -25,6 +25,7 @@
 from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
+from turmericmast.programs.rolloutoperations import RolloutOperations
 from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire import watchrequests
 
@@ -57,6 +58,9 @@
         self._route_format = route_format
         self._reporting_targets: set[TargetId] = set()
         self.committer = ClusterCommitter(process, group, state_machine)
+        self.rollouts = RolloutOperations(
+            process, self.committer, group, state_machine.cluster
+        )
 
     @property
     def address(self) -> str:
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -15,9 +15,10 @@
 from turmericmast.edge.memberranking import MemberRanking
 from turmericmast.edge.nearmember import ASK_INTERVAL, NearMemberSearch
 from turmericmast.events import EventLog
-from turmericmast.ids import MemberId
+from turmericmast.ids import MemberId, Seconds
 from turmericmast.instancesettings import InstanceSettings
 from turmericmast.route.document import RouteDocument, RouteFormat
+from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.wire.feedpacking import unpack_feed
 from turmericmast.wire.linkpool import LinkPool
 from turmericmast.wire.watchrequests import (
@@ -209,11 +210,21 @@
         It is good if it is applied and comes from a member with recent contact
         to a quorum.
         """
+        gates = self._edge.gates
+        sent_at = self._clock.now()
         answer = await self._links.to(member).request(
-            WatchCluster(self._edge.record, self._edge.index, packed=True),
+            WatchCluster(
+                self._edge.record,
+                self._edge.index,
+                packed=True,
+                evidence=gates.counts() if gates else (),
+            ),
             REQUEST_TIMEOUT,
         )
         is_good = self._use_answer(member, answer.value_or(None))
+        if is_good and gates:
+            contact_age = answer.unwrap().contact_ms / MILLIS_PER_SECOND
+            gates.freshness.prove(Seconds(sent_at - contact_age))
         self._record_contact(member, is_good=is_good)
         return is_good
 
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -73,8 +73,8 @@
 
     async def handle(self, sender: str, body: Any) -> Any:
         """Handle one message; return the answer, ``None`` if it needs none."""
-        if isinstance(body, messages.Message):
-            self._group.receive(body)
+        if isinstance(body, messages.Message | clusterrequests.HeardEvidence):
+            self._receive(body)
             return None
         match body:
             case watchrequests.WatchCluster():
@@ -121,6 +121,15 @@
         elif self._group.replica.leader and (heard.targets or heard.instances):
             self._group.links.to(self._group.replica.leader).send(heard)
 
+    def _receive(
+        self, body: messages.Message | clusterrequests.HeardEvidence
+    ) -> None:
+        """Handle a message of another member that needs no answer."""
+        if isinstance(body, clusterrequests.HeardEvidence):
+            self.operations.rollouts.driver.receive(body)
+        else:
+            self._group.receive(body)
+
     def _register(self, watch: watchrequests.WatchCluster) -> None:
         edge = watch.edge
         known = self._state_machine.cluster.edge(edge.instance)
@@ -133,6 +142,7 @@
     async def _watch(self, watch: watchrequests.WatchCluster) -> Any:
         self._watching_edges.add(watch.edge.instance)
         self._register(watch)
+        self.operations.rollouts.driver.record(watch)
         if self._group.contact_age() < MAX_CONTACT_AGE:
             await self._state_machine.wait_for_change(
                 watch.known, WATCH_TIMEOUT
@@ -164,6 +174,7 @@
     core = Core(process, group, state_machine)
     _serve(process, stack, core)
     group.start({})
+    stack.enter_context(core.operations.rollouts.driver)
     ticker = PeriodicCallback(core.tick, TICK_INTERVAL_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -1,8 +1,6 @@
 """``turmericmast-edge``: an instance that routes requests to targets."""
 
 import contextlib
-from typing import Any
-
 from turmericmast.clock import LONG_AGO
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
@@ -22,6 +20,7 @@
     serve_pages,
 )
 from turmericmast.programs.settingsreloader import SettingsReloader
+from turmericmast.programs.versiongates import make_gates
 from turmericmast.web.crashdetection import CrashDetector, ReportToCore
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgecontext import EdgeContext
@@ -59,6 +58,7 @@
         settings.bounds,
         # At the first start, no process has spent retries here before.
         LONG_AGO if settings.is_first_start else process.clock.now(),
+        make_gates(process),
     )
     watcher = ClusterWatcher(
         process, edge, DocumentFormat(), LinkPool(process.context)
@@ -155,7 +155,7 @@
     )
 
 
-def _apply_nothing(settings: Any) -> None:
+def _apply_nothing(settings: InstanceSettings) -> None:
     """Do nothing: users of settings that may change read them each time."""
 
 
--- a/src/turmericmast/programs/why.py
+++ b/src/turmericmast/programs/why.py
@@ -19,6 +19,7 @@
         'core_contact',
         'routes',
         'routes_bad',
+        'rollout',
         'leaving',
         'started',
         'lines_left_out',
--- /dev/null
+++ b/src/turmericmast/rollout/evidence.py
@@ -0,0 +1,143 @@
+"""What instances have counted of a rollout, summed over all of them."""
+
+import dataclasses
+from collections.abc import Collection, Iterable, Mapping
+from typing import final
+
+from turmericmast.ids import Incarnation, Index, InstanceId, RouteName
+from turmericmast.rollout.latencies import BUCKETS
+from turmericmast.rollout.records import EdgeEvidence, VersionCounts
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tally:
+    """Responses of one version."""
+
+    responses: int = 0
+    failures: int = 0
+    latencies: tuple[int, ...] = (0,) * BUCKETS
+    """Responses of warm targets by class of latency."""
+
+    def plus(self, counts: VersionCounts) -> 'Tally':
+        """Return the sum with the counts of one instance."""
+        padded = (*counts.latencies, *(0,) * BUCKETS)
+        return Tally(
+            self.responses + counts.responses,
+            self.failures + counts.failures,
+            tuple(map(sum, zip(self.latencies, padded, strict=False))),
+        )
+
+    def since(self, earlier: 'Tally') -> 'Tally':
+        """Return what was counted after an earlier tally.
+
+        Never negative: what an instance counted may be lost with it.
+        """
+        return Tally(
+            max(self.responses - earlier.responses, 0),
+            max(self.failures - earlier.failures, 0),
+            tuple(
+                max(later - before, 0)
+                for later, before in zip(
+                    self.latencies, earlier.latencies, strict=True
+                )
+            ),
+        )
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """Responses of the old and of the new version on one route."""
+
+    old: Tally = Tally()
+    new: Tally = Tally()
+
+    def since(self, earlier: 'Comparison') -> 'Comparison':
+        """Return what was counted after an earlier comparison."""
+        return Comparison(
+            self.old.since(earlier.old), self.new.since(earlier.new)
+        )
+
+    def plus(self, counts: VersionCounts) -> 'Comparison':
+        """Return the sum with the counts of one instance."""
+        if counts.is_new:
+            return Comparison(self.old, self.new.plus(counts))
+        return Comparison(self.old.plus(counts), self.new)
+
+
+Evidence = Mapping[RouteName, Comparison]
+"""The comparison of each route that had responses."""
+
+
+def new_responses(evidence: Evidence) -> int:
+    """Return the responses of the new version on all routes."""
+    return sum(compared.new.responses for compared in evidence.values())
+
+
+def evidence_since(evidence: Evidence, earlier: Evidence) -> Evidence:
+    """Return what was counted after earlier evidence."""
+    return {
+        route: compared.since(earlier.get(route, Comparison()))
+        for route, compared in evidence.items()
+    }
+
+
+@final
+class EvidenceTable:
+    """Keeps the newest counts of each start of an instance.
+
+    Counts only grow, so of two messages the one with more responses is newer.
+    """
+
+    def __init__(self) -> None:
+        """Begin without evidence."""
+        self._evidence_by_start: dict[
+            tuple[InstanceId, Incarnation], EdgeEvidence
+        ] = {}
+
+    def record(self, evidence: EdgeEvidence) -> None:
+        """Replace what is known of one start of an instance."""
+        start = (evidence.instance, evidence.incarnation)
+        known = self._evidence_by_start.get(start)
+        if known is None or _is_newer(evidence, known):
+            self._evidence_by_start[start] = evidence
+
+    def total(self, order: Index) -> Evidence:
+        """Return the sum for a rollout over all instances."""
+        total: dict[RouteName, Comparison] = {}
+        for evidence in self._evidence_by_start.values():
+            for counts in evidence.counts:
+                if counts.order == order:
+                    known = total.get(counts.route, Comparison())
+                    total[counts.route] = known.plus(counts)
+        return total
+
+    def forget_except(self, orders: Collection[Index]) -> None:
+        """Drop the evidence of rollouts that have ended."""
+        self._evidence_by_start = {
+            start: evidence
+            for start, evidence in self._evidence_by_start.items()
+            if any(counts.order in orders for counts in evidence.counts)
+        }
+
+    def snapshot(self) -> tuple[EdgeEvidence, ...]:
+        """Return the newest counts of all instances."""
+        return tuple(self._evidence_by_start.values())
+
+
+def _is_newer(evidence: EdgeEvidence, known: EdgeEvidence) -> bool:
+    newest = _last_order(evidence.counts)
+    known_newest = _last_order(known.counts)
+    return (newest, _responses(evidence.counts)) >= (
+        known_newest,
+        _responses(known.counts),
+    )
+
+
+def _last_order(counts: Iterable[VersionCounts]) -> Index:
+    return max((one.order for one in counts), default=Index(0))
+
+
+def _responses(counts: Iterable[VersionCounts]) -> int:
+    return sum(one.responses for one in counts)
--- /dev/null
+++ b/src/turmericmast/rollout/policy.py
@@ -0,0 +1,154 @@
+"""When the share of a new version rises, and how its rollout ends."""
+
+import dataclasses
+from typing import Final, final
+
+from turmericmast.cluster.commands import DecideRollout
+from turmericmast.ids import Millis, Seconds
+from turmericmast.rollout.evidence import (
+    Evidence,
+    evidence_since,
+    new_responses,
+)
+from turmericmast.rollout.judgement import Judgement, Verdict, judge
+from turmericmast.rollout.records import (
+    FULL_SHARE,
+    RolloutState,
+    ServiceRollout,
+)
+from turmericmast.rollout.shares import EVIDENT_SHARE, RISING_SHARES
+from turmericmast.units import MILLIS_PER_SECOND
+
+UNDECIDED_PART: Final = 0.5
+"""Part of the exposure share that is used without evidence."""
+TRIAL_PART: Final = 0.45
+"""Part of the time budget with the undecided share.
+
+New targets are cold in the first seconds of it."""
+STEP_PART: Final = 0.065
+"""Part of the time budget that each rising share lasts."""
+LEAST_STEP: Final = 0.75
+"""Seconds of a step at least, within which its evidence arrives.
+
+Instances learn of it within 0.1 s, poll every 0.4 s, and requests take time."""
+LEAST_STEP_PART: Final = 0.1
+"""Largest part of the time budget that ``LEAST_STEP`` may take."""
+ENOUGH_RESPONSES: Final = 20
+"""Responses of the new version that allow the share to rise.
+
+Of a version that fails every tenth response, fewer mostly show nothing."""
+PATIENCE_PART: Final = 0.6
+"""Part of the time budget after which fewer responses are enough.
+
+A service with so few requests stays within the exposure slack."""
+LAST_PART: Final = 0.9
+"""Part of the time budget at which a version in doubt is rolled back."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """What the leader knows of a running rollout."""
+
+    elapsed: Seconds
+    """Time since the order."""
+    in_step: Seconds
+    """Time since the share was set."""
+    evidence: Evidence
+    at_step: Evidence
+    """The evidence when the share was set."""
+    ready_targets: int
+    """Targets of the new version that accept requests."""
+
+
+@final
+class RolloutPolicy:
+    """Decides about running rollouts, by evidence and time."""
+
+    def __init__(self, exposure_share: float) -> None:
+        """Keep to the part of the requests that a bad version may get."""
+        undecided = int(exposure_share * UNDECIDED_PART * FULL_SHARE)
+        self._undecided_share = max(undecided, 1)
+
+    def decide(
+        self, rollout: ServiceRollout, progress: Progress
+    ) -> DecideRollout | None:
+        """Return the next step of a rollout or its end, if one is due."""
+        if not rollout.share:
+            return _decision(
+                rollout, progress, self._undecided_share, 'ordered'
+            )
+        judgement = judge(
+            progress.evidence,
+            evidence_since(progress.evidence, progress.at_step),
+        )
+        failure = _find_failure(rollout, progress, judgement)
+        if failure:
+            return _end(rollout, progress, RolloutState.rolled_back, failure)
+        if judgement.verdict is not Verdict.good:
+            return None
+        if not _is_step_over(rollout, progress):
+            return None
+        reason = f'good: {new_responses(progress.evidence)} responses'
+        if rollout.share >= FULL_SHARE:
+            return _end(rollout, progress, RolloutState.completed, reason)
+        return _decision(rollout, progress, _next_share(rollout), reason)
+
+
+def _find_failure(
+    rollout: ServiceRollout, progress: Progress, judgement: Judgement
+) -> str:
+    """Return why a version is rolled back now, empty if it is not."""
+    if judgement.verdict is Verdict.bad:
+        return judgement.reason
+    if progress.elapsed < LAST_PART * _budget(rollout):
+        return ''
+    if not progress.ready_targets:
+        return 'no target of the version is ready'
+    return judgement.reason
+
+
+def _is_step_over(rollout: ServiceRollout, progress: Progress) -> bool:
+    budget = _budget(rollout)
+    if not progress.ready_targets:
+        return False
+    if rollout.share >= EVIDENT_SHARE:
+        least = min(LEAST_STEP, LEAST_STEP_PART * budget)
+        return progress.in_step >= max(STEP_PART * budget, least)
+    if progress.elapsed < TRIAL_PART * budget:
+        return False
+    is_enough = new_responses(progress.evidence) >= ENOUGH_RESPONSES
+    return is_enough or progress.elapsed >= PATIENCE_PART * budget
+
+
+def _next_share(rollout: ServiceRollout) -> int:
+    return next(share for share in RISING_SHARES if share > rollout.share)
+
+
+def _budget(rollout: ServiceRollout) -> float:
+    return rollout.duration_ms / MILLIS_PER_SECOND
+
+
+def _end(
+    rollout: ServiceRollout,
+    progress: Progress,
+    state: RolloutState,
+    reason: str,
+) -> DecideRollout:
+    share = FULL_SHARE if state is RolloutState.completed else 0
+    return dataclasses.replace(
+        _decision(rollout, progress, share, reason), state=state
+    )
+
+
+def _decision(
+    rollout: ServiceRollout, progress: Progress, share: int, reason: str
+) -> DecideRollout:
+    return DecideRollout(
+        rollout.service,
+        rollout.order,
+        RolloutState.running,
+        share,
+        Millis(int(progress.elapsed * MILLIS_PER_SECOND)),
+        reason,
+    )
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -23,6 +23,8 @@
 
 MAX_SHOWN_ID = 40
 """Characters of the id in a rejected response that are logged."""
+CountEnd = Callable[[Loss | None, Seconds | None], None]
+"""Counts an attempt by its loss and its latency, if that says anything."""
 MakeRequest = Callable[[Candidate, Callable[[], None]], TransferRequest]
 """Builds the request to a candidate; the callback resumes its transfer."""
 
@@ -49,12 +51,15 @@
         self.began_at = context.clock.now()
         self.hedge = Hedge(candidate, self.began_at)
         response.on_statement = self._apply_statement
+        self.on_end: CountEnd | None = None
+        """Counts the end of the attempt as evidence of a rollout."""
         self._context = context
         self._pool = pool
         self._profile = profile
         self._sent_octets = 0
         self._slowness = candidate.view.report.slowness
         self._had_free_slot = candidate.view.has_free_slot()
+        self._was_cold = candidate.view.cold_time_left(self.began_at) > 0
         self._is_cancelled = False
         self._transfer: Transfer | None = None
         self._task: asyncio.Task[Loss | None] | None = None
@@ -122,6 +127,8 @@
         if self.response.load:
             view.update_load(self.response.load, now)
         is_unsent = transfer.progress is Progress.vetoed
+        if self.on_end and not is_unsent:
+            self._count_end(loss, now)
         if self._is_cancelled or is_unsent or self.response.is_superseded:
             view.drop_request()
             return loss
@@ -130,6 +137,19 @@
         self._record_result(loss, now)
         return loss
 
+    def _count_end(self, loss: Loss | None, now: Seconds) -> None:
+        """Count the attempt as evidence of a rollout.
+
+        One that was cancelled has taken at least as long as it ran. Cold
+        targets are slow whatever their version.
+        """
+        latency = Seconds((now - self.began_at) / max(self._slowness, 1))
+        if self.on_end:
+            self.on_end(
+                None if self._is_cancelled else loss,
+                None if self._was_cold else latency,
+            )
+
     def _confirm_target(self) -> None:
         """Probe a target that has got many requests since it said it is up."""
         view = self.candidate.view
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -249,6 +249,10 @@
             response,
             self._profile,
         )
+        if self._pool.gate:
+            attempt.on_end = self._pool.gate.counter(
+                self._incoming.route.name, record.version
+            )
         attempt.start(self._make_request)
         self._relay.resume = self._attempts.resume
         self._attempts.add(attempt)
--- a/src/turmericmast/web/edgerequest.py
+++ b/src/turmericmast/web/edgerequest.py
@@ -42,6 +42,8 @@
     """What the instance told that forwarded it; ``None`` from a caller."""
     identity: Identity | None = None
     """Who the caller is; ``None`` where the routes come without accounts."""
+    takes_new: bool = False
+    """Whether the first attempt goes to the version that is rolled out."""
 
     @property
     def home_regions(self) -> frozenset[RegionId]:
@@ -82,6 +84,7 @@
 
     def requirements(self, avoid: Collection[TargetId]) -> Requirements:
         """Return the constraints on the target; ``avoid`` is excluded."""
+        gate = self.pool.gate
         return Requirements(
             route=self.route.name,
             latency_goal=self.route.latency_goal,
@@ -92,6 +95,8 @@
             is_download=self.route.kind is RouteKind.download,
             # The sender has its own last resort, which may have ended.
             has_last_resort=not self.forwarding,
+            takes_new=self.takes_new
+            and (not avoid or bool(gate and gate.retries_new())),
         )
 
     def transfer_request(
--- a/src/turmericmast/web/requestreading.py
+++ b/src/turmericmast/web/requestreading.py
@@ -72,6 +72,8 @@
         request_id=metadata.request_id,
         began_at=received_at,
         identity=identity.unwrap(),
+        takes_new=pool.gate is not None
+        and pool.gate.draw_new(context.clock.now()),
     )
     return _accept(context, request, forwarding)
 
--- a/src/turmericmast/web/targetselection.py
+++ b/src/turmericmast/web/targetselection.py
@@ -58,35 +58,24 @@
         of them."""
 
     async def select(self, requirements: Requirements) -> Candidate | None:
-        """Return the best target, ``None`` if there is no good one."""
-        views = tuple(
-            self._pool.permitted_targets(
-                dataclasses.replace(requirements, avoid=())
+        """Return the best target, ``None`` if there is no good one.
+
+        During a rollout, the targets of the other version are considered if
+        those of the drawn one cannot serve, as far as they may.
+        """
+        best = await self._select(requirements)
+        gate = self._pool.gate
+        if best or gate is None:
+            return best
+        if requirements.takes_new:
+            gate.withdraw_draw()
+        elif not gate.may_replace_old(self._context.clock.now()):
+            return None
+        return await self._select(
+            dataclasses.replace(
+                requirements, takes_new=not requirements.takes_new
             )
         )
-        self._count_withheld(views)
-        has_lost_most = 2 * self._lost_paths(views) > len(views)
-        self.is_cut_off = has_lost_most or self._reports_cut_off()
-        best = await (
-            self._search_at_once(requirements)
-            if self.is_cut_off
-            else self._search(requirements)
-        )
-        if best is None:
-            # Few targets of a service that is rarely used are tried at all.
-            self.is_cut_off |= self._lost_paths(views) > 0
-        now = self._context.clock.now()
-        is_unserved = best is None and requirements.has_last_resort
-        if is_unserved and has_last_resort(
-            self._pool.permitted_targets(requirements), now
-        ):
-            best = await self._search(
-                dataclasses.replace(requirements, allows_leaving=True)
-            )
-            now = self._context.clock.now()
-        self.last_best = best
-        is_admitted = best and self._pool.admits(requirements, best, now)
-        return best if is_admitted else None
 
     def is_doubtful(self, candidate: Candidate | None, call: Call) -> bool:
         """Tell whether another instance would serve a call more likely.
@@ -114,6 +103,36 @@
         if path and not is_paused:
             self._context.prober.start(candidate.view, path)
 
+    async def _select(self, requirements: Requirements) -> Candidate | None:
+        views = tuple(
+            self._pool.permitted_targets(
+                dataclasses.replace(requirements, avoid=())
+            )
+        )
+        self._count_withheld(views)
+        has_lost_most = 2 * self._lost_paths(views) > len(views)
+        self.is_cut_off = has_lost_most or self._reports_cut_off()
+        best = await (
+            self._search_at_once(requirements)
+            if self.is_cut_off
+            else self._search(requirements)
+        )
+        if best is None:
+            # Few targets of a service that is rarely used are tried at all.
+            self.is_cut_off |= self._lost_paths(views) > 0
+        now = self._context.clock.now()
+        is_unserved = best is None and requirements.has_last_resort
+        if is_unserved and has_last_resort(
+            self._pool.permitted_targets(requirements), now
+        ):
+            best = await self._search(
+                dataclasses.replace(requirements, allows_leaving=True)
+            )
+            now = self._context.clock.now()
+        self.last_best = best
+        is_admitted = best and self._pool.admits(requirements, best, now)
+        return best if is_admitted else None
+
     def _reports_cut_off(self) -> bool:
         return self._context.edge.record.reach is TargetReach.forwarded
 
--- a/src/turmericmast/wire/catalogue.py
+++ b/src/turmericmast/wire/catalogue.py
@@ -61,6 +61,8 @@
             'SetEvacuation',
             'SetEdge',
             'DropEdges',
+            'OrderRollout',
+            'DecideRollout',
         ),
         'cluster.crashes': ('ReportCrash',),
         'cluster.records': (
@@ -82,6 +84,7 @@
             'ChangeCluster',
             'Heard',
             'AskIndex',
+            'HeardEvidence',
         ),
         'wire.watchrequests': (
             'WatchCluster',
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -5,6 +5,7 @@
 
 from turmericmast.cluster.commands import ClusterCommand
 from turmericmast.ids import Index, InstanceId, TargetId
+from turmericmast.rollout.records import EdgeEvidence
 
 
 @final
@@ -29,6 +30,14 @@
     instances: tuple[InstanceId, ...]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardEvidence:
+    """A member tells the leader what instances counted during rollouts."""
+
+    evidence: tuple[EdgeEvidence, ...]
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskIndex:
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -467,6 +467,39 @@
   6: string domain
   7: i32 slots
   8: string phase
+  120: string version = ""
+}
+
+/** What is known of the versions of a service, and its newest rollout. */
+struct ServiceRollout {
+  1: string service_
+  2: string current
+  3: string state
+  4: string target_version
+  5: i64 order
+  6: i64 duration_ms
+  7: i32 share
+  8: i64 elapsed_ms
+  9: string reason
+  10: list<string> rejected
+}
+
+/** Responses of one route at one instance, by targets of one version. */
+struct VersionCounts {
+  1: string service_
+  2: i64 order
+  3: string route
+  4: bool is_new
+  5: i64 responses
+  6: i64 failures
+  7: list<i64> latencies
+}
+
+/** The counts of one instance, from which the core judges a version. */
+struct EdgeEvidence {
+  1: string instance
+  2: string incarnation
+  3: list<VersionCounts> counts
 }
 
 /** An edge instance, which serves callers. */
@@ -535,6 +568,7 @@
   7: list<EdgeRecord> edges
   8: list<string> removed_edges
   9: list<SuspectRecord> suspects
+  30: list<ServiceRollout> rollouts = []
 }
 
 /** A target that has left; late reports of that start are ignored. */
@@ -559,6 +593,7 @@
   6: list<Tombstone> tombstones
   7: list<EdgeRecord> edges
   8: list<SuspectRecord> suspects
+  30: list<ServiceRollout> rollouts = []
 }
 
 /** A target has started, or its report has changed. */
@@ -583,6 +618,23 @@
   2: bool evacuated
 }
 
+/** An operator orders to move a service to the targets of a version. */
+struct OrderRollout {
+  1: string service_
+  2: string target_version
+  3: i64 duration_ms
+}
+
+/** The leader decides about the share or the outcome of a rollout. */
+struct DecideRollout {
+  1: string service_
+  2: i64 order
+  3: string state
+  4: i32 share
+  5: i64 elapsed_ms
+  6: string reason
+}
+
 /** An edge instance has started, or its phase has changed. */
 struct SetEdge {
   1: EdgeRecord edge
@@ -616,6 +668,7 @@
   1: EdgeRecord edge
   2: i64 known
   3: bool packed = false
+  30: list<VersionCounts> evidence = []
 }
 
 /** The changes, the core group's members, and the answer's staleness. */
@@ -648,6 +701,11 @@
   2: list<string> instances
 }
 
+/** A member tells the leader what instances counted during rollouts. */
+struct HeardEvidence {
+  1: list<EdgeEvidence> evidence
+}
+
 /** A member requests the leader's commit index. */
 struct AskIndex {
 }
@@ -735,6 +793,9 @@
   62: optional AskMember ask_member
   63: optional TellMember tell_member
   64: optional Overtaken overtaken
+  120: optional OrderRollout order_rollout
+  121: optional DecideRollout decide_rollout
+  122: optional HeardEvidence heard_evidence
 }
 
 /** A command for the control group. */
--- a/src/turmericmast/wire/watchrequests.py
+++ b/src/turmericmast/wire/watchrequests.py
@@ -10,6 +10,7 @@
 from turmericmast.cluster.records import ClusterFeed, EdgeRecord
 from turmericmast.ids import DomainId, Index, MemberId
 from turmericmast.replica.seat import Seat
+from turmericmast.rollout.records import VersionCounts
 
 
 @final
@@ -22,6 +23,8 @@
     """Index up to which the edge has all changes."""
     packed: bool = False
     """Whether the edge understands ``PackedCluster``; older ones do not."""
+    evidence: tuple[VersionCounts, ...] = ()
+    """Counts of the running rollouts; older edges send none."""
 
 
 @final
--- a/tests/test_edge_exchange.py
+++ b/tests/test_edge_exchange.py
@@ -14,7 +14,7 @@
 from tests.platform_samples import ROUTES, changed, encoded
 from turmericmast.balance.load import LoadReport
 from turmericmast.call.call import Call, Loss, Ran
-from turmericmast.cluster.records import SuspectRecord
+from turmericmast.cluster.crashes import SuspectRecord
 from turmericmast.ids import Seconds
 from turmericmast.metrics import Metrics
 from turmericmast.platform.documents import DocumentFormat
--- a/tests/test_long_suspects.py
+++ b/tests/test_long_suspects.py
@@ -13,7 +13,7 @@
 from tests.edge_harness import EdgeHarness
 from tests.edge_samples import target
 from turmericmast.call.call import Loss
-from turmericmast.cluster.records import SuspectRecord
+from turmericmast.cluster.crashes import SuspectRecord
 from turmericmast.edge.quarantine import CRASH_LIMIT
 from turmericmast.ids import Fingerprint, Millis
 from turmericmast.web.body import MAX_BUFFERED_BYTES
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,8 +8,7 @@
 
 from tests.edge_samples import NOW, edge, feed, instance, target, target_view
 from turmericmast.cluster.cluster import Cluster
-from turmericmast.cluster.crashes import ReportCrash
-from turmericmast.cluster.records import SuspectRecord
+from turmericmast.cluster.crashes import ReportCrash, SuspectRecord
 from turmericmast.cluster.suspects import (
     MAX_SUSPECTS,
     SUSPECT_TTL_MS,
