Rollouts: end to end on real processes; routes judged together

A version that was bad on all routes was found late, since each route had few responses; a version whose responses were partly slower passed, since twice the latency was tolerated on any host. Routes are now judged in their sum, too, and the tolerance follows the fastest quarter of the responses.

LocalCluster can have parts in force, and its targets a version.

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -59,6 +59,10 @@
     Announcements are built by ``next_report`` and sent by the test.
     """
 
+    version = 'v1'
+    is_failing = False
+    """Whether it answers every request with status 500."""
+
     def __init__(
         self,
         name: str,
@@ -133,7 +137,7 @@
             'address': self.address,
             'info': {
                 'service': 'stock',
-                'version': 'v1',
+                'version': self.version,
                 'zone': self.zone,
                 'capacity': 4,
             },
@@ -197,7 +201,7 @@
         if 'reset' in self.request.path:
             self.detach().close()
             return
-        if 'fail' in self.request.path:
+        if upstream.is_failing or 'fail' in self.request.path:
             self.set_status(500)
         self.finish(f'{upstream.name} {self.request.path}')
 
@@ -228,13 +232,16 @@
         self,
         folder: pathlib.Path,
         roots: tuple[pathlib.Path, ...] = (ROOT,),
+        contracts: tuple[str, ...] = (),
     ) -> None:
         """Use ``folder`` for settings, data and output of the processes.
 
-        ``roots`` are the sources that they may run, the first ones first.
+        ``roots`` are the sources that they may run, the first ones first;
+        ``contracts`` are the parts in force.
         """
         self.folder = folder
         self.roots = roots
+        self.contracts = contracts
         self.ports = free_block(PORT_COUNT)
         """Ports of every machine, by position.
 
@@ -474,4 +481,5 @@
             'data_dir': str(self.folder / f'data-{role}-{zone}{suffix}'),
             'heartbeat_interval_s': 1.5,
             'bounds': {'grace_s': 3, 'ttl_max_s': 1},
+            'contracts': list(self.contracts),
         }
--- a/src/turmericmast/platform/rolloutdocuments.py
+++ b/src/turmericmast/platform/rolloutdocuments.py
@@ -58,5 +58,6 @@
     return SettingsError(
         fault,
         step='read rollout order',
-        hint='nothing was changed; correct the order',
+        hint='nothing was changed; write service and target_version as '
+        'strings, duration_s as a finite number of seconds above 0',
     )
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -1,6 +1,7 @@
 """``turmericmast-edge``: an instance that routes requests to targets."""
 
 import contextlib
+
 from turmericmast.clock import LONG_AGO
 from turmericmast.cluster.records import EdgePhase, EdgeRecord
 from turmericmast.edge.edge import Edge
--- a/src/turmericmast/rollout/evidence.py
+++ b/src/turmericmast/rollout/evidence.py
@@ -19,8 +19,8 @@
     latencies: tuple[int, ...] = (0,) * BUCKETS
     """Responses of warm targets by class of latency."""
 
-    def plus(self, counts: VersionCounts) -> 'Tally':
-        """Return the sum with the counts of one instance."""
+    def plus(self, counts: 'VersionCounts | Tally') -> 'Tally':
+        """Return the sum with the counts of one instance or route."""
         padded = (*counts.latencies, *(0,) * BUCKETS)
         return Tally(
             self.responses + counts.responses,
@@ -66,6 +66,20 @@
         return Comparison(self.old.plus(counts), self.new)
 
 
+def sum_routes(evidence: 'Evidence') -> Comparison:
+    """Return the comparison over all routes.
+
+    Requests are drawn whatever their route, so both versions get the same
+    mixture.
+    """
+    total = Comparison()
+    for compared in evidence.values():
+        total = Comparison(
+            total.old.plus(compared.old), total.new.plus(compared.new)
+        )
+    return total
+
+
 Evidence = Mapping[RouteName, Comparison]
 """The comparison of each route that had responses."""
 
--- a/src/turmericmast/rollout/judgement.py
+++ b/src/turmericmast/rollout/judgement.py
@@ -7,7 +7,12 @@
 from collections.abc import Iterator, Sequence
 from typing import Final, final
 
-from turmericmast.rollout.evidence import Comparison, Evidence, Tally
+from turmericmast.rollout.evidence import (
+    Comparison,
+    Evidence,
+    Tally,
+    sum_routes,
+)
 from turmericmast.rollout.latencies import (
     BUCKETS,
     CLASSES_PER_DOUBLING,
@@ -26,6 +31,13 @@
 
 The new targets may stand on slower or busier hosts; bad versions are several
 times slower."""
+SCATTER_CLASSES: Final = 1
+"""Classes by which any response of a good version may be slower.
+
+Hosts that are slower delay all responses alike, so beyond these classes a good
+version is given as many as its fastest quarter is slower."""
+FAST_PART: Final = 0.25
+"""Part of the responses, the fastest, whose limit tells the speed of hosts."""
 LEAST_SAMPLE: Final = 20
 """Responses of the old version from which its latencies are compared."""
 BAD_CHANCE: Final = 1e-6
@@ -72,14 +84,25 @@
     judgements = itertools.chain.from_iterable(
         _judge_route(route, compared)
         for window in windows
-        for route, compared in window.items()
+        for route, compared in _with_total(window)
     )
     return min(judgements, key=lambda one: one.chance, default=GOOD)
 
 
+def _with_total(window: Evidence) -> Iterator[tuple[str, Comparison]]:
+    """Yield each route, and all of them together.
+
+    A version that is bad on all routes shows earlier in the sum.
+    """
+    for route, compared in window.items():
+        yield f'route {route}', compared
+    if len(window) > 1:
+        yield 'all routes', sum_routes(window)
+
+
 def _judge_route(route: str, compared: Comparison) -> Iterator[Judgement]:
     yield _judge_share(
-        f'route {route}: failures',
+        f'{route}: failures',
         compared.new.failures,
         compared.new.responses,
         max(
@@ -95,23 +118,35 @@
     """Compare the shares of responses above each class of latency."""
     old_above = _above(old.latencies)
     new_above = _above(new.latencies)
-    for bucket in range(TOLERATED_CLASSES, BUCKETS):
+    tolerated = _tolerated_classes(old_above, new_above)
+    for bucket in range(tolerated, BUCKETS):
         if not new_above[bucket]:
             return
         limit_ms = bucket_start(bucket) * MILLIS_PER_SECOND
         yield _judge_share(
-            f'route {route}: responses over {limit_ms:.0f} ms',
+            f'{route}: responses over {limit_ms:.0f} ms',
             new_above[bucket],
             new_above[0],
             max(
                 LEAST_SLOW_SHARE,
-                _upper_share(
-                    old_above[bucket - TOLERATED_CLASSES], old_above[0]
-                ),
+                _upper_share(old_above[bucket - tolerated], old_above[0]),
             ),
         )
 
 
+def _tolerated_classes(
+    old_above: Sequence[int], new_above: Sequence[int]
+) -> int:
+    slower = _fast_class(new_above) - _fast_class(old_above)
+    return min(max(slower, 0) + SCATTER_CLASSES, TOLERATED_CLASSES)
+
+
+def _fast_class(above: Sequence[int]) -> int:
+    """Return the class that limits the fastest quarter of the responses."""
+    rest = (1 - FAST_PART) * above[0]
+    return sum(count > rest for count in above)
+
+
 def _above(latencies: Sequence[int]) -> list[int]:
     """Return how many responses are in each class or a later one."""
     from_last = tuple(itertools.accumulate(reversed(latencies)))
--- a/src/turmericmast/rollout/policy.py
+++ b/src/turmericmast/rollout/policy.py
@@ -37,7 +37,7 @@
 """Responses of the new version that allow the share to rise.
 
 Of a version that fails every tenth response, fewer mostly show nothing."""
-PATIENCE_PART: Final = 0.6
+PATIENCE_PART: Final = 0.5
 """Part of the time budget after which fewer responses are enough.
 
 A service with so few requests stays within the exposure slack."""
