--- a/src/turmericmast/rollout/evidence.py
+++ b/src/turmericmast/rollout/evidence.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 from collections.abc import Collection, Iterable, Mapping
-from typing import final
+from typing import Final, final
 
 from turmericmast.ids import Incarnation, Index, InstanceId, RouteName
 from turmericmast.rollout.latencies import BUCKETS
 from turmericmast.rollout.records import EdgeEvidence, VersionCounts
 
+LEAST_SAMPLE: Final = 20
+"""Responses of the old version from which it is a standard."""
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,13 +93,24 @@
 
 
 def evidence_since(evidence: Evidence, earlier: Evidence) -> Evidence:
-    """Return what was counted after earlier evidence."""
+    """Return what was counted of the new version after earlier evidence.
+
+    It is compared with the old version in the same time; with all of the old
+    one where that had few responses, as at the end of a rollout.
+    """
     return {
-        route: compared.since(earlier.get(route, Comparison()))
+        route: _since(compared, earlier.get(route, Comparison()))
         for route, compared in evidence.items()
     }
 
 
+def _since(compared: Comparison, earlier: Comparison) -> Comparison:
+    recent = compared.since(earlier)
+    if recent.old.responses >= LEAST_SAMPLE:
+        return recent
+    return Comparison(compared.old, recent.new)
+
+
 @final
 class EvidenceTable:
     """Keeps the newest counts of each start of an instance.
--- a/src/turmericmast/rollout/judgement.py
+++ b/src/turmericmast/rollout/judgement.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from turmericmast.rollout.evidence import (
+    LEAST_SAMPLE,
     Comparison,
     Evidence,
     Tally,
@@ -38,8 +39,6 @@
 version is given as many as its fastest quarter is slower."""
 FAST_PART: Final = 0.25
 """Part of the responses, the fastest, whose limit tells the speed of hosts."""
-LEAST_SAMPLE: Final = 20
-"""Responses of the old version from which its latencies are compared."""
 BAD_CHANCE: Final = 1e-6
 """Probability below which chance does not explain the bad responses.
 
--- a/src/turmericmast/rollout/policy.py
+++ b/src/turmericmast/rollout/policy.py
@@ -41,6 +41,10 @@
 """Part of the time budget after which fewer responses are enough.
 
 A service with so few requests stays within the exposure slack."""
+NOTE_PART: Final = 0.1
+"""Part of the time budget after which the elapsed time is in the log again.
+
+So much time is missing at most, once all members have lost their power."""
 LAST_PART: Final = 0.9
 """Part of the time budget at which a version in doubt is rolled back."""
 
@@ -85,16 +89,25 @@
         failure = _find_failure(rollout, progress, judgement)
         if failure:
             return _end(rollout, progress, RolloutState.rolled_back, failure)
-        if judgement.verdict is not Verdict.good:
-            return None
-        if not _is_step_over(rollout, progress):
-            return None
+        is_good = judgement.verdict is Verdict.good
+        if not is_good or not _is_step_over(rollout, progress):
+            return _note_time(rollout, progress)
         reason = f'good: {new_responses(progress.evidence)} responses'
         if rollout.share >= FULL_SHARE:
             return _end(rollout, progress, RolloutState.completed, reason)
         return _decision(rollout, progress, _next_share(rollout), reason)
 
 
+def _note_time(
+    rollout: ServiceRollout, progress: Progress
+) -> DecideRollout | None:
+    """Return the same step with the time elapsed, if that is due."""
+    noted = rollout.elapsed_ms / MILLIS_PER_SECOND
+    if progress.elapsed - noted < NOTE_PART * _budget(rollout):
+        return None
+    return _decision(rollout, progress, rollout.share, rollout.reason)
+
+
 def _find_failure(
     rollout: ServiceRollout, progress: Progress, judgement: Judgement
 ) -> str:
--- a/src/turmericmast/rollout/rollouts.py
+++ b/src/turmericmast/rollout/rollouts.py
@@ -108,9 +108,9 @@
         ignored: two leaders may have decided, one after the other.
         """
         known = self.find(decision.service)
-        is_next = (
-            decision.state is not RolloutState.running
-            or decision.share > known.share
+        is_next = decision.state is not RolloutState.running or (
+            (decision.share, decision.elapsed_ms)
+            > (known.share, known.elapsed_ms)
         )
         is_due = known.is_running and known.order == decision.order
         if not is_due or not is_next:
--- a/src/turmericmast/rollout/tracker.py
+++ b/src/turmericmast/rollout/tracker.py
@@ -6,7 +6,7 @@
 
 from turmericmast.cluster.commands import DecideRollout
 from turmericmast.cluster.records import TargetPhase, TargetRecord
-from turmericmast.ids import Index, Seconds
+from turmericmast.ids import Index, Millis, Seconds
 from turmericmast.rollout.evidence import Evidence, EvidenceTable
 from turmericmast.rollout.policy import Progress, RolloutPolicy
 from turmericmast.rollout.records import ServiceRollout
@@ -21,6 +21,10 @@
     share: int
     seen_at: Seconds
     evidence: Evidence
+    elapsed_ms: Millis
+    """Time since the order that the log has."""
+    noted_at: Seconds
+    """When this member first saw that."""
 
 
 @final
@@ -42,9 +46,7 @@
         self._running = running
         known = self._step_by_order
         self._step_by_order = {
-            rollout.order: self._step(
-                known.get(rollout.order), rollout.share, rollout.order, now
-            )
+            rollout.order: self._step(known.get(rollout.order), rollout, now)
             for rollout in running
         }
         self.evidence.forget_except(self._step_by_order.keys())
@@ -65,11 +67,15 @@
                 yield decision
 
     def _step(
-        self, known: _Step | None, share: int, order: Index, now: Seconds
+        self, known: _Step | None, rollout: ServiceRollout, now: Seconds
     ) -> _Step:
-        if known and known.share == share:
+        elapsed_ms = rollout.elapsed_ms
+        if known is None or known.share != rollout.share:
+            evidence = self.evidence.total(rollout.order)
+            return _Step(rollout.share, now, evidence, elapsed_ms, now)
+        if known.elapsed_ms == elapsed_ms:
             return known
-        return _Step(share, now, self.evidence.total(order))
+        return dataclasses.replace(known, elapsed_ms=elapsed_ms, noted_at=now)
 
     def _progress(
         self,
@@ -78,10 +84,10 @@
         targets: Iterable[TargetRecord],
         now: Seconds,
     ) -> Progress:
-        in_step = Seconds(now - step.seen_at)
+        noted = step.elapsed_ms / MILLIS_PER_SECOND
         return Progress(
-            Seconds(rollout.elapsed_ms / MILLIS_PER_SECOND + in_step),
-            in_step,
+            Seconds(noted + now - step.noted_at),
+            Seconds(now - step.seen_at),
             self.evidence.total(rollout.order),
             step.evidence,
             sum(
--- a/tests/rollout_simulation.py
+++ b/tests/rollout_simulation.py
@@ -14,6 +14,7 @@
 from turmericmast.rollout.policy import RolloutPolicy
 from turmericmast.rollout.records import EdgeEvidence, ServiceRollout
 from turmericmast.rollout.tracker import RolloutTracker
+from turmericmast.wire.codec import decode, encode
 
 POLL = 0.4
 """Seconds between two polls of an instance."""
@@ -125,6 +126,17 @@
         self.index += 1
         self.cluster.apply(self.index, command)
 
+    def lose_member(self) -> None:
+        """Replace the leader by a member that has no evidence yet."""
+        self.tracker = RolloutTracker()
+
+    def restore_snapshot(self) -> None:
+        """Start a member from the snapshot of the one before."""
+        self.lose_member()
+        encoded = encode(self.cluster.snapshot())
+        self.cluster = Cluster()
+        self.cluster.restore(decode(encoded).unwrap())
+
     def run(
         self,
         new: Behaviour,
@@ -189,7 +201,7 @@
         count = round(self.duration / TICK)
         for step in range(count):
             self.now = started + step * TICK
-            yield step * TICK
+            yield round(step * TICK, 1)
 
     def _arrivals(self) -> int:
         mean = self.rate * TICK
