--- a/src/turmericmast/programs/groupmember.py
+++ b/src/turmericmast/programs/groupmember.py
@@ -279,8 +279,7 @@
         outcome = None
         # A witness stores commands without their payloads.
         if entry.kind is EntryKind.command and entry.payload:
-            command = decode(entry.payload).unwrap()
-            outcome = self.state_machine.apply(entry.index, command)
+            outcome = _apply_command(self.state_machine, entry, self._events)
         term, future = self._future_by_index.pop(entry.index, (None, None))
         if future and not future.done():
             is_own = term == entry.term
@@ -349,3 +348,20 @@
             peer=self.config.own_id,
             hint='send it again under the same id',
         )
+
+
+def _apply_command(
+    state_machine: StateMachine, entry: Entry, events: EventLog
+) -> Any:
+    """Apply a command; skip one that this build does not know.
+
+    Without that, the entries that were committed with it would be lost here,
+    and this member's state would differ from the others'.
+    """
+    command = decode(entry.payload)
+    if isinstance(command, Success):
+        return state_machine.apply(entry.index, command.unwrap())
+    events.write(
+        'entry_skipped', index=entry.index, reason=command.failure().show()
+    )
+    return command
--- a/src/turmericmast/rollout/policy.py
+++ b/src/turmericmast/rollout/policy.py
@@ -6,9 +6,11 @@
 from turmericmast.cluster.commands import DecideRollout
 from turmericmast.ids import Millis, Seconds
 from turmericmast.rollout.evidence import (
+    LEAST_SAMPLE,
     Evidence,
     evidence_since,
     new_responses,
+    sum_routes,
 )
 from turmericmast.rollout.judgement import Judgement, Verdict, judge
 from turmericmast.rollout.records import (
@@ -41,6 +43,8 @@
 """Part of the time budget after which fewer responses are enough.
 
 A service with so few requests stays within the exposure slack."""
+CARRIED_PART: Final = 0.5
+"""Part of its share that a version must have of the responses in a step."""
 NOTE_PART: Final = 0.1
 """Part of the time budget after which the elapsed time is in the log again.
 
@@ -127,13 +131,29 @@
         return False
     if rollout.share >= EVIDENT_SHARE:
         least = min(LEAST_STEP, LEAST_STEP_PART * budget)
-        return progress.in_step >= max(STEP_PART * budget, least)
+        is_long = progress.in_step >= max(STEP_PART * budget, least)
+        return is_long and _carries_load(rollout, progress)
     if progress.elapsed < TRIAL_PART * budget:
         return False
     is_enough = new_responses(progress.evidence) >= ENOUGH_RESPONSES
     return is_enough or progress.elapsed >= PATIENCE_PART * budget
 
 
+def _carries_load(rollout: ServiceRollout, progress: Progress) -> bool:
+    """Tell whether the new version responds as its share says.
+
+    Requests that its targets cannot take go to the old version, which must
+    stay until the new targets are warm. Part of the responses in a step are to
+    requests from before it.
+    """
+    if progress.elapsed >= LAST_PART * _budget(rollout):
+        return True
+    counted = sum_routes(progress.evidence).since(sum_routes(progress.at_step))
+    total = counted.old.responses + counted.new.responses
+    wanted = CARRIED_PART * rollout.share / FULL_SHARE
+    return total < LEAST_SAMPLE or counted.new.responses >= wanted * total
+
+
 def _next_share(rollout: ServiceRollout) -> int:
     return next(share for share in RISING_SHARES if share > rollout.share)
 
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -59,7 +59,7 @@
         self._sent_octets = 0
         self._slowness = candidate.view.report.slowness
         self._had_free_slot = candidate.view.has_free_slot()
-        self._was_cold = candidate.view.cold_time_left(self.began_at) > 0
+        self._was_cold = False
         self._is_cancelled = False
         self._transfer: Transfer | None = None
         self._task: asyncio.Task[Loss | None] | None = None
@@ -84,6 +84,8 @@
         The other instances in the domain are told of it first.
         """
         view = self.candidate.view
+        if self.on_end:
+            self._was_cold = view.cold_time_left(self.began_at) > 0
         self._pool.begin_request(view, self.began_at)
         self._context.load_sharing.announce_request(view)
         self._confirm_target()
