--- a/src/turmericmast/rollout/evidence.py
+++ b/src/turmericmast/rollout/evidence.py
@@ -1,8 +1,8 @@
 """What instances have counted of a rollout, summed over all of them."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Mapping
-from typing import Final, final
+from collections.abc import Collection, Mapping
+from typing import Final, TypeAlias, final
 
 from turmericmast.ids import Incarnation, Index, InstanceId, RouteName
 from turmericmast.rollout.latencies import BUCKETS
@@ -83,7 +83,9 @@
     return total
 
 
-Evidence = Mapping[RouteName, Comparison]
+_Source: TypeAlias = tuple[InstanceId, Incarnation, Index, RouteName, bool]
+"""A start of an instance, a rollout, a route, and whether it is new."""
+Evidence: TypeAlias = Mapping[RouteName, Comparison]
 """The comparison of each route that had responses."""
 
 
@@ -115,57 +117,41 @@
 class EvidenceTable:
     """Keeps the newest counts of each start of an instance.
 
-    Counts only grow, so of two messages the one with more responses is newer.
+    Counts only grow, so of two messages about one route and version, the one
+    with more responses is newer.
     """
 
     def __init__(self) -> None:
         """Begin without evidence."""
-        self._evidence_by_start: dict[
-            tuple[InstanceId, Incarnation], EdgeEvidence
-        ] = {}
+        self._counts_by_source: dict[_Source, VersionCounts] = {}
 
     def record(self, evidence: EdgeEvidence) -> None:
-        """Replace what is known of one start of an instance."""
-        start = (evidence.instance, evidence.incarnation)
-        known = self._evidence_by_start.get(start)
-        if known is None or _is_newer(evidence, known):
-            self._evidence_by_start[start] = evidence
+        """Add what one start of an instance has counted."""
+        for counts in evidence.counts:
+            source = (
+                evidence.instance,
+                evidence.incarnation,
+                counts.order,
+                counts.route,
+                counts.is_new,
+            )
+            known = self._counts_by_source.get(source)
+            if known is None or counts.responses > known.responses:
+                self._counts_by_source[source] = counts
 
     def total(self, order: Index) -> Evidence:
         """Return the sum for a rollout over all instances."""
         total: dict[RouteName, Comparison] = {}
-        for evidence in self._evidence_by_start.values():
-            for counts in evidence.counts:
-                if counts.order == order:
-                    known = total.get(counts.route, Comparison())
-                    total[counts.route] = known.plus(counts)
+        for counts in self._counts_by_source.values():
+            if counts.order == order:
+                known = total.get(counts.route, Comparison())
+                total[counts.route] = known.plus(counts)
         return total
 
     def forget_except(self, orders: Collection[Index]) -> None:
         """Drop the evidence of rollouts that have ended."""
-        self._evidence_by_start = {
-            start: evidence
-            for start, evidence in self._evidence_by_start.items()
-            if any(counts.order in orders for counts in evidence.counts)
+        self._counts_by_source = {
+            source: counts
+            for source, counts in self._counts_by_source.items()
+            if counts.order in orders
         }
-
-    def snapshot(self) -> tuple[EdgeEvidence, ...]:
-        """Return the newest counts of all instances."""
-        return tuple(self._evidence_by_start.values())
-
-
-def _is_newer(evidence: EdgeEvidence, known: EdgeEvidence) -> bool:
-    newest = _last_order(evidence.counts)
-    known_newest = _last_order(known.counts)
-    return (newest, _responses(evidence.counts)) >= (
-        known_newest,
-        _responses(known.counts),
-    )
-
-
-def _last_order(counts: Iterable[VersionCounts]) -> Index:
-    return max((one.order for one in counts), default=Index(0))
-
-
-def _responses(counts: Iterable[VersionCounts]) -> int:
-    return sum(one.responses for one in counts)
--- a/src/turmericmast/rollout/gate.py
+++ b/src/turmericmast/rollout/gate.py
@@ -1,5 +1,6 @@
 """Which versions of a service a request may go to at one instance."""
 
+import dataclasses
 from collections.abc import Callable
 from typing import Final, final
 
@@ -49,13 +50,16 @@
         """Return what is known of the service, ``None`` before that."""
         return self._rollout
 
-    def update(self, rollout: ServiceRollout) -> None:
-        """Use a newer record of the service."""
+    def update(self, rollout: ServiceRollout) -> bool:
+        """Use a newer record; tell whether more than its time differs."""
         known = self._rollout
         if known is None or known.order != rollout.order:
             self._position = self._start_of(rollout.order)
             self._counter = VersionCounter()
         self._rollout = rollout
+        return known is None or rollout != dataclasses.replace(
+            known, elapsed_ms=rollout.elapsed_ms
+        )
 
     def draw_new(self, now: Seconds) -> bool:
         """Tell whether the next request goes to the new version.
--- a/src/turmericmast/rollout/gates.py
+++ b/src/turmericmast/rollout/gates.py
@@ -29,7 +29,7 @@
         instance and for each rollout.
         """
         self.on_change: Callable[[ServiceRollout], None] = _ignore
-        """Called with each record that differs from the one before."""
+        """Called with each record that differs in more than its time."""
         self.freshness = freshness
         self._rank_of = rank_of
         self._gate_by_service: dict[ServiceId, VersionGate] = {}
@@ -47,9 +47,7 @@
     def apply(self, rollouts: Iterable[ServiceRollout]) -> None:
         """Use the records of a feed."""
         for rollout in rollouts:
-            gate = self.gate(rollout.service)
-            if gate.rollout != rollout:
-                gate.update(rollout)
+            if self.gate(rollout.service).update(rollout):
                 self.on_change(rollout)
 
     def may_send(self, record: TargetRecord, now: Seconds) -> bool:
--- a/src/turmericmast/rollout/policy.py
+++ b/src/turmericmast/rollout/policy.py
@@ -122,6 +122,8 @@
         return ''
     if not progress.ready_targets:
         return 'no target of the version is ready'
+    if not _carries_load(rollout, progress):
+        return 'its targets respond to less than half of their share'
     return judgement.reason
 
 
@@ -146,7 +148,7 @@
     stay until the new targets are warm. Part of the responses in a step are to
     requests from before it.
     """
-    if progress.elapsed >= LAST_PART * _budget(rollout):
+    if rollout.share < EVIDENT_SHARE:
         return True
     counted = sum_routes(progress.evidence).since(sum_routes(progress.at_step))
     total = counted.old.responses + counted.new.responses
--- a/src/turmericmast/rollout/tracker.py
+++ b/src/turmericmast/rollout/tracker.py
@@ -49,7 +49,8 @@
             rollout.order: self._step(known.get(rollout.order), rollout, now)
             for rollout in running
         }
-        self.evidence.forget_except(self._step_by_order.keys())
+        if known.keys() != self._step_by_order.keys():
+            self.evidence.forget_except(self._step_by_order.keys())
 
     def decide(
         self,
--- a/tests/test_rollout_evidence.py
+++ b/tests/test_rollout_evidence.py
@@ -17,8 +17,13 @@
     healthy,
 )
 from turmericmast.call.call import Loss
+from turmericmast.rollout.evidence import EvidenceTable, new_responses
 from turmericmast.rollout.judgement import tail
-from turmericmast.rollout.records import RolloutState
+from turmericmast.rollout.records import (
+    EdgeEvidence,
+    RolloutState,
+    VersionCounts,
+)
 
 DURATION = 12
 COMPLETED_BY = 0.8
@@ -55,6 +60,11 @@
     return respond
 
 
+def counts(order: int, responses: int = 10) -> VersionCounts:
+    """Return counts of the new version on one route."""
+    return VersionCounts('stock', order, 'look', True, responses, 0, ())
+
+
 BAD = [
     ('fails_at_once', failing(0.3), ROUTES),
     ('fails_always', failing(1), ROUTES),
@@ -165,6 +175,23 @@
 ]
 
 
+class EvidenceTableTest(unittest.TestCase):
+    """The newest counts of each rollout are kept, whatever else runs."""
+
+    def test_other_rollout_ends(self) -> None:
+        # Guards against evidence that is taken for old, since an instance no
+        # longer sends the counts of another service's rollout with it.
+        table = EvidenceTable()
+        ended, running = counts(order=3, responses=90), counts(order=4)
+        table.record(EdgeEvidence('e', '1', (ended, running)))
+        table.record(EdgeEvidence('e', '1', (counts(4, responses=30),)))
+        table.record(EdgeEvidence('e', '1', (counts(4, responses=20),)))
+        table.record(EdgeEvidence('e', '2', (counts(4, responses=5),)))
+        self.assertEqual(new_responses(table.total(4)), 35)
+        table.forget_except((4,))
+        self.assertEqual(table.total(3), {})
+
+
 class FaultTest(unittest.TestCase):
     """A rollout ends as it would have ended, whatever fails in between."""
 
