--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -1,6 +1,5 @@
 """The root of the edge aggregate: state and decisions of one instance."""
 
-import functools
 from collections.abc import Collection, Iterable, Mapping
 from typing import final
 
@@ -42,6 +41,7 @@
     TargetId,
 )
 from turmericmast.instancesettings import Bounds
+from turmericmast.rollout.gates import VersionGates
 from turmericmast.route.document import Route, RouteDocument, ServiceConfig
 from turmericmast.route.table import RouteTable, TrafficSplitter
 
@@ -61,14 +61,17 @@
         region_by_domain: Mapping[DomainId, RegionId],
         bounds: Bounds,
         started_at: Seconds = LONG_AGO,
+        gates: VersionGates | None = None,
     ) -> None:
         """Begin with an empty view of the cluster.
 
         ``started_at`` is when this process started, ``LONG_AGO`` if none can
-        have run here shortly before.
+        have run here shortly before. ``gates`` choose targets by their
+        version; ``None`` where rollouts are not in force.
         """
         self.record = record
         self.bounds = bounds
+        self._gates = gates
         self.index = Index(0)
         """Index of the newest feed that was applied."""
         self.route_table: RouteTable | None = None
@@ -84,9 +87,14 @@
         """Targets that are passed over, since their records are odd."""
         self.quarantine = Quarantine()
         self.crash_doubts = CrashDoubts()
-        self.key_fence = KeyFence(bounds.revocation)
+        self.key_fence = KeyFence(
+            bounds.revocation,
+            gates.freshness
+            if gates
+            else Freshness(is_wanted=bounds.revocation is not None),
+        )
         self._splitter = TrafficSplitter(
-            functools.partial(_split_start, record)
+            lambda route, service: _split_start(record, route, service)
         )
         self._reach_report = ReachReport()
         self._stops_at = NEVER
@@ -104,9 +112,9 @@
         )
 
     @property
-    def freshness(self) -> Freshness:
-        """Return the proof that this instance lacks no older change."""
-        return self.key_fence.freshness
+    def gates(self) -> VersionGates | None:
+        """Return the gates by version, ``None`` without rollouts."""
+        return self._gates
 
     def update_reach(self, now: Seconds) -> bool:
         """Report to the core how targets are reached; true after a change."""
@@ -179,7 +187,8 @@
         """
         record = view.record
         known = self._view_by_target.get(record.target)
-        is_ready = view.record.phase is TargetPhase.ready
+        is_permitted = self._gates is None or self._gates.may_send(record, now)
+        is_ready = is_permitted and record.phase is TargetPhase.ready
         cause = withheld_by(view, now, as_last_resort=as_last_resort)
         return (
             known is view
@@ -241,6 +250,8 @@
             self._splitter.keep(document.route_by_name.values())
         self.evacuated = frozenset(feed.evacuated)
         self.quarantine.update(feed.suspects)
+        if self._gates:
+            self._gates.apply(feed.rollouts)
         self.membership.apply(feed)
         self.peers.forget_removed()
         self._apply_targets(feed)
@@ -292,6 +303,8 @@
                 self.membership.assignments.own_targets,
                 affinity(service, self.record.instance),
             )
+            if self._gates:
+                known.gate = self._gates.gate(service)
             self.pool_by_service[service] = known
         return known
 
--- a/src/turmericmast/edge/keyfence.py
+++ b/src/turmericmast/edge/keyfence.py
@@ -34,13 +34,15 @@
 class KeyFence:
     """Keeps revoked keys out: requests on keys need a recent proof."""
 
-    def __init__(self, revocation: Seconds | None) -> None:
+    def __init__(
+        self, revocation: Seconds | None, freshness: Freshness
+    ) -> None:
         """Allow requests on keys within ``revocation`` s after a proof.
 
         ``None`` stands for no such bound: they always run.
         """
         self._revocation = revocation
-        self.freshness = Freshness(is_wanted=revocation is not None)
+        self.freshness = freshness
 
     def trust(self, now: Seconds) -> KeyTrust:
         """Return how far the accounts may be relied on."""
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -25,6 +25,7 @@
 from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.clusterstate import ClusterStateMachine
 from turmericmast.programs.groupmember import GroupMember
+from turmericmast.programs.rolloutoperations import RolloutOperations
 from turmericmast.programs.tokenservice import TokenService
 from turmericmast.route.document import RouteDocument, RouteFormat
 from turmericmast.wire import watchrequests
@@ -61,6 +62,9 @@
         self.tokens = TokenService(
             process, group, state_machine.cluster, route_format
         )
+        self.rollouts = RolloutOperations(
+            process, self.committer, group, state_machine.cluster
+        )
 
     @property
     def address(self) -> str:
--- a/src/turmericmast/programs/clusterwatcher.py
+++ b/src/turmericmast/programs/clusterwatcher.py
@@ -218,11 +218,13 @@
         It is good if it is applied and comes from a member with recent contact
         to a quorum.
         """
+        gates = self._edge.gates
         answer = await self._links.to(member).request(
             WatchCluster(
                 self._edge.record,
                 self._edge.index,
                 packed=True,
+                evidence=gates.counts() if gates else (),
                 asked_ms=self._proof_request(),
             ),
             REQUEST_TIMEOUT,
@@ -264,7 +266,7 @@
         proof_ms, asked_ms = watched.proof_ms, watched.asked_ms
         if proof_ms is None or asked_ms is None or self._lacks_routes:
             return
-        self._edge.freshness.record_proof(
+        self._edge.key_fence.freshness.record_proof(
             Seconds(asked_ms / MILLIS_PER_SECOND),
             Seconds(proof_ms / MILLIS_PER_SECOND),
             self._clock.now(),
@@ -275,7 +277,7 @@
 
         ``None`` if no proof is wanted.
         """
-        if not self._edge.freshness.is_wanted:
+        if not self._edge.key_fence.freshness.is_wanted:
             return None
         return int(self._clock.now() * MILLIS_PER_SECOND)
 
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -65,8 +65,8 @@
 
     async def handle(self, sender: str, body: Any) -> Any:
         """Handle one message; return the answer, ``None`` if it needs none."""
-        if isinstance(body, messages.Message):
-            self._group.receive(body)
+        if isinstance(body, messages.Message | clusterrequests.HeardEvidence):
+            self._receive(body)
             return None
         match body:
             case watchrequests.WatchCluster():
@@ -121,6 +121,15 @@
             'handle', f'message of unexpected type {type(body)}', ''
         )
 
+    def _receive(
+        self, body: messages.Message | clusterrequests.HeardEvidence
+    ) -> None:
+        """Handle a message of another member that needs no answer."""
+        if isinstance(body, clusterrequests.HeardEvidence):
+            self.operations.rollouts.driver.receive(body)
+        else:
+            self._group.receive(body)
+
     def _register(self, watch: watchrequests.WatchCluster) -> None:
         edge = watch.edge
         known = self._state_machine.cluster.edge(edge.instance)
@@ -135,6 +144,7 @@
         self._register(watch)
         if watch.asked_ms is not None:
             self._committer.proofs.refresh()
+        self.operations.rollouts.driver.record(watch)
         if self._group.contact_age() < MAX_CONTACT_AGE:
             await self._state_machine.wait_for_change(
                 watch.known, WATCH_TIMEOUT
@@ -179,6 +189,7 @@
     core = Core(process, group, state_machine)
     serve_core(process, stack, core)
     group.start({})
+    stack.enter_context(core.operations.rollouts.driver)
     ticker = PeriodicCallback(core.tick, TICK_INTERVAL_MS)
     ticker.start()
     stack.callback(ticker.stop)
--- a/src/turmericmast/web/edgeexchange.py
+++ b/src/turmericmast/web/edgeexchange.py
@@ -263,6 +263,10 @@
             response,
             self._profile,
         )
+        if self._pool.gate:
+            attempt.on_end = self._pool.gate.counter(
+                self._incoming.route.name, record.version
+            )
         attempt.start(self._make_request, self._key_check.passes)
         self._relay.resume = self._attempts.resume
         self._attempts.add(attempt)
--- a/src/turmericmast/web/requestreading.py
+++ b/src/turmericmast/web/requestreading.py
@@ -81,6 +81,8 @@
         began_at=received_at,
         identity=identity.unwrap(),
         admission=_admit(context, metadata, identity.unwrap(), received_at),
+        takes_new=pool.gate is not None
+        and pool.gate.draw_new(context.clock.now()),
     )
     return _accept(context, request, forwarding)
 
--- a/src/turmericmast/wire/watchrequests.py
+++ b/src/turmericmast/wire/watchrequests.py
@@ -11,6 +11,7 @@
 from turmericmast.cluster.records import ClusterFeed, EdgeRecord
 from turmericmast.ids import DomainId, Index, MemberId
 from turmericmast.replica.seat import Seat
+from turmericmast.rollout.records import VersionCounts
 
 
 @final
@@ -23,6 +24,8 @@
     """Index up to which the edge has all changes."""
     packed: bool = False
     """Whether the edge understands ``PackedCluster``; older ones do not."""
+    evidence: tuple[VersionCounts, ...] = ()
+    """Counts of the running rollouts; older edges send none."""
     asked_ms: int | None = None
     """The edge's clock when it asked, in milliseconds, for the answer.
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -121,7 +121,7 @@
         """Make an edge that has a proof and a view of index 3."""
         self.clock = SkewedClock()
         self.watcher = _watcher(self.clock)
-        self.freshness = self.watcher._edge.freshness
+        self.freshness = self.watcher._edge.key_fence.freshness
         self.watcher._use_answer(MEMBER, _answer(self.clock, 3))
         self.first = self.freshness.proven_at
 
--- a/tests/test_key_fence.py
+++ b/tests/test_key_fence.py
@@ -60,7 +60,7 @@
     cluster = feed(instance('a'), instance('b'), targets=(target('1'),))
     edge.apply(cluster, document_with_accounts())
     if age is not None:
-        edge.freshness.record_proof(NOW - age, 0, NOW)
+        edge.key_fence.freshness.record_proof(NOW - age, 0, NOW)
     return edge
 
 
@@ -80,7 +80,9 @@
 
     def prove(self) -> None:
         """Let the edge get a proof that is as young as can be."""
-        self.edge.freshness.record_proof(self.clock.time, 0, self.clock.time)
+        self.edge.key_fence.freshness.record_proof(
+            self.clock.time, 0, self.clock.time
+        )
 
     def read_as(
         self,
@@ -165,7 +167,7 @@
         edge = _edge(None, bound=None)
         self.assertTrue(edge.is_ready(NOW))
         self.assertTrue(edge.key_fence.admits(NOW))
-        self.assertFalse(edge.freshness.is_wanted)
+        self.assertFalse(edge.key_fence.freshness.is_wanted)
 
 
 class WaitingRequestTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_revocation_history.py
+++ b/tests/test_revocation_history.py
@@ -12,6 +12,7 @@
 
 from turmericmast.account.account import Account
 from turmericmast.account.table import AccountTable
+from turmericmast.edge.freshness import Freshness
 from turmericmast.edge.keyadmission import KeyAdmission
 from turmericmast.edge.keyfence import KeyFence
 from turmericmast.ids import ApiKey, Index, Seconds, TenantId
@@ -66,7 +67,7 @@
         self.now = Seconds(100)
         self.leader = _Leader(self.now + revoked_at)
         self.members = [_Member(ReadProof()) for _ in range(2)]
-        self.fence = KeyFence(Seconds(BOUND))
+        self.fence = KeyFence(Seconds(BOUND), Freshness())
         self.index = Index(0)
         """What the edge has applied."""
         self.told: list[tuple[_Member, float, Index]] = []
@@ -135,7 +136,7 @@
 
     def restart_edge(self) -> None:
         """Lose all that the edge knew and what was on its way to it."""
-        self.fence = KeyFence(Seconds(BOUND))
+        self.fence = KeyFence(Seconds(BOUND), Freshness())
         self.index = Index(0)
         self.answers.clear()
         self.waiting.clear()
