--- a/src/turmericmast/allowance/ledger.py
+++ b/src/turmericmast/allowance/ledger.py
@@ -10,10 +10,14 @@
 from turmericmast.ids import Seconds, TenantId
 from turmericmast.units import MILLIS_PER_SECOND
 
-MAX_REFUSAL_TIME = 0.25
+MAX_REFUSAL_TIME = 0.5
 """Longest time in seconds that edges refuse without asking again.
 
 It is longer only if it takes longer until one token is free."""
+REFUSAL_SHARE = 0.75
+"""Share of the reserve that becomes free while an account is refused.
+
+The rest covers tokens that are in use but will come back."""
 MIN_WAIT_MS = 20
 """Shortest time in milliseconds until an edge asks again; a round trip."""
 
@@ -73,12 +77,12 @@
 def _refusal_time(bucket: Bucket, now: Seconds, *, filling: bool) -> float:
     """Return the seconds for which an edge need not ask again.
 
-    An account over its limit is refused until half of the reserve is free:
-    less than its burst is free until then, and few messages are sent. While
+    An account over its limit is refused until most of the reserve is free:
+    the burst is in use until then, and few messages are sent. While
     the leader is new, an edge asks as soon as one token is free.
     """
     until_one = bucket.time_until(1, now)
     if filling:
         return until_one
-    until_half = bucket.time_until(bucket.limit.reserve / 2, now)
-    return max(until_one, min(until_half, MAX_REFUSAL_TIME))
+    until_most = bucket.time_until(bucket.limit.reserve * REFUSAL_SHARE, now)
+    return max(until_one, min(until_most, MAX_REFUSAL_TIME))
