--- a/src/turmericmast/web/allowancegate.py
+++ b/src/turmericmast/web/allowancegate.py
@@ -203,6 +203,7 @@
         until = purse.refusal_left(self._clock.now())
         delay = until + self._retry_delays.delay_after(0)
         if outcome is Draw.refused:
+            self._metrics.count('tokens_refused', account=purse.account)
             return edgerefusals.over_limit(purse.account, delay)
         cause = (
             'the leader of the core is new'
