--- a/tests/test_allowance_gate.py
+++ b/tests/test_allowance_gate.py
@@ -19,7 +19,12 @@
 from turmericmast.web.edgeexchange import EdgeExchange
 from turmericmast.web.peerheaders import Forwarding
 from turmericmast.web.tokenasker import ASK_TIMEOUT, TokenSource
-from turmericmast.wire.watchrequests import AskTokens, TellTokens
+from turmericmast.wire import codec
+from turmericmast.wire.watchrequests import (
+    AskTokens,
+    PackedCluster,
+    TellTokens,
+)
 
 FARM = Account(TenantId('farm'), frozenset(), rate=10)
 FREE = Account(TenantId('free'), frozenset())
@@ -106,6 +111,24 @@
 ]
 
 
+OLD_ANSWER = bytes.fromhex('0c7a180166190c160a0000')
+"""``PackedCluster(b'f', (), 5)`` as 7a4f2c6 encodes it."""
+
+
+class OldMemberTest(unittest.TestCase):
+    """Guards against asks to members that close the connection for them."""
+
+    @parameterized.expand(
+        [
+            ('old', OLD_ANSWER, False),
+            ('new', codec.encode(PackedCluster(b'f', (), 5, True)), True),
+        ]
+    )
+    def test_answer(self, _name: str, octets: bytes, grants: bool) -> None:
+        answer = codec.decode_received(octets).unwrap()
+        self.assertEqual(answer, PackedCluster(b'f', (), 5, grants))
+
+
 class GateTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that run without a token, or wait in vain."""
 
