--- a/src/turmericmast/web/allowancegate.py
+++ b/src/turmericmast/web/allowancegate.py
@@ -20,7 +20,7 @@
 
 BATCH_INTERVAL = 0.005
 """Seconds between two asks of an edge."""
-GOAL_SHARE = 0.5
+GOAL_SHARE = 0.6
 """Share of the latency goal for which a request may wait for its token."""
 MIN_PATIENCE = 0.05
 """Seconds for which a request waits at least, whatever its goal."""
@@ -203,6 +203,7 @@
         until = purse.refusal_left(self._clock.now())
         delay = until + self._retry_delays.delay_after(0)
         if outcome is Draw.refused:
+            self._metrics.count('tokens_refused', account=purse.account)
             return accountrefusals.over_limit(purse.account, delay)
         cause = (
             'the leader of the core is new'
