Accounts: refuse home regions that do not exist; directory knows the account

What callers saw: an account with a misspelt home region was accepted and its requests found no target. Such a proposal is now refused before it is appended, with the account and the regions to choose from. Home regions of routes are checked as before.

A directory look-up that carries the key of an account gets instances in the regions that both route and account allow; without a key it gets those of the routes.

--- a/src/turmericmast/account/table.py
+++ b/src/turmericmast/account/table.py
@@ -2,11 +2,11 @@
 
 import collections
 import itertools
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import final
 
 from turmericmast.account.account import Account
-from turmericmast.ids import ApiKey, TenantId
+from turmericmast.ids import ApiKey, RegionId, TenantId
 
 
 @final
@@ -40,6 +40,24 @@
                 f'accounts.{account.account}.{fault}'
                 for fault in account.find_faults()
             )
+        yield from self._find_shared_keys()
+
+    def find_unknown_regions(
+        self, known: Collection[RegionId]
+    ) -> Iterator[str]:
+        """Yield which accounts have home regions that do not exist.
+
+        ``known`` are the regions of the deployment.
+        """
+        choices = ', '.join(sorted(known))
+        yield from (
+            f'accounts.{account.account}.home_regions: there is no region '
+            f'{region!r}; use any of {choices}'
+            for account in self.account_by_name.values()
+            for region in sorted(account.home_regions.difference(known))
+        )
+
+    def _find_shared_keys(self) -> Iterator[str]:
         names_by_key = collections.defaultdict(list)
         for account in self.account_by_name.values():
             for key in account.keys:
--- a/src/turmericmast/edge/edge.py
+++ b/src/turmericmast/edge/edge.py
@@ -32,6 +32,7 @@
 from turmericmast.edge.quarantine import Quarantine
 from turmericmast.edge.reach import ReachReport, is_cut_off
 from turmericmast.ids import (
+    ApiKey,
     DomainId,
     Index,
     InstanceId,
@@ -194,10 +195,12 @@
         region: RegionId,
         domain: DomainId,
         now: Seconds,
+        keys: tuple[ApiKey, ...] = (),
     ) -> DirectoryAnswer:
         """Return the instances that callers of a host should connect to.
 
-        ``region`` and ``domain`` are those of the caller. Callers outside of
+        ``region`` and ``domain`` are those of the caller, ``keys`` those that
+        its look-up carries. Callers outside of
         the home regions of a host are sent there, if any instance serves.
         Those that have lost their targets are named only if no other is left.
         Without a recent proof, callers who need a key are sent elsewhere.
@@ -210,7 +213,7 @@
             edges = trusted_instances(edges, self.record.instance, trust)
         chosen = choose_instances(
             edges,
-            table.home_regions(host) if table else frozenset(),
+            table.home_regions(host, keys) if table else frozenset(),
             region,
             domain,
         )
--- a/src/turmericmast/platform/edgeapi.py
+++ b/src/turmericmast/platform/edgeapi.py
@@ -7,8 +7,9 @@
 from tornado.web import Application, RequestHandler
 
 from turmericmast.clock import Clock
-from turmericmast.ids import DomainId, RegionId
+from turmericmast.ids import ApiKey, DomainId, RegionId
 from turmericmast.metrics import Metrics
+from turmericmast.platform.headers import KEY_HEADER
 from turmericmast.web.metricspage import (
     METRICS_PATH,
     MetricsPage,
@@ -42,6 +43,7 @@
             RegionId(self.get_query_argument('region', '')),
             DomainId(self.get_query_argument('zone', '')),
             self.clock.now(),
+            tuple(map(ApiKey, self.request.headers.get_list(KEY_HEADER))),
         )
         self.metrics.count('directory_answers')
         if not answer.addresses:
--- a/src/turmericmast/programs/clusteroperations.py
+++ b/src/turmericmast/programs/clusteroperations.py
@@ -218,7 +218,9 @@
         One that was accepted once is confirmed when it is sent again, whatever
         the checks of this version say.
         """
-        valid = document.validate()
+        valid = document.validate(
+            frozenset(self._process.settings.region_by_domain.values())
+        )
         if isinstance(valid, Success):
             return valid
         caught_up = await self.committer.catch_up()
--- a/src/turmericmast/route/document.py
+++ b/src/turmericmast/route/document.py
@@ -4,7 +4,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from typing import final
 
 from returns.result import Failure, Result, Success
@@ -173,9 +173,16 @@
 
     Which of their values was meant is not known."""
 
-    def validate(self) -> Result['RouteDocument', SettingsError]:
-        """Return the document, or an error that lists all its faults."""
+    def validate(
+        self, regions: Collection[RegionId] = ()
+    ) -> Result['RouteDocument', SettingsError]:
+        """Return the document, or an error that lists all its faults.
+
+        ``regions`` are those of the deployment, none if they are not known.
+        """
         faults = list(self._find_faults())
+        if self.accounts and regions:
+            faults.extend(self.accounts.find_unknown_regions(regions))
         if faults:
             return Failure(
                 SettingsError(
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import final
 
-from turmericmast.ids import RegionId, RouteName, ServiceId
+from turmericmast.account.account import Identity, combine_home_regions
+from turmericmast.ids import ApiKey, RegionId, RouteName, ServiceId
 from turmericmast.route.document import Route, RouteDocument
 
 ROUNDING_ERROR = 1e-9
@@ -55,16 +56,24 @@
         routes = self._routes_by_host.get(normalize_host(host), ())
         return _need_keys(self.document, routes)
 
-    def home_regions(self, host: str) -> frozenset[RegionId]:
+    def home_regions(
+        self, host: str, keys: tuple[ApiKey, ...] = ()
+    ) -> frozenset[RegionId]:
         """Return the regions that may serve all routes of a host.
 
-        Empty if any of the routes may be served in every region.
+        Empty if any of the routes may be served in every region. Those of the
+        caller's account bind, too, if ``keys`` tell which it is.
         """
         routes = self._routes_by_host.get(normalize_host(host), ())
         homes = [route.home_regions for route in routes]
-        if not homes or not all(homes):
-            return frozenset()
-        return frozenset.intersection(*homes)
+        of_routes = (
+            frozenset.intersection(*homes)
+            if homes and all(homes)
+            else frozenset()
+        )
+        accounts = self.document.accounts
+        account = accounts.find(keys) if accounts else None
+        return combine_home_regions(of_routes, Identity(account))
 
 
 def _need_keys(document: RouteDocument, routes: Iterable[Route]) -> bool:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -47,11 +47,19 @@
     ('rate_negative', 'tenants.farm.rate_per_s', -1, 'accounts.farm.rate'),
     ('rate_text', 'tenants.farm.rate_per_s', 'x', 'tenants.farm.rate_per_s'),
     ('rate_huge', 'tenants.farm.rate_per_s', 2**60, 'tenants.farm.rate_per_s'),
+    ('rate_nan', 'tenants.farm.rate_per_s', float('nan'), 'NaN'),
     ('burst_negative', 'tenants.farm.burst', -1, 'accounts.farm.burst'),
+    (
+        'unknown_region',
+        'tenants.farm.allowed_regions',
+        ['tirol', 'mars'],
+        "accounts.farm.home_regions: there is no region 'mars'",
+    ),
     ('accounts_a_list', 'tenants', [], 'tenants'),
     ('public_a_number', 'routes.order.public', 1, 'routes.order.public'),
 ]
 
+REGIONS = frozenset(REGION_BY_DOMAIN.values())
 FARM, PRESS = 'farm', 'press'
 REQUESTS = [
     # name, path, keys sent, status of the refusal, account told to the target
@@ -126,7 +134,7 @@
         outcome = (
             DocumentFormat()
             .parse_proposal(encoded(tree))
-            .bind(lambda document: document.validate())
+            .bind(lambda document: document.validate(REGIONS))
         )
         self.assertIsInstance(outcome, Failure)
         shown = outcome.failure().show()
@@ -135,7 +143,9 @@
         self.assertNotIn(LONG_KEY, shown)
 
     def test_valid(self) -> None:
-        self.assertIsInstance(document_with_accounts().validate(), Success)
+        document = document_with_accounts()
+        self.assertIsInstance(document.validate(REGIONS), Success)
+        self.assertIsInstance(document.validate(), Success)
 
     def test_keys_are_not_shown(self) -> None:
         accounts: Any = document_with_accounts().accounts
@@ -189,6 +199,24 @@
         read = _read(document_with_accounts(), '/stock/1', [f'key-{name}'])
         self.assertEqual(read.unwrap().priority, priority)
 
+    @parameterized.expand(
+        [
+            ('without_a_key', (), {'a:80', 'b:80'}),
+            ('key_with_homes', ('key-farm',), {'b:80'}),
+            ('key_without_homes', ('key-press',), {'a:80', 'b:80'}),
+            ('unknown_key', ('x',), {'a:80', 'b:80'}),
+            ('two_keys', ('key-farm', 'key-press'), {'a:80', 'b:80'}),
+        ]
+    )
+    def test_directory(
+        self, _name: str, keys: tuple[str, ...], named: set[str]
+    ) -> None:
+        edge = Edge(instance('a', 'wien-a'), REGION_BY_DOMAIN, Bounds())
+        edges = (instance('a', 'wien-a'), instance('b', 'tirol-a'))
+        edge.apply(feed(*edges), document_with_accounts())
+        found = edge.resolve('shop.example', '', '', NOW, keys)
+        self.assertEqual(set(found.addresses), named)
+
     @parameterized.expand(HOMES)
     def test_home_regions(
         self, _name: str, route: Any, account: Any, allowed: Any
--- a/tests/test_route_proposals.py
+++ b/tests/test_route_proposals.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from tests.platform_samples import ROUTES, changed, encoded
+from turmericmast.clock import SystemClock
 from turmericmast.cluster.commands import ProposeRoutes
 from turmericmast.cluster.records import RoutesRecord
 from turmericmast.exceptions import (
@@ -64,7 +65,11 @@
     state_machine: ClusterStateMachine, events: Any
 ) -> ClusterOperations:
     return ClusterOperations(
-        SimpleNamespace(events=events),  # type: ignore[arg-type]
+        SimpleNamespace(
+            events=events,
+            clock=SystemClock(),
+            settings=SimpleNamespace(region_by_domain={}),
+        ),  # type: ignore[arg-type]
         unittest.mock.Mock(),
         state_machine,
         DocumentFormat(),
