Accounts: lines and figures of the fence; strict settings; cost of a look-up

What was missing: nothing told operators that an instance refused keys for lack of a proof, and revoke_fail_closed with an unreadable revoke_s was taken as no bound at all.

No line has a key.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -20,7 +20,7 @@
 
 from absl import app, flags
 
-from bench import decisions
+from bench import accounts, decisions
 from bench.blockinghttp import request
 from bench.callers import Caller, CallResult, call_to, run_open_loop
 from bench.fleet import Fleet
@@ -538,6 +538,11 @@
     return decisions.measure()
 
 
+async def account_lookup() -> list[Row]:
+    """Measure what finding the account of a key takes, by their number."""
+    return accounts.measure()
+
+
 def _usage_columns(role: str, used: Any) -> Row:
     return {
         f'{role} core %': round(used.cpu_percent, 2),
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -71,11 +71,12 @@
     return {
         'instances': instances,
         'targets': targets,
-        **{f'{name}_us': _micros(act) for name, act in decisions.items()},
+        **{f'{name}_us': micros(act) for name, act in decisions.items()},
     }
 
 
-def _micros(act: Callable[[], object]) -> float:
+def micros(act: Callable[[], object]) -> float:
+    """Return the microseconds that the fastest tenth of the calls takes."""
     times = []
     for _ in range(REPEATS):
         began_at = time.perf_counter()
--- a/src/turmericmast/platform/settings.py
+++ b/src/turmericmast/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file into ``InstanceSettings``."""
 
+import math
 import pathlib
 from collections.abc import Iterator, Mapping
 from typing import Any, TypeAlias
@@ -95,6 +96,27 @@
         if name in {key for _, key in _KEY_BY_BOUND}
         and not isinstance(bound, int | float)
     )
+    yield from _revocation_faults(_bounds(tree))
+
+
+def _revocation_faults(bounds: JsonObject) -> Iterator[str]:
+    """Yield what is wrong with the bound on revoked keys.
+
+    A bound that is asked for and cannot be read must not be left out.
+    """
+    is_wanted = bounds.get('revoke_fail_closed')
+    if is_wanted is not None and not isinstance(is_wanted, bool):
+        yield (
+            f'bounds.revoke_fail_closed: found {is_wanted!r}; write true, or '
+            'leave it out'
+        )
+    revocation: Any = bounds.get('revoke_s')
+    is_number = isinstance(revocation, int | float) and revocation is not True
+    if is_wanted and not (is_number and 0 < revocation < math.inf):
+        yield (
+            f'bounds.revoke_s: found {revocation!r}; write a number of '
+            'seconds above 0'
+        )
 
 
 def _network_faults(tree: JsonObject) -> Iterator[str]:
--- a/src/turmericmast/programs/edgewatch.py
+++ b/src/turmericmast/programs/edgewatch.py
@@ -7,6 +7,7 @@
 
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgefrontend import EdgeFrontend
+from turmericmast.web.keytrustwatch import KeyTrustWatch
 from turmericmast.web.reachwatch import ReachWatch
 
 IDLE_SWEEP_INTERVAL_MS = 500
@@ -18,13 +19,16 @@
     context: EdgeContext,
     frontends: Iterable[EdgeFrontend],
 ) -> None:
-    """Check idle connections and the reach of targets until ``stack`` closes.
+    """Check idle connections, reach and accounts until ``stack`` closes.
 
     The reach is checked whenever the load sharing wakes up anyway.
     """
     context.load_sharing.on_check = ReachWatch(context).check
 
+    key_trust = KeyTrustWatch(context)
+
     def close_idle() -> None:
+        key_trust.check()
         for frontend in frontends:
             frontend.close_idle()
 
--- a/src/turmericmast/programs/why.py
+++ b/src/turmericmast/programs/why.py
@@ -17,6 +17,7 @@
         'target_paused',
         'target_trust',
         'core_contact',
+        'key_trust',
         'routes',
         'routes_bad',
         'leaving',
--- a/src/turmericmast/web/edgeevents.py
+++ b/src/turmericmast/web/edgeevents.py
@@ -32,6 +32,7 @@
     reach_changed = 'target_reach'
     forwarded = 'request_forwarded'
     split = 'request_split'
+    key_trust_changed = 'key_trust'
 
 
 def describe_target(view: TargetView, now: Seconds) -> dict[str, Field]:
--- a/src/turmericmast/web/requestreport.py
+++ b/src/turmericmast/web/requestreport.py
@@ -127,10 +127,26 @@
             request=incoming.request_id,
             route=incoming.route.name,
             service=incoming.pool.service,
+            **self._describe_account(),
             **fields,
             **self._progress(),
         )
 
+    def _describe_account(self) -> dict[str, Field]:
+        """Return the account and the age of the proof, as event fields.
+
+        Nothing without an account; the key is never written.
+        """
+        identity = self._incoming.identity
+        if identity is None or identity.account is None:
+            return {}
+        fence = self._context.edge.key_fence
+        age = fence.proof_age(self._context.clock.now())
+        return {
+            'account': identity.account.account,
+            'proof_ms': int(min(age, MILLIS_PER_SECOND) * MILLIS_PER_SECOND),
+        }
+
     def _progress(self) -> dict[str, Field]:
         """Return the attempts and times so far, as fields of events."""
         incoming = self._incoming
--- a/tests/test_key_fence.py
+++ b/tests/test_key_fence.py
@@ -20,6 +20,7 @@
 from turmericmast.instancesettings import Bounds
 from turmericmast.route.document import RouteDocument
 from turmericmast.web.edgeexchange import EdgeExchange
+from turmericmast.web.keytrustwatch import KeyTrustWatch
 from turmericmast.web.peerheaders import Forwarding
 from turmericmast.web.requestreading import read_request
 
@@ -218,6 +219,23 @@
         harness.connecting.set()
 
 
+class KeyTrustWatchTest(unittest.TestCase):
+    """Each change of trust leaves one line, which names no key."""
+
+    def test_lines(self) -> None:
+        harness = _harness()
+        watch = KeyTrustWatch(harness.context)
+        for wait in (0, 1, 3, 0.5, 2, 1):
+            harness.clock.time += wait
+            watch.check()
+        harness.prove()
+        watch.check()
+        lines = harness.logged('key_trust')
+        trusts = [line['trust'] for line in lines]
+        self.assertEqual(trusts, ['ageing', 'stale', 'fresh'])
+        self.assertNotIn('key-farm', repr(harness.events.mock_calls))
+
+
 class RetryTest(unittest.TestCase):
     """A request that was passed on in time may be repeated."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -202,6 +202,22 @@
         changed(SETTINGS, 'bounds.grace_s', 'x'),
         'bounds.grace_s',
     ),
+    *[
+        (
+            f'revocation_{name}',
+            changed(SETTINGS, 'bounds', {'revoke_fail_closed': wanted, **rest}),
+            found,
+        )
+        for name, wanted, rest, found in (
+            ('without_time', True, {}, 'bounds.revoke_s'),
+            ('time_text', True, {'revoke_s': '5'}, 'bounds.revoke_s'),
+            ('time_true', True, {'revoke_s': True}, 'bounds.revoke_s'),
+            ('time_zero', True, {'revoke_s': 0}, 'bounds.revoke_s'),
+            ('time_nan', True, {'revoke_s': math.nan}, 'bounds.revoke_s'),
+            ('wanted_text', 'yes', {'revoke_s': 5}, 'revoke_fail_closed'),
+            ('wanted_number', 1, {'revoke_s': 5}, 'revoke_fail_closed'),
+        )
+    ],
     ('not_an_object', [], 'document'),
 ]
 
