--- a/bench/bench.py
+++ b/bench/bench.py
@@ -618,6 +618,7 @@
             control,
             keyed,
             fleet_size,
+            account_lookup,
         )
     },
 )
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -20,7 +20,11 @@
 from turmericmast.instancesettings import Bounds
 from turmericmast.platform.documents import DocumentFormat
 from turmericmast.programs.clusterwatcher import ClusterWatcher
-from turmericmast.programs.readproofs import ASK_INTERVAL, ReadProofs
+from turmericmast.programs.readproofs import (
+    ASK_INTERVAL,
+    RETRY_INTERVAL,
+    ReadProofs,
+)
 from turmericmast.replica.readproof import ReadProof
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.wire import codec
@@ -253,6 +257,17 @@
         age = self.proofs.age_ms()
         self.assertGreaterEqual(age or 0, 300)
 
+    # Guards against a member that stays without a proof after an election, or
+    # that takes the refusal of a former leader for an answer.
+    async def test_leader_changes(self) -> None:
+        await self._refresh()
+        self.answer = Failure(NotLeaderError('m', step='s', hint='h'))
+        self.clock.offset = 1.5
+        self.assertGreaterEqual(await self._refresh() or 0, 1500)
+        self.answer = Success(4)
+        self.clock.offset = 1.5 + RETRY_INTERVAL + 0.01
+        self.assertLess(await self._refresh() or LATE, 100)
+
     # Guards against a frozen member whose proof seems young.
     async def test_frozen_member(self) -> None:
         await self._refresh()
