Rollouts: no order while a member of an older build is in contact

A member of an older build raises an error at the entries of a rollout and loses those committed with it. Members now tell the leader with Heard that they know rollouts; the leader answers an order with 503 and names those in contact that have not told.

--- a/src/turmericmast/programs/clustercommitter.py
+++ b/src/turmericmast/programs/clustercommitter.py
@@ -56,6 +56,8 @@
         self._group = group
         self._state_machine = state_machine
         self._pending = PendingCommands()
+        self.check_members: Callable[[], RefusedError | None] = _find_nothing
+        """Returns why the members can't apply the entries of a rollout."""
 
     def known_index(self) -> Index:
         """Return an index that this member had applied a moment ago.
@@ -226,9 +228,11 @@
                 if self._process.clock.now() > deadline:
                     return Failure(self._timeout_error('await other changes'))
                 await asyncio.sleep(APPLY_POLL_INTERVAL)
-        overtaken = self._check_order(command, known)
-        if overtaken:
-            return Failure(overtaken)
+        refused = self._check_order(command, known)
+        if isinstance(command, commands.OrderRollout):
+            refused = self.check_members()
+        if refused:
+            return Failure(refused)
         with self._pending.track(command):
             outcome: Result[bool, TurmericmastError] = flatten_result(
                 await self._group.propose(
@@ -239,7 +243,7 @@
 
     def _check_order(
         self, command: commands.ClusterCommand, known: Index | None
-    ) -> OvertakenError | None:
+    ) -> TurmericmastError | None:
         """Return an error if an order would undo a later one."""
         cluster = self._state_machine.cluster
         if known is None or not cluster.is_overtaken(command, known):
@@ -282,6 +286,10 @@
         return Failure(answer.failure())
 
 
+def _find_nothing() -> None:
+    """Return no error; the default until a check is set."""
+
+
 def _parse_change_reply(answer: Any) -> Result[bool, TurmericmastError]:
     match answer:
         case watchrequests.TellIndex():
--- a/src/turmericmast/programs/core.py
+++ b/src/turmericmast/programs/core.py
@@ -88,6 +88,7 @@
             case clusterrequests.AskIndex():
                 return self._committer.serve_commit_index()
             case clusterrequests.Heard():
+                self.operations.rollouts.driver.hear(body)
                 return self._failure_detector.record_alive(body)
         return replies.Refusal(
             'handle', f'message of unexpected type {type(body)}', ''
@@ -109,6 +110,7 @@
         heard = clusterrequests.Heard(
             tuple(self.operations.take_reporting_targets()),
             tuple(self._watching_edges),
+            self.operations.rollouts.driver.own_member,
         )
         self._watching_edges.clear()
         is_leader = self._group.is_leader
@@ -118,7 +120,9 @@
         if is_leader:
             self._failure_detector.record_alive(heard)
             self._failure_detector.retire_silent()
-        elif self._group.replica.leader and (heard.targets or heard.instances):
+        elif self._group.replica.leader and any(
+            (heard.targets, heard.instances, heard.rollout_member)
+        ):
             self._group.links.to(self._group.replica.leader).send(heard)
 
     def _receive(
--- a/src/turmericmast/programs/rolloutdriver.py
+++ b/src/turmericmast/programs/rolloutdriver.py
@@ -9,14 +9,16 @@
 
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.cluster.commands import DecideRollout
-from turmericmast.ids import Incarnation, Index, InstanceId
-from turmericmast.instancesettings import InstanceSettings
+from turmericmast.exceptions import RefusedError
+from turmericmast.ids import Incarnation, Index, InstanceId, MemberId
+from turmericmast.instancesettings import Contract, InstanceSettings
 from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.groupmember import GroupMember
+from turmericmast.rollout.membership import KnowingMembers
 from turmericmast.rollout.policy import RolloutPolicy
 from turmericmast.rollout.records import EdgeEvidence
 from turmericmast.rollout.tracker import RolloutTracker
-from turmericmast.wire.clusterrequests import HeardEvidence
+from turmericmast.wire.clusterrequests import Heard, HeardEvidence
 from turmericmast.wire.watchrequests import WatchCluster
 
 if TYPE_CHECKING:
@@ -51,6 +53,8 @@
         self._tracker = RolloutTracker()
         self._unsent: dict[tuple[InstanceId, Incarnation], EdgeEvidence] = {}
         """Evidence that the leader has not got from this member."""
+        self._knowing = KnowingMembers()
+        committer.check_members = self.check_members
         self._deciding: set[Index] = set()
         """Orders of rollouts about which a decision is being committed."""
         self._ticker = PeriodicCallback(self.tick, ROLLOUT_INTERVAL_MS)
@@ -69,6 +73,35 @@
         """Stop checking."""
         self._ticker.stop()
 
+    @property
+    def own_member(self) -> MemberId:
+        """Return this member's id where rollouts are in force, else empty."""
+        is_in_force = Contract.rollout in self._process.settings.contracts
+        return self._group.config.own_id if is_in_force else MemberId('')
+
+    def hear(self, heard: Heard) -> None:
+        """Record that a member applies entries of rollouts."""
+        now = self._process.clock.now()
+        self._knowing.record(heard.rollout_member, now)
+
+    def check_members(self) -> RefusedError | None:
+        """Return why no rollout can begin now, if an older build is left.
+
+        A member of an older build would lose entries of the log.
+        """
+        leadership = self._group.replica.leadership()
+        older = self._knowing.older(
+            leadership.contact_times() if leadership else {},
+            self._process.clock.now(),
+        )
+        if not older:
+            return None
+        return RefusedError(
+            f'members {", ".join(older)} have not told that they know rollouts',
+            step='order rollout',
+            hint='try again; if it lasts, replace their older builds first',
+        )
+
     def record(self, watch: WatchCluster) -> None:
         """Record the counts in a poll of an instance."""
         if not watch.evidence:
--- a/src/turmericmast/replica/leadership.py
+++ b/src/turmericmast/replica/leadership.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import math
+from collections.abc import Mapping
 from typing import final
 
 from turmericmast.ids import Incarnation, Index, MemberId, Seconds, Term
@@ -82,6 +83,13 @@
         state.append([Entry(index, state.vote.term, kind, payload)])
         return index
 
+    def contact_times(self) -> Mapping[MemberId, float]:
+        """Return the sending time of the last message each one answered."""
+        return {
+            member: progress.confirmed_at
+            for member, progress in self.progress_by_member.items()
+        }
+
     def quorum_confirmed_at(self) -> float:
         """Return the latest time at which a quorum followed this leader.
 
--- a/src/turmericmast/replica/replica.py
+++ b/src/turmericmast/replica/replica.py
@@ -86,7 +86,7 @@
         Only then is every entry of earlier terms known to be committed, and
         passed on to be applied.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         return leadership is not None and leadership.has_committed_in_term
 
     def lease_end(self) -> float:
@@ -94,7 +94,7 @@
 
         Minus infinity if this replica does not lead.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership is None:
             return -math.inf
         timing = self._state.timing
@@ -111,7 +111,7 @@
 
         Fails with ``NotLeaderError`` if this replica does not lead.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership is None:
             return Failure(
                 NotLeaderError(
@@ -127,7 +127,7 @@
 
     def tick(self, now: Seconds) -> None:
         """Run what is due: heartbeats, or probes, joins and elections."""
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership:
             leadership.tick(now)
             return
@@ -155,7 +155,7 @@
 
     def on_synced(self, now: Seconds) -> None:
         """Count the own log toward the quorum after a sync of the store."""
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership:
             leadership.synced_index = self._state.log.last_index
             leadership.commit()
@@ -166,7 +166,7 @@
 
         Zero if this replica does not lead.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         return leadership.lag(member) if leadership else 0
 
     def transfer_leadership(self) -> bool:
@@ -175,7 +175,7 @@
         Returns whether this replica no longer leads. The lease ends with a
         successful call. The caller retries while no member has caught up.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership is None:
             return True
         state = self._state
@@ -217,27 +217,28 @@
         leader the age of the latest messages that a quorum answered; infinity
         for a replica without a vote or without a known leader.
         """
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership:
             return now - leadership.quorum_confirmed_at()
         is_following = self._state.is_voter and self._state.leader
         return now - self._state.leader_heard_at if is_following else math.inf
 
+    def leadership(self) -> Leadership | None:
+        """Return the leadership of this replica, ``None`` without one."""
+        if self._state.role is not Role.leader:
+            self._leadership = None
+        return self._leadership
+
     def _on_join(self, join: Join, now: Seconds) -> None:
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership:
             leadership.on_join(join, now)
         else:
             self._join_requester.forward(join)
 
-    def _current_leadership(self) -> Leadership | None:
-        if self._state.role is not Role.leader:
-            self._leadership = None
-        return self._leadership
-
     def _on_vote_request(self, request: VoteRequest, now: Seconds) -> None:
         is_known = request.candidate in self._state.peers
-        has_lease = self._current_leadership() and now < self.lease_end()
+        has_lease = self.leadership() and now < self.lease_end()
         if has_lease or not is_known:
             return
         self._election.on_request(request, now)
@@ -268,7 +269,7 @@
 
     def _on_append_reply(self, reply: AppendReply, now: Seconds) -> None:
         self._state.observe_term(reply.term)
-        leadership = self._current_leadership()
+        leadership = self.leadership()
         if leadership and reply.term == self._state.vote.term:
             leadership.on_reply(reply, now)
             leadership.replicate(now)
--- a/src/turmericmast/wire/clusterrequests.py
+++ b/src/turmericmast/wire/clusterrequests.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from turmericmast.cluster.commands import ClusterCommand
-from turmericmast.ids import Index, InstanceId, TargetId
+from turmericmast.ids import Index, InstanceId, MemberId, TargetId
 from turmericmast.rollout.records import EdgeEvidence
 
 
@@ -28,6 +28,8 @@
 
     targets: tuple[TargetId, ...]
     instances: tuple[InstanceId, ...]
+    rollout_member: MemberId = MemberId('')
+    """The sender if it applies entries of rollouts; empty of older builds."""
 
 
 @final
--- a/src/turmericmast/wire/turmericmast.thrift
+++ b/src/turmericmast/wire/turmericmast.thrift
@@ -699,6 +699,7 @@
 struct Heard {
   1: list<string> targets
   2: list<string> instances
+  120: string rollout_member = ""
 }
 
 /** A member tells the leader what instances counted during rollouts. */
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -8,6 +8,7 @@
 from parameterized import parameterized
 from returns.result import Success
 
+from tests.edge_samples import NOW
 from tests.platform_samples import REPORT, SETTINGS, changed, encoded, without
 from tests.rollout_simulation import record
 from turmericmast.clock import HybridClock, SystemClock
@@ -31,6 +32,7 @@
 from turmericmast.replica.state import ReplicaConfig
 from turmericmast.rollout.freshness import PollFreshness
 from turmericmast.rollout.gates import VersionGates
+from turmericmast.rollout.membership import CONTACT_WINDOW, KnowingMembers
 from turmericmast.rollout.records import RolloutState, ServiceRollout
 from turmericmast.wire.codec import decode, encode
 from turmericmast.wire.link import ProcessContext
@@ -169,6 +171,8 @@
     '657276696e671804653a38311806646972656374001606110000'
 )
 """``WatchCluster`` of an instance, as 7a4f2c6 encodes it."""
+OLD_HEARD = bytes.fromhex('0c6c19180161191801650000')
+"""``Heard`` of one target and one instance, as 7a4f2c6 encodes it."""
 UNKNOWN_COMMAND = bytes.fromhex('0c90030000')
 """A ``Body`` with an empty struct as field 200."""
 VERSIONS = [
@@ -299,3 +303,38 @@
     def test_contracts(self, _name: str, settings: Any, in_force: bool) -> None:
         contracts = parse_instance_settings(settings).unwrap().contracts
         self.assertIs(Contract.rollout in contracts, in_force)
+
+
+OLDER_MEMBERS = [
+    # name, members that told, members in contact, those that are older
+    ('all_know', ('b', 'c'), ('b', 'c'), ()),
+    ('one_is_older', ('b',), ('b', 'c'), ('c',)),
+    ('one_is_lost', ('b',), ('b',), ()),
+    ('none_has_told_yet', (), ('b', 'c'), ('b', 'c')),
+]
+
+
+class OlderMemberTest(unittest.TestCase):
+    """No rollout begins while a member in contact may not know its entries.
+
+    Guards against a member of an older build that loses entries of the log.
+    """
+
+    @parameterized.expand(OLDER_MEMBERS)
+    def test_members(
+        self,
+        _name: str,
+        told: tuple[str, ...],
+        in_contact: tuple[str, ...],
+        older: tuple[str, ...],
+    ) -> None:
+        knowing = KnowingMembers()
+        knowing.record('', NOW)
+        for member in told:
+            knowing.record(member, NOW - CONTACT_WINDOW / 2)
+        contacts = {member: NOW - 0.1 for member in in_contact}
+        contacts['lost'] = NOW - 60
+        self.assertEqual(knowing.older(contacts, NOW), older)
+
+    def test_report_of_an_older_member(self) -> None:
+        self.assertEqual(decode(OLD_HEARD).unwrap().rollout_member, '')
