Rollouts: test of a lost region

Half of the instances and an old target are lost while a rollout runs; good versions are completed and bad ones rolled back all the same.

--- a/tests/test_rollout_evidence.py
+++ b/tests/test_rollout_evidence.py
@@ -15,8 +15,11 @@
     RolloutSimulation,
     Sent,
     healthy,
+    record,
 )
 from turmericmast.call.call import Loss
+from turmericmast.cluster.commands import ReportTarget
+from turmericmast.cluster.records import TargetPhase
 from turmericmast.rollout.evidence import EvidenceTable, new_responses
 from turmericmast.rollout.judgement import tail
 from turmericmast.rollout.records import (
@@ -168,7 +171,21 @@
     return act
 
 
+def lose_region(simulation: RolloutSimulation) -> Callable[[float], None]:
+    """Lose half of the instances and an old target at 4 s."""
+
+    def act(at: float) -> None:
+        if at == 4:
+            half = len(simulation.gates) // 2
+            simulation.gates = simulation.gates[:half]
+            gone = record('2', 'v1', TargetPhase.draining, sequence=2)
+            simulation.apply(ReportTarget(gone))
+
+    return act
+
+
 FAULTS = [
+    ('region_lost', lose_region),
     ('instances_out_of_touch', cut_off),
     ('leader_lost', lose_leader),
     ('power_lost', restart_all),
