--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -11,6 +11,7 @@
 from turmericmast.account.account import Account
 from turmericmast.account.table import AccountTable
 from turmericmast.edge.keyadmission import KeyAdmission
+from turmericmast.edge.freshness import Freshness
 from turmericmast.edge.keyfence import KeyFence
 from turmericmast.ids import ApiKey, Seconds, TenantId
 
@@ -27,7 +28,7 @@
 def _measure(size: int) -> dict[str, Any]:
     accounts = [_account(number) for number in range(size)]
     table = AccountTable(accounts)
-    fence = KeyFence(BOUND)
+    fence = KeyFence(BOUND, Freshness())
     fence.freshness.record_proof(NOW, Seconds(0), NOW)
     keys = itertools.cycle(
         [ApiKey(f'key-{number}-b') for number in range(0, size, 7)]
