Account limits: the burst comes back in each window

Cause: the bucket refilled at the rate alone, so that the burst was there once. It refills by burst / window more now, and a log of grants keeps each span of a window and the life of a token below the bound. A new leader begins with a debt, so that what the leader before and it grant stays below the bound together.

--- a/bench/accounts.py
+++ b/bench/accounts.py
@@ -10,8 +10,8 @@
 from bench.decisions import NOW, micros
 from turmericmast.account.account import Account
 from turmericmast.account.table import AccountTable
-from turmericmast.edge.keyadmission import KeyAdmission
 from turmericmast.edge.freshness import Freshness
+from turmericmast.edge.keyadmission import KeyAdmission
 from turmericmast.edge.keyfence import KeyFence
 from turmericmast.ids import ApiKey, Seconds, TenantId
 
--- a/src/turmericmast/allowance/bucket.py
+++ b/src/turmericmast/allowance/bucket.py
@@ -3,6 +3,7 @@
 import math
 from typing import final
 
+from turmericmast.allowance.grantlog import GrantLog
 from turmericmast.allowance.limit import Limit
 from turmericmast.ids import Seconds
 
@@ -16,18 +17,19 @@
 class Bucket:
     """Counts the tokens in use: grants raise the level, time lowers it.
 
-    What is granted in any time span is at most the capacity and what the rate
-    allows in that span.
+    What is granted in any time span is at most the capacity and what the refill
+    allows in that span, and the ceiling of the limit.
     """
 
     def __init__(self, limit: Limit, level: float, now: Seconds) -> None:
-        """Begin with a number of tokens in use, at most the capacity."""
+        """Begin with a number of tokens in use, at most with the debt."""
         self.limit = limit
-        self._level = min(max(level, 0), limit.capacity)
+        self._level = min(max(level, 0), limit.capacity + limit.debt)
         self._carried = float(0)
         """Tokens beyond the capacity, granted under a higher limit."""
         self._carried_until = now
         self._updated_at = now
+        self._granted = GrantLog()
         self._lowest = self._level
         self._earlier_lowest = self._level
         self._lowest_since = now
@@ -35,7 +37,11 @@
     def free(self, now: Seconds) -> float:
         """Return the tokens that may be granted now."""
         self._advance(now)
-        return self.limit.capacity - self._level - self._carried
+        return min(
+            self.limit.capacity - self._level - self._carried,
+            self.limit.ceiling.tokens
+            - self._granted.count(now, self.limit.ceiling.span),
+        )
 
     def take(self, needed: int, spare: int, now: Seconds) -> int:
         """Return how many tokens are granted.
@@ -49,6 +55,7 @@
             room = free - granted - self.limit.capacity / 2
             granted += min(spare, max(int(room), 0))
         self._level += granted
+        self._granted.add(granted, now)
         if granted:
             self._lowest = min(self._lowest, self._level)
         return granted
@@ -63,13 +70,24 @@
         lowest = min(self._lowest, self._earlier_lowest, self._level)
         counted = min(max(tokens, 0), lowest)
         self._level -= counted
+        self._granted.remove(counted, Seconds(now - RETURN_SPAN))
         self._lowest -= counted
         self._earlier_lowest -= counted
 
     def time_until(self, tokens: float, now: Seconds) -> Seconds:
         """Return the seconds until so many tokens are free."""
         missing = tokens - self.free(now)
-        return Seconds(max(missing / self.limit.rate, 0))
+        if missing <= 0:
+            return Seconds(0)
+        ceiling = self.limit.ceiling
+        return Seconds(
+            max(
+                missing / self.limit.refill,
+                self._granted.time_until(
+                    ceiling.tokens - tokens, now, ceiling.span
+                ),
+            )
+        )
 
     def change(self, limit: Limit, window: Seconds, now: Seconds) -> None:
         """Apply another limit.
@@ -89,7 +107,7 @@
     def _advance(self, now: Seconds) -> None:
         elapsed = max(now - self._updated_at, 0)
         self._updated_at = max(now, self._updated_at)
-        self._level = max(self._level - elapsed * self.limit.rate, 0)
+        self._level = max(self._level - elapsed * self.limit.refill, 0)
         if now >= self._carried_until:
             self._carried = 0
         self._follow_lowest(now)
--- a/src/turmericmast/allowance/ledger.py
+++ b/src/turmericmast/allowance/ledger.py
@@ -69,7 +69,7 @@
         bucket = self._bucket_by_account.get(account)
         if bucket is None:
             # Full when the ledger began; it has drained since.
-            bucket = Bucket(limit, limit.capacity, self._began_at)
+            bucket = Bucket(limit, limit.capacity + limit.debt, self._began_at)
             self._bucket_by_account[account] = bucket
         return bucket
 
--- a/src/turmericmast/allowance/limit.py
+++ b/src/turmericmast/allowance/limit.py
@@ -1,9 +1,11 @@
 """The limit of an account, as the bucket of the leader applies it."""
 
 import dataclasses
+import math
 from typing import final
 
 from turmericmast.account.account import Account
+from turmericmast.ids import Seconds
 from turmericmast.instancesettings import Bounds
 
 TOKEN_LIFETIME = 0.3
@@ -15,6 +17,16 @@
 default overage of 10 % in a window of 5 s leaves."""
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ceiling:
+    """The most tokens that may be granted within any time span."""
+
+    tokens: float = math.inf
+    span: Seconds = Seconds(0)
+    """Length of the span in seconds."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
@@ -29,6 +41,29 @@
 
     They cover those that no request uses, so that an account within its limit
     is not refused."""
+    regain: float = 0
+    """Tokens a second, beside the rate, by which the burst comes back.
+
+    The limit of a window includes the burst, so that an account may use it in
+    each window."""
+    ceiling: Ceiling = Ceiling()
+    """What the rate, the burst and its regain may not exceed together."""
+
+    @property
+    def refill(self) -> float:
+        """Return the tokens a second that become free."""
+        return self.rate + self.regain
+
+    @property
+    def debt(self) -> float:
+        """Return the tokens beyond the capacity that a new leader begins with.
+
+        Any number of seconds of the span may belong to the leader before. It
+        granted up to its capacity and its refill in them, but no more than the
+        ceiling. With the debt, both together stay below the ceiling.
+        """
+        most = self.refill * self.ceiling.span + self.capacity
+        return max(most - self.ceiling.tokens, 0)
 
     @property
     def capacity(self) -> float:
@@ -50,4 +85,12 @@
     overage = allowed * bounds.quota_overage + bounds.quota_slack
     # At least one token fits, or no request would ever be served.
     reserve = max(overage - account.rate * extra_time, 1 - account.burst)
-    return Limit(account.rate, account.burst, reserve)
+    return Limit(
+        account.rate,
+        account.burst,
+        reserve,
+        account.burst / bounds.quota_window,
+        Ceiling(
+            max(allowed + overage, 1), Seconds(bounds.quota_window + extra_time)
+        ),
+    )
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -74,6 +74,39 @@
         self.assertIsNone(limit_of(Account(FARM, frozenset()), Bounds()))
 
 
+class SustainedLoadTest(unittest.TestCase):
+    """Guards against refusals of an account that uses its burst steadily.
+
+    Its requests of each window are within rate x window + burst.
+    """
+
+    @parameterized.expand([(146, 146), (20, 20), (3, 3), (20, 100), (20, 0)])
+    def test_window_in_full(self, rate: float, burst: float) -> None:
+        limit = limit_of(
+            Account(FARM, frozenset(), rate=rate, burst=burst), Bounds()
+        )
+        assert limit is not None
+        ledger = TokenLedger(WINDOW, Seconds(0))
+        ledger.use_limits({FARM: limit}, Seconds(0))
+        demand = TokenDemand(FARM, 1, 0, 0)
+        pause = WINDOW / (rate * WINDOW + burst)
+        grants = [
+            ledger.grant(demand, Seconds(20 + number * pause)).tokens
+            for number in range(int(60 / pause))
+        ]
+        self.assertEqual(sum(grants), len(grants))
+
+    def test_burst_at_once_after_calm(self) -> None:
+        limit = limit_of(
+            Account(FARM, frozenset(), rate=20, burst=100), Bounds()
+        )
+        assert limit is not None
+        ledger = TokenLedger(WINDOW, Seconds(0))
+        ledger.use_limits({FARM: limit}, Seconds(0))
+        grant = ledger.grant(TokenDemand(FARM, 100, 0, 0), Seconds(30))
+        self.assertEqual(grant.tokens, 100)
+
+
 class BucketTest(unittest.TestCase):
     """Guards against tokens that come from nowhere, or get lost."""
 
