Edge: large bodies are passed on at the pace of the link

Beyond 64 KiB, curl's transfer pauses for a download and the caller's connection is not read for an upload, by the one `LinkPace` of the instance; its port then reads 16 KiB at a time. Without the setting nothing changes.

The wait comes before a part is passed on: behind the last part, the response came before the end of the body was read, and the connection was closed.

--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -108,7 +108,12 @@
     report_crash: ReportToCore,
 ) -> EdgeContext:
     curl = stack.enter_context(
-        CurlClient(CONNECT_TIMEOUT_MS, MAX_IDLE_SECONDS, process.metrics)
+        CurlClient(
+            CONNECT_TIMEOUT_MS,
+            MAX_IDLE_SECONDS,
+            process.metrics,
+            process.settings.host_limits.link_rate,
+        )
     )
     header_format = PlatformHeaders()
     prober = Prober(
--- a/src/turmericmast/programs/requestport.py
+++ b/src/turmericmast/programs/requestport.py
@@ -24,6 +24,11 @@
 """Seconds within which the body of a refused request must arrive.
 
 Others have until the deadline of their request."""
+PACED_CHUNK_BYTES = 16_384
+"""Bytes of a body that are read at a time where its link has a pace.
+
+Tornado's 64 KiB take 0.26 s on 2 Mbit/s, longer than a connection may take to
+open."""
 
 
 @final
@@ -45,6 +50,11 @@
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             body_timeout=BODY_TIMEOUT,
+            chunk_size=(
+                PACED_CHUNK_BYTES
+                if process.settings.host_limits.link_rate
+                else None
+            ),
         )
         self._process = process
         self._address = address
--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -10,6 +10,7 @@
 import pycurl
 from tornado.ioloop import IOLoop
 
+from turmericmast.balance.linkpace import LinkPace
 from turmericmast.metrics import Metrics
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.connections import (
@@ -48,12 +49,16 @@
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
         idle_seconds: int = MAX_IDLE_SECONDS,
         metrics: Metrics | None = None,
+        link_rate: float = 0,
     ) -> None:
         """Attach to the current event loop.
 
         Connections that were idle for ``idle_seconds`` are not used again.
-        Responses that exceed a limit are counted in ``metrics``.
+        Responses that exceed a limit are counted in ``metrics``. The link
+        carries ``link_rate`` octets a second, 0 if that is not known.
         """
+        self.link_pace = LinkPace(link_rate)
+        """The pace of large bodies, both those received and those sent."""
         self._metrics = metrics or Metrics()
         self._connect_timeout_ms = connect_timeout_ms
         self._idle_seconds = idle_seconds
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -16,6 +16,7 @@
 )
 
 from turmericmast.ids import Seconds
+from turmericmast.web.bodypace import BodyPace
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
@@ -110,6 +111,7 @@
         self._idle_connections = idle_connections
         self._server_conn = server_conn
         self._connection = connection
+        self._pace = BodyPace(context.curl.link_pace)
         self._exchange: EdgeExchange | None = None
         self._is_closed = False
         """Whether the caller has disconnected."""
@@ -137,6 +139,8 @@
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass a part of the body to the exchange."""
+        if self._exchange and self._context.curl.link_pace.is_limited:
+            return self._pass_on(self._exchange, chunk)
         return self._exchange.data_received(chunk) if self._exchange else None
 
     def finish(self) -> None:
@@ -152,6 +156,14 @@
         if self._exchange:
             self._exchange.on_connection_close()
 
+    async def _pass_on(self, exchange: EdgeExchange, chunk: bytes) -> None:
+        """Pass on a part of the body at the pace of the link."""
+        # Nothing is waited for behind the last part: a response that is
+        # written before the body has ended closes the connection.
+        await self._pace.wait()
+        self._pace.pass_on(len(chunk))
+        await exchange.data_received(chunk)
+
     def _stop_timer(self) -> None:
         if self._deadline_timer:
             self._deadline_timer.cancel()
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -13,6 +13,7 @@
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
+from turmericmast.web.bodypace import BodyPace
 from turmericmast.web.connections import Descriptor
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.persistence import persists
@@ -140,6 +141,7 @@
         self._head_lines: list[str] = []
         self._head_size = HeadSize()
         self._share = TurnShare()
+        self._pace = BodyPace(curl.link_pace)
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
         self.invalid_status: int | None = None
@@ -340,11 +342,13 @@
 
     def _on_write(self, chunk: bytes) -> int:
         self._curl.note_progress()
-        if not self._share.take(self._curl.turn, len(chunk)):
+        time_left = self._pace.time_left()
+        if time_left or not self._share.take(self._curl.turn, len(chunk)):
             # Other transfers and callers get their turn first. curl joins
             # what it has already read of the body meanwhile.
-            asyncio.get_running_loop().call_soon(self.resume)
+            asyncio.get_running_loop().call_later(time_left, self.resume)
         elif self._pass_on(chunk):
+            self._pace.pass_on(len(chunk))
             must_abort = self._body.is_filled or self._sink.is_overfull
             return ABORT_TRANSFER if must_abort else len(chunk)
         self._is_paused = True
