Uploads: refused before the body is read where they cannot be served

Callers of a route of kind `upload` sent 64 KiB and more before they got a 503, and the connection was then closed with unread octets. The body cannot be received in vain on a slow link.

A refusal tells when to come again, that nothing ran, and closes the connection without reading on. Other kinds of routes are served as before.

--- a/src/turmericmast/balance/uploadplan.py
+++ b/src/turmericmast/balance/uploadplan.py
@@ -1,8 +1,10 @@
 """Uploads that share the link of an instance, and whether one more fits."""
 
 import dataclasses
+import math
 from typing import final
 
+from turmericmast.balance.admission import GOLDEN_RATIO, OPENING_SPREAD
 from turmericmast.balance.linkpace import LinkPace
 from turmericmast.ids import CallId, Seconds
 
@@ -27,6 +29,7 @@
         """Plan by the rate of ``pace``; without one, every upload fits."""
         self._pace = pace
         self._upload_by_call: dict[CallId, PlannedUpload] = {}
+        self._refused = 0
 
     def fits(self, octets: int, deadline: Seconds, now: Seconds) -> bool:
         """Tell whether one more upload passes in time, and all others still do.
@@ -50,6 +53,15 @@
         pending = sum(upload.octets for upload in self._upload_by_call.values())
         return pending / self._pace.rate if self._pace.is_limited else 0
 
+    def retry_delay(self, now: Seconds) -> float:
+        """Return the seconds after which a refused caller should retry.
+
+        It is not before there is room; the callers of a burst are spread.
+        """
+        self._refused += 1
+        spread, _ = math.modf(self._refused * GOLDEN_RATIO)
+        return self.time_until_room(now) + OPENING_SPREAD * spread
+
     def begin(self, call: CallId, octets: int, deadline: Seconds) -> None:
         """Plan an upload that was admitted."""
         if self._pace.is_limited:
--- a/src/turmericmast/web/edgecontext.py
+++ b/src/turmericmast/web/edgecontext.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import final
 
+from turmericmast.balance.uploadplan import UploadPlan
 from turmericmast.clock import Clock
 from turmericmast.edge.edge import Edge
 from turmericmast.events import EventLog
@@ -38,12 +39,14 @@
     held_bytes: HeldBytes = dataclasses.field(default_factory=HeldBytes)
     statements: TargetStatements = dataclasses.field(init=False)
     framing: FramingReports = dataclasses.field(init=False)
+    uploads: UploadPlan = dataclasses.field(init=False)
     running: int = 0
     """Requests being sent or answered, once their body was buffered or has
     grown too large for that."""
 
     def __post_init__(self) -> None:
         """Create what follows from the other objects."""
+        self.uploads = UploadPlan(self.curl.link_pace)
         self.statements = TargetStatements(
             self.load_sharing,
             self.clock,
--- a/src/turmericmast/web/edgefrontend.py
+++ b/src/turmericmast/web/edgefrontend.py
@@ -15,17 +15,22 @@
     RequestStartLine,
 )
 
-from turmericmast.ids import Seconds
+from turmericmast.ids import CallId, Seconds
 from turmericmast.web.bodypace import BodyPace
 from turmericmast.web.edgecontext import EdgeContext
 from turmericmast.web.edgeevents import EdgeEvent, describe_problem
 from turmericmast.web.edgeexchange import EdgeExchange
-from turmericmast.web.edgerequest import address_problem, use_origin_form
+from turmericmast.web.edgerequest import (
+    EdgeRequest,
+    address_problem,
+    use_origin_form,
+)
 from turmericmast.web.firstroutes import routes_wait
 from turmericmast.web.idle import IdleConnections
 from turmericmast.web.peerheaders import read_forwarding
 from turmericmast.web.problem import Problem, refuse_request
 from turmericmast.web.requestreading import read_request
+from turmericmast.web.uploadadmission import UploadAdmission
 
 INSTANCE_IDLE_TIMEOUT = 60.0
 """Seconds after which an idle connection of another instance is closed.
@@ -111,6 +116,8 @@
         self._idle_connections = idle_connections
         self._server_conn = server_conn
         self._connection = connection
+        self._upload: CallId | None = None
+        """The call of an upload that was admitted, or waits."""
         self._pace = BodyPace(context.curl.link_pace)
         self._exchange: EdgeExchange | None = None
         self._is_closed = False
@@ -134,8 +141,7 @@
         start_line = use_origin_form(start_line, headers)
         if self._context.edge.route_table is None:
             return self._start_with_routes(start_line, headers, now)
-        self._start(start_line, headers, now)
-        return None
+        return self._start(start_line, headers, now)
 
     def data_received(self, chunk: bytes) -> Any:
         """Pass a part of the body to the exchange."""
@@ -146,6 +152,7 @@
     def finish(self) -> None:
         """Tell the exchange that the body is complete."""
         self._stop_timer()
+        self._end_upload()
         if self._exchange:
             self._exchange.finish()
 
@@ -153,6 +160,7 @@
         """Tell the exchange that the caller has disconnected."""
         self._is_closed = True
         self._stop_timer()
+        self._end_upload()
         if self._exchange:
             self._exchange.on_connection_close()
 
@@ -162,8 +170,14 @@
         # written before the body has ended closes the connection.
         await self._pace.wait()
         self._pace.pass_on(len(chunk))
+        if self._upload:
+            self._context.uploads.pass_on(self._upload, len(chunk))
         await exchange.data_received(chunk)
 
+    def _end_upload(self) -> None:
+        if self._upload:
+            self._context.uploads.end(self._upload)
+
     def _stop_timer(self) -> None:
         if self._deadline_timer:
             self._deadline_timer.cancel()
@@ -180,11 +194,14 @@
             routes_wait(metadata.caller_timeout)
         )
         if not self._is_closed:
-            self._start(start_line, headers, received_at)
+            admission = self._start(start_line, headers, received_at)
+            if admission:
+                await admission
 
     def _start(
         self, start_line: Any, headers: HTTPHeaders, received_at: Seconds
-    ) -> None:
+    ) -> Awaitable[None] | None:
+        """Start the exchange, or return what does so later; or refuse."""
         forwarding = (
             read_forwarding(headers)
             if self._origin is Origin.instance
@@ -196,13 +213,39 @@
         if not isinstance(parsed, Success):
             problem = address_problem(parsed.failure(), forwarding)
             self._refuse(problem, start_line, headers)
-            return
-        exchange = EdgeExchange(
-            self._context, self._connection, parsed.unwrap()
-        )
+            return None
+        incoming = parsed.unwrap()
+        admission = UploadAdmission(self._context, incoming)
+        if admission.is_needed:
+            return self._admit(admission, incoming)
+        self._begin(incoming)
+        return None
+
+    async def _admit(
+        self, admission: UploadAdmission, incoming: EdgeRequest
+    ) -> None:
+        """Start the exchange of an upload once a target has room, or refuse."""
+        if isinstance(self._connection, HTTP1Connection):
+            # Tornado watches the connection only after this method.
+            self._connection.stream.set_close_callback(self.on_connection_close)
+        self._upload = incoming.call.call
+        problem = await admission.find_problem()
+        if self._is_closed:
+            self._end_upload()
+        elif problem:
+            self._refuse(
+                address_problem(problem, incoming.forwarding),
+                incoming.start,
+                incoming.headers,
+            )
+        else:
+            self._begin(incoming)
+
+    def _begin(self, incoming: EdgeRequest) -> None:
+        exchange = EdgeExchange(self._context, self._connection, incoming)
         self._exchange = exchange
-        time_left = parsed.unwrap().call.deadline - self._context.clock.now()
-        if _has_body(headers):
+        time_left = incoming.call.deadline - self._context.clock.now()
+        if _has_body(incoming.headers):
             self._deadline_timer = asyncio.get_running_loop().call_later(
                 time_left, exchange.on_deadline
             )
--- a/src/turmericmast/web/edgerefusals.py
+++ b/src/turmericmast/web/edgerefusals.py
@@ -58,6 +58,16 @@
     )
 
 
+def link_busy(retry_delay: float) -> Problem:
+    """Return the problem for an upload that cannot pass the link in time."""
+    return _unavailable(
+        'Link busy',
+        'the body cannot pass the link of this instance in time',
+        'read upload',
+        retry_delay,
+    )
+
+
 def quarantined_within_body() -> Problem:
     """Return the problem for a quarantined request that was sent in part."""
     return Problem(
