--- a/src/turmericmast/programs/requestport.py
+++ b/src/turmericmast/programs/requestport.py
@@ -30,6 +30,11 @@
 """Seconds within which the body of a refused request must arrive.
 
 Others have until the deadline of their request."""
+PACED_CHUNK_BYTES = 16_384
+"""Bytes of a body that are read at a time where its link has a pace.
+
+Tornado's 64 KiB take 0.26 s on 2 Mbit/s, longer than a connection may take to
+open."""
 
 
 @final
@@ -53,6 +58,11 @@
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
             body_timeout=BODY_TIMEOUT,
+            chunk_size=(
+                PACED_CHUNK_BYTES
+                if process.settings.host_limits.link_rate
+                else None
+            ),
         )
         if guard:
             self.server.watch(guard, StreamedBody())
