Rollouts: an order precedes the targets of its version

An order needs a service with targets alone; a version whose targets never start is rolled back at the end of its time. Stand-ins for transfers in three test modules know invalid statuses.

--- a/src/turmericmast/programs/rolloutoperations.py
+++ b/src/turmericmast/programs/rolloutoperations.py
@@ -1,6 +1,5 @@
 """Orders of rollouts, and their state, at any core member."""
 
-import asyncio
 from typing import TYPE_CHECKING, final
 
 from returns.result import Failure, Result, Success
@@ -8,12 +7,9 @@
 from turmericmast.cluster.cluster import Cluster
 from turmericmast.cluster.commands import OrderRollout
 from turmericmast.exceptions import SettingsError, TurmericmastError
-from turmericmast.ids import ServiceId, TargetVersion
+from turmericmast.ids import ServiceId
 from turmericmast.instancesettings import Contract, InstanceSettings
-from turmericmast.programs.clustercommitter import (
-    APPLY_POLL_INTERVAL,
-    ClusterCommitter,
-)
+from turmericmast.programs.clustercommitter import ClusterCommitter
 from turmericmast.programs.groupmember import GroupMember
 from turmericmast.programs.rolloutdriver import RolloutDriver
 from turmericmast.rollout.records import ServiceRollout
@@ -21,12 +17,6 @@
 if TYPE_CHECKING:
     from turmericmast.programs.runner import Process
 
-VERSION_TIMEOUT = 1.5
-"""Seconds for which an order waits for the first target of its version.
-
-Targets that start when it is sent have reported by then, and an order is
-answered within the 4 s that its sender waits."""
-
 
 @final
 class RolloutOperations:
@@ -88,44 +78,25 @@
             # The leader rejects another order; targets are no matter then.
             rollouts.find(order.service).is_running
         )
-        fault = None if is_settled else await self._find_fault(order)
-        return Failure(fault) if fault else await self._committer.change(order)
-
-    async def _find_fault(self, order: OrderRollout) -> SettingsError | None:
-        """Return what an order names that is not known, if anything."""
-        deadline = self._process.clock.now() + VERSION_TIMEOUT
-        versions = self._versions(order.service)
-        while order.target_version not in versions:
-            if self._process.clock.now() > deadline:
-                return _unknown_error(order, versions)
-            await asyncio.sleep(APPLY_POLL_INTERVAL)
-            versions = self._versions(order.service)
-        return None
-
-    def _versions(self, service: ServiceId) -> frozenset[TargetVersion]:
-        """Return the versions of a service's targets."""
+        if is_settled or self._has_targets(order.service):
+            return await self._committer.change(order)
+        return Failure(_unknown_service(order.service))
+
+    def _has_targets(self, service: ServiceId) -> bool:
+        """Tell whether a service is known.
+
+        The targets of the new version may start only after the order.
+        """
         registry = self._cluster.registry
         records = registry.table.record_by_key.values()
-        return frozenset(
-            record.version for record in records if record.service == service
-        )
+        return any(record.service == service for record in records)
 
 
-def _unknown_error(
-    order: OrderRollout, versions: frozenset[TargetVersion]
-) -> SettingsError:
-    if not versions:
-        return SettingsError(
-            f'service: no target of {order.service!r} is known',
-            step='order rollout',
-            hint='write the name of a service that has targets',
-        )
-    known = ', '.join(sorted(filter(None, versions))) or 'none'
+def _unknown_service(service: ServiceId) -> SettingsError:
     return SettingsError(
-        f'target_version: no target of {order.service} has version '
-        f'{order.target_version!r}',
+        f'service: no target of {service!r} is known',
         step='order rollout',
-        hint=f'start its targets first; versions that report: {known}',
+        hint='write the name of a service that has targets',
     )
 
 
--- a/tests/cold_site.py
+++ b/tests/cold_site.py
@@ -260,6 +260,7 @@
         may_send: Any,
     ) -> None:
         self.progress = Progress.new
+        self.invalid_status: int | None = None
         self._site: ColdSite = site
         self._request = request
         self._sink = sink
--- a/tests/test_event_orders.py
+++ b/tests/test_event_orders.py
@@ -166,6 +166,7 @@
     def __init__(self, script: Script, sink: Any) -> None:
         self.script = script
         self.progress = Progress.sending
+        self.invalid_status: int | None = None
         self._sink = sink
         self._events: list[Event] = list(script.events())
         self._is_paused = False
--- a/tests/test_single_response.py
+++ b/tests/test_single_response.py
@@ -223,6 +223,7 @@
     def __init__(self, transfers: list[Any], sink: Any) -> None:
         transfers.append(self)
         self.progress = Progress.head
+        self.invalid_status: int | None = None
         self._sink = sink
         self._end: asyncio.Future[Loss | None] = asyncio.Future()
 
