--- a/tests/cold_site.py
+++ b/tests/cold_site.py
@@ -13,6 +13,7 @@
 from tests.edge_harness import HEALTH_URL_END, unsplit_document
 from tests.edge_samples import NOW, edge, feed, instance, target
 from tests.virtual_time import LoopClock, VirtualTimeLoop
+from turmericmast.balance.linkpace import LinkPace
 from turmericmast.call.call import Loss
 from turmericmast.cluster.records import EdgeRecord, TargetRecord
 from turmericmast.edge.gossip import Parcel
@@ -103,6 +104,7 @@
         self.statuses: defaultdict[int, int] = defaultdict(int)
         self.probes = 0
         self.kept_connections = unittest.mock.Mock()
+        self.link_pace = LinkPace()
         self._random = random.Random(seed)
         self._load = load
         self._clock = LoopClock()
