--- a/src/turmericmast/balance/linkpace.py
+++ b/src/turmericmast/balance/linkpace.py
@@ -29,12 +29,14 @@
         """Pace by the octets a second of the link; 0: no pace."""
         self.rate = link_rate * BODY_SHARE
         """Octets a second of all large bodies together, 0 if not limited."""
+        self.is_needed = True
+        """Whether the routes have uploads, beside which others wait."""
         self._free_at = -math.inf
 
     @property
     def is_limited(self) -> bool:
-        """Tell whether the rate of the link is known."""
-        return self.rate > 0
+        """Tell whether bodies are paced, at a rate that is known."""
+        return self.rate > 0 and self.is_needed
 
     def pass_on(self, octets: int, now: Seconds) -> Seconds:
         """Count a part of a body; return when its body may go on.
--- a/src/turmericmast/programs/edge.py
+++ b/src/turmericmast/programs/edge.py
@@ -78,6 +78,8 @@
 
 
 def _use_routes(context: EdgeContext) -> None:
+    table = context.edge.route_table
+    context.curl.link_pace.is_needed = table is not None and table.has_uploads
     context.first_routes.announce()
     context.load_sharing.check_now()
 
--- a/src/turmericmast/route/table.py
+++ b/src/turmericmast/route/table.py
@@ -7,7 +7,7 @@
 
 from turmericmast.account.account import Identity, combine_home_regions
 from turmericmast.ids import ApiKey, RegionId, RouteName, ServiceId
-from turmericmast.route.document import Route, RouteDocument
+from turmericmast.route.document import Route, RouteDocument, RouteKind
 
 ROUNDING_ERROR = 1e-9
 """What a sum of shares may fall short of 1 by rounding."""
@@ -24,6 +24,11 @@
         self.document = document
         self.needs_keys = _need_keys(document, document.route_by_name.values())
         """Whether requests on some route need the key of an account."""
+        self.has_uploads = any(
+            route.kind is RouteKind.upload
+            for route in document.route_by_name.values()
+        )
+        """Whether callers send large bodies on some route."""
         ordered = sorted(
             document.route_by_name.values(),
             key=lambda route: (route.host, -len(route.prefix), route.name),
--- a/tests/test_link_pace.py
+++ b/tests/test_link_pace.py
@@ -11,9 +11,12 @@
 from hypothesis import given, settings, strategies
 from parameterized import parameterized
 
+from tests.platform_samples import ROUTES, changed, encoded
 from turmericmast.balance.linkpace import BODY_SHARE, LinkPace
 from turmericmast.balance.uploadplan import UploadPlan
 from turmericmast.ids import CallId, Seconds
+from turmericmast.platform.documents import DocumentFormat
+from turmericmast.route.table import RouteTable
 
 SLOW, FAST = 2_000_000 / 8, 4_250_000 / 8
 """Octets a second of the slowest links."""
@@ -176,3 +179,18 @@
         self.assertAlmostEqual(plan.time_until_room(Seconds(0)), expected)
         plan.end(CallId('a'))
         self.assertEqual(plan.time_until_room(Seconds(0)), 0)
+
+
+class RoutesTest(unittest.TestCase):
+    """Guards against slower downloads where nobody uploads."""
+
+    @parameterized.expand(
+        [('safe', False), ('download', False), ('upload', True)]
+    )
+    def test_paced_for_uploads_only(self, kind: str, is_needed: bool) -> None:
+        tree = changed(ROUTES, 'routes.order.kind', kind)
+        document = DocumentFormat().parse(encoded(tree)).unwrap()
+        self.assertIs(RouteTable(document).has_uploads, is_needed)
+        pace = LinkPace(1000)
+        pace.is_needed = is_needed
+        self.assertIs(pace.is_limited, is_needed)
