--- a/bench/allowancecost.py
+++ b/bench/allowancecost.py
@@ -13,7 +13,7 @@
 from turmericmast.account.account import Account
 from turmericmast.allowance.ledger import TokenLedger
 from turmericmast.allowance.limit import limit_of
-from turmericmast.allowance.purse import Purse
+from turmericmast.allowance.tokencache import TokenCache
 from turmericmast.allowance.tokens import TokenDemand, TokenGrant
 from turmericmast.ids import Seconds, TenantId
 from turmericmast.instancesettings import Bounds
@@ -50,22 +50,22 @@
     ledger = TokenLedger(Seconds(5), Seconds(-10))
     ledger.use_limits({FARM: limit}, Seconds(-10))
     demand = TokenDemand(FARM, 1, 0, 0)
-    purse = Purse(FARM)
-    refused = Purse(FARM)
+    cache = TokenCache(FARM)
+    refused = TokenCache(FARM)
     refusal = TokenGrant(0, 10**9, filling=False)
     refused.receive(demand, refusal, Seconds(0), Seconds(0))
 
     def draw_with_ask(now: Seconds) -> None:
-        purse.arrive(now)
-        purse.draw(now)
-        purse.waiting = 1
-        asked = purse.make_demand(now)
-        purse.waiting = 0
+        cache.arrive(now)
+        cache.draw(now)
+        cache.waiting = 1
+        asked = cache.make_demand(now)
+        cache.waiting = 0
         if asked:
             grant = TokenGrant(1, 0, filling=False)
-            purse.receive(asked, grant, now, now)
-            purse.end(asked)
-        purse.draw(now)
+            cache.receive(asked, grant, now, now)
+            cache.end(asked)
+        cache.draw(now)
 
     def refuse(now: Seconds) -> None:
         refused.arrive(now)
--- a/src/turmericmast/allowance/purse.py
+++ b/src/turmericmast/allowance/tokencache.py
@@ -54,7 +54,7 @@
 
 
 @final
-class Purse:
+class TokenCache:
     """Tokens, refusals and expected requests of one account at one edge."""
 
     def __init__(self, account: TenantId) -> None:
--- a/src/turmericmast/web/allowancegate.py
+++ b/src/turmericmast/web/allowancegate.py
@@ -8,7 +8,7 @@
 
 from turmericmast.account.account import Account
 from turmericmast.allowance.limit import MAX_TOKEN_WAIT, TOKEN_LIFETIME
-from turmericmast.allowance.purse import Draw, Lease, Purse
+from turmericmast.allowance.tokencache import Draw, Lease, TokenCache
 from turmericmast.balance.admission import RetryDelays
 from turmericmast.clock import Clock
 from turmericmast.ids import Seconds, TenantId
@@ -56,12 +56,12 @@
         self._metrics = metrics
         self._retry_delays = RetryDelays(rank)
         self._asker = TokenAsker(source, clock, self._receive)
-        self._purse_by_account: dict[TenantId, Purse] = {}
+        self._cache_by_account: dict[TenantId, TokenCache] = {}
         self._due: set[TenantId] = set()
         """Accounts for which the next ask may be needed."""
         self._next_ask_at = float(0)
         self._change_by_account: dict[TenantId, asyncio.Future[None]] = {}
-        """Set once the purse of an account has changed."""
+        """Set once the cache of an account has changed."""
         self._outage: _Outage | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -78,42 +78,42 @@
         now = self._clock.now()
         patience = min(latency_goal * GOAL_SHARE, MAX_TOKEN_WAIT)
         latest = Seconds(now + max(patience, MIN_PATIENCE))
-        purse = self._purse(account.account)
-        purse.arrive(now)
-        outcome, lease = await self._draw(purse, latest)
+        cache = self._cache(account.account)
+        cache.arrive(now)
+        outcome, lease = await self._draw(cache, latest)
         self._metrics.count('tokens', outcome=outcome.value)
         if outcome is Draw.granted:
             return Success(lease)
-        return Failure(self._problem(purse, outcome))
+        return Failure(self._problem(cache, outcome))
 
     def give_back(self, account: Account, lease: Lease) -> None:
         """Take back the token of a request that has not run."""
-        self._purse(account.account).give_back(lease, self._clock.now())
+        self._cache(account.account).give_back(lease, self._clock.now())
         self._return_later(account.account)
 
     async def _draw(
-        self, purse: Purse, latest: Seconds
+        self, cache: TokenCache, latest: Seconds
     ) -> tuple[Draw, Lease | None]:
         while True:
             now = self._clock.now()
-            outcome, lease = purse.draw(now)
+            outcome, lease = cache.draw(now)
             is_final = outcome in {Draw.granted, Draw.refused}
             if is_final or now >= latest or self._is_lost(now):
                 return outcome, lease
-            await self._wait(purse, Seconds(latest - now))
+            await self._wait(cache, Seconds(latest - now))
 
-    async def _wait(self, purse: Purse, timeout: Seconds) -> None:
-        """Wait until the purse changes; see to it that an ask is sent."""
-        account = purse.account
+    async def _wait(self, cache: TokenCache, timeout: Seconds) -> None:
+        """Wait until the cache changes; see to it that an ask is sent."""
+        account = cache.account
         change = self._change_by_account.get(account)
         if change is None:
             change = asyncio.get_running_loop().create_future()
             self._change_by_account[account] = change
-        purse.waiting += 1
-        delay = purse.refusal_left(self._clock.now())
+        cache.waiting += 1
+        delay = cache.refusal_left(self._clock.now())
         self._ask_after(account, delay)
         await asyncio.wait((change,), timeout=timeout)
-        purse.waiting -= 1
+        cache.waiting -= 1
 
     def _ask_after(self, account: TenantId, delay: float) -> None:
         """Include an account in the next ask, which is sent after a time."""
@@ -131,7 +131,7 @@
     def _flush(self) -> None:
         now = self._clock.now()
         made = (
-            self._purse_by_account[account].make_demand(now)
+            self._cache_by_account[account].make_demand(now)
             for account in sorted(self._due)
         )
         demands = tuple(filter(None, made))
@@ -161,7 +161,7 @@
         self._outage = None
         now = self._clock.now()
         for demand, grant in zip(demands, answer.grants, strict=True):
-            self._purse(demand.account).receive(demand, grant, sent_at, now)
+            self._cache(demand.account).receive(demand, grant, sent_at, now)
             is_late = now >= sent_at + TOKEN_LIFETIME
             if is_late or grant.tokens > demand.needed:
                 self._return_later(demand.account)
@@ -170,7 +170,7 @@
     def _end(self, demands: Demands) -> None:
         """End the waiting for an answer to demands."""
         for demand in demands:
-            self._purse(demand.account).end(demand)
+            self._cache(demand.account).end(demand)
             change = self._change_by_account.pop(demand.account, None)
             if change:
                 change.set_result(None)
@@ -192,22 +192,22 @@
             self._spawn(())
         return True
 
-    def _purse(self, account: TenantId) -> Purse:
-        purse = self._purse_by_account.get(account)
-        if purse is None:
-            purse = Purse(account)
-            self._purse_by_account[account] = purse
-        return purse
+    def _cache(self, account: TenantId) -> TokenCache:
+        cache = self._cache_by_account.get(account)
+        if cache is None:
+            cache = TokenCache(account)
+            self._cache_by_account[account] = cache
+        return cache
 
-    def _problem(self, purse: Purse, outcome: Draw) -> Problem:
-        until = purse.refusal_left(self._clock.now())
+    def _problem(self, cache: TokenCache, outcome: Draw) -> Problem:
+        until = cache.refusal_left(self._clock.now())
         delay = until + self._retry_delays.delay_after(0)
         if outcome is Draw.refused:
-            self._metrics.count('tokens_refused', account=purse.account)
-            return accountrefusals.over_limit(purse.account, delay)
+            self._metrics.count('tokens_refused', account=cache.account)
+            return accountrefusals.over_limit(cache.account, delay)
         cause = (
             'the leader of the core is new'
             if outcome is Draw.filling
             else 'no core member answered in time'
         )
-        return accountrefusals.no_token(purse.account, cause, delay)
+        return accountrefusals.no_token(cache.account, cause, delay)
--- a/src/turmericmast/web/tokencharge.py
+++ b/src/turmericmast/web/tokencharge.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from turmericmast.allowance.purse import Lease
+from turmericmast.allowance.tokencache import Lease
 from turmericmast.web.allowancegate import AllowanceGate
 from turmericmast.web.edgerequest import EdgeRequest
 from turmericmast.web.problem import Problem
--- a/tests/allowance_model.py
+++ b/tests/allowance_model.py
@@ -11,7 +11,7 @@
 from turmericmast.allowance.batch import DemandBatch
 from turmericmast.allowance.ledger import TokenLedger
 from turmericmast.allowance.limit import MAX_TOKEN_WAIT, Limit
-from turmericmast.allowance.purse import Draw, Purse
+from turmericmast.allowance.tokencache import Draw, TokenCache
 from turmericmast.allowance.tokens import TokenDemand, TokenGrant
 from turmericmast.ids import Seconds, TenantId
 
@@ -59,7 +59,7 @@
     def restart(self) -> None:
         """Forget all tokens and requests."""
         self.incarnation += 1
-        self.purse = Purse(ACCOUNT)
+        self.cache = TokenCache(ACCOUNT)
         self.waiting: list[_Waiting] = []
         self.unanswered: list[_Ask] = []
 
@@ -152,12 +152,12 @@
 
     def _arrive(self, edge: _Edge, at: float) -> None:
         edge.waiting.append(_Waiting(at))
-        edge.purse.arrive(Seconds(at))
+        edge.cache.arrive(Seconds(at))
 
     def _run_edge(self, number: int, edge: _Edge) -> None:
         still = []
         for request in edge.waiting:
-            outcome, _ = edge.purse.draw(self.now)
+            outcome, _ = edge.cache.draw(self.now)
             if outcome is Draw.granted:
                 self.ran.append(request.at)
             elif outcome is Draw.refused or (
@@ -167,12 +167,12 @@
             else:
                 still.append(request)
         edge.waiting = still
-        edge.purse.waiting = len(still)
+        edge.cache.waiting = len(still)
         for ask in tuple(edge.unanswered):
             if self.now >= ask.sent_at + ASK_TIMEOUT:
                 edge.unanswered.remove(ask)
-                edge.purse.end(ask.demand)
-        demand = edge.purse.make_demand(self.now)
+                edge.cache.end(ask.demand)
+        demand = edge.cache.make_demand(self.now)
         if demand:
             ask = _Ask(number, edge.incarnation, demand, self.now)
             edge.unanswered.append(ask)
@@ -202,7 +202,7 @@
         elif edge.incarnation == ask.incarnation:
             if ask in edge.unanswered:
                 edge.unanswered.remove(ask)
-                edge.purse.end(ask.demand)
-            edge.purse.receive(
+                edge.cache.end(ask.demand)
+            edge.cache.receive(
                 ask.demand, grant, Seconds(ask.sent_at), self.now
             )
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -1,4 +1,4 @@
-"""Decisions about tokens: limits, buckets, the ledger, purses and batches."""
+"""Decisions about tokens: limits, buckets, the ledger, caches and batches."""
 
 import unittest
 from typing import Any
@@ -10,7 +10,7 @@
 from turmericmast.allowance.bucket import Bucket
 from turmericmast.allowance.ledger import MIN_WAIT_MS, TokenLedger
 from turmericmast.allowance.limit import Limit, limit_of
-from turmericmast.allowance.purse import Draw, Lease, Purse
+from turmericmast.allowance.tokencache import Draw, Lease, TokenCache
 from turmericmast.allowance.tokens import TokenDemand, TokenGrant
 from turmericmast.ids import Seconds, TenantId
 from turmericmast.instancesettings import Bounds
@@ -186,19 +186,19 @@
         self.assertEqual(self._grant(1, 100).wait_ms, 10_000)
 
 
-class PurseTest(unittest.TestCase):
+class TokenCacheTest(unittest.TestCase):
     """Guards against tokens used after their time, and needless asks."""
 
     def setUp(self) -> None:
         """Let one request wait."""
-        self.purse = Purse(FARM)
-        self.purse.waiting = 1
+        self.cache = TokenCache(FARM)
+        self.cache.waiting = 1
 
     def _receive(self, grant: TokenGrant, sent_at: Any, now: Any) -> None:
-        self.purse.receive(TokenDemand(FARM, 1, 0, 0), grant, sent_at, now)
+        self.cache.receive(TokenDemand(FARM, 1, 0, 0), grant, sent_at, now)
 
     def _drawn(self, now: float) -> Draw:
-        return self.purse.draw(Seconds(now))[0]
+        return self.cache.draw(Seconds(now))[0]
 
     @parameterized.expand(
         [
@@ -233,40 +233,40 @@
         self.assertIs(self._drawn(0.05), Draw.filling)
 
     def test_asks_once_for_each_request(self) -> None:
-        first = self.purse.make_demand(Seconds(0))
+        first = self.cache.make_demand(Seconds(0))
         self.assertEqual(first, TokenDemand(FARM, 1, 0, 0))
-        self.assertIsNone(self.purse.make_demand(Seconds(0.01)))
-        self.purse.waiting = 3
-        second = self.purse.make_demand(Seconds(0.02))
+        self.assertIsNone(self.cache.make_demand(Seconds(0.01)))
+        self.cache.waiting = 3
+        second = self.cache.make_demand(Seconds(0.02))
         self.assertEqual(second, TokenDemand(FARM, 2, 0, 0))
 
     def test_asks_nothing_while_refused(self) -> None:
         grant = TokenGrant(0, 100, filling=False)
         self._receive(grant, Seconds(0), Seconds(0))
-        self.assertIsNone(self.purse.make_demand(Seconds(0.05)))
-        self.assertIsNotNone(self.purse.make_demand(Seconds(0.2)))
+        self.assertIsNone(self.cache.make_demand(Seconds(0.05)))
+        self.assertIsNotNone(self.cache.make_demand(Seconds(0.2)))
 
     def test_asks_for_expected_requests(self) -> None:
         for number in range(200):
-            self.purse.arrive(Seconds(number / 100))
-        demand = self.purse.make_demand(Seconds(2))
+            self.cache.arrive(Seconds(number / 100))
+        demand = self.cache.make_demand(Seconds(2))
         assert demand is not None
         self.assertAlmostEqual(demand.spare, 10, delta=1)
 
     def test_returns_what_has_expired(self) -> None:
         self._receive(TokenGrant(5, 0, False), Seconds(0), Seconds(0.1))
         self._drawn(0.1)
-        self.purse.waiting = 0
+        self.cache.waiting = 0
         self.assertEqual(
-            self.purse.make_demand(Seconds(0.31)), TokenDemand(FARM, 0, 0, 4)
+            self.cache.make_demand(Seconds(0.31)), TokenDemand(FARM, 0, 0, 4)
         )
-        self.assertIsNone(self.purse.make_demand(Seconds(0.32)))
+        self.assertIsNone(self.cache.make_demand(Seconds(0.32)))
 
     def test_returns_nothing_that_is_too_old(self) -> None:
         # The leader does not know any more whether they were in use.
         self._receive(TokenGrant(5, 0, False), Seconds(0), Seconds(0.1))
-        self.purse.waiting = 0
-        self.assertIsNone(self.purse.make_demand(Seconds(0.6)))
+        self.cache.waiting = 0
+        self.assertIsNone(self.cache.make_demand(Seconds(0.6)))
 
     @parameterized.expand(
         [('valid', 0.2, Draw.granted), ('expired', 0.4, Draw.asked)]
@@ -274,7 +274,7 @@
     def test_token_of_a_request_that_has_not_run(
         self, _name: str, now: float, outcome: Draw
     ) -> None:
-        self.purse.give_back(Lease(Seconds(0), 1), Seconds(now))
+        self.cache.give_back(Lease(Seconds(0), 1), Seconds(now))
         self.assertIs(self._drawn(now), outcome)
 
 
