--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -28,6 +28,7 @@
     instance,
     target,
 )
+from turmericmast.balance.linkpace import LinkPace
 from turmericmast.edge.edge import Edge
 from turmericmast.ids import Seconds
 from turmericmast.instancesettings import Bounds
@@ -383,7 +384,7 @@
     return EdgeContext(
         edge=edge,
         clock=SkewedClock(),
-        curl=unittest.mock.Mock(),
+        curl=unittest.mock.Mock(link_pace=LinkPace()),
         header_format=PlatformHeaders(),
         prober=unittest.mock.Mock(),
         crash_detector=unittest.mock.Mock(),
--- a/tests/test_long_suspects.py
+++ b/tests/test_long_suspects.py
@@ -182,6 +182,7 @@
         self, receiver: _Target, request: TransferRequest, sink: Any
     ) -> None:
         self.progress = Progress.sending
+        self.invalid_status: int | None = None
         self._target = receiver
         self._request = request
         self._sink = sink
