--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -731,9 +731,11 @@
     record = Record(pathlib.Path(folder) / 'record.txt')
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write('case', trouble=has_trouble)
+    # Whoever ends the script ends the processes that it has started, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(_run(main(record, has_trouble)))
-    except (CannotRun, TimeoutError) as error:
+    except (CannotRun, TimeoutError, KeyboardInterrupt) as error:
         record.write('cannot_run', error=repr(error))
         sys.stdout.write(f'cannot run: {error!r}\n')
         status = 2
