--- a/review/6/case.py
+++ b/review/6/case.py
@@ -53,7 +53,10 @@
             fleet, record, REQUESTS_PER_S, lambda _, number: f'/stock/{number}'
         )
         return await recovery.play(
-            fleet, record, traffic, trouble=write if has_writer else None,
+            fleet,
+            record,
+            traffic,
+            trouble=write if has_writer else None,
             has_fault=has_fault,
         )
 
@@ -69,8 +72,12 @@
         answer = await deployment.call(
             core, 'PUT', f'/-/instances/agent-{number}', entry
         )
-        record.write('entry_of_other_writer', address=entry['address'],
-                     service='inventory', status=answer.status)
+        record.write(
+            'entry_of_other_writer',
+            address=entry['address'],
+            service='inventory',
+            status=answer.status,
+        )
 
 
 deployment.run_case(main, FOLDER)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -53,7 +53,10 @@
 
         traffic = recovery.Traffic(fleet, record, REQUESTS_PER_S, _path)
         return await recovery.play(
-            fleet, record, traffic, trouble=crash if has_crashes else None,
+            fleet,
+            record,
+            traffic,
+            trouble=crash if has_crashes else None,
             has_fault=has_fault,
         )
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -79,8 +79,9 @@
         for server in leaving:
             # Nobody gets it, for now. The server keeps on serving.
             reports[server.name] = server.report_body()
-            record.write('report_held_up', server=server.name,
-                         sequence=server.sequence)
+            record.write(
+                'report_held_up', server=server.name, sequence=server.sequence
+            )
         await asyncio.sleep(deployment.HEARTBEAT_S)
     record.write('cut_ends')
     return reports
@@ -94,8 +95,9 @@
         if not await server.report():
             raise deployment.CannotRun('draining was not acknowledged')
         acked_at.append(time.monotonic())
-        record.write('draining_acked', server=server.name,
-                     sequence=server.sequence)
+        record.write(
+            'draining_acked', server=server.name, sequence=server.sequence
+        )
     return acked_at
 
 
@@ -111,9 +113,13 @@
         answer = await deployment.call(
             core, 'PUT', f'/-/instances/{name}', report
         )
-        record.write('late_report_arrives', server=name,
-                     sequence=report['status']['sequence'],
-                     state=report['status']['state'], status=answer.status)
+        record.write(
+            'late_report_arrives',
+            server=name,
+            sequence=report['status']['sequence'],
+            state=report['status']['state'],
+            status=answer.status,
+        )
 
 
 async def _call_forever(fleet, record):
@@ -152,8 +158,12 @@
         if at - acked > drain
     ]
     for name, request_id, after in late:
-        record.write('reached_after_drain', server=name, id=request_id,
-                     seconds_after_ack=after)
+        record.write(
+            'reached_after_drain',
+            server=name,
+            id=request_id,
+            seconds_after_ack=after,
+        )
     if not late:
         return ''
     return (
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -83,7 +83,9 @@
     for request_id in caller.ids:
         writer.write(
             deployment.request_bytes(
-                'GET', f'/price/item-{request_id}', request_id,
+                'GET',
+                f'/price/item-{request_id}',
+                request_id,
                 deadline_ms=DEADLINE_MS,
             )
         )
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -109,7 +109,9 @@
 class Fleet:
     """Machines with cores and edges; a context that ends all processes."""
 
-    def __init__(self, record, per_zone=1, bounds=None, zones=None, limits=None):
+    def __init__(
+        self, record, per_zone=1, bounds=None, zones=None, limits=None
+    ):
         self.record = record
         self.zones = zones or ZONES
         self.bounds = {**BOUNDS, **(bounds or {})}
@@ -344,11 +346,21 @@
     status = int(first.split(' ')[1])
     if method == 'HEAD' or status in {204, 304}:
         return Answer(status, headers, b'')
-    return Answer(status, headers, await read_body(reader, headers, to_end=True))
+    return Answer(
+        status, headers, await read_body(reader, headers, to_end=True)
+    )
 
 
-def request_bytes(method, path, request_id, *, host=HOST, deadline_ms=None,
-                  body=None, headers=()):
+def request_bytes(
+    method,
+    path,
+    request_id,
+    *,
+    host=HOST,
+    deadline_ms=None,
+    body=None,
+    headers=(),
+):
     lines = [f'{method} {path} HTTP/1.1', f'Host: {host}']
     lines.append(f'X-Request-Id: {request_id}')
     if deadline_ms is not None:
@@ -362,8 +374,14 @@
 
 async def call(address, method, path, document=None, timeout=1.0):
     """Make one call of the operator or of a server; raise OSError without."""
-    body = b'' if document is None else (
-        document if isinstance(document, bytes) else json.dumps(document).encode()
+    body = (
+        b''
+        if document is None
+        else (
+            document
+            if isinstance(document, bytes)
+            else json.dumps(document).encode()
+        )
     )
     async with asyncio.timeout(timeout):
         reader, writer = await asyncio.open_connection(*address)
@@ -397,9 +415,17 @@
             core = cores[0]
             cores.append(cores.pop(0))
             answer = await self._call(core, method, path, document)
-            if answer and (answer.status < 300 or answer.status in {
-                400, 409, 412, 413, 422,
-            }):
+            if answer and (
+                answer.status < 300
+                or answer.status
+                in {
+                    400,
+                    409,
+                    412,
+                    413,
+                    422,
+                }
+            ):
                 return answer
             await asyncio.sleep(pause)
             pause = min(pause * 1.5, 0.5)
@@ -412,12 +438,19 @@
                 answer = await call(address, method, path, document)
             except ERRORS as error:
                 self._fleet.record.write(
-                    'order', method=method, path=path, core=core.name,
-                    status=0, error=repr(error),
+                    'order',
+                    method=method,
+                    path=path,
+                    core=core.name,
+                    status=0,
+                    error=repr(error),
                 )
                 return None
             self._fleet.record.write(
-                'order', method=method, path=path, core=core.name,
+                'order',
+                method=method,
+                path=path,
+                core=core.name,
                 status=answer.status,
             )
             location = answer.headers.get('location', '')
@@ -446,8 +479,17 @@
 class Server:
     """An upstream: registers itself, runs requests, answers health checks."""
 
-    def __init__(self, fleet, name, zone, service='stock', slots=4, queue=16,
-                 work=0.02, address=None):
+    def __init__(
+        self,
+        fleet,
+        name,
+        zone,
+        service='stock',
+        slots=4,
+        queue=16,
+        work=0.02,
+        address=None,
+    ):
         self.fleet = fleet
         self.name = name
         self.zone = zone
@@ -513,8 +555,12 @@
     async def report(self, method='PUT', timeout=5.0):
         """Report once, at one core after the other; tell whether it worked."""
         ends_at = time.monotonic() + timeout
-        cores = [self.fleet.address(core, 'control') for core in self.fleet.cores]
-        cores.sort(key=lambda address: address[0] != self.fleet.machine(self.zone).ip)
+        cores = [
+            self.fleet.address(core, 'control') for core in self.fleet.cores
+        ]
+        cores.sort(
+            key=lambda address: address[0] != self.fleet.machine(self.zone).ip
+        )
         if self.report_to:
             cores.insert(0, self.report_to)
         body = self.report_body() if method == 'PUT' else None
@@ -545,7 +591,9 @@
             writer.close()
 
     def _load(self):
-        load = f'X-Server-Load: {self._running},{self._waiting},{self.slots},100'
+        load = (
+            f'X-Server-Load: {self._running},{self._waiting},{self.slots},100'
+        )
         # An upstream that leaves says so in all its answers (LETTERS.md).
         leaving = '' if self.state == 'ready' else 'Server-Leaving: 1\r\n'
         return f'{load}\r\n{leaving}'
@@ -601,11 +649,17 @@
                         await asyncio.wait_for(self._free.wait(), 0.02)
         finally:
             self._waiting -= 1
-        run = Run(headers.get('x-request-id', ''), method, path,
-                  time.monotonic(), headers)
+        run = Run(
+            headers.get('x-request-id', ''),
+            method,
+            path,
+            time.monotonic(),
+            headers,
+        )
         self.runs.append(run)
-        self.fleet.record.write('run', server=self.name, id=run.request_id,
-                                path=path)
+        self.fleet.record.write(
+            'run', server=self.name, id=run.request_id, path=path
+        )
         self._running += 1
         try:
             await asyncio.wait((gone,), timeout=self.work_of(path))
@@ -617,8 +671,9 @@
         if gone.done():
             # Most upstreams drop a request when its connection closes.
             run.dropped = True
-            self.fleet.record.write('dropped', server=self.name,
-                                    id=run.request_id)
+            self.fleet.record.write(
+                'dropped', server=self.name, id=run.request_id
+            )
             return False
         return await self.answer(writer, run, echo)
 
@@ -630,14 +685,24 @@
         body = f'{self.name} {run.path}'.encode()
         writer.write(
             f'HTTP/1.1 200 OK\r\n{echo}X-Response-Signature: {run.request_id}\r\n'
-            f'{self._load()}Content-Length: {len(body)}\r\n\r\n'.encode() + body
+            f'{self._load()}Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
         )
         await writer.drain()
         return True
 
 
-def route(kind, prefix, *, service='stock', timeout_s=1.2, goal_s=0.25,
-          host=HOST, max_attempts=2, regions=()):
+def route(
+    kind,
+    prefix,
+    *,
+    service='stock',
+    timeout_s=1.2,
+    goal_s=0.25,
+    host=HOST,
+    max_attempts=2,
+    regions=(),
+):
     return {
         'host': host,
         'path_prefix': prefix,
@@ -688,16 +753,33 @@
             await asyncio.sleep(0.1)
 
 
-async def get(address, path, request_id, *, method='GET', deadline_ms=1200,
-              body=None, headers=(), timeout=3.0, host=HOST):
+async def get(
+    address,
+    path,
+    request_id,
+    *,
+    method='GET',
+    deadline_ms=1200,
+    body=None,
+    headers=(),
+    timeout=3.0,
+    host=HOST,
+):
     """Send one request on a connection of its own."""
     async with asyncio.timeout(timeout):
         reader, writer = await asyncio.open_connection(*address)
         try:
-            writer.write(request_bytes(
-                method, path, request_id, deadline_ms=deadline_ms, body=body,
-                headers=headers, host=host,
-            ))
+            writer.write(
+                request_bytes(
+                    method,
+                    path,
+                    request_id,
+                    deadline_ms=deadline_ms,
+                    body=body,
+                    headers=headers,
+                    host=host,
+                )
+            )
             return await read_answer(reader, method)
         finally:
             writer.close()
@@ -710,7 +792,8 @@
         for number in range(10_000):
             with contextlib.suppress(*ERRORS):
                 answer = await get(
-                    fleet.address(machine, 'front'), path,
+                    fleet.address(machine, 'front'),
+                    path,
                     f'warm-{machine.name}-{number}',
                 )
                 if answer.status == 200:
--- a/review/common-2/recovery.py
+++ b/review/common-2/recovery.py
@@ -48,15 +48,24 @@
         status, refusal = 0, {}
         with contextlib.suppress(*deployment.ERRORS):
             answer = await deployment.get(
-                self._fleet.address(machine, 'front'), path, request_id,
-                deadline_ms=6000, timeout=7,
+                self._fleet.address(machine, 'front'),
+                path,
+                request_id,
+                deadline_ms=6000,
+                timeout=7,
             )
             status = answer.status
             if status == 503:
                 refusal = {'title': json.loads(answer.body).get('title', '')}
         self._results.append((sent_at, status == 200))
-        self._record.write('request', id=request_id, path=path,
-                           machine=machine.name, status=status, **refusal)
+        self._record.write(
+            'request',
+            id=request_id,
+            path=path,
+            machine=machine.name,
+            status=status,
+            **refusal,
+        )
 
     def served(self, begin, end):
         """Return how many were sent in a span, and how many were served."""
