Responses: a head with a folded line, or a line that is no field, is broken

What callers saw: a target sent a head in which a line began with a blank, such as " Content-Length: 5". The caller got it as a complete answer: the text stood in the value of the field before, and the body ended with the connection, or the request waited until its time was up (504). A line of carriage returns alone behind the last field ended the head.

Cause: libcurl 8.23 joins folded lines before it passes them on, so that our check of the head never saw them. Lines that are no field were refused by Tornado or by curl alone, as a lost connection without a reason.

Change: web/rawhead.py looks at the octets of a head before curl reads them (MSG_PEEK), and a head with a folded line is refused (RFC 9112, 5.2). Where curl reads a head between two looks, octets that the head does not explain put a body with a length in doubt, as if another response had filled it up. The grammar of a field is our own pattern (web/fieldline.py). Each refusal is an error with its class (web/malformed.py), in responses_rejected{reason} and in the line response_rejected, also for a head that curl refuses by itself and for health checks, which no longer take the link for lost.

Joining instead would be valid, too, but a folded line cannot be told from one whose first octets were spoilt.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -4,7 +4,7 @@
 import collections
 import math
 import socket
-from types import TracebackType
+from types import MappingProxyType, TracebackType
 from typing import TYPE_CHECKING, Any, Self, final
 
 import pycurl
@@ -19,6 +19,7 @@
     borrowed_socket,
 )
 from turmericmast.web.keptconnections import KeptConnections
+from turmericmast.web.rawhead import RawHead
 from turmericmast.web.responselimits import OversizedPart, count_oversized
 from turmericmast.web.unseenbytes import UnseenBytes
 
@@ -36,6 +37,16 @@
 USER_TIMEOUT_MS = 2000
 """Milliseconds without a TCP acknowledgement after which a connection ends."""
 
+_COMMON_OPTIONS = MappingProxyType(
+    {
+        pycurl.NOSIGNAL: 1,
+        pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,
+        pycurl.PROXY: '',
+        pycurl.PATH_AS_IS: 1,
+        pycurl.PROTOCOLS: pycurl.PROTO_HTTP,
+    }
+)
+
 
 @final
 class CurlClient:
@@ -74,6 +85,7 @@
         """When curl must be called next, in seconds of the loop's clock."""
         self._idle: collections.deque[Any] = collections.deque()
         self._transfer_by_handle: dict[Any, 'Transfer'] = {}
+        self._raw_head_by_fd: dict[int, RawHead] = {}
         self.turn = 0
         """Number of the current call into curl, which reads and writes."""
         self._is_closed = False
@@ -117,14 +129,11 @@
         if self._idle:
             return self._idle.pop()
         handle = pycurl.Curl()
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        handle.setopt(pycurl.PROXY, '')
+        for option, chosen in _COMMON_OPTIONS.items():
+            handle.setopt(option, chosen)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._connect_timeout_ms)
         handle.setopt(pycurl.MAXAGE_CONN, self._idle_seconds)
         handle.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket_opened)
-        handle.setopt(pycurl.PATH_AS_IS, 1)
-        handle.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         return handle
 
     def start(self, transfer: 'Transfer') -> None:
@@ -167,6 +176,15 @@
                 self._finish(transfer.handle, error.args[0])
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
+    def watch_head(self, raw_head: RawHead) -> None:
+        """Look at the heads on a connection before curl reads them."""
+        self._raw_head_by_fd[raw_head.descriptor] = raw_head
+
+    def unwatch_head(self, raw_head: RawHead) -> None:
+        """Stop to look at the heads on a connection."""
+        if self._raw_head_by_fd.get(raw_head.descriptor) is raw_head:
+            self._raw_head_by_fd.pop(raw_head.descriptor)
+
     def note_progress(self) -> None:
         """Note that curl has passed on a line or a part of a body."""
         self._unseen.note_progress()
@@ -214,6 +232,9 @@
             action |= pycurl.CSELECT_OUT
         if events & IOLoop.ERROR:
             action |= pycurl.CSELECT_ERR
+        raw_head = self._raw_head_by_fd.get(fd)
+        if raw_head and events & IOLoop.READ:
+            raw_head.look()
         self._unseen.begin()
         self._socket_action(fd, action)
         has_read = events & IOLoop.READ and fd in self._events_by_fd
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -19,7 +19,7 @@
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.rejection import Rejection, find_stutter
 from turmericmast.web.rejectionreport import (
-    report_invalid_status,
+    report_malformed,
     report_rejection,
 )
 from turmericmast.web.transfer import Progress, Transfer, TransferRequest
@@ -137,7 +137,7 @@
             view.drop_request()
             raise
         self._report_excess()
-        report_invalid_status(
+        report_malformed(
             transfer,
             self._context.metrics,
             self._context.events,
--- a/src/turmericmast/web/peerforwarder.py
+++ b/src/turmericmast/web/peerforwarder.py
@@ -15,7 +15,7 @@
 from turmericmast.web.edgeresponse import EdgeResponse
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.peerheaders import Forwarding, PeerHeaders
-from turmericmast.web.rejectionreport import report_invalid_status
+from turmericmast.web.rejectionreport import report_malformed
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import Progress, Transfer
 
@@ -126,7 +126,7 @@
             peer=peer.instance,
             status=response.status,
         )
-        report_invalid_status(
+        report_malformed(
             transfer,
             self._context.metrics,
             self._context.events,
--- a/src/turmericmast/web/probing.py
+++ b/src/turmericmast/web/probing.py
@@ -17,6 +17,7 @@
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.edgeevents import EdgeEvent, describe_target
 from turmericmast.web.headerformat import HeaderFormat, HealthMetadata
+from turmericmast.web.malformed import MalformedResponseError
 from turmericmast.web.rejection import Rejection
 from turmericmast.web.rejectionreport import report_rejection
 from turmericmast.web.responsehead import ResponseHead
@@ -145,8 +146,8 @@
         if transfer.progress is Progress.vetoed:
             return True
         self._metrics.count('probes', outcome=loss.value if loss else 'whole')
-        if transfer.invalid_status is not None:
-            return self._fail_health(view, transfer.invalid_status)
+        if transfer.malformed:
+            return self._fail_health(view, transfer.malformed)
         if sink.is_joined:
             self._report_rejection(
                 view,
@@ -168,20 +169,28 @@
         self._log_change(view, before, loss)
         return has_responded
 
-    def _fail_health(self, view: TargetView, status: int) -> bool:
-        """Eject a target whose response has an invalid status.
+    def _fail_health(
+        self, view: TargetView, malformed: MalformedResponseError
+    ) -> bool:
+        """Eject a target whose response is malformed.
 
         The path to it works, and it did not crash.
         """
         before = view.eligibility(self._clock.now())
-        self._report_rejection(view, Rejection.invalid_status, status)
+        self._report_rejection(
+            view, malformed.rejection, malformed.status, detail=str(malformed)
+        )
         view.eject(self._clock.now())
         self.on_result(view, is_lost=True)
         self._log_change(view, before, Loss.connection_lost)
         return True
 
     def _report_rejection(
-        self, view: TargetView, rejection: Rejection, status: int
+        self,
+        view: TargetView,
+        rejection: Rejection,
+        status: int,
+        detail: str = '',
     ) -> None:
         report_rejection(
             rejection,
@@ -189,6 +198,7 @@
             self._events,
             target=view.record.target,
             status=status,
+            detail=detail,
         )
 
     def _may_keep(self, view: TargetView) -> bool:
--- a/src/turmericmast/web/receivedbytes.py
+++ b/src/turmericmast/web/receivedbytes.py
@@ -44,6 +44,13 @@
         self._connection.accounted = None if excess else total
         return excess
 
+    @property
+    def consumed(self) -> int:
+        """Return how many bytes curl has read since the request."""
+        descriptor = self._connection.descriptor
+        before = self._before or 0
+        return _total(descriptor) - _unread(descriptor) - before
+
     @property
     def has_unread(self) -> bool:
         """Tell whether bytes wait on the connection that curl hasn't read."""
--- a/src/turmericmast/web/rejection.py
+++ b/src/turmericmast/web/rejection.py
@@ -22,6 +22,14 @@
     """Its status may belong to another response than its headers."""
     invalid_status = 'invalid_status'
     """It has no status line, or a status that no response has."""
+    invalid_field = 'invalid_field'
+    """A line of its head is no field."""
+    folded_field = 'folded_field'
+    """A line of its head continues the one before (RFC 9112, 5.2)."""
+    invalid_length = 'invalid_length'
+    """Its ``Content-Length`` is not one whole number."""
+    unreadable_head = 'unreadable_head'
+    """curl refuses its head, and nothing else tells why."""
 
 
 _STUTTER_BY_REJECTION = MappingProxyType(
--- a/src/turmericmast/web/rejectionreport.py
+++ b/src/turmericmast/web/rejectionreport.py
@@ -17,15 +17,17 @@
     )
 
 
-def report_invalid_status(
+def report_malformed(
     transfer: Transfer, metrics: Metrics, events: EventLog, **names: Field
 ) -> None:
-    """Report that a transfer ended by what is no response, if it did."""
-    if transfer.invalid_status is not None:
+    """Report that a transfer ended by a malformed response, if it did."""
+    malformed = transfer.malformed
+    if malformed:
         report_rejection(
-            Rejection.invalid_status,
+            malformed.rejection,
             metrics,
             events,
-            status=transfer.invalid_status,
+            status=malformed.status,
+            detail=str(malformed),
             **names,
         )
--- a/src/turmericmast/web/responsebody.py
+++ b/src/turmericmast/web/responsebody.py
@@ -56,6 +56,7 @@
         self._status_lines = StatusLines()
         self._repeated_heads = RepeatedHeads('')
         self._ends_in_doubt = False
+        self._is_head_seen = True
 
     @property
     def is_doubtful(self) -> bool:
@@ -92,14 +93,19 @@
         self._received = received
         self._repeated_heads = RepeatedHeads(request_id)
 
-    def begin(self, head_octets: int, length: str | None) -> None:
+    def begin(
+        self, head_octets: int, length: str | None, *, is_head_seen: bool = True
+    ) -> None:
         """Begin with the body, after all heads and their ``head_octets``.
 
-        ``length`` is the text of the header that announces the length.
+        ``length`` is the text of the header that announces the length. Unless
+        ``is_head_seen``, bytes that seem to be behind the body may be those of
+        folded lines.
         """
         self._head_octets = head_octets
         if length and length.isdecimal():
             self._length = int(length)
+        self._is_head_seen = is_head_seen
 
     def judge(self, piece: bytes) -> BodyState:
         """Judge the body by the next piece, before it is passed on.
@@ -133,8 +139,11 @@
             self._status_lines.add(piece)
 
     def _judge_end(self, piece: bytes) -> None:
-        self._ends_in_doubt = self._status_lines.is_possible(piece)
         self.excess = self._count_excess()
+        may_be_folded = self.excess > 0 and not self._is_head_seen
+        self._ends_in_doubt = may_be_folded or (
+            self._status_lines.is_possible(piece)
+        )
         is_settling = self._ends_in_doubt or self.has_unread_excess
         self.state = BodyState.settling if is_settling else BodyState.whole
 
--- a/src/turmericmast/web/responsehead.py
+++ b/src/turmericmast/web/responsehead.py
@@ -7,17 +7,17 @@
 
 import dataclasses
 import re
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
 from typing import final
 
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPInputError,
-    ResponseStartLine,
-    parse_response_start_line,
-)
+from tornado.httputil import HTTPHeaders
+
+from turmericmast.web.fieldline import BLANKS, TEXT, read_field
+from turmericmast.web.malformed import MalformedResponseError, quoted
+from turmericmast.web.rejection import Rejection
 
+_START_LINE = re.compile(rf'HTTP/1\.[0-9] ([0-9]{{3}}) ({TEXT})')
 _PROTOCOL = 'http/'
 _STATUS_LINE = re.compile(
     r'http/\d+(?:\.\d+)?[ \t]+\d{3}(?![^ \t])', re.IGNORECASE
@@ -27,16 +27,6 @@
 _LENGTH_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 
-@final
-class InvalidStatusError(HTTPInputError):
-    """A status line that is malformed, or whose status no response has."""
-
-    def __init__(self, status: int = 0) -> None:
-        """Note the ``status``, 0 if it cannot be read."""
-        super().__init__(f'the status {status} is not that of a response')
-        self.status = status
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class PossibleJoin:
@@ -83,40 +73,74 @@
         return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
 
 
-def read_head(lines: Sequence[str]) -> ResponseHead:
+def read_head(lines: Sequence[str], *, is_folded: bool = False) -> ResponseHead:
     """Return the head that consists of ``lines``, without line ends.
 
+    A head that ``is_folded`` is refused: a folded line can't be told from one
+    whose beginning was spoilt, which may be that of the length.
+
     Raises:
-        InvalidStatusError: if the first line is no status line.
-        HTTPInputError: if a line is malformed, or if lengths differ.
+        MalformedResponseError: if a line breaks the grammar, or if it is not
+            certain where the body ends.
 
     """
-    start = _read_status_line(lines[0])
-    headers = _read_headers(lines[1:])
-    join = _find_join(lines)
+    status, reason = _read_start_line(lines[0])
+    if is_folded:
+        raise MalformedResponseError(
+            Rejection.folded_field, 'a line is folded', status
+        )
+    try:
+        headers = _read_framed_headers(lines[1:])
+    except MalformedResponseError as error:
+        error.status = status
+        raise
+    return ResponseHead(status, reason, headers, _find_join(lines))
+
+
+def _read_framed_headers(lines: Sequence[str]) -> HTTPHeaders:
+    headers = _read_headers(lines)
     _keep_one_length(headers)
-    return ResponseHead(start.code, start.reason, headers, join)
+    return headers
 
 
-def _read_status_line(line: str) -> ResponseStartLine:
-    try:
-        start = parse_response_start_line(line)
-    except HTTPInputError as error:
-        raise InvalidStatusError from error
+def _read_start_line(line: str) -> tuple[int, str]:
+    """Return status and reason."""
+    match = _START_LINE.fullmatch(line)
+    if match is None:
+        raise MalformedResponseError(
+            Rejection.invalid_status, f'{quoted(line)} is no status line'
+        )
+    status = int(match[1])
     # No request asks for another protocol, so none can be switched to.
-    is_switch = start.code == HTTPStatus.SWITCHING_PROTOCOLS
-    if is_switch or start.code // 100 not in _STATUS_CLASSES:
-        raise InvalidStatusError(start.code)
-    return start
+    is_switch = status == HTTPStatus.SWITCHING_PROTOCOLS
+    if is_switch or status // 100 not in _STATUS_CLASSES:
+        raise MalformedResponseError(
+            Rejection.invalid_status, 'no response has the status', status
+        )
+    return status, match[2]
 
 
-def _read_headers(lines: Iterable[str]) -> HTTPHeaders:
+def _read_headers(lines: Sequence[str]) -> HTTPHeaders:
     headers = HTTPHeaders()
     for line in lines:
-        headers.parse_line(line)
+        field = read_field(line)
+        if field is None:
+            raise _malformed_field(line, lines)
+        headers.add(*field)
     return headers
 
 
+def _malformed_field(line: str, lines: Sequence[str]) -> MalformedResponseError:
+    for other in lines:
+        if other.startswith(tuple(BLANKS)):
+            return MalformedResponseError(
+                Rejection.folded_field, f'{quoted(other)} is folded'
+            )
+    return MalformedResponseError(
+        Rejection.invalid_field, f'{quoted(line)} is no field'
+    )
+
+
 def _find_join(lines: Sequence[str]) -> PossibleJoin | None:
     # Most heads name the protocol once, at their begin.
     if '\n'.join(lines).lower().find(_PROTOCOL, 1) < 0:
@@ -138,5 +162,7 @@
         return
     first, *others = map(str.strip, length.split(','))
     if any(other != first for other in others):
-        raise HTTPInputError('the response has several lengths')
+        raise MalformedResponseError(
+            Rejection.invalid_length, f'Content-Length is {quoted(length)}'
+        )
     headers['Content-Length'] = first
--- a/src/turmericmast/web/responselimits.py
+++ b/src/turmericmast/web/responselimits.py
@@ -32,6 +32,16 @@
     framing = 'framing'
 
 
+@final
+class OversizedError(ValueError):
+    """A response that exceeds a limit."""
+
+    def __init__(self, part: OversizedPart) -> None:
+        """Note which part of it does."""
+        super().__init__(f'the {part.value} of the response are too long')
+        self.part = part
+
+
 @final
 class HeadSize:
     """Size of the heads and trailers of one response."""
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -14,7 +14,7 @@
 from turmericmast.web.excessreport import report_excess
 from turmericmast.web.parse import CALL_HEADER, entry_request_headers
 from turmericmast.web.rejection import find_stutter
-from turmericmast.web.rejectionreport import report_invalid_status
+from turmericmast.web.rejectionreport import report_malformed
 from turmericmast.web.relay import Relay
 from turmericmast.web.transfer import (
     Progress,
@@ -154,7 +154,7 @@
         self._transfer = transfer
         self._relay.resume = transfer.resume
         loss = await transfer.run()
-        report_invalid_status(
+        report_malformed(
             transfer,
             self._context.metrics,
             self._context.events,
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -8,7 +8,6 @@
 from typing import Any, final
 
 import pycurl
-from tornado.httputil import HTTPInputError
 
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
@@ -16,28 +15,26 @@
 from turmericmast.web.bodypace import BodyPace
 from turmericmast.web.connections import Descriptor
 from turmericmast.web.curl import CurlClient
+from turmericmast.web.headreading import HeadReading
+from turmericmast.web.malformed import MalformedResponseError
 from turmericmast.web.persistence import persists
 from turmericmast.web.responsebody import BodyState, ResponseBody
-from turmericmast.web.responsehead import (
-    InvalidStatusError,
-    ResponseHead,
-    read_head,
-)
-from turmericmast.web.responselimits import (
-    HeadSize,
-    OversizedPart,
-    TurnShare,
-)
+from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.responselimits import OversizedError, TurnShare
 from turmericmast.web.usedconnection import TransferEnd, UsedConnection
 
 ABORT_TRANSFER = -1
 """Return value of a header or body callback that aborts the transfer."""
-NO_STATUS_LINE_CODES = frozenset(
-    (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+REFUSED_HEAD_CODES = frozenset(
+    (
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        pycurl.E_FTP_WEIRD_SERVER_REPLY,
+        pycurl.E_BAD_CONTENT_ENCODING,
+    )
 )
-"""Results of curl for a response that begins with no status line.
+"""Results of curl for a head that it refuses by itself.
 
-curl passes nothing on of it: a status below 100 or without three digits."""
+Of one without a status line, curl passes nothing on."""
 
 
 @final
@@ -142,14 +139,13 @@
         self._request = request
         self._sink = sink
         self._may_send = may_send
-        self._head_lines: list[str] = []
-        self._head_size = HeadSize()
+        self._head = HeadReading()
         self._share = TurnShare()
         self._pace = BodyPace(curl.link_pace)
         self._done: asyncio.Future[Loss | None] = asyncio.Future()
         self._is_paused = False
-        self.invalid_status: int | None = None
-        """Status of what arrived and is no response, 0 if it is unreadable."""
+        self.malformed: MalformedResponseError | None = None
+        """How what arrived breaks the grammar, ``None`` if it doesn't."""
         self._address = ''
         self._connection = UsedConnection(curl)
         self._needs_new_connection = False
@@ -199,8 +195,8 @@
             self.progress = Progress.whole
             self._settle(None)
             return
-        if code in NO_STATUS_LINE_CODES and self.progress is Progress.sending:
-            self.invalid_status = 0
+        if code in REFUSED_HEAD_CODES and self.progress is Progress.sending:
+            self.malformed = self.malformed or self._head.explain_refusal()
         self._settle(self._loss(code))
 
     def _was_closed_for_excess(self) -> bool:
@@ -208,7 +204,7 @@
         request = self._request
         # curl also closes one whose request was not sent to its end.
         may_keep = request.uses_kept_connection and request.body is None
-        return may_keep and persists(self._head_lines, request.method)
+        return may_keep and persists(self._head.lines, request.method)
 
     def _begin_anew(self) -> None:
         """Begin on a new connection; the one that curl chose is not used.
@@ -288,9 +284,9 @@
             self.progress = Progress.vetoed
             return int(pycurl.PREREQFUNC_ABORT)
         self.progress = Progress.sending
-        self._body.begin_request(
-            self._connection.count_received(), self._request.name
-        )
+        received = self._connection.count_received()
+        self._body.begin_request(received, self._request.name)
+        self._head.begin_request(self._connection.watch_head(received))
         return int(pycurl.PREREQFUNC_OK)
 
     def _on_read(self, size: int) -> Any:
@@ -301,46 +297,32 @@
         return chunk
 
     def _on_header(self, line: bytes) -> int | None:
-        if _is_broken(line) or not self._is_within_limits(line):
+        self._curl.note_progress()
+        if not line.endswith(b'\n'):
             return ABORT_TRANSFER
-        if self.progress is Progress.head:
-            # This is a trailer after the body, which is not passed on.
-            return None
-        text = line.decode('latin-1').rstrip('\r\n')
-        if text:
-            self._head_lines.append(text)
-        elif not (self._head_lines and self._on_head()):
+        try:
+            head = self._head.add(line)
+        except MalformedResponseError as error:
+            self._connection.hold()
+            self.malformed = error
             return ABORT_TRANSFER
-        return None
-
-    def _is_within_limits(self, line: bytes) -> bool:
-        self._curl.note_progress()
-        if self._head_size.add(line):
-            return True
-        is_trailer = self.progress is Progress.head
-        self._curl.count_oversized(
-            OversizedPart.trailers if is_trailer else OversizedPart.head
-        )
-        return False
+        except OversizedError as error:
+            self._curl.count_oversized(error.part)
+            return ABORT_TRANSFER
+        is_refused = head is not None and not self._on_head(head)
+        return ABORT_TRANSFER if is_refused else None
 
-    def _on_head(self) -> bool:
+    def _on_head(self, head: ResponseHead) -> bool:
         self._connection.hold()
-        try:
-            head = read_head(self._head_lines)
-        except InvalidStatusError as error:
-            self.invalid_status = error.status
-            return False
-        except HTTPInputError:
-            # curl passes on some lines that are not valid, such as a status
-            # line within the head.
-            return False
         if head.is_interim and head.join is None:
-            # Another head follows, unless it is a part of this one.
-            self._head_lines = []
             return True
         self.progress = Progress.head
-        length = head.headers.get('Content-Length')
-        self._body.begin(self._head_size.octets, length)
+        self._connection.unwatch_head()
+        self._body.begin(
+            self._head.size.octets,
+            head.headers.get('Content-Length'),
+            is_head_seen=self._head.is_seen,
+        )
         self._sink.on_body(self._body)
         return self._sink.on_head(head)
 
@@ -390,13 +372,3 @@
             if self._body.has_unread_excess:
                 self.handle.setopt(pycurl.FORBID_REUSE, 1)
             self.resume()
-
-
-def _is_broken(line: bytes) -> bool:
-    """Tell whether a line has no end, or goes on after that of the head.
-
-    curl ends a head at a line that begins with a carriage return.
-    """
-    return not line.endswith(b'\n') or (
-        line.startswith(b'\r') and not line.isspace()
-    )
--- a/src/turmericmast/web/usedconnection.py
+++ b/src/turmericmast/web/usedconnection.py
@@ -8,6 +8,7 @@
 from turmericmast.web.connections import AddressPair, Connection, Descriptor
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.lingering import Duplicate
+from turmericmast.web.rawhead import RawHead
 from turmericmast.web.receivedbytes import ReceivedBytes
 
 
@@ -34,6 +35,7 @@
         self._connection: Connection | None = None
         self._held: Duplicate | None = None
         """Keeps the connection open until the end of the transfer."""
+        self._raw_head: RawHead | None = None
 
     def begin(self, pair: AddressPair, address: str, request: str) -> bool:
         """Note that ``request`` is about to be sent to ``address``.
@@ -51,6 +53,20 @@
         """Begin to count what is received from now on, if that is possible."""
         return self._connection and ReceivedBytes(self._connection)
 
+    def watch_head(self, received: ReceivedBytes | None) -> RawHead | None:
+        """Begin to look at the heads that arrive, if that is possible."""
+        if self._connection is None or received is None:
+            return None
+        self._raw_head = RawHead(self._connection.descriptor, received)
+        self._curl.watch_head(self._raw_head)
+        return self._raw_head
+
+    def unwatch_head(self) -> None:
+        """Stop to look at heads, since the last one has arrived."""
+        if self._raw_head:
+            self._curl.unwatch_head(self._raw_head)
+        self._raw_head = None
+
     def hold(self) -> None:
         """Keep the connection open while curl may close it."""
         if self._connection and not self._held:
@@ -58,6 +74,7 @@
 
     def release(self) -> None:
         """Leave the connection to curl, which closes it at once."""
+        self.unwatch_head()
         if self._held:
             self._curl.kept_connections.release(self._held)
         self._held = None
--- /dev/null
+++ b/tests/broken_answers.py
@@ -0,0 +1,297 @@
+"""Answers that break the grammar of HTTP, and sound ones that look odd.
+
+Rows follow RFC 9112 (4 status line, 5 fields, 6 length of the body, 7 codings
+and chunks) and RFC 9110 (5.1 names, 5.5 values, 5.6 lists, 8.6 length).
+"""
+
+import dataclasses
+import string
+
+from tests.joined_heads import head
+
+OWN_ID = b'X-Request-Id: r'
+SIGNATURE = b'X-Response-Signature: s'
+OWN = (OWN_ID, SIGNATURE)
+BODY = b'abcde'
+SIZED = b'Content-Length: 5'
+CHUNKED = b'Transfer-Encoding: chunked'
+CHUNKS = b'5\r\nabcde\r\n0\r\n\r\n'
+TOKEN = frozenset((string.ascii_letters + string.digits).encode()) | frozenset(
+    b"!#$%&'*+-.^_`|~"
+)
+"""Octets of the name of a field."""
+CONTROLS = frozenset(range(0x20)) - frozenset(b'\t\n') | {0x7F}
+"""Octets that no field has, but for the end of its line."""
+
+
+def _octet_name(octet: int) -> str:
+    return f'octet_{octet:02x}'
+
+
+FIELD_LINES = {
+    'no_colon': b'odd',
+    'no_name': b': x',
+    'only_colon': b':',
+    'only_word_of_length': b'Content-Length 5',
+    'blank_before_the_colon': b'X-Odd : x',
+    'tab_before_the_colon': b'X-Odd\t: x',
+    'blank_in_the_name': b'X Odd: x',
+    'blank_in_the_name_of_the_length': b'Content Length: 5',
+    'blank_behind_the_name_of_the_length': b'Content-Length : 5',
+    'byte_in_the_name': b'X-Odd\x80: x',
+    'status_line': b'HTTP/1.1 200 OK',
+    'carriage_return_in_the_value': b'X-Odd: a\rb',
+    'carriage_return_at_the_end': b'X-Odd: a\r',
+    'carriage_return_first': b'\rX-Odd: a',
+    'only_carriage_return': b'\r',
+    'carriage_return_and_field': b'X-Odd: a\rContent-Length: 9',
+    'nul_in_the_value': b'X-Odd: a\0b',
+    **{
+        f'{_octet_name(octet)}_in_the_name': b'X-%cOdd: x' % octet
+        for octet in sorted(CONTROLS | {0xFF})
+    },
+    **{
+        f'{_octet_name(octet)}_in_the_value': b'X-Odd: a%cb' % octet
+        for octet in sorted(CONTROLS)
+    },
+    **{
+        f'delimiter_{_octet_name(octet)}_in_the_name': b'X%cOdd: x' % octet
+        for octet in b'"(),/;<=>?@[\\]{}'
+    },
+}
+"""Lines that are no field."""
+FOLDED_LINES = {
+    'blank': b' x',
+    'tab': b'\tx',
+    'blanks': b'   x',
+    'only_blank': b' ',
+    'only_tab': b'\t',
+    'field': b' X-Odd: x',
+    'length': b' Content-Length: 5',
+    'length_after_tab': b'\tContent-Length: 5',
+    'coding': b' Transfer-Encoding: chunked',
+    'status_line': b' HTTP/1.1 200 OK',
+}
+"""Lines that continue the one before."""
+STATUS_LINES = {
+    'control_byte_in_the_reason': b'HTTP/1.1 200 O\x01K',
+    'delete_in_the_reason': b'HTTP/1.1 200 O\x7fK',
+    'carriage_return_in_the_reason': b'HTTP/1.1 200 O\rK',
+    'nul_in_the_reason': b'HTTP/1.1 200 O\0K',
+    'no_blank_behind_the_status': b'HTTP/1.1 200OK',
+    'tab_behind_the_status': b'HTTP/1.1 200\tOK',
+    'tab_before_the_status': b'HTTP/1.1\t200 OK',
+    'two_blanks_before_the_status': b'HTTP/1.1  200 OK',
+    'other_protocol': b'HTTQ/1.1 200 OK',
+    'lower_case': b'http/1.1 200 OK',
+    'no_minor_version': b'HTTP/1 200 OK',
+    'other_major_version': b'HTTP/3.1 200 OK',
+    'two_digits_of_minor_version': b'HTTP/1.10 200 OK',
+    'letter_in_version': b'HTTP/1.x 200 OK',
+    'blank_before': b' HTTP/1.1 200 OK',
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Broken:
+    """An answer that breaks the grammar."""
+
+    octets: bytes
+    reason: str
+    """The label with which it is counted."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Sound:
+    """An answer that has to be served."""
+
+    octets: bytes
+    body: bytes = BODY
+    status: int = 200
+    method: str = 'GET'
+    ends_with_connection: bool = False
+
+
+def _answer(*fields: bytes, body: bytes = BODY) -> bytes:
+    return head(b'200 OK', *fields) + body
+
+
+def _placed(line: bytes) -> dict[str, bytes]:
+    """Return answers with a line at each place of a head."""
+    return {
+        'first': _answer(line, *OWN, SIZED),
+        'behind_a_field': _answer(b'X-Odd: a', line, *OWN, SIZED),
+        'within': _answer(OWN_ID, line, SIGNATURE, SIZED),
+        'last': _answer(*OWN, SIZED, line),
+    }
+
+
+def _length(text: bytes) -> bytes:
+    return b'Content-Length: %b' % text
+
+
+def _coding(text: bytes) -> bytes:
+    return b'Transfer-Encoding: %b' % text
+
+
+def _in_chunks(octets: bytes) -> bytes:
+    return _answer(*OWN, CHUNKED, body=octets)
+
+
+BROKEN = {
+    **{
+        f'field_{name}_{place}': Broken(octets, 'invalid_field')
+        for name, line in FIELD_LINES.items()
+        for place, octets in _placed(line).items()
+        if place == 'first' or 'octet' not in name
+    },
+    **{
+        f'folded_{name}_{place}': Broken(octets, 'folded_field')
+        for name, line in FOLDED_LINES.items()
+        for place, octets in _placed(line).items()
+    },
+    'folded_length': Broken(_answer(*OWN, _length(b'\r\n 5')), 'folded_field'),
+    'folded_name': Broken(
+        _answer(*OWN, b'Content-Length\r\n : 5'), 'folded_field'
+    ),
+    'folded_instead_of_length': Broken(
+        _answer(*OWN, b' Content-Length: 5'), 'folded_field'
+    ),
+    'folded_after_line_feed': Broken(
+        _answer(*OWN, b'X-Odd: a\n b', SIZED), 'folded_field'
+    ),
+    'folded_interim': Broken(
+        head(b'103 Early Hints', b'Link: a', b' b') + _answer(*OWN, SIZED),
+        'folded_field',
+    ),
+    **{
+        f'status_line_{name}': Broken(
+            _answer(*OWN, SIZED).replace(b'HTTP/1.1 200 OK', line, 1),
+            'invalid_status',
+        )
+        for name, line in STATUS_LINES.items()
+    },
+}
+"""Answers that break the grammar, by what is broken."""
+CHUNK_EXTENSIONS = {
+    'name': b';a',
+    'value': b';a=b',
+    'several': b';a=b;c;d=e',
+    'blanks': b' ; a = b ;\tc',
+    'quoted': b';a="b c;d"',
+    'quoted_pair': b';a="\\"\\\\"',
+    'quoted_bytes': b';a="\xff\t"',
+    'empty_quoted': b';a=""',
+}
+SOUND = {
+    'length': Sound(_answer(*OWN, SIZED)),
+    'length_zero': Sound(_answer(*OWN, _length(b'0'), body=b''), b''),
+    'length_with_leading_zeros': Sound(_answer(*OWN, _length(b'0005'))),
+    'two_equal_lengths': Sound(_answer(*OWN, SIZED, SIZED)),
+    'list_of_equal_lengths': Sound(_answer(*OWN, _length(b'5, 5'))),
+    'list_without_blank': Sound(_answer(*OWN, _length(b'5,5'))),
+    'length_without_blank': Sound(_answer(*OWN, b'Content-Length:5')),
+    'length_between_tabs': Sound(_answer(*OWN, b'Content-Length:\t5\t')),
+    'length_between_blanks': Sound(_answer(*OWN, b'Content-Length:   5  ')),
+    'length_in_lower_case': Sound(_answer(*OWN, b'content-length: 5')),
+    'token_as_name': Sound(
+        _answer(b'%b: x' % bytes(sorted(TOKEN)), *OWN, SIZED)
+    ),
+    'bytes_in_a_value': Sound(
+        _answer(b'X-Odd: %b' % bytes(range(0x80, 0x100)), *OWN, SIZED)
+    ),
+    'printable_value': Sound(
+        _answer(b'X-Odd: %b' % bytes(range(0x21, 0x7F)), *OWN, SIZED)
+    ),
+    'tab_in_a_value': Sound(_answer(b'X-Odd: a\tb', *OWN, SIZED)),
+    'empty_value': Sound(_answer(b'X-Odd:', b'X-Other: ', *OWN, SIZED)),
+    'colons_in_a_value': Sound(_answer(b'X-Odd: a: b:', *OWN, SIZED)),
+    'line_feeds_only': Sound(_answer(*OWN, SIZED).replace(b'\r\n', b'\n')),
+    'reason_empty': Sound(_answer(*OWN, SIZED).replace(b'OK', b'', 1)),
+    'reason_of_bytes': Sound(
+        _answer(*OWN, SIZED).replace(b'OK', b'\t\xff :', 1)
+    ),
+    'chunks': Sound(_in_chunks(CHUNKS)),
+    'chunks_beside_length': Sound(
+        _answer(*OWN, _length(b'3'), CHUNKED, body=CHUNKS)
+    ),
+    'coding_in_upper_case': Sound(
+        _answer(*OWN, b'TRANSFER-ENCODING:CHUNKED', body=CHUNKS)
+    ),
+    'coding_between_blanks': Sound(
+        _answer(*OWN, _coding(b'\t chunked \t'), body=CHUNKS)
+    ),
+    'coding_after_comma': Sound(
+        _answer(*OWN, _coding(b', chunked ,'), body=CHUNKS)
+    ),
+    'coding_of_no_content': Sound(
+        head(b'204 No Content', *OWN, CHUNKED), b'', 204
+    ),
+    'several_chunks': Sound(
+        _in_chunks(b'1\r\na\r\n2\r\nbc\r\n2\r\nde\r\n0\r\n\r\n')
+    ),
+    'no_chunk': Sound(_in_chunks(b'0\r\n\r\n'), b''),
+    'chunk_of_line_ends': Sound(
+        _in_chunks(b'6\r\n0\r\n\r\n\r\r\n0\r\n\r\n'), b'0\r\n\r\n\r'
+    ),
+    'chunk_size_of_letters': Sound(
+        _in_chunks(b'a\r\n0123456789\r\nA\r\nabcdefghij\r\n0\r\n\r\n'),
+        b'0123456789abcdefghij',
+    ),
+    'chunk_size_with_leading_zeros': Sound(
+        _in_chunks(b'000005\r\nabcde\r\n0000\r\n\r\n')
+    ),
+    **{
+        f'chunk_extension_{name}': Sound(
+            _in_chunks(b'5%b\r\nabcde\r\n0%b\r\n\r\n' % (text, text))
+        )
+        for name, text in CHUNK_EXTENSIONS.items()
+    },
+    'trailers': Sound(
+        _in_chunks(b'5\r\nabcde\r\n0\r\nX-Odd: a\tb\xff\r\nX-Other:\r\n\r\n')
+    ),
+    'trailer_of_length': Sound(
+        _in_chunks(b'5\r\nabcde\r\n0\r\nContent-Length: 9\r\n\r\n')
+    ),
+    'until_the_end': Sound(_answer(*OWN), ends_with_connection=True),
+    'nothing_until_the_end': Sound(
+        _answer(*OWN, body=b''), b'', ends_with_connection=True
+    ),
+    'older_version': Sound(_answer(*OWN, SIZED).replace(b'1.1', b'1.0', 1)),
+    'older_version_until_the_end': Sound(
+        _answer(*OWN).replace(b'1.1', b'1.0', 1), ends_with_connection=True
+    ),
+    'head': Sound(_answer(*OWN, SIZED, body=b''), b'', method='HEAD'),
+    'head_without_length': Sound(_answer(*OWN, body=b''), b'', method='HEAD'),
+    'head_of_chunks': Sound(
+        _answer(*OWN, CHUNKED, body=b''), b'', method='HEAD'
+    ),
+    'no_content': Sound(head(b'204 No Content', *OWN), b'', 204),
+    'no_content_with_length': Sound(
+        head(b'204 No Content', *OWN, _length(b'0')), b'', 204
+    ),
+    'reset_content': Sound(
+        head(b'205 Reset Content', *OWN, _length(b'0')), b'', 205
+    ),
+    'partial_content': Sound(
+        head(b'206 Partial', *OWN, b'Content-Range: bytes 0-4/9', SIZED) + BODY,
+        status=206,
+    ),
+    'not_modified': Sound(head(b'304 Not Modified', *OWN), b'', 304),
+    'not_modified_with_length': Sound(
+        head(b'304 Not Modified', *OWN, SIZED), b'', 304
+    ),
+    'failure': Sound(
+        head(b'500 Internal Server Error', *OWN, SIZED) + BODY, status=500
+    ),
+    'interim': Sound(
+        head(b'103 Early Hints', b'Link: a') + _answer(*OWN, SIZED)
+    ),
+    'interim_twice': Sound(
+        head(b'100 Continue') + head(b'103 Hints') + _answer(*OWN, SIZED)
+    ),
+    'interim_before_chunks': Sound(
+        head(b'103 Early Hints') + _in_chunks(CHUNKS)
+    ),
+}
+"""Answers that have to be served, by what is odd about them."""
