Targets: one that answers malformed is ejected longer, and crashes nothing

What callers saw: requests to a target that always answered malformed went on. It answered its health checks well, so that it got a request 0.2 s after each failure, and each safe one cost a retry. At an entry, the request was reported as one that crashes targets; the popular ones would be refused for it.

Cause: a malformed response was a lost connection. The pause after one begins anew with each good health check, and an entry takes a connection that is lost within a request for a crash, although it has closed it itself.

Change: edges eject such a target for 0.2 s, doubled up to 2 s with each malformed response, until it answers a request well (balance/backoff.py).

--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -4,6 +4,7 @@
 import math
 from typing import final
 
+from turmericmast.balance.backoff import Backoff
 from turmericmast.balance.confirmation import Confirmation
 from turmericmast.balance.departure import Departure
 from turmericmast.balance.load import LoadReport
@@ -89,7 +90,8 @@
         """Requests since the newest report: own ones and announced ones."""
         self._confirmation = Confirmation()
         self._ejected_until = -math.inf
-        self._ejections = 0
+        self._ejections = Backoff()
+        self._rejections = Backoff()
         self._failure_share = float(0)
         """Moving average at ``_failure_share_at``, from which it decays."""
         self._failure_share_at = float(0)
@@ -165,7 +167,7 @@
     def confirm_path(self, now: Seconds) -> None:
         """Record that the target answered this instance at ``now``."""
         self.path.confirm(now)
-        self._ejections = 0
+        self._ejections.reset()
 
     def mark_unverified(self) -> None:
         """Require a probe before the next request.
@@ -186,10 +188,9 @@
     def eject(self, now: Seconds) -> None:
         """Stop all traffic for a backoff that doubles, then require a probe."""
         self._confirmation.forget()
-        pause = min(FIRST_EJECTION * 2**self._ejections, MAX_EJECTION)
-        # Only keeps the power small: the pause is at its maximum long before.
-        self._ejections = min(self._ejections + 1, 8)
-        self._ejected_until = now + pause
+        self._ejected_until = now + self._ejections.pause(
+            FIRST_EJECTION, MAX_EJECTION
+        )
 
     def ejected_until(self) -> float:
         """Return the time at which the ejection ends."""
@@ -205,14 +206,24 @@
         self._unreported += 1
         self._confirmation.count_request()
 
-    def end_request(self, loss: Loss | None, now: Seconds) -> None:
+    def end_request(
+        self, loss: Loss | None, now: Seconds, *, is_malformed: bool = False
+    ) -> None:
         """Count a finished request and update the health from its outcome.
 
-        ``loss`` is ``None`` after a success.
+        ``loss`` is ``None`` after a success. After a response that
+        ``is_malformed``, the target is ejected for a backoff that doubles until
+        it answers a request: it may answer its health checks well meanwhile.
         """
         self.in_flight -= 1
         failed = loss in {Loss.failed, Loss.cut_short, Loss.timed_out}
-        self._update_failure_share(failed=failed, now=now)
+        self._update_failure_share(failed=failed or is_malformed, now=now)
+        if is_malformed:
+            self._confirmation.forget()
+            self._ejected_until = now + self._rejections.pause(
+                FIRST_EJECTION, MAX_EJECTION
+            )
+            return
         if loss is Loss.shed:
             self.confirm_path(now)
             self._ejected_until = max(self._ejected_until, now + OVERLOAD_PAUSE)
@@ -222,6 +233,7 @@
             self.lose_path(now)
         elif loss in {None, Loss.failed}:
             self.confirm_path(now)
+            self._rejections.reset()
 
     def drop_request(self) -> None:
         """Stop counting a request whose outcome says nothing of the target.
--- a/src/turmericmast/target/target.py
+++ b/src/turmericmast/target/target.py
@@ -57,6 +57,8 @@
     """The target rejected the request without running it."""
     lost = 'lost'
     """The connection broke before the answer was complete."""
+    malformed = 'malformed'
+    """The answer broke the protocol, so that nothing of it was used."""
     cancelled = 'cancelled'
     """The caller went away, or the entry withheld the request.
 
@@ -81,6 +83,12 @@
 )
 
 
+_PAUSING = frozenset(
+    (Ending.refused, Ending.shed, Ending.lost, Ending.malformed)
+)
+"""Endings after which new requests pause."""
+
+
 @final
 class Target:
     """Tracks the requests at one target and how many more may start."""
@@ -219,8 +227,8 @@
         """Free the slot of a request and update health and limits.
 
         A call that does not occupy a slot is ignored. After a refused, shed
-        or lost request, slow start begins again and new requests pause for
-        ``REFUSAL_PAUSE`` seconds.
+        or lost request, or a malformed response, slow start begins again and
+        new requests pause for ``REFUSAL_PAUSE`` seconds.
         """
         started = self.in_flight.pop(call, None)
         if started is None:
@@ -228,9 +236,9 @@
         if ending is Ending.success:
             self._consecutive_errors = 0
             self._record_service_time(now - started)
-        elif ending is Ending.error:
+        if ending in {Ending.error, Ending.malformed}:
             self._record_error(now)
-        elif ending is not Ending.cancelled:
+        if ending in _PAUSING:
             self._slow_start.reset()
             self._paused_until = Seconds(now + REFUSAL_PAUSE)
 
--- a/src/turmericmast/web/edgeattempt.py
+++ b/src/turmericmast/web/edgeattempt.py
@@ -153,7 +153,7 @@
         if self._is_cancelled or is_unsent or self.response.is_superseded:
             view.drop_request()
             return loss
-        view.end_request(loss, now)
+        view.end_request(loss, now, is_malformed=transfer.malformed is not None)
         self._count_octets()
         self._record_result(loss, now)
         return loss
--- a/src/turmericmast/web/exchange.py
+++ b/src/turmericmast/web/exchange.py
@@ -169,10 +169,11 @@
             self._request.service,
             self._ending(loss),
         )
-        # When the caller has disconnected, the entry closed the connection to
-        # the target itself, so this is no crash.
+        # When the caller has disconnected, or the response is malformed, the
+        # entry closed the connection to the target itself: this is no crash.
         is_crash = loss in {Loss.connection_lost, Loss.cut_short}
-        if is_crash and not self._is_abandoned:
+        has_closed = self._is_abandoned or self._sender.was_malformed
+        if is_crash and not has_closed:
             await self._quarantine.report_crash(started_ms)
         return loss
 
@@ -194,6 +195,8 @@
         # A request that was not sent says nothing about the target.
         if self._is_abandoned or self._sender.was_vetoed:
             return Ending.cancelled
+        if self._sender.was_malformed:
+            return Ending.malformed
         if loss:
             return Ending.of_loss(loss)
         return Ending.error if self._relay.is_failure else Ending.success
--- a/src/turmericmast/web/sending.py
+++ b/src/turmericmast/web/sending.py
@@ -95,6 +95,12 @@
         transfer = self._transfer
         return transfer is not None and transfer.progress is Progress.vetoed
 
+    @property
+    def was_malformed(self) -> bool:
+        """Tell whether the last attempt got a malformed response."""
+        transfer = self._transfer
+        return transfer is not None and transfer.malformed is not None
+
     def cancel(self) -> None:
         """Cancel the attempt in flight and prevent further ones."""
         self._is_cancelled = True
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -156,6 +156,27 @@
                 received = await _request(own, 'GET')
         self.assertEqual(received.code, 502)
 
+    # Guards against a target that answers its health checks well and gets a
+    # request after each of them.
+    async def test_target_that_always_answers_so(self) -> None:
+        octets = BROKEN['field_no_colon_within'].octets
+        target = JoiningTarget([(octets,)] * 9, in_turn=True)
+        pauses = []
+        async with verified_edge('GET', target) as own:
+            view = next(iter(own.edge.views()))
+            for _ in range(5):
+                view.begin_request()
+                view.end_request(
+                    Loss.connection_lost, own.clock.now(), is_malformed=True
+                )
+                pauses.append(view.ejected_until() - own.clock.now())
+                view.confirm_path(own.clock.now())
+                view.verify(Seconds(0), own.clock.now())
+            received = await _request(own, 'GET')
+        self.assertEqual([round(pause, 1) for pause in pauses], PAUSES)
+        self.assertEqual(received.code, 503)
+        self.assertFalse(target.requests)
+
     # Guards against other readers that take such an answer for a response.
     @parameterized.expand(
         [
@@ -207,7 +228,8 @@
         self.assertEqual(len(odd.requests), 1)
         self.assertEqual(_reasons(own), [broken.reason])
 
-    # Guards against entries that pass on such an answer.
+    # Guards against entries that pass on such an answer, and against requests
+    # that are suspected to crash a target which only answers badly.
     @parameterized.expand(
         [
             (f'{name}_{method}', broken, closes, method)
@@ -225,6 +247,7 @@
             with unittest.mock.patch.object(RawTarget, '_answer', answer):
                 body = b'x' if method == 'POST' else None
                 received = await call(harness, '/stock/ok', method, body)
+            view = harness.group.region.view
         self.assertEqual(received.code, 502)
         self.assertNotIn('X-Response-Signature', received.headers)
         attempts = 2 if method == 'GET' else 1
@@ -232,6 +255,7 @@
         self.assertEqual(
             harness.metrics.count_by_name[_rejected(broken.reason)], attempts
         )
+        self.assertFalse(view.suspicion_by_fingerprint)
 
 
 class SoundAnswerTest(unittest.IsolatedAsyncioTestCase):
@@ -347,6 +371,8 @@
 
 ENTRY_ID = (b'X-Request-Id: r\r\n', b'')
 """What entries do not know; a target need not send an id back."""
+PAUSES = [0.2, 0.4, 0.8, 1.6, 2.0]
+"""Seconds without requests after one malformed response after the other."""
 
 
 def _parts(sound: Sound) -> tuple[int, bytes]:
