Responses: a length that is not one whole number is a broken answer

What callers saw: a target sent a length that curl leaves out of account, such as one over 63 bits. The caller got what came until the connection ended as a complete answer, or waited until its time was up where it was kept open.

Cause: two readers of one head. Ours took any text as the length, since only curl framed the body by it; curl passes over the lengths that it cannot hold. All other malformed lengths were refused by curl alone, and a malformed length beside chunks, of an interim head or of a response without a body by nobody.

Change: web/responsehead.py reads the length by its grammar (RFC 9110, 8.6): one number, or the same number repeated, up to 2**63 - 1. It is passed on in one form.

Two equal lengths, a list of equal ones, leading zeros, and no blank or a tab around the value are served as before.

--- a/src/turmericmast/web/responsehead.py
+++ b/src/turmericmast/web/responsehead.py
@@ -17,7 +17,12 @@
 from turmericmast.web.malformed import MalformedResponseError, quoted
 from turmericmast.web.rejection import Rejection
 
+MAX_LENGTH = 9_223_372_036_854_775_807
+"""Longest body in octets; curl counts in 64 bits with a sign."""
+MAX_LENGTH_DIGITS = 19
+"""Decimal digits of ``MAX_LENGTH``."""
 _START_LINE = re.compile(rf'HTTP/1\.[0-9] ([0-9]{{3}}) ({TEXT})')
+_DIGITS = re.compile('[0-9]+')
 _PROTOCOL = 'http/'
 _STATUS_LINE = re.compile(
     r'http/\d+(?:\.\d+)?[ \t]+\d{3}(?![^ \t])', re.IGNORECASE
@@ -77,7 +82,8 @@
     """Return the head that consists of ``lines``, without line ends.
 
     A head that ``is_folded`` is refused: a folded line can't be told from one
-    whose beginning was spoilt, which may be that of the length.
+    whose beginning was spoilt, which may be that of the length. What frames the
+    body by its length is left in one form, ``Content-Length`` as one number.
 
     Raises:
         MalformedResponseError: if a line breaks the grammar, or if it is not
@@ -99,7 +105,7 @@
 
 def _read_framed_headers(lines: Sequence[str]) -> HTTPHeaders:
     headers = _read_headers(lines)
-    _keep_one_length(headers)
+    _keep_one_length(headers, has_chunks='Transfer-Encoding' in headers)
     return headers
 
 
@@ -155,14 +161,25 @@
     return None
 
 
-def _keep_one_length(headers: HTTPHeaders) -> None:
+def _keep_one_length(headers: HTTPHeaders, *, has_chunks: bool) -> None:
     """Leave the length that frames the body; chunks override any length."""
-    length = headers.pop('Content-Length', None)
-    if length is None or 'Transfer-Encoding' in headers:
+    text = headers.pop('Content-Length', None)
+    if text is None:
         return
-    first, *others = map(str.strip, length.split(','))
-    if any(other != first for other in others):
+    lengths = {_read_length(part.strip(BLANKS)) for part in text.split(',')}
+    if len(lengths) > 1 or None in lengths:
         raise MalformedResponseError(
-            Rejection.invalid_length, f'Content-Length is {quoted(length)}'
+            Rejection.invalid_length, f'Content-Length is {quoted(text)}'
         )
-    headers['Content-Length'] = first
+    if not has_chunks:
+        headers['Content-Length'] = str(lengths.pop())
+
+
+def _read_length(text: str) -> int | None:
+    if not _DIGITS.fullmatch(text):
+        return None
+    digits = text.lstrip('0')
+    if len(digits) > MAX_LENGTH_DIGITS:
+        return None
+    length = int(digits or '0')
+    return length if length <= MAX_LENGTH else None
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -73,6 +73,43 @@
     'status_line': b' HTTP/1.1 200 OK',
 }
 """Lines that continue the one before."""
+LENGTHS = {
+    'empty': b'',
+    'word': b'x',
+    'plus': b'+5',
+    'minus': b'-5',
+    'minus_zero': b'-0',
+    'fraction': b'5.0',
+    'exponent': b'5e0',
+    'hexadecimal': b'0x5',
+    'hexadecimal_digit': b'a',
+    'underscore': b'0_5',
+    'quoted': b'"5"',
+    'unit': b'5B',
+    'parameter': b'5;q=1',
+    'blank_within': b'5 5',
+    'tab_within': b'5\t5',
+    'word_behind': b'5 x',
+    'word_before': b'x 5',
+    'comma_before': b',5',
+    'comma_behind': b'5,',
+    'two_commas': b'5,,5',
+    'only_comma': b',',
+    'two_lengths': b'5, 9',
+    'two_lengths_longer_first': b'9, 5',
+    'one_of_two_no_number': b'5, x',
+    'other_digits': '\u0665'.encode(),
+    'superscript': b'\xb2',
+    'no_break_space': b'\xa05',
+    'nul': b'5\0',
+    'vertical_tab': b'\x0b5',
+    'form_feed': b'5\x0c',
+    'over_64_bits': b'18446744073709551621',
+    'over_63_bits': b'9223372036854775808',
+    'many_digits': b'9' * 40,
+    'very_many_digits': b'9' * 5000,
+}
+"""Values of a length that are not one whole number."""
 STATUS_LINES = {
     'control_byte_in_the_reason': b'HTTP/1.1 200 O\x01K',
     'delete_in_the_reason': b'HTTP/1.1 200 O\x7fK',
@@ -134,6 +171,11 @@
     return b'Transfer-Encoding: %b' % text
 
 
+def _reason(text: bytes, reason: str) -> str:
+    """Return why a field with this value is refused."""
+    return 'invalid_field' if CONTROLS.intersection(text) else reason
+
+
 def _in_chunks(octets: bytes) -> bytes:
     return _answer(*OWN, CHUNKED, body=octets)
 
@@ -164,6 +206,38 @@
         head(b'103 Early Hints', b'Link: a', b' b') + _answer(*OWN, SIZED),
         'folded_field',
     ),
+    **{
+        f'length_{name}': Broken(
+            _answer(*OWN, _length(text)), _reason(text, 'invalid_length')
+        )
+        for name, text in LENGTHS.items()
+    },
+    'length_without_blank': Broken(
+        _answer(*OWN, b'Content-Length:5x'), 'invalid_length'
+    ),
+    'length_twice': Broken(
+        _answer(*OWN, SIZED, _length(b'9')), 'invalid_length'
+    ),
+    'length_twice_apart': Broken(
+        _answer(SIZED, *OWN, _length(b'9')), 'invalid_length'
+    ),
+    'length_twice_one_no_number': Broken(
+        _answer(*OWN, _length(b'x'), SIZED), 'invalid_length'
+    ),
+    'length_of_failure': Broken(
+        head(b'500 Internal Server Error', *OWN, _length(b'5x')) + BODY,
+        'invalid_length',
+    ),
+    'length_beside_chunks': Broken(
+        _answer(*OWN, _length(b'x'), CHUNKED, body=CHUNKS), 'invalid_length'
+    ),
+    'length_of_no_content': Broken(
+        head(b'204 No Content', *OWN, _length(b'x')), 'invalid_length'
+    ),
+    'length_of_interim': Broken(
+        head(b'103 Early Hints', _length(b'x')) + _answer(*OWN, SIZED),
+        'invalid_length',
+    ),
     **{
         f'status_line_{name}': Broken(
             _answer(*OWN, SIZED).replace(b'HTTP/1.1 200 OK', line, 1),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -51,6 +51,9 @@
         'folded_blank_behind_a_field',
         'folded_length_last',
         'folded_instead_of_length',
+        'length_word',
+        'length_over_64_bits',
+        'length_twice',
         'status_line_control_byte_in_the_reason',
     )
 }
@@ -159,7 +162,7 @@
     # Guards against a target that answers its health checks well and gets a
     # request after each of them.
     async def test_target_that_always_answers_so(self) -> None:
-        octets = BROKEN['field_no_colon_within'].octets
+        octets = BROKEN['length_word'].octets
         target = JoiningTarget([(octets,)] * 9, in_turn=True)
         pauses = []
         async with verified_edge('GET', target) as own:
