Responses: a transfer coding other than chunked is a broken answer

What callers saw: a target announced a coding that nothing here decodes, such as "identity, chunked", "chunked, chunked", an empty one, or chunks in HTTP/1.0. The caller got the octets as a complete answer, or waited until its time was up.

Cause: the head was taken with any coding; curl decides which it knows, ignores some of them, and ends the body with the connection then.

Change: web/responsehead.py takes "chunked" alone, once, in HTTP/1.1 (RFC 9112, 6.1 and 7), and passes it on in one form.

Upper case, blanks around the coding, empty elements of the list, and chunks beside a length are served.

--- a/src/turmericmast/web/rejection.py
+++ b/src/turmericmast/web/rejection.py
@@ -28,6 +28,8 @@
     """A line of its head continues the one before (RFC 9112, 5.2)."""
     invalid_length = 'invalid_length'
     """Its ``Content-Length`` is not one whole number."""
+    invalid_coding = 'invalid_coding'
+    """Its transfer coding is not ``chunked`` alone."""
     unreadable_head = 'unreadable_head'
     """curl refuses its head, and nothing else tells why."""
 
--- a/src/turmericmast/web/responsehead.py
+++ b/src/turmericmast/web/responsehead.py
@@ -21,7 +21,7 @@
 """Longest body in octets; curl counts in 64 bits with a sign."""
 MAX_LENGTH_DIGITS = 19
 """Decimal digits of ``MAX_LENGTH``."""
-_START_LINE = re.compile(rf'HTTP/1\.[0-9] ([0-9]{{3}}) ({TEXT})')
+_START_LINE = re.compile(rf'HTTP/1\.([0-9]) ([0-9]{{3}}) ({TEXT})')
 _DIGITS = re.compile('[0-9]+')
 _PROTOCOL = 'http/'
 _STATUS_LINE = re.compile(
@@ -83,47 +83,51 @@
 
     A head that ``is_folded`` is refused: a folded line can't be told from one
     whose beginning was spoilt, which may be that of the length. What frames the
-    body by its length is left in one form, ``Content-Length`` as one number.
+    body is left in one form: ``Content-Length`` as one number, or
+    ``Transfer-Encoding`` with the coding ``chunked``.
 
     Raises:
         MalformedResponseError: if a line breaks the grammar, or if it is not
             certain where the body ends.
 
     """
-    status, reason = _read_start_line(lines[0])
+    minor_version, status, reason = _read_start_line(lines[0])
     if is_folded:
         raise MalformedResponseError(
             Rejection.folded_field, 'a line is folded', status
         )
     try:
-        headers = _read_framed_headers(lines[1:])
+        headers = _read_framed_headers(lines[1:], has_codings=minor_version > 0)
     except MalformedResponseError as error:
         error.status = status
         raise
     return ResponseHead(status, reason, headers, _find_join(lines))
 
 
-def _read_framed_headers(lines: Sequence[str]) -> HTTPHeaders:
+def _read_framed_headers(
+    lines: Sequence[str], *, has_codings: bool
+) -> HTTPHeaders:
     headers = _read_headers(lines)
-    _keep_one_length(headers, has_chunks='Transfer-Encoding' in headers)
+    has_chunks = _keep_one_coding(headers, has_codings=has_codings)
+    _keep_one_length(headers, has_chunks=has_chunks)
     return headers
 
 
-def _read_start_line(line: str) -> tuple[int, str]:
-    """Return status and reason."""
+def _read_start_line(line: str) -> tuple[int, int, str]:
+    """Return minor version, status and reason."""
     match = _START_LINE.fullmatch(line)
     if match is None:
         raise MalformedResponseError(
             Rejection.invalid_status, f'{quoted(line)} is no status line'
         )
-    status = int(match[1])
+    status = int(match[2])
     # No request asks for another protocol, so none can be switched to.
     is_switch = status == HTTPStatus.SWITCHING_PROTOCOLS
     if is_switch or status // 100 not in _STATUS_CLASSES:
         raise MalformedResponseError(
             Rejection.invalid_status, 'no response has the status', status
         )
-    return status, match[2]
+    return int(match[1]), status, match[3]
 
 
 def _read_headers(lines: Sequence[str]) -> HTTPHeaders:
@@ -161,6 +165,25 @@
     return None
 
 
+def _keep_one_coding(headers: HTTPHeaders, *, has_codings: bool) -> bool:
+    """Tell whether the body comes in chunks, the only coding that is read.
+
+    HTTP/1.0 has no codings, so that its recipients may end the body elsewhere
+    (RFC 9112, 6.1).
+    """
+    text = headers.get('Transfer-Encoding')
+    if text is None:
+        return False
+    codings = [coding.strip(BLANKS).lower() for coding in text.split(',')]
+    # A list may have empty elements (RFC 9110, 5.6.1).
+    if list(filter(None, codings)) != ['chunked'] or not has_codings:
+        raise MalformedResponseError(
+            Rejection.invalid_coding, f'Transfer-Encoding is {quoted(text)}'
+        )
+    headers['Transfer-Encoding'] = 'chunked'
+    return True
+
+
 def _keep_one_length(headers: HTTPHeaders, *, has_chunks: bool) -> None:
     """Leave the length that frames the body; chunks override any length."""
     text = headers.pop('Content-Length', None)
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -110,6 +110,30 @@
     'very_many_digits': b'9' * 5000,
 }
 """Values of a length that are not one whole number."""
+CODINGS = {
+    'empty': b'',
+    'comma': b',',
+    'word': b'x',
+    'gzip': b'gzip',
+    'identity': b'identity',
+    'gzip_before': b'gzip, chunked',
+    'identity_before': b'identity, chunked',
+    'gzip_behind': b'chunked, gzip',
+    'identity_behind': b'chunked, identity',
+    'twice': b'chunked, chunked',
+    'parameter': b'chunked;q=1',
+    'semicolon': b'chunked;',
+    'word_behind': b'chunked x',
+    'word_before': b'x chunked',
+    'begins_alike': b'chunkedx',
+    'ends_alike': b'xchunked',
+    'quoted': b'"chunked"',
+    'vertical_tab': b'\x0bchunked',
+    'form_feed': b'chunked\x0c',
+    'no_break_space': b'\xa0chunked',
+    'missing_comma': b'chunked chunked',
+}
+"""Transfer codings other than one ``chunked``."""
 STATUS_LINES = {
     'control_byte_in_the_reason': b'HTTP/1.1 200 O\x01K',
     'delete_in_the_reason': b'HTTP/1.1 200 O\x7fK',
@@ -238,6 +262,23 @@
         head(b'103 Early Hints', _length(b'x')) + _answer(*OWN, SIZED),
         'invalid_length',
     ),
+    **{
+        f'coding_{name}_{place}': Broken(
+            octets, _reason(text, 'invalid_coding')
+        )
+        for name, text in CODINGS.items()
+        for place, octets in {
+            'alone': _answer(*OWN, _coding(text), body=CHUNKS),
+            'beside_length': _answer(*OWN, SIZED, _coding(text)),
+        }.items()
+    },
+    'coding_in_two_fields': Broken(
+        _answer(*OWN, CHUNKED, CHUNKED, body=CHUNKS), 'invalid_coding'
+    ),
+    'coding_of_older_version': Broken(
+        _answer(*OWN, CHUNKED, body=CHUNKS).replace(b'1.1', b'1.0', 1),
+        'invalid_coding',
+    ),
     **{
         f'status_line_{name}': Broken(
             _answer(*OWN, SIZED).replace(b'HTTP/1.1 200 OK', line, 1),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -54,6 +54,9 @@
         'length_word',
         'length_over_64_bits',
         'length_twice',
+        'coding_gzip_before_alone',
+        'coding_gzip_behind_alone',
+        'coding_of_older_version',
         'status_line_control_byte_in_the_reason',
     )
 }
