Responses: bodies in chunks are read by the grammar, and end where it says

What callers saw: a target spoilt what frames the chunks of its body: a size followed by other octets, a line end that is no line end, a trailer that is no field. The caller got a complete answer with a body that may not be the target's.

Cause: curl alone ended bodies in chunks, and it passes over the octets between a size and its line feed, and over what trailers hold. What ended a body was decided by the library, in whatever version the wheel for a machine holds.

Change: curl passes on what frames chunks (HTTP_TRANSFER_DECODING 0), and web/chunkedbody.py reads it by RFC 9112, 7.1. web/bodyframing.py decides for each response where its body ends, by the head that was checked (web/chosenframing.py), and curl's result counts only if both agree ("disputed_end"). Octets behind the last chunk are dropped, and their connection is not used again, as before. A folded head that curl read unseen is found in bodies without a length, too: curl passes on fewer octets than it has read with the head.

Limits are kept: 64 KiB for a line, 64 KiB and 1,024 lines for heads and trailers together, 16 parts of a body in a turn.

--- a/src/turmericmast/web/curl.py
+++ b/src/turmericmast/web/curl.py
@@ -44,6 +44,8 @@
         pycurl.PROXY: '',
         pycurl.PATH_AS_IS: 1,
         pycurl.PROTOCOLS: pycurl.PROTO_HTTP,
+        # What frames chunks is passed on and read again (``bodyframing``).
+        pycurl.HTTP_TRANSFER_DECODING: 0,
     }
 )
 
--- a/src/turmericmast/web/headreading.py
+++ b/src/turmericmast/web/headreading.py
@@ -27,6 +27,10 @@
         """Size of all heads."""
         self.is_seen = True
         """Whether all heads were seen before curl read them."""
+        self.unseen = 0
+        """Octets that curl has read with unseen heads and that are in no line.
+
+        Folded lines make them more than those behind the heads."""
         self._has_ended = False
         self._raw_head: RawHead | None = None
 
@@ -88,4 +92,6 @@
 
     def _forget_raw_head(self) -> None:
         """Forget the octets, which may include a part of the body."""
+        if self._raw_head and not self.is_seen:
+            self.unseen = max(self._raw_head.consumed - self.size.octets, 0)
         self._raw_head = None
--- a/src/turmericmast/web/rawhead.py
+++ b/src/turmericmast/web/rawhead.py
@@ -57,6 +57,11 @@
         self._octets = self._octets[end.end() :]
         return octets
 
+    @property
+    def consumed(self) -> int:
+        """Return how many bytes of the response curl has read."""
+        return self._received.consumed
+
     def lines(self) -> list[str]:
         """Return the lines so far of a head that curl has refused."""
         if self._has_gap:
--- a/src/turmericmast/web/rejection.py
+++ b/src/turmericmast/web/rejection.py
@@ -30,8 +30,14 @@
     """Its ``Content-Length`` is not one whole number."""
     invalid_coding = 'invalid_coding'
     """Its transfer coding is not ``chunked`` alone."""
+    invalid_chunk = 'invalid_chunk'
+    """Its body breaks the grammar of chunks."""
+    invalid_trailer = 'invalid_trailer'
+    """A line behind its last chunk is no field."""
     unreadable_head = 'unreadable_head'
     """curl refuses its head, and nothing else tells why."""
+    disputed_end = 'disputed_end'
+    """curl ends its body elsewhere than its head says."""
 
 
 _STUTTER_BY_REJECTION = MappingProxyType(
--- a/src/turmericmast/web/relay.py
+++ b/src/turmericmast/web/relay.py
@@ -20,15 +20,16 @@
     respond,
 )
 from turmericmast.web.responsebody import ResponseBody
-from turmericmast.web.responsehead import ResponseHead
+from turmericmast.web.responsehead import (
+    NO_BODY_STATUSES,
+    BodyEnd,
+    ResponseHead,
+)
 from turmericmast.web.transfer import ResponseSink
 
 if TYPE_CHECKING:
     from turmericmast.ledger.record import KeptAnswer
 
-NO_BODY_STATUSES = frozenset((204, 304))
-"""Statuses whose responses have no body, whatever their headers say."""
-
 
 @final
 class RelayState(enum.Enum):
@@ -187,12 +188,10 @@
         """
         if self.head is None:
             return False
-        headers = self.head.headers
         return (
             self._method == 'HEAD'
             or self.head.status in NO_BODY_STATUSES
-            or 'Content-Length' in headers
-            or 'chunked' in headers.get('Transfer-Encoding', '').lower()
+            or self.head.body_end is not BodyEnd.connection
         )
 
     def range_headers(self) -> tuple[tuple[str, str], ...] | None:
--- a/src/turmericmast/web/responsehead.py
+++ b/src/turmericmast/web/responsehead.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 import re
 from collections.abc import Sequence
 from http import HTTPStatus
@@ -21,6 +22,8 @@
 """Longest body in octets; curl counts in 64 bits with a sign."""
 MAX_LENGTH_DIGITS = 19
 """Decimal digits of ``MAX_LENGTH``."""
+NO_BODY_STATUSES = frozenset((204, 304))
+"""Final statuses whose responses have no body, whatever their headers say."""
 _START_LINE = re.compile(rf'HTTP/1\.([0-9]) ([0-9]{{3}}) ({TEXT})')
 _DIGITS = re.compile('[0-9]+')
 _PROTOCOL = 'http/'
@@ -32,6 +35,17 @@
 _LENGTH_HEADERS = ('Content-Length', 'Transfer-Encoding')
 
 
+@final
+class BodyEnd(enum.Enum):
+    """What ends the body of a response (RFC 9112, 6.3)."""
+
+    length = 'length'
+    """The number of octets that the head announces."""
+    last_chunk = 'last_chunk'
+    connection = 'connection'
+    """The end of the connection."""
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class PossibleJoin:
@@ -67,6 +81,18 @@
         """Return the headers that certainly belong to the status."""
         return self.join.certain if self.join else self.headers
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return what ends the body if there is one; chunks override a length.
+
+        The status and the method of the request tell whether there is one.
+        """
+        if 'Transfer-Encoding' in self.headers:
+            return BodyEnd.last_chunk
+        if 'Content-Length' in self.headers:
+            return BodyEnd.length
+        return BodyEnd.connection
+
     @property
     def is_interim(self) -> bool:
         """Tell whether another head follows."""
--- a/src/turmericmast/web/responselimits.py
+++ b/src/turmericmast/web/responselimits.py
@@ -1,7 +1,8 @@
 """Limits of what a peer may send beside the body of a response."""
 
+import copy
 import enum
-from typing import final
+from typing import Self, final
 
 from turmericmast.metrics import Metrics
 
@@ -58,6 +59,10 @@
         self._lines += 1
         return self.octets <= MAX_HEAD_BYTES and self._lines <= MAX_HEAD_LINES
 
+    def fork(self) -> Self:
+        """Return a copy, to which lines are added that may come once more."""
+        return copy.copy(self)
+
 
 @final
 class TurnShare:
@@ -81,6 +86,10 @@
         self._octets += octets
         return self._chunks <= MAX_CHUNKS_PER_TURN
 
+    def add_parts(self, count: int) -> None:
+        """Count the parts of the body that the last one turned out to have."""
+        self._chunks += max(count - 1, 0)
+
 
 def count_oversized(metrics: Metrics, part: OversizedPart) -> None:
     """Count a response that was cut off."""
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -12,12 +12,15 @@
 from turmericmast.call.call import Loss
 from turmericmast.units import MILLIS_PER_SECOND
 from turmericmast.web.body import BodyReader
+from turmericmast.web.bodyframing import BodyFraming, NoBody
 from turmericmast.web.bodypace import BodyPace
+from turmericmast.web.chosenframing import choose_framing
 from turmericmast.web.connections import Descriptor
 from turmericmast.web.curl import CurlClient
 from turmericmast.web.headreading import HeadReading
 from turmericmast.web.malformed import MalformedResponseError
 from turmericmast.web.persistence import persists
+from turmericmast.web.rejection import Rejection
 from turmericmast.web.responsebody import BodyState, ResponseBody
 from turmericmast.web.responsehead import ResponseHead
 from turmericmast.web.responselimits import OversizedError, TurnShare
@@ -151,6 +154,8 @@
         self._needs_new_connection = False
         """Whether curl chose a connection that must not be used again."""
         self._body = ResponseBody()
+        self._framing: BodyFraming = NoBody()
+        self._is_oversized = False
 
     async def run(self) -> Loss | None:
         """Send the request; return how it failed, ``None`` on success."""
@@ -179,10 +184,14 @@
 
         ``kept`` is the connection that it keeps for a later one, -1 if none.
         """
-        is_whole = code == pycurl.E_OK and self.progress is Progress.head
+        has_ended = code == pycurl.E_OK and self.progress is Progress.head
+        is_whole = has_ended and self._framing.is_complete
+        if has_ended and not is_whole:
+            self._connection.retire()
         is_foreign = self.progress is Progress.sending or self._sink.is_foreign
         self._connection.end(
-            TransferEnd(is_whole, is_foreign, kept), self._was_closed_for_excess
+            TransferEnd(is_whole, is_foreign, self._framing.has_excess, kept),
+            self._was_closed_for_excess,
         )
 
     def finish(self, code: int) -> None:
@@ -191,11 +200,16 @@
             self._begin_anew()
             return
         # curl also reports success if the connection ends within the head.
-        if code == pycurl.E_OK and self.progress is Progress.head:
+        has_ended = code == pycurl.E_OK and self.progress is Progress.head
+        if has_ended and self._framing.is_complete:
             self.progress = Progress.whole
             self._settle(None)
             return
-        if code in REFUSED_HEAD_CODES and self.progress is Progress.sending:
+        if has_ended:
+            self.malformed = MalformedResponseError(
+                Rejection.disputed_end, 'curl ends the body elsewhere'
+            )
+        elif code in REFUSED_HEAD_CODES and self.progress is Progress.sending:
             self.malformed = self.malformed or self._head.explain_refusal()
         self._settle(self._loss(code))
 
@@ -318,6 +332,10 @@
             return True
         self.progress = Progress.head
         self._connection.unwatch_head()
+        self._framing = choose_framing(
+            head, self._request.method, self._head.size
+        )
+        self._framing.unseen = self._head.unseen
         self._body.begin(
             self._head.size.octets,
             head.headers.get('Content-Length'),
@@ -333,13 +351,39 @@
             # Other transfers and callers get their turn first. curl joins
             # what it has already read of the body meanwhile.
             asyncio.get_running_loop().call_later(time_left, self.resume)
-        elif self._pass_on(chunk):
+        elif self._read_body(chunk):
             self._pace.pass_on(len(chunk))
-            must_abort = self._body.is_filled or self._sink.is_overfull
+            must_abort = (
+                self.malformed is not None
+                or self._is_oversized
+                or self._body.is_filled
+                or self._sink.is_overfull
+            )
             return ABORT_TRANSFER if must_abort else len(chunk)
         self._is_paused = True
         return int(pycurl.WRITEFUNC_PAUSE)
 
+    def _read_body(self, octets: bytes) -> bool:
+        """Pass on the piece of the body in ``octets``; false to get it again.
+
+        It is dropped if the octets break the grammar or exceed a limit.
+        """
+        framing = self._framing.fork()
+        try:
+            piece = framing.decode(octets)
+        except MalformedResponseError as error:
+            self.malformed = error
+            return True
+        except OversizedError as error:
+            self._curl.count_oversized(error.part)
+            self._is_oversized = True
+            return True
+        if piece and not self._pass_on(piece):
+            return False
+        self._share.add_parts(framing.parts)
+        self._framing = framing
+        return True
+
     def _pass_on(self, chunk: bytes) -> bool:
         """Pass a piece of the body to the sink; false to get it again.
 
--- a/src/turmericmast/web/unseenbytes.py
+++ b/src/turmericmast/web/unseenbytes.py
@@ -1,7 +1,7 @@
 """Bytes that curl receives on a connection without passing anything on.
 
-curl skips extensions of chunks and calls no callback for them; the kernel
-counts them.
+curl keeps a line of a head until it ends, and calls no callback before; the
+kernel counts its bytes.
 """
 
 import socket
--- a/src/turmericmast/web/usedconnection.py
+++ b/src/turmericmast/web/usedconnection.py
@@ -21,6 +21,8 @@
     """Whether a whole response was received."""
     is_foreign: bool
     """Whether the response was rejected, so that a second one may follow."""
+    has_excess: bool
+    """Whether curl has read bytes behind the response."""
     kept: Descriptor
     """The connection that curl keeps for a later transfer, -1 if none."""
 
@@ -67,6 +69,11 @@
             self._curl.unwatch_head(self._raw_head)
         self._raw_head = None
 
+    def retire(self) -> None:
+        """Use the connection for no further request."""
+        if self._connection:
+            self._connection.is_retired = True
+
     def hold(self) -> None:
         """Keep the connection open while curl may close it."""
         if self._connection and not self._held:
@@ -97,15 +104,18 @@
         ended: TransferEnd,
         was_closed_for_excess: Callable[[], bool],
     ) -> None:
-        if connection.descriptor == ended.kept:
-            self._curl.kept_connections.keep(connection)
-        elif ended.is_whole and was_closed_for_excess():
+        is_kept = connection.descriptor == ended.kept
+        stutter = Stutter.excess if ended.is_whole else None
+        if ended.has_excess or (
+            ended.is_whole and not is_kept and was_closed_for_excess()
+        ):
+            connection.is_retired = True
             self._curl.kept_connections.report(Stutter.excess, connection)
-            self._linger(connection, None)
-        elif ended.is_whole:
-            self._linger(connection, Stutter.excess)
-        elif ended.is_foreign:
-            self._linger(connection, None)
+            stutter = None
+        if is_kept:
+            self._curl.kept_connections.keep(connection)
+        elif ended.is_whole or ended.is_foreign:
+            self._linger(connection, stutter)
 
     def _linger(self, connection: Connection, stutter: Stutter | None) -> None:
         """Let the target end a second response; ``stutter`` is reported."""
--- a/tests/broken_answers.py
+++ b/tests/broken_answers.py
@@ -134,6 +134,67 @@
     'missing_comma': b'chunked chunked',
 }
 """Transfer codings other than one ``chunked``."""
+CHUNK_LINES = {
+    'empty': b'',
+    'word': b'x',
+    'plus': b'+5',
+    'minus': b'-5',
+    'prefix': b'0x5',
+    'blank_before': b' 5',
+    'tab_before': b'\t5',
+    'blank_behind': b'5 ',
+    'tab_behind': b'5\t',
+    'blank_within': b'5 5',
+    'word_behind': b'5 x',
+    'other_digit': b'5g',
+    'comma': b'5,5',
+    'quoted': b'"5"',
+    'nul_behind': b'5\0',
+    'carriage_return_behind': b'5\r',
+    'carriage_return_within': b'5;a\rb',
+    'many_digits': b'5' * 17,
+    'over_63_bits': b'8000000000000000',
+    'extension_without_name': b'5;',
+    'extension_without_name_but_value': b'5;=a',
+    'extension_without_value': b'5;a=',
+    'extension_with_blank': b'5;a b',
+    'extension_with_control_byte': b'5;a=\x01',
+    'extension_without_quote': b'5;a="b',
+    'extension_behind_quote': b'5;a="b"c',
+    'extension_with_line_feed': b'5;a\nb',
+    'no_semicolon': b'5=a',
+}
+"""Lines that should have the size of a chunk, here of five octets."""
+CHUNK_ENDS = {
+    'line_feed_of_size': b'5\nabcde\r\n0\r\n\r\n',
+    'line_feed_of_extension': b'5;a\nabcde\r\n0\r\n\r\n',
+    'line_feed_of_data': b'5\r\nabcde\n0\r\n\r\n',
+    'carriage_returns_of_data': b'5\r\nabcde\r\r\n0\r\n\r\n',
+    'no_line_end_of_data': b'5\r\nabcde0\r\n\r\n',
+    'data_too_long': b'5\r\nabcdef\r\n0\r\n\r\n',
+    'data_too_short': b'5\r\nabcd\r\n0\r\n\r\n',
+    'line_feed_of_last_chunk': b'5\r\nabcde\r\n0\n\r\n',
+    'blank_line_between': b'5\r\nabcde\r\n\r\n0\r\n\r\n',
+    'blank_line_first': b'\r\n5\r\nabcde\r\n0\r\n\r\n',
+    'extension_of_last_chunk': b'5\r\nabcde\r\n0;\r\n\r\n',
+}
+"""Bodies in chunks whose lines do not end where they should."""
+TRAILERS = {
+    'no_colon': b'odd',
+    'no_name': b': x',
+    'blank_before_the_colon': b'X-Odd : x',
+    'blank_in_the_name': b'X Odd: x',
+    'control_byte_in_the_name': b'X\x01Odd: x',
+    'byte_in_the_name': b'X\xffOdd: x',
+    'control_byte_in_the_value': b'X-Odd: \x01',
+    'delete_in_the_value': b'X-Odd: \x7f',
+    'carriage_return_in_the_value': b'X-Odd: a\rb',
+    'folded': b'X-Odd: a\r\n b',
+    'folded_first': b' a',
+    'chunk_size': b'5',
+    'status_line': b'HTTP/1.1 200 OK',
+}
+"""Trailers that are no field."""
 STATUS_LINES = {
     'control_byte_in_the_reason': b'HTTP/1.1 200 O\x01K',
     'delete_in_the_reason': b'HTTP/1.1 200 O\x7fK',
@@ -279,6 +340,30 @@
         _answer(*OWN, CHUNKED, body=CHUNKS).replace(b'1.1', b'1.0', 1),
         'invalid_coding',
     ),
+    **{
+        f'chunk_size_{name}': Broken(
+            _in_chunks(line + CHUNKS.removeprefix(b'5')), 'invalid_chunk'
+        )
+        for name, line in CHUNK_LINES.items()
+    },
+    **{
+        f'second_chunk_size_{name}': Broken(
+            _in_chunks(b'1\r\na\r\n' + line + CHUNKS.removeprefix(b'5')),
+            'invalid_chunk',
+        )
+        for name, line in CHUNK_LINES.items()
+    },
+    **{
+        f'chunk_{name}': Broken(_in_chunks(octets), 'invalid_chunk')
+        for name, octets in CHUNK_ENDS.items()
+    },
+    **{
+        f'trailer_{name}': Broken(
+            _in_chunks(b'5\r\nabcde\r\n0\r\n' + line + b'\r\n\r\n'),
+            'invalid_trailer',
+        )
+        for name, line in TRAILERS.items()
+    },
     **{
         f'status_line_{name}': Broken(
             _answer(*OWN, SIZED).replace(b'HTTP/1.1 200 OK', line, 1),
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -12,6 +12,7 @@
 
 from parameterized import parameterized
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from tests.broken_answers import (
     BROKEN,
@@ -57,15 +58,14 @@
         'coding_gzip_before_alone',
         'coding_gzip_behind_alone',
         'coding_of_older_version',
+        'chunk_size_word',
+        'chunk_size_blank_behind',
+        'chunk_line_feed_of_data',
+        'trailer_no_colon',
         'status_line_control_byte_in_the_reason',
     )
 }
 """One or more answers of each class, for the other readers."""
-JOINED = [
-    name
-    for name in BROKEN
-    if 'folded' in name and name != 'folded_instead_of_length'
-]
 LARGE = b'x' * 100_000
 """A body that is streamed; smaller ones are buffered."""
 LARGE_CHUNK = b'%x\r\n%b\r\n' % (len(LARGE), LARGE)
@@ -152,7 +152,9 @@
         self.assertEqual(_reasons(own), [broken.reason])
 
     # Guards against a folded line that curl joins before it was seen.
-    @parameterized.expand(_rows({name: BROKEN[name] for name in JOINED}))
+    @parameterized.expand(
+        _rows({name: BROKEN[name] for name in BROKEN if 'folded' in name})
+    )
     async def test_unseen_head(
         self, _name: str, broken: Broken, closes: bool
     ) -> None:
@@ -183,6 +185,24 @@
         self.assertEqual(received.code, 503)
         self.assertFalse(target.requests)
 
+    # Guards against a body that seems complete to a caller who has got a part
+    # of it before it broke.
+    @parameterized.expand(
+        [
+            ('chunk', b'zz\r\nabc\r\n0\r\n\r\n', 'invalid_chunk'),
+            ('trailer', b'0\r\nodd\r\n\r\n', 'invalid_trailer'),
+        ]
+    )
+    async def test_streamed_body(
+        self, _name: str, rest: bytes, reason: str
+    ) -> None:
+        octets = head(b'200 OK', *OWN, CHUNKED) + LARGE_CHUNK + rest
+        target = JoiningTarget([(octets,)], in_turn=True)
+        async with verified_edge('GET', target) as own:
+            with self.assertRaises(HTTPStreamClosedError):
+                await _request(own, 'GET')
+        self.assertEqual(_reasons(own), [reason])
+
     # Guards against other readers that take such an answer for a response.
     @parameterized.expand(
         [
