Tests: broken answers of targets at core and edge processes

Three cores and three edges, targets that write each class of broken answers, on a connection that is kept (safe requests) and on one that is closed (unsafe ones).

--- a/bench/machines.py
+++ b/bench/machines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -25,6 +26,7 @@
     HTTPResponse,
 )
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from bench.layout import free_block
@@ -52,6 +54,17 @@
 """Seconds that a request hangs; longer than any caller waits."""
 
 
+@final
+@dataclasses.dataclass(frozen=True)
+class RawAnswer:
+    """Octets that are written as they are, so that they can violate HTTP."""
+
+    octets: bytes
+    """The answer; ``ID`` stands for the id of the request."""
+    closes: bool
+    """Whether the connection ends behind it."""
+
+
 @final
 class Upstream:
     """A fake target that signs its answers and records its requests.
@@ -62,6 +75,8 @@
     version = 'v1'
     is_failing = False
     """Whether it answers every request with status 500."""
+    raw_answer: RawAnswer | None = None
+    """What it writes to the paths that have ``raw`` in them."""
 
     def __init__(
         self,
@@ -196,18 +211,35 @@
         upstream.paths.append(self.request.path)
         upstream.start_times.append(now)
         self.set_header('X-Response-Signature', 'signed')
+        await self._respond()
+
+    async def post(self) -> None:
+        """Answer as to GET."""
+        await self.get()
+
+    async def _respond(self) -> None:
+        """Answer a request that runs."""
         if 'hang' in self.request.path:
             await asyncio.sleep(HANG_SECONDS)
         if 'reset' in self.request.path:
             self.detach().close()
             return
-        if upstream.is_failing or 'fail' in self.request.path:
+        if 'raw' in self.request.path and self.upstream.raw_answer:
+            await self._write_raw(self.upstream.raw_answer)
+            return
+        if self.upstream.is_failing or 'fail' in self.request.path:
             self.set_status(500)
-        self.finish(f'{upstream.name} {self.request.path}')
-
-    async def post(self) -> None:
-        """Answer as to GET."""
-        await self.get()
+        self.finish(f'{self.upstream.name} {self.request.path}')
+
+    async def _write_raw(self, answer: RawAnswer) -> None:
+        """Write an answer; a connection that is kept waits for its end."""
+        request_id = self.request.headers['X-Request-Id'].encode()
+        stream = self.detach()
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(answer.octets.replace(b'ID', request_id))
+            if not answer.closes:
+                await stream.read_until_close()
+        stream.close()
 
     def _reject_in_pause(self) -> bool:
         """Reject the request if the target wants nothing at the moment."""
