Targets: a malformed response does not end the ejection of a replaced one

The pause after a malformed response took the place of any other. A target whose address another one has taken is ejected for good; a late malformed response to a request of before ended that after 0.2 s. Not seen; found by reading the diff. The test (test_target_that_was_replaced) fails without the change.

--- a/src/turmericmast/balance/targetview.py
+++ b/src/turmericmast/balance/targetview.py
@@ -220,9 +220,8 @@
         self._update_failure_share(failed=failed or is_malformed, now=now)
         if is_malformed:
             self._confirmation.forget()
-            self._ejected_until = now + self._rejections.pause(
-                FIRST_EJECTION, MAX_EJECTION
-            )
+            pause = self._rejections.pause(FIRST_EJECTION, MAX_EJECTION)
+            self._ejected_until = max(self._ejected_until, now + pause)
             return
         if loss is Loss.shed:
             self.confirm_path(now)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import itertools
+import math
 import unittest.mock
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -185,6 +186,18 @@
         self.assertEqual(received.code, 503)
         self.assertFalse(target.requests)
 
+    # Guards against a target that gets requests again for a late response,
+    # though another one listens at its address.
+    async def test_target_that_was_replaced(self) -> None:
+        async with verified_edge('GET', JoiningTarget([])) as own:
+            view = next(iter(own.edge.views()))
+            view.begin_request()
+            view.eject_misplaced()
+            view.end_request(
+                Loss.connection_lost, own.clock.now(), is_malformed=True
+            )
+        self.assertEqual(view.ejected_until(), math.inf)
+
     # Guards against a body that seems complete to a caller who has got a part
     # of it before it broke.
     @parameterized.expand(
