Tests: a status line is no trailer, and a folded header is refused

Three rows of tests/test_interleaved_heads.py took broken responses for valid ones, since curl served them: a status line as a trailer, of a success and of a failure ("HTTP/1.1 500 Error" is no token, RFC 9110, 5.1, so that the line is no field), and a status line in a folded header.

The rows ask for a refusal now, at an edge and at an entry, on connections that must be closed. Rows with the same text in a sound trailer and in a sound header take their place among the valid responses.

--- a/tests/test_interleaved_heads.py
+++ b/tests/test_interleaved_heads.py
@@ -52,8 +52,20 @@
         FAILED + GOOD.replace(b'1.1', b'2') + END,
     ),
     ('status_line_after_a_carriage_return', FAILED[:-2] + b'\r' + GOOD + END),
+    (
+        'status_line_in_a_folded_header',
+        FAILED + b'A: b\r\n ' + GOOD_LINE + END,
+    ),
+    (
+        'status_line_as_trailer',
+        GOOD + IN_CHUNKS + CHUNKS + FAILED + b'\r\n',
+    ),
+    (
+        'success_as_trailer_of_a_failure',
+        FAILED + IN_CHUNKS + CHUNKS + GOOD + b'\r\n',
+    ),
 ]
-"""Heads that contain a status line, which may make a success of a failure."""
+"""Heads and trailers that contain a status line as a line of their own."""
 MIXED_HEADERS = [
     ('two_ids', GOOD + b'X-Request-Id: q\r\n' + END),
     (
@@ -72,20 +84,20 @@
     ('two_interims', 2 * (HINTS + b'\r\n') + GOOD + END, 200, b'ab'),
     ('interim_before_a_failure', HINTS + b'\r\n' + FAILED + END, 500, b'ab'),
     (
-        'status_line_as_trailer',
-        GOOD + IN_CHUNKS + CHUNKS + FAILED + b'\r\n',
+        'status_line_in_a_trailer',
+        GOOD + IN_CHUNKS + CHUNKS + b'A: ' + FAILED + b'\r\n',
         200,
         b'ab',
     ),
     (
-        'success_as_trailer_of_a_failure',
-        FAILED + IN_CHUNKS + CHUNKS + GOOD + b'\r\n',
+        'success_in_a_trailer_of_a_failure',
+        FAILED + IN_CHUNKS + CHUNKS + b'A: ' + GOOD + b'\r\n',
         500,
         b'ab',
     ),
     (
-        'status_line_in_a_folded_header',
-        FAILED + b'A: b\r\n ' + GOOD_LINE + END,
+        'status_line_in_a_header',
+        FAILED + b'A: b ' + GOOD_LINE + END,
         500,
         b'ab',
     ),
