--- a/src/turmericmast/web/chunkedbody.py
+++ b/src/turmericmast/web/chunkedbody.py
@@ -26,6 +26,7 @@
     rf'(?:[ \t]*+=[ \t]*+(?>{TOKEN}|{_QUOTED_TEXT}))?+'
 )
 _SIZE_LINE = re.compile(f'([0-9A-Fa-f]++)(?:{_EXTENSION})*+'.encode('latin-1'))
+_PLAIN_SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
 _SIZE_DIGITS = frozenset(string.hexdigits.encode())
 _HEXADECIMAL = 16
 MAX_SIZE_DIGITS = 16
@@ -67,20 +68,10 @@
         self.check_first(octets)
         octets = self._line + octets
         self._line = b''
-        pieces = []
+        pieces: list[bytes] = []
         position = 0
         while position < len(octets) and not self.is_complete:
-            if self._place is _Place.octets:
-                pieces.append(octets[position : position + self._left])
-                position += len(pieces[-1])
-                self._skip_octets(len(pieces[-1]))
-                continue
-            end = octets.find(b'\n', position) + 1
-            if not end:
-                self._keep_line(octets[position:])
-                break
-            self._read_line(octets[position:end])
-            position = end
+            position = self._advance(octets, position, pieces)
         self.parts = len(pieces)
         self.has_excess |= self.is_complete and position < len(octets)
         return b''.join(pieces)
@@ -94,10 +85,26 @@
         """Tell whether the empty line behind the last chunk has come."""
         return self._place is _Place.end
 
-    def _skip_octets(self, count: int) -> None:
-        self._left -= count
-        if not self._left:
-            self._place = _Place.line_end
+    def _advance(
+        self, octets: bytes, position: int, pieces: list[bytes]
+    ) -> int:
+        """Read on from a position; return the one behind what was read."""
+        if self._place is _Place.octets:
+            pieces.append(octets[position : position + self._left])
+            self._left -= len(pieces[-1])
+            if not self._left:
+                self._place = _Place.line_end
+            return position + len(pieces[-1])
+        if self._place is _Place.size:
+            end = _read_whole_chunks(octets, position, pieces)
+            if end > position:
+                return end
+        end = octets.find(b'\n', position) + 1
+        if not end:
+            self._keep_line(octets[position:])
+            return len(octets)
+        self._read_line(octets[position:end])
+        return end
 
     def _keep_line(self, line: bytes) -> None:
         """Keep the beginning of a line that may still be sound."""
@@ -137,6 +144,23 @@
             )
 
 
+def _read_whole_chunks(
+    octets: bytes, position: int, pieces: list[bytes]
+) -> int:
+    """Add the chunks that are whole and have no extension; return their end.
+
+    This is the fast path: a body may consist of very many short chunks.
+    """
+    while match := _PLAIN_SIZE_LINE.match(octets, position):
+        start = match.end()
+        end = start + int(match[1], _HEXADECIMAL)
+        if start == end or not octets.startswith(LINE_END, end):
+            break
+        pieces.append(octets[start:end])
+        position = end + len(LINE_END)
+    return position
+
+
 def _read_size(line: bytes) -> int:
     """Return the size in a line, with or without extensions."""
     match = _SIZE_LINE.fullmatch(line.removesuffix(LINE_END))
