Edges: a refusal whose body is broken promises nothing

What callers saw: a target refused an order with 503 and "not run", in a response whose chunks or trailers were broken. The edge sent the order to a second target.

Cause: the promise stands in the head, and an edge took a refusal for one however its body ended. That is right for a body that is cut; of a response that breaks the grammar nothing counts.

Change: a transfer tells its sink that the response is malformed (ResponseSink.is_malformed), and the loss of the transfer stays. Entries and heads that are broken were right before.

--- a/src/turmericmast/web/edgeresponse.py
+++ b/src/turmericmast/web/edgeresponse.py
@@ -138,8 +138,11 @@
         return self.rejection is not None
 
     def final_loss(self, loss: Loss | None) -> Loss | None:
-        """Return how the attempt failed; ``loss`` is that of the transfer."""
-        if loss is Loss.never_sent:
+        """Return how the attempt failed; ``loss`` is that of the transfer.
+
+        What a malformed response promises does not count.
+        """
+        if self.is_malformed or loss is Loss.never_sent:
             return loss
         if self.rejection:
             return Loss.cut_short
--- a/src/turmericmast/web/transfer.py
+++ b/src/turmericmast/web/transfer.py
@@ -67,6 +67,9 @@
 class ResponseSink(abc.ABC):
     """Receiver of a response while it arrives."""
 
+    is_malformed = False
+    """Whether the response has turned out to break the grammar of HTTP."""
+
     @abc.abstractmethod
     def on_head(self, head: ResponseHead) -> bool:
         """Receive the head; return false to abort the transfer.
@@ -211,6 +214,7 @@
             )
         elif code in REFUSED_HEAD_CODES and self.progress is Progress.sending:
             self.malformed = self.malformed or self._head.explain_refusal()
+        self._sink.is_malformed = self.malformed is not None
         self._settle(self._loss(code))
 
     def _was_closed_for_excess(self) -> bool:
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -27,7 +27,7 @@
 )
 from tests.entry_harness import EntryHarness, RawTarget
 from tests.head_readers import READERS, Reader, read_all
-from tests.joined_heads import OWN_RESPONSES, JoiningTarget, head
+from tests.joined_heads import NOT_RUN, OWN_RESPONSES, JoiningTarget, head
 from tests.running_edge import RunningEdge, target_at, without_probes
 from tests.test_front import call
 from tests.verified_edge import probe, verified_edge
@@ -67,6 +67,16 @@
     )
 }
 """One or more answers of each class, for the other readers."""
+REFUSALS = (b'503 Full', b'429 Many', b'408 Late', b'421 Other')
+REST = {
+    'length': b'Content-Length: x\r\n\r\n',
+    'long_length': b'Content-Length: 99999999999999999999\r\n\r\n',
+    'folded': b' x\r\nContent-Length: 0\r\n\r\n',
+    'coding': b'Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n',
+    'chunk': CHUNKED + b'\r\n\r\n5 \r\nabcde\r\n0\r\n\r\n',
+    'trailer': CHUNKED + b'\r\n\r\n0\r\nX Odd: a\r\n\r\n',
+}
+"""What breaks a refusal, behind its first fields."""
 LARGE = b'x' * 100_000
 """A body that is streamed; smaller ones are buffered."""
 LARGE_CHUNK = b'%x\r\n%b\r\n' % (len(LARGE), LARGE)
@@ -138,6 +148,28 @@
         self.assertEqual(received.code, 200 if is_repeated else 502)
         self.assertEqual(len(targets.requests), 2 if is_repeated else 1)
 
+    # Guards against an order that runs again, or is said not to have run, by
+    # the promise of a broken refusal.
+    @parameterized.expand(
+        [
+            (f'{status.decode()[:3]}_{name}_{end}', status, rest, ENDS[end])
+            for status, (name, rest), end in itertools.product(
+                REFUSALS, REST.items(), ENDS
+            )
+        ]
+    )
+    async def test_broken_refusal(
+        self, _name: str, status: bytes, rest: bytes, closes: bool
+    ) -> None:
+        start = head(status, OWN_ID, NOT_RUN).removesuffix(b'\r\n')
+        targets = JoiningTarget(
+            [(start + rest,), (GOOD,)], in_turn=True, closes=closes
+        )
+        async with verified_edge('POST', targets, targets) as own:
+            received = await _request(own, 'POST')
+        self.assertEqual(received.code, 502)
+        self.assertEqual(len(targets.requests), 1)
+
     # Guards against a broken answer that passes in several pieces.
     @parameterized.expand(_rows(SPOILT))
     async def test_pieces(
