--- a/tests/test_body_framing.py
+++ b/tests/test_body_framing.py
@@ -7,7 +7,13 @@
 
 from parameterized import parameterized
 
-from tests.broken_answers import CHUNK_EXTENSIONS, SOUND
+from tests.broken_answers import (
+    BROKEN,
+    CHUNK_EXTENSIONS,
+    SOUND,
+    Broken,
+    Sound,
+)
 from turmericmast.web.bodyframing import (
     BodyFraming,
     NoBody,
@@ -245,6 +251,35 @@
         self.assertIs(raised.exception.rejection, Rejection.folded_field)
 
 
+class OwnReaderTest(unittest.TestCase):
+    """Responses that are read without curl."""
+
+    # Guards against broken responses that only a version of curl refuses.
+    @parameterized.expand(BROKEN.items())
+    def test_broken(self, _name: str, broken: Broken) -> None:
+        with self.assertRaises(MalformedResponseError) as raised:
+            _read(broken.octets)
+        self.assertEqual(raised.exception.rejection.value, broken.reason)
+
+    # Guards against sound responses that only curl reads to their end.
+    @parameterized.expand(SOUND.items())
+    def test_sound(self, _name: str, sound: Sound) -> None:
+        framing, body = _read(sound.octets, sound.method)
+        self.assertTrue(framing.is_complete)
+        self.assertEqual(body, sound.body)
+
+
+def _read(octets: bytes, method: str = 'GET') -> tuple[BodyFraming, bytes]:
+    """Return the framing of a response, after its body, and the body."""
+    reading = HeadReading()
+    lines = [line + b'\n' for line in octets.split(b'\n')]
+    heads = (reading.add(line) for line in lines)
+    head = next(head for head in heads if head and not head.is_interim)
+    framing = choose_framing(head, method, reading.size)
+    body = octets[reading.size.octets :]
+    return framing, framing.decode(body) if body else b''
+
+
 class RawHeadTest(unittest.TestCase):
     """Heads that are looked at before curl reads them."""
 
